--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: install demo test codestyle format types bench latency clean
+
+install: $(VENV)/installed
+
+# The stamp keeps a second `make` from asking the package manager again.
+$(VENV)/installed: pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: install
+	$(BIN)/python -m standins.demo
+
+test: install
+	$(BIN)/python -m pytest -n 4
+
+codestyle: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+types: install
+	$(BIN)/mypy
+
+bench: install
+	$(BIN)/dunlinsaddle bench --out docs
+
+latency: install
+	$(BIN)/python -m standins.latency
+
+clean:
+	rm -rf $(VENV) build dist *.egg-info .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/dunlinsaddle/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a call: HTTP faces, the link between nodes, forwarding."""
--- /dev/null
+++ b/dunlinsaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/dunlinsaddle/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands that change records."""
--- /dev/null
+++ b/dunlinsaddle/cli/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands that only read."""
--- /dev/null
+++ b/dunlinsaddle/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are there, as heard from the platform's rosters and from peers."""
--- /dev/null
+++ b/dunlinsaddle/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: pure state fed with the time and an event; no sockets, clock or logging."""
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,23 @@
+from testtools import TestCase
+
+from dunlinsaddle.errors import ANSWERS, ErrorKind, Failure, Outcome, problem_of
+
+
+class ErrorTableTest(TestCase):
+    def test_every_kind_has_one_answer(self):
+        self.assertEqual(set(ErrorKind), set(ANSWERS))
+
+    def test_resend_is_never_offered_without_an_outcome_that_allows_it(self):
+        unsafe = {
+            kind
+            for kind, rule in ANSWERS.items()
+            if rule.resend and rule.outcome is Outcome.UNKNOWN
+        }
+        self.assertEqual({ErrorKind.KEY_IN_PROGRESS, ErrorKind.PLATFORM_UNAVAILABLE}, unsafe)
+
+    def test_problem_names_kind_outcome_and_detail(self):
+        problem = problem_of(Failure(ErrorKind.DRAINING, 'bangor-1 is leaving'))
+        self.assertEqual(503, problem.status)
+        self.assertEqual(Outcome.NOT_RUN, problem.outcome)
+        self.assertTrue(problem.type.endswith('/draining'))
+        self.assertEqual('bangor-1 is leaving', problem.detail)
