--- /dev/null
+++ b/dunlinsaddle/environment.py
@@ -0,0 +1,26 @@
+"""What a program touches outside itself, handed down and never global."""
+
+import os
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+from typing import TextIO
+
+
+@dataclass
+class Environment:
+    """Streams, variables, the wall clock and randomness of one run; tests build their own."""
+
+    program: str = 'dunlinsaddle'
+    stdout: TextIO = field(default_factory=lambda: sys.stdout)
+    stderr: TextIO = field(default_factory=lambda: sys.stderr)
+    stdin: TextIO = field(default_factory=lambda: sys.stdin)
+    environ: Mapping[str, str] = field(default_factory=lambda: os.environ)
+    wall_clock: Callable[[], float] = time.time
+    rng: Random = field(default_factory=Random)
+
+    def report(self, message: str) -> None:
+        """Tell a person what went wrong, in one line."""
+        self.stderr.write(f'{self.program}: error: {message}\n')
--- /dev/null
+++ b/dunlinsaddle/logs.py
@@ -0,0 +1,23 @@
+"""Logs of both programs: one JSON object a line."""
+
+import logging
+from typing import TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+def start_logs(stream: TextIO, level: str, *, instance: str, domain: str) -> logging.Logger:
+    """Prepare the daemon's logger; each line names the instance and its failure domain."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(
+        JsonFormatter(
+            '%(asctime)s %(levelname)s %(message)s',
+            rename_fields={'asctime': 'time', 'levelname': 'level'},
+            static_fields={'instance': instance, 'domain': domain},
+        )
+    )
+    logger = logging.getLogger(f'dunlinsaddle.{instance}')
+    logger.handlers[:] = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
+    return logger
--- /dev/null
+++ b/dunlinsaddle/policy/context.py
@@ -0,0 +1,48 @@
+"""What every hop knows of the request it works for."""
+
+from typing import NamedTuple
+
+import xxhash
+
+from dunlinsaddle.records.models import Rank
+
+SLOTS_PER_RANK = 128
+LOWEST_LEVEL = SLOTS_PER_RANK * len(Rank) - 1
+MAX_HOPS = 32
+
+
+class Priority(NamedTuple):
+    """The priority of a root request: its rank, then a slot that is the same at every hop.
+
+    All hops order requests alike, so overloaded hops shed the same ones and no work is
+    spent on a request that dies further down.
+    """
+
+    rank: Rank
+    slot: int
+
+    @property
+    def level(self) -> int:
+        """One number for both: 0 is the most valued, ``LOWEST_LEVEL`` the least."""
+        return self.rank * SLOTS_PER_RANK + self.slot
+
+
+def priority_of(rank: Rank, request_id: str) -> Priority:
+    """Derive the priority of a root request."""
+    return Priority(rank, xxhash.xxh32_intdigest(request_id.encode()) % SLOTS_PER_RANK)
+
+
+class CallContext(NamedTuple):
+    """One call on its way. ``deadline`` is a time of the local loop's clock, in seconds."""
+
+    request_id: str
+    caller: str
+    service: str
+    rule: str
+    priority: Priority
+    deadline: float
+    allowance: int
+    hop: int
+    idempotent: bool
+    key: str
+    fingerprint: int
--- /dev/null
+++ b/dunlinsaddle/records/schema.py
@@ -0,0 +1,245 @@
+"""Schema versions 1 and 2 of a record: decoding, validation, and a document per version."""
+
+from typing import Any, Literal, NamedTuple, NotRequired, Required, TypedDict
+
+import msgspec
+from result import Err, Ok, Result
+
+from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.records.models import Mode, Rank, RequestRule, ServiceRecord
+
+NEWEST_SCHEMA = 2
+MAX_RULES = 200
+MAX_RETRY_BOUND = 10
+
+
+class RuleV1(TypedDict, total=False):
+    """A rule in schema version 1: the priority is a number, 0 to 3."""
+
+    name: Required[str]
+    method: Required[str]
+    path: Required[str]
+    priority: int
+    idempotent: bool
+
+
+class RecordV1(TypedDict, total=False):
+    """A record in schema version 1."""
+
+    schema: Required[Literal[1]]
+    service: Required[str]
+    requests: list[RuleV1]
+    deadline_seconds: float
+    retries: int
+
+
+class RuleV2(TypedDict, total=False):
+    """A rule in schema version 2: the rank is a word."""
+
+    name: Required[str]
+    method: Required[str]
+    path: Required[str]
+    rank: Literal['critical', 'high', 'normal', 'low']
+    idempotent: bool
+
+
+class TargetsV2(TypedDict, total=False):
+    """What a record says of each target of its service."""
+
+    slots: int
+    connections: int
+
+
+class RecordV2(TypedDict, total=False):
+    """A record in schema version 2."""
+
+    schema: Required[Literal[2]]
+    service: Required[str]
+    mode: Literal['observe', 'enforce']
+    requests: list[RuleV2]
+    deadline: float
+    retry_bound: int
+    targets: NotRequired[TargetsV2]
+    resend_ratio: float
+    recovery_bias: float
+    key_window: float
+
+
+class _Bound(NamedTuple):
+    low: float
+    high: float
+
+
+_BOUNDS: dict[str, _Bound] = {
+    'deadline': _Bound(0.01, 3600),
+    'retry_bound': _Bound(0, MAX_RETRY_BOUND),
+    'slots': _Bound(0, 100_000),
+    'connections': _Bound(1, 100_000),
+    'resend_ratio': _Bound(0, 1),
+    'recovery_bias': _Bound(0, 1),
+    'key_window': _Bound(60, 86_400),
+}
+
+
+def decode_record(doc: Any) -> Result[ServiceRecord, Failure]:
+    """Read a decoded JSON document of any known schema version.
+
+    Errors: ``INVALID_RECORD`` with the field that is wrong, ``NEWER_SCHEMA`` for a version
+    that this program does not know.
+    """
+    if not isinstance(doc, dict):
+        return _invalid('a record is a JSON object')
+    schema = doc.get('schema')
+    if not isinstance(schema, int) or isinstance(schema, bool) or schema < 1:
+        return _invalid('schema: expected a whole number from 1')
+    if schema > NEWEST_SCHEMA:
+        return Err(
+            Failure(
+                ErrorKind.NEWER_SCHEMA,
+                f'schema: {schema} is newer than {NEWEST_SCHEMA}, the newest known here',
+            )
+        )
+    shape: Any = RecordV1 if schema == 1 else RecordV2
+    unknown = _unknown_field(doc, shape)
+    if unknown:
+        return _invalid(f'{unknown}: not a field of schema {schema}')
+    try:
+        typed = msgspec.convert(doc, shape)
+    except msgspec.ValidationError as exc:
+        return _invalid(str(exc))
+    record = _from_v1(typed) if schema == 1 else _from_v2(typed)
+    return _checked(record)
+
+
+def encode_record(record: ServiceRecord) -> RecordV2:
+    """Give the newest document form of a record."""
+    return RecordV2(
+        schema=2,
+        service=record.service,
+        mode=record.mode.value,
+        requests=[
+            RuleV2(
+                name=rule.name,
+                method=rule.method,
+                path=rule.path,
+                rank=rule.rank.name.lower(),  # type: ignore[typeddict-item]
+                idempotent=rule.idempotent,
+            )
+            for rule in record.rules
+        ],
+        deadline=record.deadline,
+        retry_bound=record.retry_bound,
+        targets=TargetsV2(slots=record.slots, connections=record.connections),
+        resend_ratio=record.resend_ratio,
+        recovery_bias=record.recovery_bias,
+        key_window=record.key_window,
+    )
+
+
+def _invalid(detail: str) -> Err[Failure]:
+    return Err(Failure(ErrorKind.INVALID_RECORD, detail))
+
+
+def _unknown_field(doc: dict[str, Any], shape: Any) -> str | None:
+    """Name the first field that the schema does not have: a misspelt one must not be lost."""
+    rule_shape = RuleV1 if shape is RecordV1 else RuleV2
+    for name in doc:
+        if name not in shape.__annotations__:
+            return name
+    targets = doc.get('targets')
+    if isinstance(targets, dict):
+        for name in targets:
+            if name not in TargetsV2.__annotations__:
+                return f'targets.{name}'
+    rules = doc.get('requests')
+    for index, rule in enumerate(rules if isinstance(rules, list) else ()):
+        if not isinstance(rule, dict):
+            continue
+        for name in rule:
+            if name not in rule_shape.__annotations__:
+                return f'requests[{index}].{name}'
+    return None
+
+
+def _from_v1(doc: RecordV1) -> ServiceRecord:
+    rules = tuple(
+        RequestRule(
+            rule['name'],
+            rule['method'],
+            rule['path'],
+            Rank(min(max(rule.get('priority', 2), 0), 3)),
+            rule.get('idempotent', True),
+        )
+        for rule in doc.get('requests', [])
+    )
+    return ServiceRecord(
+        service=doc['service'],
+        schema=1,
+        rules=rules,
+        deadline=doc.get('deadline_seconds', 10.0),
+        retry_bound=doc.get('retries', 2),
+    )
+
+
+def _from_v2(doc: RecordV2) -> ServiceRecord:
+    base = ServiceRecord(doc['service'], 2)
+    targets = doc.get('targets', {})
+    return ServiceRecord(
+        service=doc['service'],
+        schema=2,
+        mode=Mode(doc.get('mode', base.mode)),
+        rules=tuple(
+            RequestRule(
+                rule['name'],
+                rule['method'],
+                rule['path'],
+                Rank[rule.get('rank', 'normal').upper()],
+                rule.get('idempotent', True),
+            )
+            for rule in doc.get('requests', [])
+        ),
+        deadline=doc.get('deadline', base.deadline),
+        retry_bound=doc.get('retry_bound', base.retry_bound),
+        slots=targets.get('slots', base.slots),
+        connections=targets.get('connections', base.connections),
+        resend_ratio=doc.get('resend_ratio', base.resend_ratio),
+        recovery_bias=doc.get('recovery_bias', base.recovery_bias),
+        key_window=doc.get('key_window', base.key_window),
+    )
+
+
+def _checked(record: ServiceRecord) -> Result[ServiceRecord, Failure]:
+    problem = _name_problem(record.service) or _bounds_problem(record) or _rules_problem(record)
+    return _invalid(problem) if problem else Ok(record)
+
+
+def _name_problem(name: str) -> str | None:
+    plain = name.replace('-', '')
+    if 0 < len(name) <= 64 and plain.isascii() and plain.isalnum() and name == name.lower():
+        return None
+    return f'service: {name!r}: expected 1 to 64 of a-z, 0-9 and -'
+
+
+def _bounds_problem(record: ServiceRecord) -> str | None:
+    for name, bound in _BOUNDS.items():
+        value = getattr(record, name)
+        if not bound.low <= value <= bound.high:
+            return f'{name}: {value}: expected {bound.low:g} to {bound.high:g}'
+    return None
+
+
+def _rules_problem(record: ServiceRecord) -> str | None:
+    if len(record.rules) > MAX_RULES:
+        return f'requests: {len(record.rules)} rules, at most {MAX_RULES}'
+    seen: set[str] = set()
+    for rule in record.rules:
+        if rule.name in seen:
+            return f'requests: two rules are named {rule.name!r}'
+        seen.add(rule.name)
+        if not rule.path.startswith('/'):
+            return f'requests: {rule.name}: path {rule.path!r}: expected a leading /'
+        if rule.method != '*' and not (rule.method.isalpha() and rule.method.isupper()):
+            return f'requests: {rule.name}: method {rule.method!r}: expected upper case or *'
+        if rule.rank is Rank.CRITICAL and rule.method in ('GET', 'HEAD') and not rule.idempotent:
+            return f'requests: {rule.name}: a {rule.method} cannot be non-idempotent'
+    return None
--- /dev/null
+++ b/dunlinsaddle/settings.py
@@ -0,0 +1,182 @@
+"""The daemon's settings: flags, environment variables, and their check at start."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+ENV_PREFIX = 'DUNLINSADDLE_'
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+class Address(NamedTuple):
+    """An IP number and a port; port 0 asks the system for one."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+class Settings(NamedTuple):
+    """What a daemon is told at start. Sizes in bytes, times in seconds."""
+
+    instance: str
+    domain: str
+    region: str
+    platform: Address
+    peer_key: str
+    operator_token: str
+    callers: Address
+    local: Address
+    peers: Address
+    gossip: Address
+    operators: Address
+    seeds: tuple[Address, ...]
+    log_level: str
+    otlp_endpoint: str
+    max_header_bytes: int
+    max_body_bytes: int
+    max_connections: int
+    header_timeout: float
+    idle_timeout: float
+    drain_timeout: float
+
+
+class SettingError(NamedTuple):
+    """A setting that cannot be used."""
+
+    name: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        if not self.value:
+            ways = f'--{self.name} or {env_name(self.name)}'
+            return f'{self.name} is missing: give {ways}, {self.allowed}'
+        return f'{self.name}: {self.value!r} cannot be used, expected {self.allowed}'
+
+
+class Option(NamedTuple):
+    """One setting: how it is read, its default (None: required), and its help."""
+
+    name: str
+    read: Callable[[str], Any]
+    allowed: str
+    help: str
+    default: str | None = None
+    secret: bool = False
+
+
+def env_name(name: str) -> str:
+    """Give the environment variable of a setting.
+
+    >>> env_name('peer-key')
+    'DUNLINSADDLE_PEER_KEY'
+    """
+    return ENV_PREFIX + name.upper().replace('-', '_')
+
+
+def read_address(text: str) -> Address:
+    """Read HOST:PORT.
+
+    >>> read_address('127.0.0.1:80')
+    Address(host='127.0.0.1', port=80)
+    """
+    host, colon, port = text.rpartition(':')
+    if not colon or not host or not port.isdecimal() or int(port) > 65535:
+        raise ValueError(text)
+    return Address(host.strip('[]'), int(port))
+
+
+def _read_addresses(text: str) -> tuple[Address, ...]:
+    return tuple(read_address(part.strip()) for part in text.split(',') if part.strip())
+
+
+def _read_name(text: str) -> str:
+    if not 0 < len(text) <= 64 or not text.replace('-', '').replace('.', '').isalnum():
+        raise ValueError(text)
+    return text
+
+
+def _read_level(text: str) -> str:
+    if text not in LOG_LEVELS:
+        raise ValueError(text)
+    return text
+
+
+def _read_secret(text: str) -> str:
+    if len(text) < 8:
+        raise ValueError(text)
+    return text
+
+
+def _whole(low: int, high: int) -> Callable[[str], int]:
+    def read(text: str) -> int:
+        number = int(text)
+        if not low <= number <= high:
+            raise ValueError(text)
+        return number
+
+    return read
+
+
+def _seconds(low: float, high: float) -> Callable[[str], float]:
+    def read(text: str) -> float:
+        number = float(text)
+        if not low <= number <= high:
+            raise ValueError(text)
+        return number
+
+    return read
+
+
+_NAME = '1 to 64 letters, digits, - and .'
+_ADDRESS = 'HOST:PORT'
+_SECRET = 'at least 8 characters'
+
+OPTIONS: tuple[Option, ...] = (
+    Option('instance', _read_name, _NAME, 'Name of this instance, unique in the fleet.'),
+    Option('domain', _read_name, _NAME, 'Failure domain that this instance is in.'),
+    Option('region', _read_name, _NAME, 'Region of the failure domain.', 'default'),
+    Option('platform', read_address, _ADDRESS, "Address of the platform's object API."),
+    Option('peer-key', _read_secret, _SECRET, 'Key shared by all nodes.', secret=True),
+    Option('operator-token', _read_secret, _SECRET, "The operators' token.", secret=True),
+    Option('callers', read_address, _ADDRESS, 'Face for callers.', '127.0.0.1:0'),
+    Option('local', read_address, _ADDRESS, 'Face for the target beside it.', '127.0.0.1:0'),
+    Option('peers', read_address, _ADDRESS, 'Face for calls from other nodes.', '127.0.0.1:0'),
+    Option('gossip', read_address, _ADDRESS, 'Face for membership messages.', '127.0.0.1:0'),
+    Option('operators', read_address, _ADDRESS, 'Face for operators.', '127.0.0.1:0'),
+    Option('seeds', _read_addresses, f'{_ADDRESS},...', 'Gossip faces to try first.', ''),
+    Option('log-level', _read_level, ', '.join(LOG_LEVELS), 'Least level that is logged.', 'info'),
+    Option('otlp-endpoint', str, 'a URL', 'Where metrics are sent; nowhere by default.', ''),
+    Option('max-header-bytes', _whole(1024, 1 << 20), '1024 to 1048576', 'Header limit.', '16384'),
+    Option('max-body-bytes', _whole(0, 1 << 26), '0 to 67108864', 'Body limit.', '1048576'),
+    Option('max-connections', _whole(1, 100_000), '1 to 100000', 'Connections a face.', '4096'),
+    Option('header-timeout', _seconds(0.1, 300), '0.1 to 300', 'Time for one request.', '10'),
+    Option('idle-timeout', _seconds(1, 3600), '1 to 3600', 'Time between requests.', '75'),
+    Option('drain-timeout', _seconds(0, 3600), '0 to 3600', 'Time for calls to end.', '30'),
+)
+
+
+def read_settings(
+    flags: Mapping[str, str], environ: Mapping[str, str]
+) -> Result[Settings, SettingError]:
+    """Read all settings; a flag goes before its environment variable."""
+    values: dict[str, Any] = {}
+    for option in OPTIONS:
+        text = flags.get(option.name)
+        if text is None:
+            text = environ.get(env_name(option.name), option.default)
+        if text is None:
+            return Err(SettingError(option.name, '', option.allowed))
+        try:
+            values[option.name.replace('-', '_')] = option.read(text)
+        except ValueError:
+            shown = '(hidden)' if option.secret else text or '(empty)'
+            return Err(SettingError(option.name, shown, option.allowed))
+    settings = Settings(**values)
+    if settings.local.host not in ('127.0.0.1', '::1'):
+        return Err(SettingError('local', str(settings.local), 'a loopback address'))
+    return Ok(settings)
