Serve a request end to end through separate processes

Cause: the rooms had types but no path through them. Conclusion: the thin path stands; limits, membership and records are still the simplest that work.

--- /dev/null
+++ b/dunlinsaddle/calls/execute.py
@@ -0,0 +1,175 @@
+"""The node beside a target: admission, the wait in the queue, and the call itself."""
+
+import asyncio
+from collections.abc import Callable
+
+from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.http import HttpRequest, forwarded_headers
+from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.work import Running, RunningCalls, Work
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.policy.admission import (
+    AdmissionPolicy,
+    Refuse,
+    Run,
+    Sample,
+    Ticket,
+    Wait,
+)
+from dunlinsaddle.policy.context import CallContext
+from dunlinsaddle.settings import Address
+from dunlinsaddle.stats import Stats
+
+COME_BACK = 1.0
+
+
+class LocalTarget:
+    """The target beside this node, as it announced itself."""
+
+    def __init__(self) -> None:
+        self.service = ''
+        self.address: Address | None = None
+        self.draining = False
+
+    def announce(self, service: str, address: Address) -> None:
+        """Take an announcement; a new one ends a drain."""
+        self.service = service
+        self.address = address
+        self.draining = False
+
+
+class Executor:
+    """Gives calls to the local target, as many at once as admission allows."""
+
+    def __init__(
+        self,
+        target: LocalTarget,
+        admission: AdmissionPolicy,
+        client: HttpClient,
+        running: RunningCalls,
+        stats: Stats,
+        observes: Callable[[str], bool] = lambda service: False,
+    ) -> None:
+        self.target = target
+        self.admission = admission
+        self.client = client
+        self.running = running
+        self.stats = stats
+        self.observes = observes
+        self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
+        self._tickets = 0
+
+    async def execute(self, work: Work) -> Reply:
+        """Run one call at the local target, or refuse it.
+
+        A refusal from here is the proof that the call did not run: nothing is written to the
+        target before admission, and once something is, no answer says "not run" any more.
+        """
+        failure = self._unfit(work.ctx)
+        if failure is not None:
+            return self._refused(failure, work)
+        ticket = self._ticket(work.ctx)
+        failure = await self._admit(ticket)
+        if failure is not None:
+            return self._refused(failure, work)
+        return await self._run(work, ticket)
+
+    def _unfit(self, ctx: CallContext) -> Failure | None:
+        if self.target.draining:
+            return Failure(ErrorKind.DRAINING, retry_after=COME_BACK)
+        if self.target.address is None or self.target.service != ctx.service:
+            detail = f'no target of {ctx.service} is announced here'
+            return Failure(ErrorKind.NO_TARGET, detail, COME_BACK)
+        return None
+
+    def _ticket(self, ctx: CallContext) -> Ticket:
+        self._tickets += 1
+        now = asyncio.get_running_loop().time()
+        level = ctx.priority.level
+        return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller)
+
+    async def _admit(self, ticket: Ticket) -> Failure | None:
+        loop = asyncio.get_running_loop()
+        verdict = self.admission.arrive(loop.time(), ticket)
+        match verdict:
+            case Run():
+                return None
+            case Refuse(failure):
+                return failure
+            case Wait(evicted):
+                if evicted is not None:
+                    self._settle(evicted, Failure(ErrorKind.OVERLOADED, retry_after=COME_BACK))
+        fut: asyncio.Future[Failure | None] = loop.create_future()
+        self._waiting[ticket.call_id] = fut
+        try:
+            refused = await fut
+        except asyncio.CancelledError:
+            self._leave(ticket, fut)
+            raise
+        finally:
+            self._waiting.pop(ticket.call_id, None)
+        self.stats.queued += 1
+        self.stats.queue_time += loop.time() - ticket.arrived
+        return refused
+
+    def _leave(self, ticket: Ticket, fut: 'asyncio.Future[Failure | None]') -> None:
+        """Take a cancelled call out, whether it still waits or was started this moment."""
+        if fut.done() and not fut.cancelled() and fut.result() is None:
+            now = asyncio.get_running_loop().time()
+            self._finish(ticket, Sample(ticket.rule, 0.0, completed=False), now)
+        else:
+            self.admission.abandon(ticket)
+
+    def _settle(self, ticket: Ticket, failure: Failure | None) -> None:
+        fut = self._waiting.pop(ticket.call_id, None)
+        if fut is not None and not fut.done():
+            fut.set_result(failure)
+
+    async def _run(self, work: Work, ticket: Ticket) -> Reply:
+        loop = asyncio.get_running_loop()
+        running = Running(work, loop.time())
+        self.running.add(running)
+        completed = False
+        try:
+            reply = await self._call_target(work, running)
+            completed = reply.kind == ''
+        finally:
+            now = loop.time()
+            self.running.end(running)
+            self._finish(ticket, Sample(ticket.rule, running.own_time(now), completed), now)
+        reply.unspent = work.allowance.tokens
+        reply.load = self.admission.load(loop.time())
+        return reply
+
+    async def _call_target(self, work: Work, running: Running) -> Reply:
+        assert self.target.address is not None
+        headers = [
+            *forwarded_headers(work.headers),
+            (b'dunlinsaddle-call', running.token.encode()),
+            (b'dunlinsaddle-request', work.ctx.request_id.encode()),
+        ]
+        budget = work.ctx.deadline - running.started
+        req = HttpRequest(work.method, work.path, headers, work.body, '')
+        match await self.client.send(self.target.address, req, budget):
+            case Answered(response):
+                headers = forwarded_headers(response.headers)
+                return Reply(0, response.status, headers, response.body, Outcome.DONE)
+            case NotSent(detail):
+                return refusal(Failure(ErrorKind.NO_TARGET, detail, COME_BACK))
+            case Lost(detail, kind):
+                return refusal(Failure(kind, detail))
+
+    def _finish(self, ticket: Ticket, sample: Sample, now: float) -> None:
+        self.admission.finish(now, ticket, sample)
+        released = self.admission.release(now)
+        for started in released.started:
+            self._settle(started, None)
+        late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
+        for dropped in released.dropped:
+            self._settle(dropped, late)
+
+    def _refused(self, failure: Failure, work: Work) -> Reply:
+        self.stats.shed[failure.kind.value] += 1
+        reply = refusal(failure, load=self.admission.load(asyncio.get_running_loop().time()))
+        reply.unspent = work.allowance.tokens
+        return reply
--- /dev/null
+++ b/dunlinsaddle/calls/faces.py
@@ -0,0 +1,212 @@
+"""The faces for callers and for the local target."""
+
+import asyncio
+from typing import TypedDict
+
+import msgspec
+import uuid6
+import xxhash
+
+from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.execute import LocalTarget
+from dunlinsaddle.calls.http import (
+    HttpRequest,
+    HttpResponse,
+    failure_response,
+    forwarded_headers,
+    json_response,
+    response_of,
+)
+from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.calls.work import Running, RunningCalls, Work
+from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.classify import classify
+from dunlinsaddle.policy.context import MAX_HOPS, CallContext, priority_of
+from dunlinsaddle.policy.retry import Allowance
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.models import RequestRule, ServiceRecord
+from dunlinsaddle.settings import read_address
+from dunlinsaddle.stats import CallLabel, Stats
+
+MAX_ID_LENGTH = 128
+COMMON_DEADLINE = 10.0
+UNTRACED_RULE = RequestRule('untraced', '*', '/**')
+
+
+class Announcement(TypedDict):
+    """What a target says when it announces itself."""
+
+    service: str
+    address: str
+
+
+class ServicePath(TypedDict):
+    """The service that a path names, and the rest of the path."""
+
+    service: str
+    rest: str
+
+
+def split_path(path: str) -> ServicePath:
+    """Split ``/service/rest``.
+
+    >>> split_path('/slab-stock/slabs/3?full=1')
+    {'service': 'slab-stock', 'rest': '/slabs/3?full=1'}
+    """
+    service, slash, rest = path.lstrip('/').partition('/')
+    return ServicePath(service=service.partition('?')[0], rest=f'/{rest}' if slash else '/')
+
+
+def read_timeout(text: str, common: float) -> float:
+    """Read a Request-Timeout header: seconds, at most the record's deadline."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return common
+    return min(seconds, common) if seconds > 0 else common
+
+
+class CallerFace:
+    """Any node is an entry: it classifies a request, gives it its budget, and sends it on."""
+
+    def __init__(self, book: RecordBook, dispatcher: Dispatcher, stats: Stats) -> None:
+        self.book = book
+        self.dispatcher = dispatcher
+        self.stats = stats
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one request of a caller."""
+        path = split_path(req.path)
+        record = self.book.find(path['service'])
+        if record is None:
+            return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
+        rule = classify(record, req.method, path['rest'])
+        work = self._work(req, record, rule, path['rest'])
+        reply = await self.dispatcher.dispatch(work)
+        label = CallLabel(record.service, rule.rank.name.lower(), reply.outcome.value, reply.kind)
+        self.stats.count(label)
+        return self._response(reply, work)
+
+    def _work(self, req: HttpRequest, record: ServiceRecord, rule: RequestRule, rest: str) -> Work:
+        now = asyncio.get_running_loop().time()
+        request_id = req.header(b'request-id')[:MAX_ID_LENGTH] or str(uuid6.uuid7())
+        ctx = CallContext(
+            request_id=request_id,
+            caller=req.remote,
+            service=record.service,
+            rule=rule.name,
+            priority=priority_of(rule.rank, request_id),
+            deadline=now + read_timeout(req.header(b'request-timeout'), record.deadline),
+            allowance=record.retry_bound,
+            hop=0,
+            idempotent=rule.idempotent,
+            key=req.header(b'idempotency-key')[:MAX_ID_LENGTH],
+            fingerprint=fingerprint(req, record.service),
+        )
+        headers = forwarded_headers(req.headers)
+        return Work(ctx, req.method, rest, headers, req.body, Allowance(record.retry_bound))
+
+    def _response(self, reply: Reply, work: Work) -> HttpResponse:
+        response = response_of(reply)
+        response.headers.append((b'request-id', work.ctx.request_id.encode('latin-1')))
+        return response
+
+
+class LocalFace:
+    """What the target beside a node may ask: announce itself, drain, call other services."""
+
+    def __init__(
+        self,
+        target: LocalTarget,
+        running: RunningCalls,
+        book: RecordBook,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self.target = target
+        self.running = running
+        self.book = book
+        self.dispatcher = dispatcher
+        self.changed = asyncio.Event()
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one request of the local target."""
+        match (req.method, req.path):
+            case ('POST', '/-/announce'):
+                return self._announce(req)
+            case ('POST', '/-/drain'):
+                self.target.draining = True
+                self.changed.set()
+                return json_response({'draining': True})
+            case (_, path) if path.startswith('/-/'):
+                return failure_response(Failure(ErrorKind.NOT_FOUND, path))
+        return await self._call(req)
+
+    def _announce(self, req: HttpRequest) -> HttpResponse:
+        try:
+            said = msgspec.json.decode(req.body, type=Announcement)
+            address = read_address(said['address'])
+        except (msgspec.MsgspecError, ValueError) as exc:
+            return failure_response(Failure(ErrorKind.MALFORMED_REQUEST, f'announcement: {exc}'))
+        self.target.announce(said['service'], address)
+        self.changed.set()
+        return json_response({'instance': self.dispatcher.instance})
+
+    async def _call(self, req: HttpRequest) -> HttpResponse:
+        path = split_path(req.path)
+        record = self.book.find(path['service'])
+        if record is None:
+            return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
+        parent = self.running.find(req.header(b'dunlinsaddle-call'))
+        work = self._work(req, record, path['rest'], parent)
+        if work.ctx.hop > MAX_HOPS:
+            return failure_response(Failure(ErrorKind.TOO_DEEP))
+        if parent is None:
+            return response_of(await self.dispatcher.dispatch(work))
+        return await self._call_for(parent, work)
+
+    async def _call_for(self, parent: Running, work: Work) -> HttpResponse:
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        assert task is not None
+        parent.children.add(task)
+        parent.leave(loop.time())
+        try:
+            return response_of(await self.dispatcher.dispatch(work))
+        finally:
+            parent.children.discard(task)
+            parent.come_back(loop.time())
+
+    def _work(
+        self, req: HttpRequest, record: ServiceRecord, rest: str, parent: Running | None
+    ) -> Work:
+        """Carry the root's context down; without it there is no retry allowance at all."""
+        rule = classify(record, req.method, rest)
+        now = asyncio.get_running_loop().time()
+        headers = forwarded_headers(req.headers)
+        root = parent.work.ctx if parent else None
+        request_id = root.request_id if root else str(uuid6.uuid7())
+        allowance = parent.work.allowance if parent else Allowance(0)
+        deadline = now + read_timeout(req.header(b'request-timeout'), record.deadline)
+        ctx = CallContext(
+            request_id=request_id,
+            caller=root.caller if root else 'local',
+            service=record.service,
+            rule=rule.name,
+            priority=root.priority if root else priority_of(rule.rank, request_id),
+            deadline=min(root.deadline, deadline) if root else deadline,
+            allowance=allowance.tokens,
+            hop=root.hop + 1 if root else 0,
+            idempotent=rule.idempotent,
+            key=req.header(b'idempotency-key')[:MAX_ID_LENGTH],
+            fingerprint=root.fingerprint if root else fingerprint(req, record.service),
+        )
+        return Work(ctx, req.method, rest, headers, req.body, allowance)
+
+
+def fingerprint(req: HttpRequest, service: str) -> int:
+    """Give what stays the same when a caller sends the same request again."""
+    digest = xxhash.xxh64(service.encode())
+    digest.update(req.method.encode())
+    digest.update(req.path.encode('latin-1'))
+    digest.update(req.body)
+    return digest.intdigest()
--- /dev/null
+++ b/dunlinsaddle/calls/work.py
@@ -0,0 +1,130 @@
+"""One call inside a node, and the calls that the local target is running."""
+
+import asyncio
+import secrets
+from typing import NamedTuple
+
+from dunlinsaddle.calls.messages import Call, Headers
+from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.retry import Allowance
+from dunlinsaddle.records.models import Rank
+
+
+class Work(NamedTuple):
+    """A call with its context, and the retry tokens that it may still spend."""
+
+    ctx: CallContext
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    allowance: Allowance
+
+
+def call_of(work: Work, now: float, handed: int) -> Call:
+    """Give the frame that hands a call to another node."""
+    ctx = work.ctx
+    return Call(
+        id=0,
+        service=ctx.service,
+        method=work.method,
+        path=work.path,
+        headers=work.headers,
+        body=work.body,
+        request_id=ctx.request_id,
+        caller=ctx.caller,
+        rule=ctx.rule,
+        rank=ctx.priority.rank,
+        slot=ctx.priority.slot,
+        budget=ctx.deadline - now,
+        allowance=handed,
+        hop=ctx.hop,
+        idempotent=ctx.idempotent,
+        key=ctx.key,
+        fingerprint=ctx.fingerprint,
+    )
+
+
+def work_of(call: Call, now: float) -> Work:
+    """Give the call that a frame brought; its deadline is counted from its arrival."""
+    ctx = CallContext(
+        request_id=call.request_id,
+        caller=call.caller,
+        service=call.service,
+        rule=call.rule,
+        priority=Priority(Rank(call.rank), call.slot),
+        deadline=now + call.budget,
+        allowance=call.allowance,
+        hop=call.hop,
+        idempotent=call.idempotent,
+        key=call.key,
+        fingerprint=call.fingerprint,
+    )
+    return Work(ctx, call.method, call.path, call.headers, call.body, Allowance(call.allowance))
+
+
+class Running:
+    """A call that the local target is running, and the calls it makes meanwhile."""
+
+    def __init__(self, work: Work, now: float) -> None:
+        self.work = work
+        self.token = secrets.token_hex(8)
+        self.started = now
+        self.children: set[asyncio.Task[object]] = set()
+        self._open = 0
+        self._opened_at = 0.0
+        self._away = 0.0
+
+    def leave(self, now: float) -> None:
+        """Note that the target begins to wait for another service."""
+        if not self._open:
+            self._opened_at = now
+        self._open += 1
+
+    def come_back(self, now: float) -> None:
+        """Note the end of one such wait."""
+        self._open -= 1
+        if not self._open:
+            self._away += now - self._opened_at
+
+    def own_time(self, now: float) -> float:
+        """Give the seconds that the target spent itself.
+
+        A target that waits for a slow service is not overloaded: with that wait counted in,
+        a slow service deep down would shrink the limits of every target above it.
+        """
+        away = self._away + (now - self._opened_at if self._open else 0.0)
+        return max(now - self.started - away, 0.0)
+
+
+class RunningCalls:
+    """The calls in progress at the local target, by the token that the target passes on."""
+
+    def __init__(self) -> None:
+        self._calls: dict[str, Running] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def add(self, running: Running) -> None:
+        """Note a call that is about to be given to the target."""
+        self._calls[running.token] = running
+        self._idle.clear()
+
+    def end(self, running: Running) -> None:
+        """Note its end; calls it still has out are cancelled, for nobody waits for them."""
+        self._calls.pop(running.token, None)
+        for task in list(running.children):
+            task.cancel()
+        if not self._calls:
+            self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until none is in progress."""
+        await self._idle.wait()
+
+    def find(self, token: str) -> Running | None:
+        """Give the call that a token belongs to."""
+        return self._calls.get(token)
+
+    def __len__(self) -> int:
+        return len(self._calls)
--- /dev/null
+++ b/dunlinsaddle/cli/definition.py
@@ -0,0 +1,80 @@
+"""What all commands of the tool share: options, output, and errors in one line."""
+
+from typing import Any
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from dunlinsaddle.cli.argtypes import address_argument
+from dunlinsaddle.cli.client import NodeClient
+from dunlinsaddle.cli.constants import DEFAULT_NODE, NODE_VARIABLE, TOKEN_VARIABLE
+from dunlinsaddle.cli.exceptions import CommandError
+from dunlinsaddle.environment import Environment
+from dunlinsaddle.status import ExitStatus
+
+JSON_OPTION = option('json', None, 'Write one JSON document.')
+NODE_OPTIONS: list[Option] = [
+    JSON_OPTION,
+    option('node', None, f"A node's operators' face, or {NODE_VARIABLE}.", flag=False),
+    option('token', None, f"The operators' token, or {TOKEN_VARIABLE}.", flag=False),
+]
+
+
+class BaseCommand(Command):
+    """A command that writes to its environment and ends with an exit status."""
+
+    def __init__(self, env: Environment) -> None:
+        super().__init__()
+        self.env = env
+
+    def handle(self) -> int:
+        """Do the work; a failure becomes one line and its exit status."""
+        try:
+            return self.work()
+        except CommandError as exc:
+            self.env.report(str(exc))
+            return exc.status
+
+    def work(self) -> ExitStatus:
+        """Do what the command is for."""
+        raise NotImplementedError
+
+    def show(self, value: Any, lines: list[str]) -> None:
+        """Write a result: as JSON if asked for, else as lines."""
+        if self.option('json'):
+            lines = [msgspec.json.format(msgspec.json.encode(value)).decode()]
+        self.env.stdout.write(''.join(f'{line}\n' for line in lines))
+
+
+class NodeCommand(BaseCommand):
+    """A command that asks a node."""
+
+    options = NODE_OPTIONS
+
+    def node(self) -> NodeClient:
+        """Give the client for the node that flags and variables name."""
+        environ = self.env.environ
+        text = self.option('node') or environ.get(NODE_VARIABLE) or DEFAULT_NODE
+        token = self.option('token') or environ.get(TOKEN_VARIABLE)
+        if not token:
+            raise CommandError(
+                ExitStatus.USAGE, f'no operator token: give --token or {TOKEN_VARIABLE}'
+            )
+        return NodeClient(address_argument('node', text), token)
+
+
+def table(rows: list[list[str]]) -> list[str]:
+    """Lay rows out in columns.
+
+    >>> table([['a', 'b'], ['ccc', 'd']])
+    ['a    b', 'ccc  d']
+    """
+    if not rows:
+        return []
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    return [
+        '  '.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in rows
+    ]
--- /dev/null
+++ b/dunlinsaddle/daemon.py
@@ -0,0 +1,126 @@
+"""The daemon: reads its settings, runs one node, and drains on SIGTERM."""
+
+import asyncio
+import signal
+import sys
+
+from cleo.commands.command import Command
+from cleo.exceptions import CleoError
+from cleo.helpers import option
+from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.io import IO
+from cleo.io.outputs.stream_output import StreamOutput
+from result import Err, Ok
+
+from dunlinsaddle import __version__
+from dunlinsaddle.environment import Environment
+from dunlinsaddle.logs import start_logs
+from dunlinsaddle.node import Node
+from dunlinsaddle.settings import OPTIONS, Option, Settings, env_name, read_settings
+from dunlinsaddle.status import ExitStatus
+
+
+def _describe(opt: Option) -> str:
+    default = '' if opt.default in (None, '') else f' Default: {opt.default}.'
+    return f'{opt.help} Allowed: {opt.allowed}. Variable: {env_name(opt.name)}.{default}'
+
+
+class ServeCommand(Command):
+    """All flags of the daemon; each setting is one."""
+
+    name = 'dunlinsaddled'
+    description = 'Runs the node beside one target.'
+    options = [
+        option('check', None, 'Check the settings and exit.'),
+        option('help', 'h', 'Show this help.'),
+        option('version', None, 'Show the version.'),
+        *(option(opt.name, None, _describe(opt), flag=False) for opt in OPTIONS),
+    ]
+
+    def __init__(self, env: Environment) -> None:
+        super().__init__()
+        self.env = env
+
+    def handle(self) -> int:
+        """Run the daemon and give its exit status."""
+        if self.option('help'):
+            self.env.stdout.write(_usage())
+            return ExitStatus.OK
+        if self.option('version'):
+            self.env.stdout.write(f'{__version__}\n')
+            return ExitStatus.OK
+        flags = {opt.name: self.option(opt.name) for opt in OPTIONS}
+        given = {name: text for name, text in flags.items() if text is not None}
+        match read_settings(given, self.env.environ):
+            case Err(error):
+                self.env.report(str(error))
+                return ExitStatus.USAGE
+            case Ok(settings):
+                return ExitStatus.OK if self.option('check') else run(self.env, settings)
+
+
+def _usage() -> str:
+    lines = ['usage: dunlinsaddled [--check] --SETTING VALUE ...', '', 'settings:']
+    lines += [f'  --{opt.name}\n      {_describe(opt)}' for opt in OPTIONS]
+    return '\n'.join(lines) + '\n'
+
+
+def run(env: Environment, settings: Settings) -> ExitStatus:
+    """Run a node until it is told to stop."""
+    logger = start_logs(
+        env.stderr, settings.log_level, instance=settings.instance, domain=settings.domain
+    )
+    try:
+        return asyncio.run(_serve(Node(settings, env, logger)))
+    except OSError as exc:
+        env.report(f'cannot listen: {exc}; give another address or stop what uses it')
+        return ExitStatus.ERROR
+
+
+async def _serve(node: Node) -> ExitStatus:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    interrupts = 0
+
+    def interrupt() -> None:
+        nonlocal interrupts
+        interrupts += 1
+        stop.set()
+        if interrupts > 1:
+            for task in asyncio.all_tasks():
+                task.cancel()
+
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, interrupt)
+    faces = await node.start()
+    addresses = {name: str(address) for name, address in faces._asdict().items()}
+    node.logger.info('listening', extra={'faces': addresses})
+    try:
+        await stop.wait()
+        node.logger.info('draining')
+        await node.drain()
+        await node.stop()
+    except asyncio.CancelledError:
+        return ExitStatus.INTERRUPTED
+    node.logger.info('stopped')
+    return ExitStatus.OK
+
+
+def program(argv: list[str], env: Environment) -> int:
+    """Run the daemon with these arguments; gives the exit status."""
+    output = StreamOutput(env.stdout)
+    io = IO(ArgvInput([env.program, *argv]), output, StreamOutput(env.stderr))
+    try:
+        return ServeCommand(env).run(io)
+    except CleoError as exc:
+        env.report(f'{exc} See {env.program} --help.')
+        return ExitStatus.USAGE
+
+
+def main() -> None:
+    """Run the daemon as a process."""
+    sys.exit(program(sys.argv[1:], Environment(program='dunlinsaddled')))
+
+
+if __name__ == '__main__':
+    main()
--- a/dunlinsaddle/policy/retry.py
+++ b/dunlinsaddle/policy/retry.py
@@ -1,5 +1,7 @@
 """The retry allowance of one root request, conserved over its whole chain."""
 
+from dunlinsaddle.errors import ErrorKind, Outcome
+
 
 class Allowance:
     """The resends that this node may still spend or hand down for one root request.
@@ -28,3 +30,23 @@
     def give_back(self, handed: int, unspent: int) -> None:
         """Take back unspent tokens, never more than were handed down."""
         self.tokens += min(max(unspent, 0), handed)
+
+
+REFUSED_ELSEWHERE = frozenset({ErrorKind.DRAINING, ErrorKind.NO_TARGET})
+LOST_ON_THE_WAY = frozenset(
+    {ErrorKind.PEER_LOST, ErrorKind.TARGET_LOST, ErrorKind.INCOMPLETE_ANSWER}
+)
+
+
+def may_resend(kind: ErrorKind | None, outcome: Outcome, *, idempotent: bool) -> bool:
+    """Say whether another target may be given a call that ended so.
+
+    What provably did not run may always go elsewhere. What may have run goes elsewhere only
+    if it is idempotent. A refusal for overload stays final: all targets of a service order
+    requests alike, and a second try would add load where there is too much.
+    """
+    if kind is None:
+        return False
+    if outcome is Outcome.NOT_RUN:
+        return kind in REFUSED_ELSEWHERE
+    return idempotent and kind in LOST_ON_THE_WAY
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,89 @@
+"""Builders of test data: each gives something valid, changed where the test says so."""
+
+import io
+import logging
+from random import Random
+from typing import Any
+
+from dunlinsaddle.environment import Environment
+from dunlinsaddle.membership.view import Member, State
+from dunlinsaddle.policy.admission import Ticket
+from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
+from dunlinsaddle.settings import Address, Settings, read_settings
+
+PEER_KEY = 'a-key-for-tests'
+OPERATOR_TOKEN = 'a-token-for-tests'
+
+
+def build_environment(**changes: Any) -> Environment:
+    values: dict[str, Any] = {
+        'stdout': io.StringIO(),
+        'stderr': io.StringIO(),
+        'stdin': io.StringIO(),
+        'environ': {},
+        'rng': Random(7),
+        **changes,
+    }
+    return Environment(**values)
+
+
+def build_settings(**changes: str) -> Settings:
+    flags = {
+        'instance': 'bangor-1',
+        'domain': 'bangor-hall',
+        'platform': '127.0.0.1:9',
+        'peer-key': PEER_KEY,
+        'operator-token': OPERATOR_TOKEN,
+        **{name.replace('_', '-'): text for name, text in changes.items()},
+    }
+    return read_settings(flags, {}).unwrap()
+
+
+def build_logger(name: str = 'test') -> logging.Logger:
+    logger = logging.getLogger(f'dunlinsaddle.tests.{name}')
+    logger.addHandler(logging.NullHandler())
+    logger.propagate = False
+    return logger
+
+
+def build_record(service: str = 'cut-orders', **changes: Any) -> ServiceRecord:
+    rules = (
+        RequestRule('release', 'POST', '/orders/*/release', Rank.CRITICAL, False),
+        RequestRule('read', 'GET', '/orders/**'),
+    )
+    return ServiceRecord(service, 2, rules=rules)._replace(**changes)
+
+
+def build_document(service: str = 'cut-orders', **changes: Any) -> dict[str, Any]:
+    return {
+        'schema': 2,
+        'service': service,
+        'requests': [
+            {
+                'name': 'release',
+                'method': 'POST',
+                'path': '/orders/*/release',
+                'rank': 'critical',
+                'idempotent': False,
+            }
+        ],
+        **changes,
+    }
+
+
+def build_member(instance: str = 'bangor-1', **changes: Any) -> Member:
+    port = 1000 + sum(instance.encode()) % 1000
+    base = Member(
+        instance=instance,
+        incarnation=1,
+        state=State.ALIVE,
+        domain='bangor-hall',
+        service='cut-orders',
+        peers=Address('127.0.0.1', port),
+        gossip=Address('127.0.0.1', port + 1000),
+    )
+    return base._replace(**changes)
+
+
+def build_ticket(call_id: int = 1, **changes: Any) -> Ticket:
+    return Ticket(call_id, level=200, arrived=0.0, deadline=10.0)._replace(**changes)
--- /dev/null
+++ b/tests/clock.py
@@ -0,0 +1,26 @@
+"""Runs coroutines on a loop whose clock is paused: it jumps when nothing else can run."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import async_solipsism
+from testtools import TestCase
+
+T = TypeVar('T')
+
+
+class PausedClockTest(TestCase):
+    """A test case whose coroutines run on a paused clock, with connections in memory."""
+
+    def run_paused(self, coro: Coroutine[Any, Any, T]) -> T:
+        loop = async_solipsism.EventLoop()
+        asyncio.set_event_loop(loop)
+        try:
+            return loop.run_until_complete(coro)
+        finally:
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+            loop.run_until_complete(asyncio.sleep(0))
+            loop.close()
+            asyncio.set_event_loop(None)
--- /dev/null
+++ b/tests/fakes/store.py
@@ -0,0 +1,88 @@
+"""The object API in memory, without HTTP: outages, slowness and lost answers at will."""
+
+import asyncio
+import copy
+from typing import Any
+
+from result import Err, Ok, Result
+
+from dunlinsaddle.platform.store import (
+    Conflict,
+    Listing,
+    StoredObject,
+    StoreError,
+    Unavailable,
+)
+
+
+class FakeStore:
+    """Keeps the promises of the platform's API, and breaks down when told to."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.revision = 0
+        self.down = False
+        self.delay = 0.0
+        self.lose_answers = 0  #: so many writes take effect, but their answers get lost
+        self.calls = 0
+        self.changed = asyncio.Event()
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
+        if await self._fails():
+            return Err(Unavailable('down'))
+        return Ok(copy.deepcopy(self.objects.get((kind, name))))
+
+    async def list(self, kind: str) -> Result[Listing, Unavailable]:
+        if await self._fails():
+            return Err(Unavailable('down'))
+        return Ok(self._listing(kind, 0))
+
+    async def put(
+        self, kind: str, name: str, value: Any, expected: int
+    ) -> Result[StoredObject, StoreError]:
+        return await self._write(kind, name, value, expected)
+
+    async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
+        return await self._write(kind, name, None, expected)
+
+    async def watch(self, kind: str, since: int, timeout: float) -> Result[Listing, Unavailable]:
+        if await self._fails():
+            return Err(Unavailable('down'))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        while not (listing := self._listing(kind, since)).objects:
+            try:
+                await asyncio.wait_for(self.changed.wait(), max(deadline - loop.time(), 0))
+            except TimeoutError:
+                break
+            if self.down:
+                return Err(Unavailable('down'))
+        return Ok(listing)
+
+    async def _fails(self) -> bool:
+        self.calls += 1
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        return self.down
+
+    async def _write(
+        self, kind: str, name: str, value: Any, expected: int
+    ) -> Result[StoredObject, StoreError]:
+        if await self._fails():
+            return Err(Unavailable('down'))
+        held = self.objects.get((kind, name))
+        if (held.version if held else 0) != expected:
+            return Err(Conflict(copy.deepcopy(held)))
+        self.revision += 1
+        stored = StoredObject(kind, name, self.revision, copy.deepcopy(value))
+        self.objects[kind, name] = stored
+        self.changed.set()
+        self.changed = asyncio.Event()
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Err(Unavailable('the answer got lost'))
+        return Ok(copy.deepcopy(stored))
+
+    def _listing(self, kind: str, since: int) -> Listing:
+        objects = [o for (k, _), o in self.objects.items() if k == kind and o.version > since]
+        return Listing(copy.deepcopy(objects), self.revision)
--- /dev/null
+++ b/tests/test_node_paused.py
@@ -0,0 +1,41 @@
+import asyncio
+
+from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.node import Node
+from dunlinsaddle.records.changes import RECORDS
+from tests.builders import build_document, build_environment, build_logger, build_settings
+from tests.clock import PausedClockTest
+from tests.fakes.store import FakeStore
+
+
+class NodePausedTest(PausedClockTest):
+    def test_node_without_a_target_says_so_at_once(self):
+        # The caller gets its refusal at once, not at its deadline, and hears when to come back.
+        async def scenario():
+            settings = build_settings(
+                callers='127.0.0.1:1',
+                local='127.0.0.1:2',
+                peers='127.0.0.1:3',
+                operators='127.0.0.1:4',
+            )
+            node = Node(settings, build_environment(), build_logger())
+            store = FakeStore()
+            await store.put(RECORDS, 'cut-orders', {'record': build_document()}, 0)
+            node.use_store(store)
+            faces = await node.start()
+            await asyncio.sleep(1)
+            began = asyncio.get_running_loop().time()
+            req = HttpRequest('GET', '/cut-orders/orders/1', [], b'', '')
+            exchange = await HttpClient().send(faces.callers, req, 10)
+            elapsed = asyncio.get_running_loop().time() - began
+            await node.stop()
+            return exchange, elapsed
+
+        exchange, elapsed = self.run_paused(scenario())
+        assert isinstance(exchange, Answered)
+        headers = dict(exchange.response.headers)
+        self.assertEqual(503, exchange.response.status)
+        self.assertEqual(b'not-run', headers[b'dunlinsaddle-outcome'])
+        self.assertEqual(b'1', headers[b'retry-after'])
+        self.assertLess(elapsed, 0.1)
