Route, retry and quarantine by what was learned, and keep refusals true

Cause: a refusal after a lost first try said not-run though the first try may have run; a target that failed at once drew all load; a request that kills its targets met a third one; callers that ask again at once cost the targets work. Ruled out: counting a lost link to a peer as the death of a target, because a restarted node would make suspects of hundreds of innocent requests. Change: routing near first with two choices, ejection of at most half, errors as cost; quarantine after two deaths with suspects run one at a time; a ratio for early resends per caller; observe mode counts and changes nothing.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -136,6 +136,15 @@
         self._keep(address, conn)
         return exchange
 
+    async def reaches(self, address: Address) -> bool:
+        """Say whether a fresh connection can be opened."""
+        try:
+            conn = await asyncio.wait_for(self._dial(address), CONNECT_TIMEOUT)
+        except (OSError, TimeoutError):
+            return False
+        self._keep(address, conn)
+        return True
+
     def close(self) -> None:
         """Drop all idle connections."""
         for conns in self._idle.values():
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -6,13 +6,15 @@
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.work import Work, call_of
-from dunlinsaddle.errors import ErrorKind, Failure
-from dunlinsaddle.membership.view import Member, MemberView
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.policy.quarantine import DEATHS_MOST, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.stats import Stats
 
 NO_TARGET_COME_BACK = 1.0
+FIRST_ERROR_STATUS = 500
 
 
 class Dispatcher:
@@ -26,6 +28,7 @@
         links: PeerLinks,
         executor: Executor,
         stats: Stats,
+        quarantine: Quarantine,
     ) -> None:
         self.instance = instance
         self.view = view
@@ -33,42 +36,53 @@
         self.links = links
         self.executor = executor
         self.stats = stats
+        self.quarantine = quarantine
 
     async def dispatch(self, work: Work) -> Reply:
         """Give a call to one target after another until one answer is final."""
-        loop = asyncio.get_running_loop()
         tried: set[str] = set()
-        reply: Reply | None = None
+        last: Reply | None = None
+        may_have_run = False
         while True:
-            members = {m.instance: m for m in self.view.serving(work.ctx.service)}
-            candidates = [Candidate(m.instance, m.domain) for m in members.values()]
-            chosen = self.router.choose(loop.time(), candidates, frozenset(tried))
-            if chosen is None:
-                return reply or self._nobody(work)
-            if reply is not None and not work.allowance.spend():
-                return reply
-            if reply is not None:
+            member = self.choose(work.ctx.service, tried)
+            if member is None:
+                last = last or _nobody(work.ctx.service)
+                break
+            if last is not None and not work.allowance.spend():
+                break
+            if last is not None:
                 self.stats.retries += 1
-            tried.add(chosen.instance)
-            reply = await self._try(work, members[chosen.instance])
-            reply.unspent = work.allowance.tokens
-            kind = ErrorKind(reply.kind) if reply.kind else None
-            if not may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent):
-                return reply
+            tried.add(member.instance)
+            last = await self._try(work, member)
+            work = self._after(work, last)
+            may_have_run = may_have_run or last.outcome is not Outcome.NOT_RUN
+            if not self._may_resend(work, last):
+                break
+        last.unspent = work.allowance.tokens
+        return _truthful(last) if may_have_run else last
+
+    def choose(self, service: str, tried: set[str]) -> Member | None:
+        """Give the member to send a call to, or None when all were tried."""
+        members = {m.instance: m for m in self.view.serving(service)}
+        candidates = [
+            Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members.values()
+        ]
+        now = asyncio.get_running_loop().time()
+        chosen = self.router.choose(now, candidates, frozenset(tried))
+        return members[chosen.instance] if chosen else None
 
     async def _try(self, work: Work, member: Member) -> Reply:
         loop = asyncio.get_running_loop()
         handed = work.allowance.hand_down()
         self.router.sent(member.instance)
-        if member.instance == self.instance:
-            reply: Reply | NotSent | Lost = await self.executor.execute(
-                work._replace(allowance=Allowance(handed))
-            )
-        else:
-            reply = await self.links.call(member.peers, call_of(work, loop.time(), handed))
+        try:
+            reply = await self._hand_over(work, member, handed)
+        except asyncio.CancelledError:
+            self.router.answered(member.instance, None)
+            raise
         match reply:
             case Reply():
-                self.router.answered(member.instance, reply.load)
+                self._heard(loop.time(), member, reply)
                 work.allowance.give_back(handed, reply.unspent)
                 return reply
             case NotSent(detail):
@@ -79,6 +93,43 @@
                 self.router.failed(loop.time(), member.instance)
                 return refusal(Failure(kind, detail))
 
-    def _nobody(self, work: Work) -> Reply:
-        detail = f'no target of {work.ctx.service} is known'
-        return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
+    async def _hand_over(self, work: Work, member: Member, handed: int) -> Reply | NotSent | Lost:
+        if member.instance == self.instance:
+            return await self.executor.execute(work._replace(allowance=Allowance(handed)))
+        now = asyncio.get_running_loop().time()
+        return await self.links.call(member.peers, call_of(work, now, handed))
+
+    def _heard(self, now: float, member: Member, reply: Reply) -> None:
+        error = not reply.kind and reply.status >= FIRST_ERROR_STATUS
+        self.router.answered(member.instance, reply.load, error=error)
+        if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
+            self.router.avoid(now, member.instance)
+
+    def _after(self, work: Work, reply: Reply) -> Work:
+        """Carry on with the call what its last try taught."""
+        if not reply.deaths:
+            return work
+        now = asyncio.get_running_loop().time()
+        deaths = self.quarantine.hear(now, work.ctx.fingerprint, reply.deaths)
+        return work._replace(ctx=work.ctx._replace(deaths=deaths))
+
+    def _may_resend(self, work: Work, reply: Reply) -> bool:
+        if work.ctx.deaths >= DEATHS_MOST:
+            return False
+        kind = ErrorKind(reply.kind) if reply.kind else None
+        return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
+
+
+def _nobody(service: str) -> Reply:
+    detail = f'no target of {service} is known'
+    return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
+
+
+def _truthful(reply: Reply) -> Reply:
+    """Keep a refusal from saying "not run" when an earlier try of the same call may have run."""
+    if reply.outcome is not Outcome.NOT_RUN:
+        return reply
+    detail = f'a first try was lost, the last was refused: {reply.kind}'
+    told = refusal(Failure(ErrorKind.OUTCOME_UNKNOWN, detail), load=reply.load)
+    told.unspent = reply.unspent
+    return told
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -14,9 +14,11 @@
     Run,
     Sample,
     Ticket,
+    Verdict,
     Wait,
 )
 from dunlinsaddle.policy.context import CallContext
+from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
 
@@ -48,16 +50,22 @@
         client: HttpClient,
         running: RunningCalls,
         stats: Stats,
+        quarantine: Quarantine,
         observes: Callable[[str], bool] = lambda service: False,
+        on_death: Callable[[int, int], None] = lambda fingerprint, deaths: None,
     ) -> None:
         self.target = target
         self.admission = admission
         self.client = client
         self.running = running
         self.stats = stats
+        self.quarantine = quarantine
         self.observes = observes
+        self.on_death = on_death
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
         self._tickets = 0
+        self._shadows: set[int] = set()
+        self._suspect_lock = asyncio.Lock()
 
     async def execute(self, work: Work) -> Reply:
         """Run one call at the local target, or refuse it.
@@ -68,8 +76,31 @@
         failure = self._unfit(work.ctx)
         if failure is not None:
             return self._refused(failure, work)
+        ctx = work.ctx
+        now = asyncio.get_running_loop().time()
+        self.quarantine.hear(now, ctx.fingerprint, ctx.deaths)
+        match self.quarantine.standing(now, ctx.fingerprint):
+            case Barred(failure):
+                return self._refused(failure, work)
+            case Alone():
+                return await self._run_alone(work)
+        return await self._admit_and_run(work)
+
+    async def _run_alone(self, work: Work) -> Reply:
+        """Run a suspect beside no other, so that a second death names the guilty one."""
+        left = work.ctx.deadline - asyncio.get_running_loop().time()
+        try:
+            await asyncio.wait_for(self._suspect_lock.acquire(), max(left, 0))
+        except TimeoutError:
+            return self._refused(Failure(ErrorKind.TOO_LATE_TO_START, '', COME_BACK), work)
+        try:
+            return await self._admit_and_run(work)
+        finally:
+            self._suspect_lock.release()
+
+    async def _admit_and_run(self, work: Work) -> Reply:
         ticket = self._ticket(work.ctx)
-        failure = await self._admit(ticket)
+        failure = await self._admit(ticket, work.ctx.service)
         if failure is not None:
             return self._refused(failure, work)
         return await self._run(work, ticket)
@@ -88,9 +119,12 @@
         level = ctx.priority.level
         return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller)
 
-    async def _admit(self, ticket: Ticket) -> Failure | None:
+    async def _admit(self, ticket: Ticket, service: str) -> Failure | None:
         loop = asyncio.get_running_loop()
         verdict = self.admission.arrive(loop.time(), ticket)
+        if self.observes(service):
+            self._observe(ticket, verdict)
+            return None
         match verdict:
             case Run():
                 return None
@@ -112,6 +146,23 @@
         self.stats.queue_time += loop.time() - ticket.arrived
         return refused
 
+    def _observe(self, ticket: Ticket, verdict: Verdict) -> None:
+        """Count what would have been decided; the call runs whatever it was.
+
+        Beside an older system that still protects the service nothing may be refused twice.
+        A call that would have waited stays in the queue as a shadow until it ends.
+        """
+        match verdict:
+            case Run():
+                return
+            case Wait(evicted):
+                self.stats.observed_waits += 1
+                if evicted is not None:
+                    self.stats.observed_refusals[ErrorKind.OVERLOADED.value] += 1
+            case Refuse(failure):
+                self.stats.observed_refusals[failure.kind.value] += 1
+        self._shadows.add(ticket.call_id)
+
     def _leave(self, ticket: Ticket, fut: 'asyncio.Future[Failure | None]') -> None:
         """Take a cancelled call out, whether it still waits or was started this moment."""
         if fut.done() and not fut.cancelled() and fut.result() is None:
@@ -121,6 +172,7 @@
             self.admission.abandon(ticket)
 
     def _settle(self, ticket: Ticket, failure: Failure | None) -> None:
+        self._shadows.discard(ticket.call_id)
         fut = self._waiting.pop(ticket.call_id, None)
         if fut is not None and not fut.done():
             fut.set_result(failure)
@@ -133,6 +185,8 @@
         try:
             reply = await self._call_target(work, running)
             completed = reply.kind == ''
+            if completed and work.ctx.deaths:
+                self.quarantine.completed(loop.time(), work.ctx.fingerprint)
         finally:
             now = loop.time()
             self.running.end(running)
@@ -157,10 +211,24 @@
             case NotSent(detail):
                 return refusal(Failure(ErrorKind.NO_TARGET, detail, COME_BACK))
             case Lost(detail, kind):
-                return refusal(Failure(kind, detail))
+                reply = refusal(Failure(kind, detail))
+                if kind is ErrorKind.TARGET_LOST and not await self._target_lives():
+                    now = asyncio.get_running_loop().time()
+                    reply.deaths = self.quarantine.died(now, work.ctx.fingerprint)
+                    self.on_death(work.ctx.fingerprint, reply.deaths)
+                return reply
+
+    async def _target_lives(self) -> bool:
+        """Say whether the target takes connections: a dead one refuses them at once."""
+        assert self.target.address is not None
+        return await self.client.reaches(self.target.address)
 
     def _finish(self, ticket: Ticket, sample: Sample, now: float) -> None:
-        self.admission.finish(now, ticket, sample)
+        if ticket.call_id in self._shadows:
+            self._shadows.discard(ticket.call_id)
+            self.admission.abandon(ticket)
+        else:
+            self.admission.finish(now, ticket, sample)
         released = self.admission.release(now)
         for started in released.started:
             self._settle(started, None)
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -17,14 +17,15 @@
     json_response,
     response_of,
 )
-from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.calls.work import Running, RunningCalls, Work
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.callers import ResendGuard
 from dunlinsaddle.policy.classify import classify
 from dunlinsaddle.policy.context import MAX_HOPS, CallContext, priority_of
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.models import RequestRule, ServiceRecord
+from dunlinsaddle.records.models import Mode, RequestRule, ServiceRecord
 from dunlinsaddle.settings import read_address
 from dunlinsaddle.stats import CallLabel, Stats
 
@@ -73,6 +74,7 @@
         self.book = book
         self.dispatcher = dispatcher
         self.stats = stats
+        self.guard = ResendGuard()
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request of a caller."""
@@ -82,17 +84,44 @@
             return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
         rule = classify(record, req.method, path['rest'])
         work = self._work(req, record, rule, path['rest'])
-        reply = await self.dispatcher.dispatch(work)
+        failure = self._over_rate(work, record)
+        reply = refusal(failure) if failure else await self.dispatcher.dispatch(work)
+        self._note_refusal(work, reply)
         label = CallLabel(record.service, rule.rank.name.lower(), reply.outcome.value, reply.kind)
         self.stats.count(label)
         return self._response(reply, work)
 
+    def _over_rate(self, work: Work, record: ServiceRecord) -> Failure | None:
+        ctx = work.ctx
+        failure = self.guard.check(
+            asyncio.get_running_loop().time(),
+            ctx.caller,
+            ctx.fingerprint,
+            rank=ctx.priority.rank,
+            ratio=record.resend_ratio,
+        )
+        if failure is None:
+            return None
+        if record.mode is Mode.OBSERVE:
+            self.stats.observed_refusals[failure.kind.value] += 1
+            return None
+        self.stats.shed[failure.kind.value] += 1
+        return failure
+
+    def _note_refusal(self, work: Work, reply: Reply) -> None:
+        ctx = work.ctx
+        if not reply.kind:
+            self.guard.answered(ctx.caller, ctx.fingerprint)
+        elif reply.retry_after > 0:
+            now = asyncio.get_running_loop().time()
+            self.guard.refused(now, ctx.caller, ctx.fingerprint, reply.retry_after)
+
     def _work(self, req: HttpRequest, record: ServiceRecord, rule: RequestRule, rest: str) -> Work:
         now = asyncio.get_running_loop().time()
         request_id = req.header(b'request-id')[:MAX_ID_LENGTH] or str(uuid6.uuid7())
         ctx = CallContext(
             request_id=request_id,
-            caller=req.remote,
+            caller=caller_of(req),
             service=record.service,
             rule=rule.name,
             priority=priority_of(rule.rank, request_id),
@@ -203,9 +232,22 @@
         return Work(ctx, req.method, rest, headers, req.body, allowance)
 
 
+def caller_of(req: HttpRequest) -> str:
+    """Tell callers apart that share an address, as those behind one gateway do.
+
+    Credentials are not checked here, only told apart: who changes them with every call gains
+    a new bucket for resends, and is bounded by admission like everybody else.
+    """
+    credentials = req.header(b'authorization')
+    if not credentials:
+        return req.remote
+    return f'{req.remote}/{xxhash.xxh64_hexdigest(credentials.encode())}'
+
+
 def fingerprint(req: HttpRequest, service: str) -> int:
     """Give what stays the same when a caller sends the same request again."""
     digest = xxhash.xxh64(service.encode())
+    digest.update(req.header(b'request-id').encode())
     digest.update(req.method.encode())
     digest.update(req.path.encode('latin-1'))
     digest.update(req.body)
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -46,6 +46,7 @@
     idempotent: bool
     key: str = ''
     fingerprint: int = 0
+    deaths: int = 0
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
@@ -60,6 +61,7 @@
     retry_after: float = 0.0
     unspent: int = 0
     load: Load | None = None
+    deaths: int = 0
 
 
 class Cancel(msgspec.Struct, tag='x', array_like=True):
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -42,6 +42,7 @@
         idempotent=ctx.idempotent,
         key=ctx.key,
         fingerprint=ctx.fingerprint,
+        deaths=ctx.deaths,
     )
 
 
@@ -59,6 +60,7 @@
         idempotent=call.idempotent,
         key=call.key,
         fingerprint=call.fingerprint,
+        deaths=call.deaths,
     )
     return Work(ctx, call.method, call.path, call.headers, call.body, Allowance(call.allowance))
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -23,9 +23,11 @@
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import RECORDS, versioned
+from dunlinsaddle.records.models import Mode
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
@@ -60,10 +62,25 @@
         link_limits = LinkLimits(body_bytes=settings.max_body_bytes)
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
         self.admission = Admission()
-        self.executor = Executor(self.target, self.admission, self.client, self.running, self.stats)
-        router = Router(settings.domain, Random(env.rng.random()))
+        self.quarantine = Quarantine()
+        self.executor = Executor(
+            self.target,
+            self.admission,
+            self.client,
+            self.running,
+            self.stats,
+            self.quarantine,
+            self._observes,
+        )
+        router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
-            settings.instance, self.view, router, self.links, self.executor, self.stats
+            settings.instance,
+            self.view,
+            router,
+            self.links,
+            self.executor,
+            self.stats,
+            self.quarantine,
         )
         self._build_faces(link_limits)
         self.faces: Faces
@@ -160,6 +177,10 @@
             for m in sorted(self.view.members(), key=lambda m: (m.service, m.instance))
         ]
 
+    def _observes(self, service: str) -> bool:
+        record = self.book.find(service)
+        return record is not None and record.mode is Mode.OBSERVE
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
--- a/dunlinsaddle/policy/context.py
+++ b/dunlinsaddle/policy/context.py
@@ -46,3 +46,4 @@
     idempotent: bool
     key: str
     fingerprint: int
+    deaths: int = 0  #: of targets that were lost while they ran this request
--- /dev/null
+++ b/dunlinsaddle/policy/quarantine.py
@@ -0,0 +1,90 @@
+"""Requests that targets died of: suspected after one death, refused after the second."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from dunlinsaddle.errors import ErrorKind, Failure
+
+DEATHS_MOST = 2
+SUSPECT_SECONDS = 120.0
+REFUSE_SECONDS = 900.0
+FINGERPRINTS_MOST = 10_000
+
+
+class _Record(NamedTuple):
+    deaths: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Clear:
+    """No target is known to have died of the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Alone:
+    """A target died while it ran the request, among others: run it beside no other suspect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Barred:
+    """Two targets died of it: it is refused for good."""
+
+    failure: Failure
+
+
+Standing = Clear | Alone | Barred
+
+
+class Quarantine:
+    """Deaths of targets by the fingerprint of the requests that they were running.
+
+    A death names all requests in progress, one of them guilty. The suspects then run one at
+    a time per target, so the second death names the guilty one alone; the innocent clear
+    themselves by completing.
+    """
+
+    def __init__(self) -> None:
+        self._records: OrderedDict[int, _Record] = OrderedDict()
+
+    def standing(self, now: float, fingerprint: int) -> Standing:
+        """Say how a request may be run."""
+        deaths = self.deaths(now, fingerprint)
+        if not deaths:
+            return Clear()
+        if deaths < DEATHS_MOST:
+            return Alone()
+        detail = f'{deaths} targets died while they ran this request'
+        return Barred(Failure(ErrorKind.QUARANTINED, detail))
+
+    def deaths(self, now: float, fingerprint: int) -> int:
+        """Give the number of deaths that count against a request."""
+        record = self._records.get(fingerprint)
+        if record is None or record.until <= now:
+            return 0
+        return record.deaths
+
+    def died(self, now: float, fingerprint: int) -> int:
+        """Note that a target died while it ran the request; gives the deaths so far."""
+        return self.hear(now, fingerprint, self.deaths(now, fingerprint) + 1)
+
+    def hear(self, now: float, fingerprint: int, deaths: int) -> int:
+        """Take what another node says; the higher number stays. Gives the deaths known."""
+        if deaths <= 0:
+            return self.deaths(now, fingerprint)
+        known = max(min(deaths, DEATHS_MOST), self.deaths(now, fingerprint))
+        seconds = REFUSE_SECONDS if known >= DEATHS_MOST else SUSPECT_SECONDS
+        self._records[fingerprint] = _Record(known, now + seconds)
+        self._records.move_to_end(fingerprint)
+        if len(self._records) > FINGERPRINTS_MOST:
+            self._records.popitem(last=False)
+        return known
+
+    def completed(self, now: float, fingerprint: int) -> None:
+        """Note that a request ran to its end: it did not kill its target."""
+        if self.deaths(now, fingerprint) < DEATHS_MOST:
+            self._records.pop(fingerprint, None)
+
+    def __len__(self) -> int:
+        return len(self._records)
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -7,8 +7,14 @@
 from dunlinsaddle.policy.admission import Load
 
 EJECT_AFTER = 3
-EJECT_SECONDS = 5.0
-FAR_PENALTY = 1.5
+EJECT_SECONDS = 2.0
+EJECT_SECONDS_MOST = 30.0
+EJECT_SHARE = 0.5  #: never leave out a larger share of a service's targets than this
+AVOID_SECONDS = 5.0
+FAR_FACTOR = 1.5
+PEER_FACTOR = 1.1
+ERROR_WEIGHT = 4.0
+ERROR_DECAY = 0.9
 
 
 class Candidate(NamedTuple):
@@ -16,26 +22,34 @@
 
     instance: str
     domain: str
+    suspect: bool = False
 
 
 class _Seen:
     """What this node has learned of one target from its own calls."""
 
-    __slots__ = ('ejected_until', 'failures', 'load', 'outstanding')
+    __slots__ = ('avoid_until', 'ejections', 'errors', 'failures', 'load', 'outstanding')
 
     def __init__(self) -> None:
         self.load = Load()
         self.outstanding = 0
         self.failures = 0
-        self.ejected_until = 0.0
+        self.ejections = 0
+        self.errors = 0.0
+        self.avoid_until = 0.0
 
 
 class Router:
-    """Two random choices, weighted by the load that rides back on answers."""
+    """Two choices weighted by the load that rides back on answers, the near one preferred.
 
-    def __init__(self, domain: str, rng: Random) -> None:
+    A target that nothing is known of yet counts as a small one (``Load()``), so a fresh
+    instance is given work as its answers show that it can take it.
+    """
+
+    def __init__(self, domain: str, rng: Random, instance: str = '') -> None:
         self.domain = domain
         self.rng = rng
+        self.instance = instance
         self._seen: dict[str, _Seen] = {}
 
     def choose(
@@ -45,22 +59,28 @@
         left = [c for c in candidates if c.instance not in tried]
         if not left:
             return None
-        # When all are ejected the fault is more likely ours or the network's: use them all.
-        healthy = [c for c in left if self._of(c.instance).ejected_until <= now] or left
-        if len(healthy) == 1:
-            return healthy[0]
-        first, second = self.rng.sample(healthy, 2)
+        usable = self._usable(now, left)
+        near = [c for c in usable if c.domain == self.domain]
+        first = self.rng.choice(near or usable)
+        second = self.rng.choice(usable)
         return first if self._cost(first) <= self._cost(second) else second
 
     def sent(self, instance: str) -> None:
         """Note a call on its way."""
         self._of(instance).outstanding += 1
 
-    def answered(self, instance: str, load: Load | None) -> None:
-        """Note an answer and the load it brought."""
+    def answered(self, instance: str, load: Load | None, *, error: bool = False) -> None:
+        """Note an answer and the load it brought; ``error`` for an answer of status 5xx.
+
+        A target that fails at once looks idle, and would draw ever more calls: its share of
+        errors raises its cost.
+        """
         seen = self._of(instance)
         seen.outstanding -= 1
         seen.failures = 0
+        seen.errors = seen.errors * ERROR_DECAY + (1 - ERROR_DECAY if error else 0)
+        if not error:
+            seen.ejections = 0
         if load is not None:
             seen.load = load
 
@@ -69,18 +89,44 @@
         seen = self._of(instance)
         seen.outstanding -= 1
         seen.failures += 1
-        if seen.failures >= EJECT_AFTER:
-            seen.ejected_until = now + EJECT_SECONDS
+        if seen.failures < EJECT_AFTER:
+            return
+        pause = min(EJECT_SECONDS * 2.0**seen.ejections, EJECT_SECONDS_MOST)
+        seen.ejections += 1
+        seen.avoid_until = now + pause
+
+    def avoid(self, now: float, instance: str) -> None:
+        """Leave a target out for a while that says it is leaving: the view is older than it."""
+        self._of(instance).avoid_until = now + AVOID_SECONDS
 
     def forget(self, instance: str) -> None:
         """Drop what is known of an instance that has gone."""
         self._seen.pop(instance, None)
 
+    def _usable(self, now: float, left: list[Candidate]) -> list[Candidate]:
+        """Leave out suspects and the ejected, but never too many of them.
+
+        When most targets fail alike the cause is this node, the network or the request, and
+        ejecting them would push all load onto the few that are left.
+        """
+        good = [c for c in left if not c.suspect and self._of(c.instance).avoid_until <= now]
+        fewest = len(left) * (1 - EJECT_SHARE)
+        if good and len(good) >= fewest:
+            return good
+        ordered = sorted(left, key=lambda c: (c.suspect, self._of(c.instance).avoid_until))
+        return ordered[: max(round(fewest), len(good), 1)]
+
     def _of(self, instance: str) -> _Seen:
-        return self._seen.setdefault(instance, _Seen())
+        seen = self._seen.get(instance)
+        if seen is None:
+            seen = self._seen[instance] = _Seen()
+        return seen
 
     def _cost(self, candidate: Candidate) -> float:
         seen = self._of(candidate.instance)
         load = seen.load
         cost = (max(load.inflight, seen.outstanding) + load.waiting + 1) / max(load.limit, 1)
-        return cost if candidate.domain == self.domain else cost * FAR_PENALTY
+        cost *= 1 + ERROR_WEIGHT * seen.errors
+        if candidate.instance == self.instance:
+            return cost
+        return cost * (PEER_FACTOR if candidate.domain == self.domain else FAR_FACTOR)
--- a/dunlinsaddle/stats.py
+++ b/dunlinsaddle/stats.py
@@ -21,6 +21,7 @@
         self.calls: Counter[CallLabel] = Counter()
         self.shed: Counter[str] = Counter()
         self.observed_refusals: Counter[str] = Counter()
+        self.observed_waits = 0
         self.retries = 0
         self.wasted = 0
         self.queue_time = 0.0
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,9 +5,12 @@
 from random import Random
 from typing import Any
 
+from dunlinsaddle.calls.work import Work
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
+from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
 
@@ -87,3 +90,20 @@
 
 def build_ticket(call_id: int = 1, **changes: Any) -> Ticket:
     return Ticket(call_id, level=200, arrived=0.0, deadline=10.0)._replace(**changes)
+
+
+def build_work(tokens: int = 3, **changes: Any) -> Work:
+    ctx = CallContext(
+        request_id='request-1',
+        caller='tablet',
+        service='cut-orders',
+        rule='read',
+        priority=Priority(Rank.NORMAL, 5),
+        deadline=10.0,
+        allowance=tokens,
+        hop=0,
+        idempotent=True,
+        key='',
+        fingerprint=1,
+    )
+    return Work(ctx._replace(**changes), 'GET', '/orders/1', [], b'', Allowance(tokens))
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,151 @@
+import asyncio
+from random import Random
+
+from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.execute import Executor, LocalTarget
+from dunlinsaddle.calls.http import HttpResponse
+from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.work import RunningCalls
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.membership.view import MemberView
+from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.quarantine import Barred, Quarantine
+from dunlinsaddle.policy.route import Router
+from dunlinsaddle.settings import Address
+from dunlinsaddle.stats import Stats
+from tests.builders import build_member, build_work
+from tests.clock import PausedClockTest
+
+DONE = Reply(0, 200, [], b'ok', Outcome.DONE)
+
+
+class FakeLinks:
+    """Answers calls to peers from a list, and keeps what was asked."""
+
+    def __init__(self, *replies: Reply | NotSent | Lost) -> None:
+        self.replies = list(replies)
+        self.calls: list[Call] = []
+
+    async def call(self, address: Address, call: Call) -> Reply | NotSent | Lost:
+        self.calls.append(call)
+        return self.replies.pop(0)
+
+
+class DeadTarget(HttpClient):
+    """A target that dies of every call and takes no connection afterwards."""
+
+    async def send(self, address, req, timeout):
+        return Lost('the connection ended', ErrorKind.TARGET_LOST)
+
+    async def reaches(self, address):
+        return False
+
+
+class LiveTarget(HttpClient):
+    """A target that answers every call."""
+
+    async def send(self, address, req, timeout):
+        await asyncio.sleep(0.01)
+        return Answered(HttpResponse(200, [], b'ok'))
+
+
+def build_executor(client: HttpClient, quarantine: Quarantine, **changes) -> Executor:
+    target = LocalTarget()
+    target.announce('cut-orders', Address('127.0.0.1', 1))
+    return Executor(target, Admission(), client, RunningCalls(), Stats(), quarantine, **changes)
+
+
+class DispatchTest(PausedClockTest):
+    def dispatch(self, links: FakeLinks, quarantine: Quarantine | None = None, **work) -> Reply:
+        async def scenario() -> Reply:
+            view = MemberView()
+            for name in ('bangor-1', 'menai-1', 'caernarfon-1'):
+                view.take(build_member(name))
+            known = Quarantine() if quarantine is None else quarantine
+            dispatcher = Dispatcher(
+                'entry',
+                view,
+                Router('bangor-hall', Random(1)),
+                links,
+                build_executor(LiveTarget(), known),
+                Stats(),
+                known,
+            )
+            return await dispatcher.dispatch(build_work(**work))
+
+        return self.run_paused(scenario())
+
+    def test_lost_idempotent_call_is_answered_by_another_target(self):
+        links = FakeLinks(Lost('cut'), DONE)
+        self.assertEqual(200, self.dispatch(links).status)
+
+    def test_lost_non_idempotent_call_is_unknown_and_never_sent_again(self):
+        links = FakeLinks(Lost('cut'), DONE)
+        reply = self.dispatch(links, idempotent=False)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+        self.assertEqual(1, len(links.calls))
+
+    def test_refusal_after_a_lost_try_does_not_say_not_run(self):
+        # The first target is cut off while it runs the call; the second is overloaded and
+        # refuses. "Not run" is true of the second try only: the caller must hear "unknown".
+        links = FakeLinks(Lost('cut'), refusal(Failure(ErrorKind.OVERLOADED, retry_after=1)))
+        reply = self.dispatch(links)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+
+    def test_tries_end_with_the_allowance(self):
+        links = FakeLinks(*[NotSent('refused')] * 10)
+        self.dispatch(links, tokens=1)
+        self.assertLessEqual(len(links.calls), 2)
+
+    def test_request_that_kills_its_targets_is_sent_to_two_at_most(self):
+        # Each target that runs the call dies. After the second death the entry gives up,
+        # though tokens and targets are left: a third target must not die.
+        first = refusal(Failure(ErrorKind.TARGET_LOST))
+        first.deaths = 1
+        second = refusal(Failure(ErrorKind.TARGET_LOST))
+        second.deaths = 2
+        quarantine = Quarantine()
+        links = FakeLinks(first, second, DONE)
+        reply = self.dispatch(links, quarantine, tokens=5)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+        self.assertEqual(2, len(links.calls))
+        self.assertEqual(1, links.calls[1].deaths)
+        self.assertIsInstance(quarantine.standing(0.1, links.calls[0].fingerprint), Barred)
+
+
+class ExecuteTest(PausedClockTest):
+    def execute(self, executor_of, **work) -> Reply:
+        async def scenario() -> Reply:
+            return await executor_of().execute(build_work(**work))
+
+        return self.run_paused(scenario())
+
+    def test_death_of_the_target_is_told_with_the_answer(self):
+        heard: list[tuple[int, int]] = []
+
+        def build() -> Executor:
+            on_death = lambda fingerprint, deaths: heard.append((fingerprint, deaths))  # noqa: E731
+            return build_executor(DeadTarget(), Quarantine(), on_death=on_death)
+
+        reply = self.execute(build, fingerprint=5)
+        self.assertEqual((1, Outcome.UNKNOWN), (reply.deaths, reply.outcome))
+        self.assertEqual([(5, 1)], heard)
+
+    def test_barred_request_is_refused_for_good(self):
+        reply = self.execute(lambda: build_executor(LiveTarget(), Quarantine()), deaths=2)
+        self.assertEqual(ErrorKind.QUARANTINED.value, reply.kind)
+        self.assertEqual(0, reply.retry_after)
+
+    def test_observed_service_counts_refusals_and_runs_the_call(self):
+        # The older system still protects the service. This one would refuse the call, and
+        # must only count that: two systems that both refuse would starve the targets.
+        async def scenario() -> tuple[Reply, int]:
+            executor = build_executor(LiveTarget(), Quarantine(), observes=lambda service: True)
+            executor.admission.limit = 0
+            replies = await asyncio.gather(*(executor.execute(build_work()) for _ in range(5)))
+            return replies[-1], sum(executor.stats.observed_refusals.values())
+
+        reply, refused = self.run_paused(scenario())
+        self.assertEqual(200, reply.status)
+        self.assertGreater(refused, 0)
