--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -18,6 +18,7 @@
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
+from dunlinsaddle.explain import Explanation, Question, explain
 from dunlinsaddle.membership.roster import Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.platform.client import HttpObjectStore
@@ -177,6 +178,15 @@
             for m in sorted(self.view.members(), key=lambda m: (m.service, m.instance))
         ]
 
+    def explain(self, question: Question) -> Explanation | None:
+        """Explain what would happen to a request here; None without a record."""
+        record = self.book.find(question['service'])
+        if record is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        members = self.view.serving(record.service)
+        return explain(question, record, members, self.dispatcher.router, now)
+
     def _observes(self, service: str) -> bool:
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from dunlinsaddle.policy.admission import Load
 
@@ -25,6 +25,17 @@
     suspect: bool = False
 
 
+class TargetReport(TypedDict):
+    """What a node knows of one target, for people."""
+
+    instance: str
+    domain: str
+    load: Load
+    outstanding: int
+    error_share: float
+    left_out_for: float  #: seconds
+
+
 class _Seen:
     """What this node has learned of one target from its own calls."""
 
@@ -103,6 +114,18 @@
         """Drop what is known of an instance that has gone."""
         self._seen.pop(instance, None)
 
+    def report(self, now: float, instance: str, domain: str) -> TargetReport:
+        """Give what is known of a target."""
+        seen = self._seen.get(instance) or _Seen()
+        return TargetReport(
+            instance=instance,
+            domain=domain,
+            load=seen.load,
+            outstanding=seen.outstanding,
+            error_share=round(seen.errors, 3),
+            left_out_for=round(max(seen.avoid_until - now, 0.0), 3),
+        )
+
     def _usable(self, now: float, left: list[Candidate]) -> list[Candidate]:
         """Leave out suspects and the ejected, but never too many of them.
 
