--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -197,12 +197,13 @@
 
     async def _call_target(self, work: Work, running: Running) -> Reply:
         assert self.target.address is not None
+        budget = work.ctx.deadline - running.started
         headers = [
-            *forwarded_headers(work.headers),
+            *((n, v) for n, v in forwarded_headers(work.headers) if n != b'request-timeout'),
+            (b'request-timeout', f'{budget:.3f}'.encode()),
             (b'dunlinsaddle-call', running.token.encode()),
             (b'dunlinsaddle-request', work.ctx.request_id.encode()),
         ]
-        budget = work.ctx.deadline - running.started
         req = HttpRequest(work.method, work.path, headers, work.body, '')
         match await self.client.send(self.target.address, req, budget):
             case Answered(response):
