Gossip membership over datagrams in place of rosters polled by all

Cause: each node read every roster twice a second and wrote its own entry at each change, so the platform's calls grew with the fleet, a dead node stayed in every view, and a cut from the platform froze membership.

Ruled out: pynng for gossip. Death taken on another's word was ruled out too: after a healed cut such words bury the living in their own failure domain.

Change: a pure state machine (probes by turns in a hash ring and in a shuffled round, indirect probes, suspicion, refutation, byte-budgeted rumors, digests by bucket), a datagram transport, rosters kept by three nodes of a domain, and a watch on the target's announcements. A stop hung when the drain's event and the cancellation met in asyncio.wait_for (3.11 swallows the cancellation); test_a_stopped_node_leaves_at_once failed first.

--- a/dunlinsaddle/environment.py
+++ b/dunlinsaddle/environment.py
@@ -8,10 +8,12 @@
 from random import Random
 from typing import TextIO
 
+from dunlinsaddle.membership.transport import Opener, open_udp
+
 
 @dataclass
 class Environment:
-    """Streams, variables, the wall clock and randomness of one run; tests build their own."""
+    """Streams, variables, clock, randomness and datagrams of one run; tests build their own."""
 
     program: str = 'dunlinsaddle'
     stdout: TextIO = field(default_factory=lambda: sys.stdout)
@@ -20,6 +22,7 @@
     environ: Mapping[str, str] = field(default_factory=lambda: os.environ)
     wall_clock: Callable[[], float] = time.time
     rng: Random = field(default_factory=Random)
+    open_gossip: Opener = open_udp
 
     def report(self, message: str) -> None:
         """Tell a person what went wrong, in one line."""
--- /dev/null
+++ b/dunlinsaddle/membership/agent.py
@@ -0,0 +1,91 @@
+"""Runs the gossip state machine on the loop."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from dunlinsaddle.membership.messages import Sealer
+from dunlinsaddle.membership.protocol import Gossip, GossipSizes, GossipTimes, Send
+from dunlinsaddle.membership.transport import Opener, Transport
+from dunlinsaddle.membership.view import Member, MemberView
+from dunlinsaddle.settings import Address
+
+
+@dataclass
+class GossipCounts:
+    """What gossip took on the wire; bytes without the headers of UDP and IP."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    refused: int = 0
+
+
+class GossipAgent:
+    """One node's part in the gossip."""
+
+    def __init__(
+        self,
+        view: MemberView,
+        key: str,
+        rng: Random,
+        seeds: Iterable[Address] = (),
+        times: GossipTimes = GossipTimes(),  # noqa: B008
+        sizes: GossipSizes = GossipSizes(),  # noqa: B008
+    ) -> None:
+        self.gossip = Gossip(view, rng, times, sizes)
+        self.gossip.seeds.update(seeds)
+        self.counts = GossipCounts()
+        self.rng = rng
+        self._sealer = Sealer(key)
+        self._transport: Transport
+        self._started = False
+
+    async def listen(self, opener: Opener, address: Address) -> Address:
+        """Start to listen; gives the address in use. Raises OSError when it is taken."""
+        self._transport = await opener(address, self._receive)
+        return self._transport.address
+
+    def start(self, me: Member) -> None:
+        """Begin to take part, with the word on oneself."""
+        self.gossip.start(self._now(), me)
+        self._started = True
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self._send(self.gossip.tick(self._now()))
+            await asyncio.sleep(self.gossip.times.tick)
+
+    def announce(self, me: Member) -> None:
+        """Spread a changed word on oneself at once."""
+        self.gossip.announce(me)
+        self._send(self.gossip.spread())
+
+    def leave(self) -> None:
+        """Say goodbye and stop."""
+        if self._started:
+            self._send(self.gossip.leave())
+            self._started = False
+        self._transport.close()
+
+    def _receive(self, data: bytes) -> None:
+        self.counts.received += 1
+        self.counts.received_bytes += len(data)
+        message = self._sealer.open(data)
+        if message is None:
+            self.counts.refused += 1
+        elif self._started:
+            self._send(self.gossip.receive(self._now(), message))
+
+    def _send(self, sends: list[Send]) -> None:
+        for to, message in sends:
+            data = self._sealer.seal(message)
+            self.counts.sent += 1
+            self.counts.sent_bytes += len(data)
+            self._transport.send(to, data)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/dunlinsaddle/membership/liveness.py
@@ -0,0 +1,61 @@
+"""Whether the target beside a node is still there."""
+
+import asyncio
+from enum import Enum
+
+from dunlinsaddle.settings import Address
+
+LATE_AFTER = 2.2
+GONE_AFTER = 6.0
+CONNECT_TIMEOUT = 1.0
+
+
+class Hearing(Enum):
+    """What the time since the last announcement says."""
+
+    FRESH = 'fresh'
+    LATE = 'late'
+    GONE = 'gone'
+
+
+class TargetWatch:
+    """Judges a target by its announcements, which come every two seconds.
+
+    One that is late may only be slow: it is gone when it also refuses connections. One that
+    accepts them and stays silent for three periods is frozen, and gone as well.
+    """
+
+    def __init__(self) -> None:
+        self._heard: float | None = None
+
+    def heard(self, now: float) -> None:
+        """Note an announcement."""
+        self._heard = now
+
+    def hearing(self, now: float) -> Hearing:
+        """Judge the silence; before the first announcement there is nothing to miss."""
+        silence = 0.0 if self._heard is None else now - self._heard
+        if silence >= GONE_AFTER:
+            return Hearing.GONE
+        return Hearing.LATE if silence >= LATE_AFTER else Hearing.FRESH
+
+    async def gone(self, now: float, address: Address) -> bool:
+        """Say whether the target has gone."""
+        match self.hearing(now):
+            case Hearing.FRESH:
+                return False
+            case Hearing.GONE:
+                return True
+        return await _refuses(address)
+
+
+async def _refuses(address: Address) -> bool:
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            _, writer = await asyncio.open_connection(*address)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
--- /dev/null
+++ b/dunlinsaddle/membership/messages.py
@@ -0,0 +1,144 @@
+"""What nodes gossip, and how it is packed: MessagePack behind a keyed checksum."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from dunlinsaddle.membership.view import Member, State
+from dunlinsaddle.settings import Address
+
+MAC_BYTES = 16
+MAX_BYTES = 1400  #: under the least packet size of usual networks, so nothing is fragmented
+PAGE_BYTES = 1000  #: words in one message of a view's exchange
+PERSON = b'dunlin-gossip'
+
+
+class Details(msgspec.Struct, array_like=True, frozen=True):
+    """What does not change between two announcements of an instance."""
+
+    domain: str
+    service: str
+    peers: Address
+    gossip: Address
+
+
+class Word(msgspec.Struct, array_like=True, frozen=True):
+    """One word on one instance. ``age`` is the time since it died or left, in seconds."""
+
+    instance: str
+    incarnation: int
+    state: State
+    details: Details | None = None
+    age: int = 0
+
+
+class Message(msgspec.Struct, array_like=True, tag=True, kw_only=True):
+    """What every message carries: who sends it, the address for answers, piggybacked words."""
+
+    sender: str
+    reply_to: Address
+    words: list[Word] = []
+
+
+class Ping(Message, tag='p'):
+    """Asks whether the receiver is alive. ``number`` is random and comes back in the Ack."""
+
+    number: int
+
+
+class Ack(Message, tag='a'):
+    """Says that the instance that was asked is alive."""
+
+    number: int
+
+
+class PingRequest(Message, tag='r'):
+    """Asks the receiver to ping ``target`` on the sender's behalf."""
+
+    number: int
+    target: str
+
+
+class Rumor(Message, tag='u'):
+    """Carries words and wants no answer."""
+
+
+class Sync(Message, tag='s'):
+    """Carries a digest for each bucket of the sender's view; ``answer`` stops the exchange."""
+
+    digests: list[int]
+    answer: bool = False
+
+
+AnyMessage = Ping | Ack | PingRequest | Rumor | Sync
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def word_of(member: Member, *, full: bool = True, age: float = 0.0) -> Word:
+    """Give the word on a member, with its details or without."""
+    details = None
+    if full:
+        details = Details(member.domain, member.service, member.peers, member.gossip)
+    return Word(member.instance, member.incarnation, member.state, details, int(age))
+
+
+def member_of(word: Word, details: Details) -> Member:
+    """Give the member that a word is about."""
+    return Member(
+        word.instance,
+        word.incarnation,
+        word.state,
+        details.domain,
+        details.service,
+        details.peers,
+        details.gossip,
+    )
+
+
+def size_of(word: Word) -> int:
+    """Give the bytes that a word takes in a message."""
+    return len(_encoder.encode(word))
+
+
+def pages_of(words: Iterable[Word], limit: int) -> Iterator[list[Word]]:
+    """Cut words into messages of at most ``limit`` bytes of them."""
+    page: list[Word] = []
+    left = limit
+    for word in words:
+        size = size_of(word)
+        if page and size > left:
+            yield page
+            page, left = [], limit
+        page.append(word)
+        left -= size
+    if page:
+        yield page
+
+
+class Sealer:
+    """Packs messages behind a checksum that needs the shared key, and opens only such."""
+
+    def __init__(self, key: str) -> None:
+        self._key = hashlib.blake2b(key.encode(), digest_size=32).digest()
+
+    def seal(self, message: AnyMessage) -> bytes:
+        """Give the bytes to send."""
+        body = _encoder.encode(message)
+        return self._mac(body) + body
+
+    def open(self, data: bytes) -> AnyMessage | None:
+        """Give the message; None for bytes that no holder of the key has sealed."""
+        body = data[MAC_BYTES:]
+        if len(data) > MAX_BYTES or not hmac.compare_digest(data[:MAC_BYTES], self._mac(body)):
+            return None
+        try:
+            return _decoder.decode(body)
+        except (msgspec.MsgspecError, RecursionError):
+            return None
+
+    def _mac(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, digest_size=MAC_BYTES, key=self._key, person=PERSON).digest()
--- /dev/null
+++ b/dunlinsaddle/membership/protocol.py
@@ -0,0 +1,404 @@
+"""The gossip state machine: probes, suspicion, refutation. No sockets and no clock of its own.
+
+Time is handed in with every call; what is to be sent comes back. Ways weighed and figures:
+docs/design/membership.md.
+"""
+
+from collections.abc import Iterable
+from itertools import islice, takewhile
+from random import Random
+from typing import Any, NamedTuple
+
+from dunlinsaddle.membership.messages import (
+    PAGE_BYTES,
+    Ack,
+    AnyMessage,
+    Details,
+    Ping,
+    PingRequest,
+    Rumor,
+    Sync,
+    Word,
+    member_of,
+    pages_of,
+    word_of,
+)
+from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Relayed
+from dunlinsaddle.membership.rumors import Budget, Rumors
+from dunlinsaddle.membership.sync import bucket_of, digests_of
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.settings import Address
+
+MAX_STEP = 1 << 40  #: how far beyond our own an incarnation may be that we answer by going past it
+MET_MANY = 3  #: so many unknown members in one message: there are more to be asked for
+
+
+class GossipTimes(NamedTuple):
+    """Periods and bounds, in seconds."""
+
+    tick: float = 0.25
+    probe: float = 1.0
+    direct: float = 0.5
+    indirect: float = 0.5
+    suspicion: float = 5.0
+    sync: float = 10.0
+    sync_again: float = 0.5
+    revisit: float = 5.0
+    forget: float = 3600.0
+    stall: float = 1.0
+
+
+class GossipSizes(NamedTuple):
+    """Counts and bytes."""
+
+    relays: int = 3
+    fanout: int = 2
+    extra_sends: int = 5
+    words: int = 480
+    bytes_per_second: int = 2500
+    burst: int = 10_000
+    pages: int = 6
+
+
+class Send(NamedTuple):
+    """A message to be sent."""
+
+    to: Address
+    message: AnyMessage
+
+
+class Gossip:
+    """What one node knows of the others, and what it sends to find out more."""
+
+    def __init__(
+        self,
+        view: MemberView,
+        rng: Random,
+        times: GossipTimes = GossipTimes(),  # noqa: B008
+        sizes: GossipSizes = GossipSizes(),  # noqa: B008
+    ) -> None:
+        self.view = view
+        self.rng = rng
+        self.times = times
+        self.sizes = sizes
+        self.me: Member
+        self.seeds: set[Address] = set()
+        self.contacts: set[Address] = set()
+        self._met = 0
+        self.rumors = Rumors(sizes.extra_sends)
+        self.budget = Budget(sizes.bytes_per_second, sizes.burst)
+        self.order = ProbeOrder(rng)
+        self.suspected: dict[str, float] = {}
+        self.died: dict[str, float] = {}
+        self.floors: dict[str, tuple[int, float]] = {}
+        self._outstanding: dict[int, Outstanding] = {}
+        self._relayed: dict[int, Relayed] = {}
+        self._probe_at = self._sync_at = self._revisit_at = self._ticked = 0.0
+
+    def start(self, now: float, me: Member) -> None:
+        """Begin with the word on oneself."""
+        self.me = me
+        self._ticked = now
+        self._probe_at = now + self.rng.random() * self.times.probe
+        self._revisit_at = now + self.rng.random() * self.times.revisit
+        self._sync_at = now
+        self.budget.refill(now)
+        self.view.take(me)
+        self.rumors.add(word_of(me))
+
+    def contact(self, now: float, addresses: Iterable[Address]) -> None:
+        """Compare views soon with those at these addresses."""
+        self.contacts.update(addresses)
+        self.contacts.discard(self.me.gossip)
+        if self.contacts:
+            self._sync_at = now
+
+    def announce(self, me: Member) -> None:
+        """Spread a changed word on oneself, under a new incarnation."""
+        if me._replace(incarnation=self.me.incarnation) == self.me:
+            return
+        self.me = me._replace(incarnation=self.me.incarnation + 1)
+        self.view.take(self.me)
+        self.rumors.add(word_of(self.me))
+
+    def leave(self) -> list[Send]:
+        """Say goodbye to a few, who pass it on."""
+        self.announce(self.me._replace(state=State.LEFT))
+        peers = self._others(self.sizes.relays + self.sizes.fanout)
+        words = [word_of(self.me)]
+        return [self._send(m.gossip, self._rumor(words)) for m in peers]
+
+    def tick(self, now: float) -> list[Send]:
+        """Do what is due."""
+        self.budget.refill(now)
+        self._forgive(now)
+        self._ticked = now
+        sends = self._time_out(now)
+        self._conclude(now)
+        if now >= self._probe_at:
+            self._probe_at = now + self.times.probe
+            sends += self._probe(now)
+        if now >= self._revisit_at:
+            self._revisit_at = now + self.times.revisit
+            sends += self._revisit(now)
+        if now >= self._sync_at:
+            sends += self._begin_sync(now)
+        return sends + self.spread()
+
+    def receive(self, now: float, message: AnyMessage) -> list[Send]:
+        """Take a message that was opened with the shared key."""
+        if message.sender == self.me.instance and message.reply_to == self.me.gossip:
+            return []
+        self._met = 0
+        for word in message.words:
+            self._hear(now, word)
+        if self._met >= MET_MANY:
+            self._sync_at = min(self._sync_at, now + self.times.sync_again)
+        match message:
+            case Ping(number=number):
+                return [self._answer(message, Ack(**self._head(), number=number))]
+            case Ack():
+                return self._acked(message)
+            case PingRequest():
+                return self._relay(now, message)
+            case Sync():
+                return self._compare(now, message)
+            case _:
+                return []
+
+    # -- words ---------------------------------------------------------------------------------
+
+    def _hear(self, now: float, word: Word) -> None:
+        if word.instance == self.me.instance:
+            self._refute(word)
+            return
+        held = self.view.find(word.instance)
+        if held is None:
+            self._meet(now, word)
+            return
+        if (word.incarnation, word.state) <= (held.incarnation, held.state):
+            return
+        if word.state == State.DEAD and not held.gone and word.incarnation == held.incarnation:
+            # Death is concluded by each node for itself, from a suspicion that nobody denied.
+            # Were it taken from others, the first words after a cut has healed would kill
+            # the living in the views of their own failure domain.
+            self.order.first(word.instance)
+            return
+        details = word.details
+        if details is None and (word.incarnation == held.incarnation or word.state == State.LEFT):
+            details = Details(held.domain, held.service, held.peers, held.gossip)
+        if details is not None:
+            self._take(now, member_of(word, details), word.age)
+
+    def _meet(self, now: float, word: Word) -> None:
+        floor = self.floors.get(word.instance)
+        if word.details is None or (floor is not None and word.incarnation <= floor[0]):
+            return
+        if word.age >= self.times.forget:
+            return
+        self._take(now, member_of(word, word.details), word.age)
+        self._met += 1
+
+    def _take(self, now: float, member: Member, age: int = 0) -> None:
+        if not self.view.take(member):
+            return
+        self.suspected.pop(member.instance, None)
+        self.died.pop(member.instance, None)
+        if member.state == State.SUSPECT:
+            self.suspected[member.instance] = now
+        if member.gone:
+            self.died[member.instance] = now - age
+        if member.state != State.DEAD:
+            short = member.state in (State.SUSPECT, State.LEFT)
+            self.rumors.add(word_of(member, full=not short))
+
+    def _refute(self, word: Word) -> None:
+        mine = (self.me.incarnation, self.me.state)
+        if (word.incarnation, word.state) <= mine or self.me.state == State.LEFT:
+            return
+        # An older self whose clock ran ahead, or a suspicion: both end with a higher number.
+        # Without the bound one absurd number would leave no higher one to answer with.
+        if word.incarnation - self.me.incarnation > MAX_STEP:
+            return
+        self.me = self.me._replace(incarnation=word.incarnation + 1)
+        self.view.take(self.me)
+        self.rumors.add(word_of(self.me))
+
+    # -- probes --------------------------------------------------------------------------------
+
+    def _probe(self, now: float) -> list[Send]:
+        target = self.order.next(self.view, self.me)
+        return [] if target is None else [self._ping(now, target)]
+
+    def _revisit(self, now: float) -> list[Send]:
+        """Ping one of the dead: after a cut this is how the sides find each other again."""
+        dead = [m for m in map(self.view.find, self.died) if m and m.state == State.DEAD]
+        return [self._ping(now, self.rng.choice(dead))] if dead else []
+
+    def _ping(self, now: float, target: Member) -> Send:
+        number = self.rng.getrandbits(48)
+        self._outstanding[number] = Outstanding(target.instance, target.incarnation, now)
+        words = self._words()
+        if target.state in (State.SUSPECT, State.DEAD):
+            # The target learns what is said of it, and can deny it.
+            words = [word_of(target, full=False), *words]
+        return self._send(target.gossip, Ping(**self._head(words), number=number))
+
+    def _acked(self, ack: Ack) -> list[Send]:
+        probe = self._outstanding.pop(ack.number, None)
+        held = self.view.find(probe.instance) if probe else None
+        if held is not None and held.state == State.DRAINING:
+            self.suspected.pop(held.instance, None)
+        relayed = self._relayed.pop(ack.number, None)
+        if relayed is None:
+            return []
+        return [self._send(relayed.reply_to, Ack(**self._head(), number=relayed.number))]
+
+    def _relay(self, now: float, req: PingRequest) -> list[Send]:
+        target = self.view.find(req.target)
+        if target is None or len(self._relayed) > 1000:
+            return []
+        number = self.rng.getrandbits(48)
+        self._relayed[number] = Relayed(req.reply_to, req.number, now)
+        return [self._send(target.gossip, Ping(**self._head(), number=number))]
+
+    def _time_out(self, now: float) -> list[Send]:
+        sends = []
+        limit = self.times.direct + self.times.indirect
+        for number, probe in list(self._outstanding.items()):
+            waited = now - probe.sent
+            if waited >= limit:
+                del self._outstanding[number]
+                self._suspect(now, probe)
+            elif waited >= self.times.direct and not probe.asked_others:
+                self._outstanding[number] = probe._replace(asked_others=True)
+                sends += self._ask_others(number, probe)
+        for number, relayed in list(self._relayed.items()):
+            if now - relayed.since > limit:
+                del self._relayed[number]
+        return sends
+
+    def _ask_others(self, number: int, probe: Outstanding) -> list[Send]:
+        held = self.view.find(probe.instance)
+        if held is None or held.gone:
+            return []
+        others = self._others(self.sizes.relays, probe.instance)
+        head = self._head
+        return [
+            self._send(m.gossip, PingRequest(**head(), number=number, target=probe.instance))
+            for m in others
+        ]
+
+    def _suspect(self, now: float, probe: Outstanding) -> None:
+        held = self.view.find(probe.instance)
+        if held is None or held.incarnation != probe.incarnation:
+            return
+        if held.state == State.ALIVE:
+            self._take(now, held._replace(state=State.SUSPECT))
+        elif held.state == State.DRAINING:
+            self.suspected.setdefault(held.instance, now)
+
+    def _forgive(self, now: float) -> None:
+        """Start all waits anew after a pause of our own."""
+        # A paused process wakes to probes that were all answered while it slept, and would
+        # suspect and then bury the whole fleet.
+        if now - self._ticked <= self.times.stall:
+            return
+        self._outstanding.clear()
+        self._relayed.clear()
+        self.suspected = dict.fromkeys(self.suspected, now)
+
+    def _conclude(self, now: float) -> None:
+        for instance, since in list(self.suspected.items()):
+            if now - since < self.times.suspicion:
+                continue
+            del self.suspected[instance]
+            held = self.view.find(instance)
+            if held is not None:
+                self._take(now, held._replace(state=State.DEAD))
+        for instance, since in list(self.died.items()):
+            if now - since >= self.times.forget:
+                self._forget(now, instance)
+        for instance, (_, since) in list(self.floors.items()):
+            if now - since >= self.times.forget:
+                del self.floors[instance]
+
+    def _forget(self, now: float, instance: str) -> None:
+        """Drop a member, but remember its number: an old delta must not bring it back."""
+        held = self.view.find(instance)
+        del self.died[instance]
+        if held is not None:
+            self.floors[instance] = (held.incarnation, now)
+            self.view.drop(instance)
+
+    # -- the whole view ------------------------------------------------------------------------
+
+    def _begin_sync(self, now: float) -> list[Send]:
+        others = [m.gossip for m in self._others(1)]
+        period = self.times.sync if others else self.times.probe
+        if not others:
+            self.contacts |= self.seeds - {self.me.gossip}
+        few = self.rng.sample(sorted(self.contacts), min(len(self.contacts), self.sizes.relays))
+        self.contacts.clear()
+        self._sync_at = now + period * self.rng.uniform(0.8, 1.2)
+        return [self._send(to, self._sync()) for to in [*others, *few]]
+
+    def _sync(self, *, answer: bool = False) -> Sync:
+        words = [word_of(self.me)]
+        return Sync(**self._head(words), digests=digests_of(self.view), answer=answer)
+
+    def _compare(self, now: float, sync: Sync) -> list[Send]:
+        mine = digests_of(self.view)
+        if len(sync.digests) != len(mine):
+            return []
+        differing = {i for i, digest in enumerate(mine) if digest != sync.digests[i]}
+        if not differing:
+            return []
+        sends = self._pages(now, sync, differing)
+        if not sync.answer:
+            sends.append(self._answer(sync, self._sync(answer=True)))
+        return sends
+
+    def _pages(self, now: float, sync: Sync, differing: set[int]) -> list[Send]:
+        members = [m for m in self.view.members() if bucket_of(m.instance) in differing]
+        self.rng.shuffle(members)
+        words = (word_of(m, age=now - self.died.get(m.instance, now)) for m in members)
+        pages = islice(pages_of(words, PAGE_BYTES), self.sizes.pages)
+        paid = takewhile(lambda page: self.budget.spend(PAGE_BYTES), pages)
+        return [self._answer(sync, self._rumor(page)) for page in paid]
+
+    # -- sending -------------------------------------------------------------------------------
+
+    def spread(self) -> list[Send]:
+        """Pass fresh words on without waiting for the next probe."""
+        sends: list[Send] = []
+        if not len(self.rumors):
+            return sends
+        for member in self._others(self.sizes.fanout):
+            words = self._words()
+            if words:
+                sends.append(self._send(member.gossip, self._rumor(words)))
+        return sends
+
+    def _words(self) -> list[Word]:
+        return self.rumors.take(self.sizes.words, self.budget, len(self.order))
+
+    def _answer(self, message: AnyMessage, answer: AnyMessage) -> Send:
+        held = self.view.find(message.sender)
+        if held is not None and held.state != State.ALIVE:
+            # Whoever is thought dead while it talks has a right to hear it, and to deny it.
+            answer.words = [word_of(held, full=False), *answer.words]
+        return self._send(message.reply_to, answer)
+
+    def _others(self, count: int, but: str = '') -> list[Member]:
+        return self.order.sample(self.view, self.me, count, but)
+
+    def _head(self, words: list[Word] | None = None) -> dict[str, Any]:
+        words = self._words() if words is None else words
+        return {'sender': self.me.instance, 'reply_to': self.me.gossip, 'words': words}
+
+    def _rumor(self, words: list[Word]) -> Rumor:
+        return Rumor(sender=self.me.instance, reply_to=self.me.gossip, words=words)
+
+    def _send(self, to: Address, message: AnyMessage) -> Send:
+        return Send(to, message)
--- a/dunlinsaddle/membership/roster.py
+++ b/dunlinsaddle/membership/roster.py
@@ -1,16 +1,28 @@
-"""The platform's roster of a failure domain: where a fresh node finds the others."""
+"""The platform's roster of a failure domain: where a fresh node finds the others.
 
-from typing import Any, TypedDict
+A roster names a few instances, not all: gossip brings the rest. Only the few nodes that the
+rendezvous hash picks keep it, so the platform's calls do not grow with the fleet.
+"""
+
+import asyncio
+from random import Random
+from typing import Any, NamedTuple, TypedDict
 
 import msgspec
-from result import Err, Ok
+import xxhash
+from result import Ok
 
-from dunlinsaddle.membership.view import Member, State
-from dunlinsaddle.platform.store import ABSENT, Conflict, ObjectStore
+from dunlinsaddle.membership.protocol import Gossip
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.platform.store import ABSENT, ObjectStore
 from dunlinsaddle.settings import read_address
 
 ROSTERS = 'rosters'
-WRITE_TRIES = 8
+KEEPERS = 3
+ENOUGH = 3
+MOST = 8
+FIRST_SECONDS = 0.5
+EVERY_SECONDS = 30.0
 
 
 class RosterEntry(TypedDict):
@@ -25,6 +37,13 @@
     gossip: str
 
 
+class HeldRoster(NamedTuple):
+    """A roster as the platform holds it."""
+
+    version: int
+    members: list[Member]
+
+
 def entry_of(member: Member) -> RosterEntry:
     """Give the roster's form of a member."""
     return RosterEntry(
@@ -56,38 +75,89 @@
 
 
 class Roster:
-    """Reads all rosters, and keeps one's own entry in that of its domain."""
+    """Reads all rosters, and writes that of one failure domain."""
 
     def __init__(self, store: ObjectStore, domain: str) -> None:
         self.store = store
         self.domain = domain
 
-    async def read(self) -> list[Member] | None:
-        """Give all members that any roster names; None while the platform is out."""
+    async def read(self) -> dict[str, HeldRoster] | None:
+        """Give the roster of each failure domain; None while the platform is out."""
         match await self.store.list(ROSTERS):
             case Ok(listing):
-                raw = [e for o in listing.objects for e in (o.value or {}).get('members', [])]
-                return [m for m in map(member_of, raw) if m is not None]
+                return {o.name: HeldRoster(o.version, _members(o.value)) for o in listing.objects}
             case _:
                 return None
 
-    async def write(self, member: Member) -> bool:
-        """Put one member into its domain's roster; say whether that is certain."""
-        for _ in range(WRITE_TRIES):
-            match await self.store.get(ROSTERS, self.domain):
-                case Ok(held):
-                    pass
-                case _:
-                    return False
-            entries: list[Any] = list((held.value or {}).get('members', [])) if held else []
-            entries = [e for e in entries if e['instance'] != member.instance]
-            entries.append(entry_of(member))
-            expected = held.version if held else ABSENT
-            match await self.store.put(ROSTERS, self.domain, {'members': entries}, expected):
-                case Ok(_):
-                    return True
-                case Err(Conflict()):
-                    continue
-                case _:
-                    return False
-        return False
+    async def write(self, members: list[Member], held: HeldRoster | None) -> bool:
+        """Replace the roster that was read; say whether that is certain."""
+        value = {'members': [entry_of(m) for m in members]}
+        expected = held.version if held else ABSENT
+        match await self.store.put(ROSTERS, self.domain, value, expected):
+            case Ok(_):
+                return True
+            case _:
+                return False
+
+
+def _members(value: Any) -> list[Member]:
+    raw = value.get('members') if isinstance(value, dict) else None
+    found = map(member_of, raw if isinstance(raw, list) else [])
+    return [m for m in found if m is not None]
+
+
+def keepers(view: MemberView, domain: str) -> list[Member]:
+    """Give the live members of a failure domain, those that keep its roster first."""
+    live = [m for m in view.members() if m.domain == domain and not m.gone]
+    return sorted(live, key=lambda m: xxhash.xxh64_intdigest(f'{domain}/{m.instance}'.encode()))
+
+
+class Bootstrap:
+    """Finds the others through the platform, and keeps the roster if that falls to this node.
+
+    A node that knows nobody is the keeper of its own small world: it reads at its start, and
+    stops as soon as gossip has shown it that others keep the roster.
+    """
+
+    def __init__(self, roster: Roster, gossip: Gossip, rng: Random) -> None:
+        self.roster = roster
+        self.gossip = gossip
+        self.rng = rng
+        self._contacted: set[Member] = set()
+
+    async def run(self) -> None:
+        """Pass until cancelled, soon at first and seldom later."""
+        period = FIRST_SECONDS
+        while True:
+            await self.keep()
+            await asyncio.sleep(period * self.rng.uniform(0.5, 1.5))
+            period = min(2 * period, EVERY_SECONDS)
+
+    async def keep(self) -> None:
+        """Read and mend the roster, if it falls to this node."""
+        view = self.gossip.view
+        me = self.gossip.me
+        if me not in keepers(view, me.domain)[:KEEPERS]:
+            return
+        rosters = await self.roster.read()
+        if rosters is None or self._contact(rosters):
+            return
+        held = rosters.get(me.domain)
+        live = keepers(view, me.domain)[:MOST]
+        usable = [m for m in held.members if self._usable(m)] if held else []
+        if len(usable) < min(ENOUGH, len(live)):
+            await self.roster.write(live, held)
+
+    def _contact(self, rosters: dict[str, HeldRoster]) -> bool:
+        """Call those who are not known to be alive; say whether one is called the first time."""
+        listed = {m for held in rosters.values() for m in held.members}
+        strangers = {m for m in listed if not self._usable(m)}
+        fresh = strangers - self._contacted
+        self._contacted = strangers
+        now = asyncio.get_running_loop().time()
+        self.gossip.contact(now, [m.gossip for m in strangers])
+        return bool(fresh)
+
+    def _usable(self, listed: Member) -> bool:
+        known = self.gossip.view.find(listed.instance)
+        return known is not None and not known.gone and known.gossip == listed.gossip
--- a/dunlinsaddle/membership/view.py
+++ b/dunlinsaddle/membership/view.py
@@ -20,8 +20,9 @@
 class Member(NamedTuple):
     """One instance as it announced itself, and its state.
 
-    ``incarnation`` grows with each start of the instance, and when it denies a suspicion.
-    ``service`` is empty while no target has announced itself there.
+    ``incarnation`` grows with each start of the instance, with each change of what it says of
+    itself, and when it denies a suspicion. ``service`` is empty while no target has announced
+    itself there.
     """
 
     instance: str
@@ -37,12 +38,18 @@
         """Whether new work may be sent there."""
         return self.state in (State.ALIVE, State.SUSPECT) and bool(self.service)
 
+    @property
+    def gone(self) -> bool:
+        """Whether it is held to run no longer."""
+        return self.state in (State.DEAD, State.LEFT)
+
 
 class MemberView:
     """The newest word on each instance."""
 
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
+        self._serving: dict[str, list[Member]] = {}
 
     def take(self, member: Member) -> bool:
         """Take a word on an instance if it is newer; say whether it was."""
@@ -50,6 +57,7 @@
         if held is not None and _order(held) >= _order(member):
             return False
         self._members[member.instance] = member
+        self._serving.clear()
         return True
 
     def find(self, instance: str) -> Member | None:
@@ -57,8 +65,18 @@
         return self._members.get(instance)
 
     def serving(self, service: str) -> list[Member]:
-        """Give the instances whose targets may be given work of a service."""
-        return [m for m in self._members.values() if m.service == service and m.serving]
+        """Give the instances whose targets may be given work of a service.
+
+        Suspected ones only where no other is left: after a cut all of a service may be
+        suspected at once, and a call that may fail is better than a certain refusal.
+        """
+        # Asked once a call: a scan of all members at each would grow with the fleet.
+        held = self._serving.get(service)
+        if held is None:
+            able = [m for m in self._members.values() if m.service == service and m.serving]
+            held = [m for m in able if m.state == State.ALIVE] or able
+            self._serving[service] = held
+        return held
 
     def members(self) -> Iterable[Member]:
         """Give all, the dead too."""
@@ -67,6 +85,7 @@
     def drop(self, instance: str) -> None:
         """Forget an instance that has long gone."""
         self._members.pop(instance, None)
+        self._serving.clear()
 
 
 def _order(member: Member) -> tuple[int, int]:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -18,7 +18,9 @@
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
-from dunlinsaddle.membership.roster import Roster, entry_of
+from dunlinsaddle.membership.agent import GossipAgent
+from dunlinsaddle.membership.liveness import TargetWatch
+from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
@@ -30,6 +32,7 @@
 from dunlinsaddle.stats import Stats
 
 REFRESH_SECONDS = 0.5
+WATCH_SECONDS = 0.25
 
 
 class Faces(NamedTuple):
@@ -39,6 +42,7 @@
     local: Address
     peers: Address
     operators: Address
+    gossip: Address
 
 
 class Node:
@@ -56,7 +60,9 @@
         self.running = RunningCalls()
         self.client = HttpClient()
         self.store: ObjectStore = HttpObjectStore(settings.platform, self.client)
-        self.roster = Roster(self.store, settings.domain)
+        rng = Random(env.rng.random())
+        self.agent = GossipAgent(self.view, settings.peer_key, rng, settings.seeds)
+        self.target_watch = TargetWatch()
         link_limits = LinkLimits(body_bytes=settings.max_body_bytes)
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
         self.admission = Admission()
@@ -88,7 +94,6 @@
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
-        self.roster = Roster(store, self.settings.domain)
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -98,7 +103,13 @@
             await self.local_http.listen(cfg.local),
             await self.peer_server.listen(cfg.peers),
             await self.operators_http.listen(cfg.operators),
+            await self.agent.listen(self.env.open_gossip, cfg.gossip),
         )
+        self.agent.start(self.me())
+        roster = Roster(self.store, cfg.domain)
+        bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
+        self._spawn(self.agent.run())
+        self._spawn(bootstrap.run())
         self._spawn(self._refresh_loop())
         self._spawn(self._announce_loop())
         return self.faces
@@ -119,6 +130,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for face in (self.callers_http, self.local_http, self.operators_http):
             face.close()
+        self.agent.leave()
         self.peer_server.close()
         self.links.close()
         self.client.close()
@@ -134,7 +146,7 @@
             cfg.domain,
             self.target.service,
             self.faces.peers,
-            cfg.gossip,
+            self.faces.gossip,
         )
 
     def status(self) -> Any:
@@ -175,8 +187,6 @@
     async def _refresh_loop(self) -> None:
         while True:
             await self._refresh_records()
-            for member in await self.roster.read() or ():
-                self.view.take(member)
             await asyncio.sleep(REFRESH_SECONDS)
 
     async def _refresh_records(self) -> None:
@@ -188,11 +198,22 @@
                             self.book.take(entry)
 
     async def _announce_loop(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            await self.local.changed.wait()
-            self.local.changed.clear()
-            member = self.me()
-            self.view.take(member)
-            if not await self.roster.write(member):
-                self.local.changed.set()
-                await asyncio.sleep(REFRESH_SECONDS)
+            # Not wait_for: in 3.11 it swallows a cancellation that comes with the event, and a
+            # node told to stop would hang.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_SECONDS):
+                    await self.local.changed.wait()
+            if self.local.changed.is_set():
+                self.local.changed.clear()
+                self.target_watch.heard(loop.time())
+            elif await self._target_gone(loop.time()):
+                self.target.service, self.target.address = '', None
+            self.agent.announce(self.me())
+
+    async def _target_gone(self, now: float) -> bool:
+        address = self.target.address
+        if address is None or self.target.draining:
+            return False
+        return await self.target_watch.gone(now, address)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,6 +10,7 @@
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
+from tests.fakes.network import open_in_memory
 
 PEER_KEY = 'a-key-for-tests'
 OPERATOR_TOKEN = 'a-token-for-tests'
@@ -22,6 +23,7 @@
         'stdin': io.StringIO(),
         'environ': {},
         'rng': Random(7),
+        'open_gossip': open_in_memory,
         **changes,
     }
     return Environment(**values)
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,146 @@
+import asyncio
+from random import Random
+
+from dunlinsaddle.membership.agent import GossipAgent
+from dunlinsaddle.membership.roster import KEEPERS, ROSTERS, Bootstrap, Roster, keepers
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.settings import Address
+from tests.builders import PEER_KEY, build_member
+from tests.clock import PausedClockTest
+from tests.fakes.network import open_in_memory
+from tests.fakes.store import FakeStore
+
+
+class Fleet:
+    """Membership parts of nodes on one loop, with one fake store."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.agents: dict[str, GossipAgent] = {}
+        self.tasks: dict[str, list[asyncio.Task[None]]] = {}
+
+    async def start(self, name: str, domain: str, seeds: tuple[Address, ...] = ()) -> Member:
+        rng = Random(name)
+        agent = GossipAgent(MemberView(), PEER_KEY, rng, seeds)
+        address = await agent.listen(open_in_memory, Address('127.0.0.1', 0))
+        incarnation = int(asyncio.get_running_loop().time() * 1000) + 1
+        me = build_member(name, domain=domain, gossip=address, incarnation=incarnation)
+        agent.start(me)
+        bootstrap = Bootstrap(Roster(self.store, domain), agent.gossip, rng)
+        self.tasks[name] = [
+            asyncio.create_task(agent.run()),
+            asyncio.create_task(bootstrap.run()),
+        ]
+        self.agents[name] = agent
+        return me
+
+    def stop(self, name: str, *, kindly: bool = False) -> None:
+        for task in self.tasks.pop(name):
+            task.cancel()
+        agent = self.agents.pop(name)
+        agent.leave() if kindly else agent._transport.close()
+
+    def joined(self) -> bool:
+        return all(self.known(name) >= set(self.agents) for name in self.agents)
+
+    def known(self, name: str) -> set[str]:
+        members = self.agents[name].gossip.view.members()
+        return {m.instance for m in members if m.state == State.ALIVE}
+
+    async def wait_joined(self, limit: float) -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while not self.joined():
+            if loop.time() - began > limit:
+                raise AssertionError(f'not joined within {limit} s')
+            await asyncio.sleep(0.1)
+        return loop.time() - began
+
+
+class RosterTest(PausedClockTest):
+    def test_all_find_each_other_when_they_start_at_once(self):
+        # Nothing in the platform yet, all write at once and all but one lose the race. Each
+        # failure domain begins as an island; the next pass finds the other rosters.
+        async def scenario():
+            fleet = Fleet()
+            for i in range(30):
+                await fleet.start(f'n{i}', f'domain-{i % 3}')
+            took = await fleet.wait_joined(20)
+            calls = fleet.store.calls
+            await asyncio.sleep(300)
+            return took, calls, fleet.store.calls - calls
+
+        took, calls, later = self.run_paused(scenario())
+        self.assertLess(took, 10)
+        self.assertLess(calls, 30 * 5)
+        self.assertLess(later / 300, 3 * KEEPERS / 30 * 2)
+
+    def test_a_roster_names_a_few_live_instances(self):
+        async def scenario():
+            fleet = Fleet()
+            for i in range(20):
+                await fleet.start(f'n{i}', 'bangor-hall')
+            await fleet.wait_joined(20)
+            listed = [
+                e['instance'] for e in fleet.store.objects[ROSTERS, 'bangor-hall'].value['members']
+            ]
+            for name in listed:
+                fleet.stop(name)
+            await asyncio.sleep(120)
+            return listed, await Roster(fleet.store, 'bangor-hall').read(), set(fleet.agents)
+
+        listed, rosters, live = self.run_paused(scenario())
+        self.assertLessEqual(len(listed), 8)
+        renewed = {m.instance for m in rosters['bangor-hall'].members}
+        self.assertLessEqual(3, len(renewed & live))
+
+    def test_seeds_are_enough_while_the_platform_is_down(self):
+        async def scenario():
+            fleet = Fleet()
+            fleet.store.down = True
+            first = await fleet.start('n0', 'bangor-hall')
+            for i in range(1, 10):
+                await fleet.start(f'n{i}', 'bangor-hall', (first.gossip,))
+            return await fleet.wait_joined(10)
+
+        self.assertLess(self.run_paused(scenario()), 5)
+
+    def test_no_herd_comes_back_after_an_outage(self):
+        # The platform answers nobody for three minutes. When it does again it must not be hit
+        # by all nodes in one second, or it goes down once more.
+        async def scenario():
+            fleet = Fleet()
+            for i in range(60):
+                await fleet.start(f'n{i}', f'domain-{i % 3}')
+            await fleet.wait_joined(20)
+            fleet.store.down = True
+            await asyncio.sleep(180)
+            fleet.store.down = False
+            worst = 0
+            for _ in range(60):
+                before = fleet.store.calls
+                await asyncio.sleep(1)
+                worst = max(worst, fleet.store.calls - before)
+            return worst
+
+        self.assertLessEqual(self.run_paused(scenario()), 6)
+
+    def test_an_unreadable_roster_is_replaced(self):
+        async def scenario():
+            fleet = Fleet()
+            await fleet.store.put(ROSTERS, 'bangor-hall', {'members': ['x', {'a': 1}]}, 0)
+            await fleet.start('n0', 'bangor-hall')
+            await asyncio.sleep(5)
+            return await Roster(fleet.store, 'bangor-hall').read()
+
+        rosters = self.run_paused(scenario())
+        self.assertEqual(['n0'], [m.instance for m in rosters['bangor-hall'].members])
+
+    def test_keepers_are_the_same_in_views_that_hold_the_same_members(self):
+        one, other = MemberView(), MemberView()
+        members = [build_member(f'n{i}') for i in range(9)]
+        for member in members:
+            one.take(member)
+        for member in reversed(members):
+            other.take(member)
+        self.assertEqual(keepers(one, 'bangor-hall'), keepers(other, 'bangor-hall'))
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,67 @@
+import asyncio
+import itertools
+
+from testtools import TestCase
+
+from dunlinsaddle.membership.liveness import Hearing, TargetWatch
+from dunlinsaddle.membership.view import MemberView, State
+from dunlinsaddle.settings import Address
+from tests.builders import build_member
+from tests.clock import PausedClockTest
+
+
+class MemberViewTest(TestCase):
+    def test_words_in_any_order_end_in_the_same_view(self):
+        words = [
+            build_member(incarnation=number, state=state)
+            for number in (1, 2)
+            for state in (State.ALIVE, State.SUSPECT, State.DEAD)
+        ]
+        for order in itertools.permutations(words):
+            view = MemberView()
+            for word in order:
+                view.take(word)
+            self.assertEqual(words[-1], view.find('bangor-1'))
+
+    def test_serving_prefers_who_is_not_suspected(self):
+        view = MemberView()
+        view.take(build_member('bangor-1'))
+        view.take(build_member('bangor-2'))
+        self.assertEqual(2, len(view.serving('cut-orders')))
+        view.take(build_member('bangor-1', state=State.SUSPECT))
+        self.assertEqual(['bangor-2'], [m.instance for m in view.serving('cut-orders')])
+
+    def test_serving_falls_back_to_the_suspected_when_no_other_is_left(self):
+        view = MemberView()
+        view.take(build_member('bangor-1', state=State.SUSPECT))
+        view.take(build_member('bangor-2', state=State.DRAINING))
+        self.assertEqual(['bangor-1'], [m.instance for m in view.serving('cut-orders')])
+
+    def test_a_dropped_member_serves_no_longer(self):
+        view = MemberView()
+        view.take(build_member())
+        view.serving('cut-orders')
+        view.drop('bangor-1')
+        self.assertEqual([], view.serving('cut-orders'))
+
+
+class TargetWatchTest(PausedClockTest):
+    def test_silence_is_judged_by_the_period_of_announcements(self):
+        watch = TargetWatch()
+        self.assertEqual(Hearing.FRESH, watch.hearing(100))
+        watch.heard(100)
+        found = [watch.hearing(100 + silence) for silence in (2.1, 2.2, 5.9, 6.0)]
+        self.assertEqual([Hearing.FRESH, Hearing.LATE, Hearing.LATE, Hearing.GONE], found)
+
+    def test_a_late_target_is_gone_only_if_it_refuses_connections(self):
+        # A slow target must not lose its service for one late announcement.
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            await loop.create_server(asyncio.Protocol, '127.0.0.1', 80)
+            watch = TargetWatch()
+            watch.heard(0)
+            accepts = await watch.gone(3, Address('127.0.0.1', 80))
+            refuses = await watch.gone(3, Address('127.0.0.1', 81))
+            return accepts, refuses
+
+        self.assertEqual((False, True), self.run_paused(scenario()))
