--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,6 +13,7 @@
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
+from tests.fakes.network import open_in_memory
 
 PEER_KEY = 'a-key-for-tests'
 OPERATOR_TOKEN = 'a-token-for-tests'
@@ -25,6 +26,7 @@
         'stdin': io.StringIO(),
         'environ': {},
         'rng': Random(7),
+        'open_gossip': open_in_memory,
         **changes,
     }
     return Environment(**values)
