Client: whole answers only, and kept connections that may be lost

Cause: h11 keeps bytes behind an answer in its buffer, so a doubled answer was read as the answer to the next request on the kept connection; an answer that ends with its connection passed as whole when cut; answers had no size limit; a request was written even after its deadline; a forgotten kept connection was used again and held its call to the deadline. Ruled out: a probe to the target's health endpoint (it lies, and proves nothing of the old connection); a fixed overdue time for every request (a release that takes seconds would become unknown). Change: trailing bytes end the connection; no length means not passed on; body limit; the kernel probes connections (keepalive, user timeout); reuse only within 2 s of the last answer, 0.25 s for what must not run twice; an idempotent request that is overdue on a kept connection while later ones are answered is given up.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -6,12 +6,23 @@
 import h11
 
 from dunlinsaddle.calls.http import HOP_BY_HOP, HttpRequest, HttpResponse
+from dunlinsaddle.calls.keepalive import watch_connection
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.settings import Address
 
 CONNECT_TIMEOUT = 1.0
 MAX_IDLE = 64
+MAX_BODY_BYTES = 1 << 20
+#: A kept connection is used again only this long after its last answer, in seconds. Shorter
+#: than the idle timeout of common servers, so that a request seldom meets their closing.
+REUSE_SECONDS = 2.0
+#: The same for a request that must not be sent twice: were it lost, it could not be repeated.
+REUSE_ONCE_SECONDS = 0.25
+OVERDUE_SECONDS = 1.0
+OVERDUE_FACTOR = 4.0
+SLOWEST_DECAY = 0.98
+BODILESS = frozenset({204, 304})
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,140 +38,252 @@
 class _Connection(asyncio.Protocol):
     """One kept connection: a request at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.loop = asyncio.get_running_loop()
         self.parser = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport
         self.fut: asyncio.Future[Exchange] | None = None
         self.head: h11.Response | None = None
         self.chunks: list[bytes] = []
+        self.size = 0
+        self.method = ''
+        self.heard = False
         self.closed = False
+        self.answers = 0
+        self.answered_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        watch_connection(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        if self.fut is not None and not self.fut.done():
+        if self.heard:
             self._feed(b'')
-        self._settle(Lost('the connection ended before the whole answer', ErrorKind.TARGET_LOST))
+        self.settle(Lost('the connection ended before the whole answer', ErrorKind.TARGET_LOST))
 
     def data_received(self, data: bytes) -> None:
         if self.fut is None:
             # Bytes that nobody asked for: the next request would take them for its answer.
             self.transport.abort()
             return
+        self.heard = True
         self._feed(data)
 
     def send(self, req: HttpRequest, host: str) -> 'asyncio.Future[Exchange]':
-        self.fut = asyncio.get_running_loop().create_future()
-        self.head, self.chunks = None, []
+        """Write a request. Raises h11.LocalProtocolError, before any byte is written."""
         headers = [(b'host', host.encode())]
         headers += [(n, v) for n, v in req.headers if n not in HOP_BY_HOP]
         headers.append((b'content-length', str(len(req.body)).encode()))
         head = h11.Request(method=req.method, target=req.path, headers=headers)
         events: list[h11.Event] = [head, h11.Data(data=req.body), h11.EndOfMessage()]
-        self.transport.write(b''.join(self.parser.send(event) or b'' for event in events))
+        wire = b''.join(self.parser.send(event) or b'' for event in events)
+        self.fut = self.loop.create_future()
+        self.method, self.heard = req.method, False
+        self.head, self.chunks, self.size = None, [], 0
+        self.transport.write(wire)
         return self.fut
 
-    @property
-    def reusable(self) -> bool:
-        return not self.closed and not self.transport.is_closing()
+    def reusable(self, within: float) -> bool:
+        fresh = self.loop.time() - self.answered_at <= within
+        return fresh and not self.closed and not self.transport.is_closing()
+
+    def settle(self, exchange: Exchange) -> None:
+        fut, self.fut = self.fut, None
+        if fut is not None and not fut.done():
+            fut.set_result(exchange)
+
+    def drop(self, lost: Lost) -> None:
+        """End the connection: what still comes on it belongs to nobody."""
+        self.transport.abort()
+        self.settle(lost)
 
     def _feed(self, data: bytes) -> None:
         try:
             self.parser.receive_data(data)
             self._advance()
         except h11.RemoteProtocolError as exc:
-            self.transport.abort()
-            self._settle(Lost(str(exc), ErrorKind.INCOMPLETE_ANSWER))
+            self.drop(Lost(str(exc), ErrorKind.INCOMPLETE_ANSWER))
 
     def _advance(self) -> None:
-        while True:
+        while self.fut is not None:
             event = self.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             match event:
                 case h11.Response():
-                    self.head = event
+                    self._begin(event)
                 case h11.Data():
+                    self.size += len(event.data)
                     self.chunks.append(bytes(event.data))
+                    if self.size > self.max_body_bytes:
+                        self._too_large()
                 case h11.EndOfMessage():
                     self._complete()
-                    return
                 case h11.ConnectionClosed():
                     return
 
+    def _begin(self, head: h11.Response) -> None:
+        self.head = head
+        if self.method == 'HEAD' or head.status_code in BODILESS:
+            return
+        framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
+        if not framing:
+            # A body that ends with the connection looks the same whole or cut.
+            self.drop(Lost('the answer has no length', ErrorKind.OUTCOME_UNKNOWN))
+        elif int(framing.get(b'content-length', b'0')) > self.max_body_bytes:
+            self._too_large()
+
+    def _too_large(self) -> None:
+        self.chunks = []
+        detail = f'the answer is larger than {self.max_body_bytes} bytes'
+        self.drop(Lost(detail, ErrorKind.OUTCOME_UNKNOWN))
+
     def _complete(self) -> None:
         assert self.head is not None
         headers = [(bytes(n), bytes(v)) for n, v in self.head.headers]
         response = HttpResponse(self.head.status_code, headers, b''.join(self.chunks))
-        if self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE:
+        self.chunks = []
+        ended = self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
+        # Bytes behind the answer, as of a doubled one, would be read as the next answer.
+        if ended and not self.parser.trailing_data[0]:
             self.parser.start_next_cycle()
+            self.answers += 1
+            self.answered_at = self.loop.time()
         else:
-            self.transport.close()
-        self._settle(Answered(response))
+            self.transport.abort()
+        self.settle(Answered(response))
 
-    def _settle(self, exchange: Exchange) -> None:
-        fut, self.fut = self.fut, None
-        if fut is not None and not fut.done():
-            fut.set_result(exchange)
+
+class _Pool:
+    """The kept connections to one address, and how long its answers take."""
+
+    def __init__(self) -> None:
+        self.idle: list[_Connection] = []
+        self.slowest = 0.0
+        self.answered_at = 0.0  #: when the latest request that was answered had been sent
+
+    def take(self, within: float) -> _Connection | None:
+        """Give the connection that was answered on last, if that is recent enough."""
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.reusable(within):
+                return conn
+            if conn.reusable(REUSE_SECONDS):
+                self.idle.append(conn)
+                return None
+            conn.transport.abort()
+        return None
+
+    def keep(self, conn: _Connection, sent_at: float) -> None:
+        """Keep a connection that has just been answered on, and note the time it took."""
+        took = conn.loop.time() - sent_at
+        self.slowest = max(self.slowest * SLOWEST_DECAY, took)
+        self.answered_at = max(self.answered_at, sent_at)
+        if conn.closed or conn.transport.is_closing():
+            return
+        if len(self.idle) < MAX_IDLE:
+            self.idle.append(conn)
+        else:
+            conn.transport.abort()
+
+    def drop_idle(self) -> None:
+        """Trust no kept connection any more."""
+        idle, self.idle = self.idle, []
+        for conn in idle:
+            conn.transport.abort()
+
+    def overdue_at(self, sent_at: float) -> float:
+        """Give the time from which an answer is late against the usual."""
+        return sent_at + max(OVERDUE_SECONDS, OVERDUE_FACTOR * self.slowest)
 
 
 class HttpClient:
     """Sends requests, each over a connection of its own, and keeps those that stay whole."""
 
-    def __init__(self) -> None:
-        self._idle: dict[Address, list[_Connection]] = {}
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        self.max_body_bytes = max_body_bytes
+        self._pools: dict[Address, _Pool] = {}
+
+    async def send(
+        self, address: Address, req: HttpRequest, timeout: float, *, resendable: bool = False
+    ) -> Exchange:
+        """Send one request and wait at most ``timeout`` seconds for the whole response.
 
-    async def send(self, address: Address, req: HttpRequest, timeout: float) -> Exchange:
-        """Send one request and wait at most ``timeout`` seconds for the whole response."""
+        ``resendable`` says that the caller of this may send the request once more: then a
+        kept connection on which the answer is overdue, while others answer, is given up.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        conn = self._take(address)
+        pool = self._pools.setdefault(address, _Pool())
+        conn = pool.take(REUSE_SECONDS if resendable else REUSE_ONCE_SECONDS)
         if conn is None:
             try:
-                conn = await asyncio.wait_for(self._dial(address), min(CONNECT_TIMEOUT, timeout))
+                async with asyncio.timeout(min(CONNECT_TIMEOUT, timeout)):
+                    conn = await self._dial(address)
             except (OSError, TimeoutError) as exc:
                 return NotSent(f'{address}: {exc or "no connection in time"}')
-        fut = conn.send(req, str(address))
+        if loop.time() >= deadline:
+            conn.transport.abort()
+            return NotSent('the deadline passed before it was sent')
         try:
-            exchange = await asyncio.wait_for(fut, max(deadline - loop.time(), 0))
-        except TimeoutError:
+            fut = conn.send(req, str(address))
+        except h11.LocalProtocolError as exc:
             conn.transport.abort()
-            return Lost('no answer in time', ErrorKind.DEADLINE_EXCEEDED)
+            return NotSent(f'it cannot be written as HTTP: {exc}')
+        return await self._wait(pool, conn, fut, deadline, resendable=resendable)
+
+    async def _wait(
+        self,
+        pool: _Pool,
+        conn: _Connection,
+        fut: 'asyncio.Future[Exchange]',
+        deadline: float,
+        *,
+        resendable: bool,
+    ) -> Exchange:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        timers = [loop.call_at(deadline, self._expire, pool, conn)]
+        if resendable and conn.answers:
+            at = pool.overdue_at(sent_at)
+            timers.append(loop.call_at(at, self._check_overdue, pool, conn, sent_at))
+        try:
+            exchange = await fut
         except asyncio.CancelledError:
             # Closing is how the other side hears that nobody waits any more.
             conn.transport.abort()
             raise
-        self._keep(address, conn)
+        finally:
+            for timer in timers:
+                timer.cancel()
+        if isinstance(exchange, Answered):
+            pool.keep(conn, sent_at)
         return exchange
 
+    def _expire(self, pool: _Pool, conn: _Connection) -> None:
+        if conn.answers:
+            # What forgot this connection may have forgotten the others of its age too.
+            pool.drop_idle()
+        conn.drop(Lost('no answer in time', ErrorKind.DEADLINE_EXCEEDED))
+
+    def _check_overdue(self, pool: _Pool, conn: _Connection, sent_at: float) -> None:
+        # Later requests were answered, this one was not: either it is slow or its connection
+        # is lost. Sending it once more, over a new connection, is right in both cases.
+        if pool.answered_at > sent_at:
+            pool.drop_idle()
+            conn.drop(Lost('the kept connection went silent', ErrorKind.TARGET_LOST))
+
     def close(self) -> None:
         """Drop all idle connections."""
-        for conns in self._idle.values():
-            for conn in conns:
-                conn.transport.abort()
-        self._idle.clear()
+        for pool in self._pools.values():
+            pool.drop_idle()
 
     async def _dial(self, address: Address) -> _Connection:
         loop = asyncio.get_running_loop()
-        _, conn = await loop.create_connection(_Connection, address.host, address.port)
+        _, conn = await loop.create_connection(
+            lambda: _Connection(self.max_body_bytes), address.host, address.port
+        )
         return conn
-
-    def _take(self, address: Address) -> _Connection | None:
-        conns = self._idle.get(address, [])
-        while conns:
-            conn = conns.pop()
-            if conn.reusable:
-                return conn
-        return None
-
-    def _keep(self, address: Address, conn: _Connection) -> None:
-        if not conn.reusable:
-            return
-        conns = self._idle.setdefault(address, [])
-        if len(conns) < MAX_IDLE:
-            conns.append(conn)
-        else:
-            conn.transport.close()
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -150,7 +150,8 @@
         ]
         budget = work.ctx.deadline - running.started
         req = HttpRequest(work.method, work.path, headers, work.body, '')
-        match await self.client.send(self.target.address, req, budget):
+        again = work.ctx.idempotent
+        match await self.client.send(self.target.address, req, budget, resendable=again):
             case Answered(response):
                 headers = forwarded_headers(response.headers)
                 return Reply(0, response.status, headers, response.body, Outcome.DONE)
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -30,6 +30,8 @@
 from dunlinsaddle.stats import Stats
 
 REFRESH_SECONDS = 0.5
+#: Listings hold many values of up to a megabyte.
+PLATFORM_BODY_BYTES = 1 << 26
 
 
 class Faces(NamedTuple):
@@ -54,8 +56,9 @@
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
-        self.client = HttpClient()
-        self.store: ObjectStore = HttpObjectStore(settings.platform, self.client)
+        self.client = HttpClient(settings.max_body_bytes)
+        self.platform_client = HttpClient(PLATFORM_BODY_BYTES)
+        self.store: ObjectStore = HttpObjectStore(settings.platform, self.platform_client)
         self.roster = Roster(self.store, settings.domain)
         link_limits = LinkLimits(body_bytes=settings.max_body_bytes)
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
@@ -122,6 +125,7 @@
         self.peer_server.close()
         self.links.close()
         self.client.close()
+        self.platform_client.close()
 
     def me(self) -> Member:
         """Give the word that this node spreads of itself."""
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -87,7 +87,11 @@
         if expected is not None:
             headers.append((b'if-match', str(expected).encode()))
         req = HttpRequest(method, path, headers, body, '')
-        exchange = await self.client.send(self.address, req, timeout or self.timeout)
+        # A watch waits long on purpose: it must not be taken for overdue.
+        again = method == 'GET' and timeout is None
+        exchange = await self.client.send(
+            self.address, req, timeout or self.timeout, resendable=again
+        )
         match exchange:
             case Answered(response):
                 return Ok(response)
