Link: proved at both ends, silence noticed at both ends, bounded buffers

Cause: the dialling end handed calls over before the listener had proved that it holds the key; the listening end never noticed silence, so work for a peer that was cut off ran on; an idle link that a middle box had forgotten took a call, whose outcome was then unknown; replies to a peer that reads nothing piled up; a fault in the handler left the call without a reply; frames behind one that ended the link were still acted on; ranges were not checked. Ruled out: a Ping on every link twice a second (960 nodes with tens of links each would spend the control budget on idle links). Change: Welcome frame with the listener's proof; Pings only while calls are on the link; a Ping before a link idle for more than a second is used; ranges in the decoder's types; pause of reading and refusal as not sent when full.

--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -1,18 +1,18 @@
-"""The link between nodes: many calls at once over one connection to each peer.
+"""The dialling end of the links between nodes: many calls at once over one connection.
 
-Frames are MessagePack (msgspec) behind a length of four bytes. Why not HTTP or pynng here:
-docs/design/peer-link.md.
+Why not HTTP or pynng here, and how a silent link is noticed: docs/design/peer-link.md.
 """
 
 import asyncio
-import hashlib
-import hmac
-import secrets
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
-
-import msgspec
 
+from dunlinsaddle.calls.frames import (
+    HANDSHAKE_TIMEOUT,
+    FrameProtocol,
+    LinkLimits,
+    Role,
+    proves,
+    sign,
+)
 from dunlinsaddle.calls.messages import (
     Call,
     Cancel,
@@ -24,196 +24,38 @@
     Ping,
     Pong,
     Reply,
+    Welcome,
 )
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.settings import Address
 
-LENGTH_BYTES = 4
-FRAME_OVERHEAD = 1 << 16
-HANDSHAKE_BYTES = 512
-HANDSHAKE_TIMEOUT = 1.0
-PROBE_EVERY = 0.5
-SILENT_AFTER = 1.5
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
-
-
-class LinkLimits(NamedTuple):
-    """Bounds of a link. Times in seconds."""
-
-    body_bytes: int = 1 << 20
-    probe_every: float = PROBE_EVERY
-    silent_after: float = SILENT_AFTER
-
-
-def sign(key: str, nonce: bytes, instance: str) -> bytes:
-    """Give the proof that an instance holds the shared key, bound to one nonce."""
-    return hmac.digest(key.encode(), nonce + instance.encode(), hashlib.sha256)
-
-
-class _FrameProtocol(asyncio.Protocol):
-    """Cuts a stream of bytes into frames; a wrong frame ends the connection."""
-
-    def __init__(self, limits: LinkLimits) -> None:
-        self.limits = limits
-        self.loop = asyncio.get_running_loop()
-        self.transport: asyncio.Transport
-        self.buffer = bytearray()
-        self.most = HANDSHAKE_BYTES
-        self.heard_at = self.loop.time()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self.heard_at = self.loop.time()
-        buffer = self.buffer
-        buffer += data
-        while len(buffer) >= LENGTH_BYTES:
-            size = int.from_bytes(buffer[:LENGTH_BYTES], 'big')
-            if size > self.most:
-                self.transport.abort()
-                return
-            end = LENGTH_BYTES + size
-            if len(buffer) < end:
-                return
-            body = bytes(buffer[LENGTH_BYTES:end])
-            del buffer[:end]
-            try:
-                frame = _decoder.decode(body)
-            except msgspec.MsgspecError:
-                self.transport.abort()
-                return
-            self.take(frame)
-
-    def send(self, frame: Frame) -> None:
-        body = _encoder.encode(frame)
-        self.transport.write(len(body).to_bytes(LENGTH_BYTES, 'big') + body)
-
-    def trust(self) -> None:
-        """Allow frames of full size, once the other side has proved that it holds the key."""
-        self.most = self.limits.body_bytes + FRAME_OVERHEAD
-
-    def take(self, frame: Frame) -> None:
-        raise NotImplementedError
+#: A link is used without further ado this long after the last sign of life, in seconds. One
+#: that carries calls hears a Pong more often than that.
+REUSE_SECONDS = 1.0
+PROOF_SECONDS = 0.25
 
 
-CallHandler = Callable[[Call], Awaitable[Reply]]
-
-
-class _Serving(_FrameProtocol):
-    """The listening end of a link."""
-
-    def __init__(self, server: 'PeerServer') -> None:
-        super().__init__(server.limits)
-        self.server = server
-        self.nonce = secrets.token_bytes(16)
-        self.instance = ''
-        self.tasks: dict[int, asyncio.Task[None]] = {}
-        self.timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self.server.links.add(self)
-        self.timer = self.loop.call_later(HANDSHAKE_TIMEOUT, self._unproved)
-        self.send(Challenge(self.nonce))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.server.links.discard(self)
-        if self.timer is not None:
-            self.timer.cancel()
-        for task in list(self.tasks.values()):
-            task.cancel()
-
-    def _unproved(self) -> None:
-        if not self.instance:
-            self.transport.abort()
-
-    def take(self, frame: Frame) -> None:
-        match frame:
-            case Hello() if not self.instance:
-                self._check(frame)
-            case Call() if self.instance:
-                task = self.loop.create_task(self._serve(frame))
-                self.tasks[frame.id] = task
-            case Cancel() if self.instance:
-                task_of_call = self.tasks.get(frame.id)
-                if task_of_call is not None:
-                    task_of_call.cancel()
-            case Ping() if self.instance:
-                self.send(Pong(frame.number))
-            case _:
-                self.transport.abort()
-
-    def _check(self, hello: Hello) -> None:
-        want = sign(self.server.key, self.nonce, hello.instance)
-        if not hello.instance or not hmac.compare_digest(want, hello.proof):
-            self.server.refused += 1
-            self.transport.abort()
-            return
-        self.instance = hello.instance
-        self.trust()
-
-    async def _serve(self, call: Call) -> None:
-        try:
-            reply = await self.server.handler(call)
-            reply.id = call.id
-            if not self.transport.is_closing():
-                self.send(reply)
-        finally:
-            self.tasks.pop(call.id, None)
-
-
-class PeerServer:
-    """Takes calls from other nodes, after each has proved that it holds the shared key."""
-
-    def __init__(self, key: str, handler: CallHandler, limits: LinkLimits) -> None:
-        self.key = key
-        self.handler = handler
-        self.limits = limits
-        self.links: set[_Serving] = set()
-        self.refused = 0
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, address: Address) -> Address:
-        """Start to listen; gives the address in use. Raises OSError when it is taken."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _Serving(self), address.host, address.port, backlog=1024
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
-
-    def close(self) -> None:
-        """Stop listening and end every link."""
-        if self._server is not None:
-            self._server.close()
-        for link in list(self.links):
-            link.transport.abort()
-
-
-class _Dialling(_FrameProtocol):
+class _Dialling(FrameProtocol):
     """The dialling end of a link: matches replies to calls by their number."""
 
     def __init__(self, key: str, instance: str, limits: LinkLimits) -> None:
         super().__init__(limits)
         self.key = key
         self.instance = instance
+        self.greeted = False
         self.ready: asyncio.Future[None] = self.loop.create_future()
+        self.proof: asyncio.Future[None] | None = None
         self.waiting: dict[int, asyncio.Future[Reply | Lost]] = {}
         self.numbers = 0
-        self.timer: asyncio.TimerHandle | None = None
-        self.closed = False
+        self.busy_since = 0.0
+        self.retired = False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
+        super().connection_lost(exc)
         if not self.ready.done():
             self.ready.set_exception(ConnectionError('the peer refused the link'))
             self.ready.exception()
+        self._proved()
         for fut in self.waiting.values():
             if not fut.done():
                 fut.set_result(Lost('the link to the peer ended'))
@@ -221,43 +63,90 @@
 
     def take(self, frame: Frame) -> None:
         match frame:
-            case Challenge() if not self.ready.done():
-                self.send(Hello(self.instance, sign(self.key, frame.nonce, self.instance)))
-                self.trust()
-                self.ready.set_result(None)
-                self._probe()
-            case Reply():
+            case Challenge() if not self.greeted:
+                self.greeted = True
+                proof = sign(self.key, Role.DIALLING, frame.nonce, self.instance)
+                self.send(Hello(self.instance, proof, self.nonce))
+            case Welcome() if self.greeted and not self.ready.done():
+                self._check(frame)
+            case Reply() if self.ready.done():
                 # A reply whose call is over is late: it belongs to nobody.
                 fut = self.waiting.pop(frame.id, None)
                 if fut is not None and not fut.done():
                     fut.set_result(frame)
-            case Pong():
-                pass
+            case Pong() if self.ready.done():
+                self._proved()
             case _:
                 self.transport.abort()
 
+    def _check(self, welcome: Welcome) -> None:
+        if not proves(self.key, Role.LISTENING, self.nonce, '', welcome.proof):
+            self.transport.abort()
+            return
+        self.trust()
+        self.ready.set_result(None)
+
+    def _proved(self) -> None:
+        if self.proof is not None and not self.proof.done():
+            self.proof.set_result(None)
+        self.proof = None
+
+    @property
+    def fresh(self) -> bool:
+        return self.open and self.loop.time() - self.heard_at <= REUSE_SECONDS
+
+    async def prove(self) -> bool:
+        """Ask the peer for a sign of life; False when none comes soon."""
+        if self.proof is None:
+            self.proof = self.loop.create_future()
+            self.send(Ping(0))
+        try:
+            async with asyncio.timeout(PROOF_SECONDS):
+                await asyncio.shield(self.proof)
+        except TimeoutError:
+            return False
+        return self.open
+
+    def retire(self) -> None:
+        """Give the link no more calls; it ends when those on it have ended."""
+        self.retired = True
+        if not self.waiting:
+            self.transport.abort()
+
     def call(self, call: Call) -> 'asyncio.Future[Reply | Lost]':
         self.numbers += 1
         call.id = self.numbers
         fut: asyncio.Future[Reply | Lost] = self.loop.create_future()
         self.waiting[call.id] = fut
         self.send(call)
+        if self.timer is None:
+            self.busy_since = self.loop.time()
+            self.timer = self.loop.call_later(self.limits.probe_every, self._probe)
         return fut
 
+    def expire(self, number: int) -> None:
+        """End a call whose deadline has passed, here and at the peer."""
+        fut = self.waiting.get(number)
+        self.give_up(number)
+        if fut is not None and not fut.done():
+            fut.set_result(Lost('no answer before the deadline', ErrorKind.DEADLINE_EXCEEDED))
+
     def give_up(self, number: int) -> None:
-        if self.waiting.pop(number, None) is not None and not self.transport.is_closing():
+        if self.waiting.pop(number, None) is not None and self.open:
             self.send(Cancel(number))
 
     def _probe(self) -> None:
         # A middle box can forget a connection: writes succeed and nothing ever answers. The
-        # peer's Pong on this very connection is the evidence that it still works.
-        silence = self.loop.time() - self.heard_at
-        if silence > self.limits.silent_after:
+        # peer's Pong on this very connection is the evidence that it still works. An idle
+        # link is not probed: thousands of them would cost more than the calls.
+        self.timer = None
+        if self.silent(self.busy_since):
             self.transport.abort()
-            return
-        if silence > self.limits.probe_every / 2:
+        elif self.waiting:
             self.send(Ping(0))
-        self.timer = self.loop.call_later(self.limits.probe_every, self._probe)
+            self.timer = self.loop.call_later(self.limits.probe_every, self._probe)
+        elif self.retired:
+            self.transport.abort()
 
 
 class PeerLinks:
@@ -275,45 +164,69 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + call.budget
         try:
-            link = await self._link(address)
+            link = self._links.get(address)
+            if link is None or not link.fresh:
+                async with asyncio.timeout_at(deadline):
+                    link = await self._link(address)
         except (OSError, TimeoutError) as exc:
             return NotSent(f'{address}: {exc or "no link in time"}')
         call.budget = deadline - loop.time()
         if call.budget <= 0:
             return NotSent('the deadline passed before it was sent')
+        if link.full or len(link.waiting) >= self.limits.calls:
+            return NotSent(f'{address}: the peer takes no more calls')
         fut = link.call(call)
+        number = call.id
+        timer = loop.call_at(deadline, link.expire, number)
         try:
-            return await asyncio.wait_for(fut, call.budget)
-        except TimeoutError:
-            link.give_up(call.id)
-            return Lost('no answer before the deadline', ErrorKind.DEADLINE_EXCEEDED)
+            return await fut
         except asyncio.CancelledError:
-            link.give_up(call.id)
+            link.give_up(number)
             raise
+        finally:
+            timer.cancel()
 
     def close(self) -> None:
         """End all links."""
+        for task in self._dialling.values():
+            task.cancel()
         for link in self._links.values():
             link.transport.abort()
         self._links.clear()
 
     async def _link(self, address: Address) -> _Dialling:
         link = self._links.get(address)
-        if link is not None and not link.closed and not link.transport.is_closing():
+        if link is not None and link.open and (link.fresh or await link.prove()):
             return link
         task = self._dialling.get(address)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._dial(address))
             self._dialling[address] = task
-            task.add_done_callback(lambda _: self._dialling.pop(address, None))
+            task.add_done_callback(lambda done: self._dialled(address, done))
         return await asyncio.shield(task)
 
+    def _dialled(self, address: Address, task: 'asyncio.Task[_Dialling]') -> None:
+        self._dialling.pop(address, None)
+        if task.cancelled() or task.exception() is not None:
+            return
+        old = self._links.get(address)
+        if old is not None and old.open:
+            old.retire()
+        self._links[address] = task.result()
+
     async def _dial(self, address: Address) -> _Dialling:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT):
-            _, link = await loop.create_connection(
-                lambda: _Dialling(self.key, self.instance, self.limits), address.host, address.port
-            )
-            await link.ready
-        self._links[address] = link
+        link: _Dialling | None = None
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT):
+                _, link = await loop.create_connection(
+                    lambda: _Dialling(self.key, self.instance, self.limits),
+                    address.host,
+                    address.port,
+                )
+                await link.ready
+        except BaseException:
+            if link is not None:
+                link.transport.abort()
+            raise
         return link
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -1,14 +1,30 @@
 """What nodes say to each other about calls, as MessagePack frames (msgspec)."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome, problem_of
 from dunlinsaddle.policy.admission import Load
+from dunlinsaddle.policy.context import MAX_HOPS, SLOTS_PER_RANK
+from dunlinsaddle.records.models import Rank
+from dunlinsaddle.records.schema import MAX_RETRY_BOUND
+
+MAX_BUDGET = 86_400.0
 
 Headers = list[tuple[bytes, bytes]]
 
+# The decoder refuses what is out of range, NaN included: a peer with a fault must not hand
+# out retries without bound, or a deadline that never comes.
+RankNumber = Annotated[int, Meta(ge=0, lt=len(Rank))]
+SlotNumber = Annotated[int, Meta(ge=0, lt=SLOTS_PER_RANK)]
+Seconds = Annotated[float, Meta(ge=0, le=MAX_BUDGET)]
+Tokens = Annotated[int, Meta(ge=0, le=MAX_RETRY_BOUND)]
+Hops = Annotated[int, Meta(ge=0, le=MAX_HOPS)]
+StatusCode = Annotated[int, Meta(ge=200, le=599)]
+
 
 class Challenge(msgspec.Struct, tag='h', array_like=True):
     """First frame of the listening side: a nonce that the other side must sign."""
@@ -21,6 +37,13 @@
 
     instance: str
     proof: bytes
+    nonce: bytes = b''
+
+
+class Welcome(msgspec.Struct, tag='w', array_like=True):
+    """Answers a Hello: the listening side holds the key too."""
+
+    proof: bytes
 
 
 class Call(msgspec.Struct, tag='c', array_like=True):
@@ -38,11 +61,11 @@
     request_id: str
     caller: str
     rule: str
-    rank: int
-    slot: int
-    budget: float
-    allowance: int
-    hop: int
+    rank: RankNumber
+    slot: SlotNumber
+    budget: Seconds
+    allowance: Tokens
+    hop: Hops
     idempotent: bool
     key: str = ''
     fingerprint: int = 0
@@ -52,13 +75,13 @@
     """The answer to one call, whole, with what is known of the work behind it."""
 
     id: int
-    status: int
+    status: StatusCode
     headers: Headers
     body: bytes
     outcome: Outcome
     kind: str = ''  #: the value of an ErrorKind, empty when the target itself answered
-    retry_after: float = 0.0
-    unspent: int = 0
+    retry_after: Seconds = 0.0
+    unspent: Tokens = 0
     load: Load | None = None
 
 
@@ -80,7 +103,7 @@
     number: int
 
 
-Frame = Challenge | Hello | Call | Reply | Cancel | Ping | Pong
+Frame = Challenge | Hello | Welcome | Call | Reply | Cancel | Ping | Pong
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -13,9 +13,11 @@
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
+from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
-from dunlinsaddle.calls.link import LinkLimits, PeerLinks, PeerServer
+from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.roster import Roster, entry_of
@@ -86,7 +88,7 @@
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
         self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
-        self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits)
+        self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits, self._peer_fault)
 
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
@@ -173,6 +175,10 @@
         self.stats.faults += 1
         self.logger.exception('fault while answering', extra={'path': req.path})
 
+    def _peer_fault(self, call: Call) -> None:
+        self.stats.faults += 1
+        self.logger.exception('fault while answering a peer', extra={'service': call.service})
+
     async def _serve_peer(self, call: Call) -> Reply:
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,7 +5,9 @@
 from random import Random
 from typing import Any
 
+from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.environment import Environment
+from dunlinsaddle.errors import Outcome
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
@@ -87,3 +89,30 @@
 
 def build_ticket(call_id: int = 1, **changes: Any) -> Ticket:
     return Ticket(call_id, level=200, arrived=0.0, deadline=10.0)._replace(**changes)
+
+
+def build_call(call_id: int = 1, **changes: Any) -> Call:
+    values: dict[str, Any] = {
+        'id': call_id,
+        'service': 'cut-orders',
+        'method': 'GET',
+        'path': '/orders/1',
+        'headers': [],
+        'body': b'',
+        'request_id': 'r-1',
+        'caller': '127.0.0.1',
+        'rule': 'read',
+        'rank': 2,
+        'slot': 5,
+        'budget': 10.0,
+        'allowance': 0,
+        'hop': 0,
+        'idempotent': True,
+        **changes,
+    }
+    return Call(**values)
+
+
+def build_reply(body: bytes = b'', **changes: Any) -> Reply:
+    values: dict[str, Any] = {'id': 0, 'status': 200, 'headers': [], 'outcome': Outcome.DONE}
+    return Reply(**{**values, 'body': body, **changes})
