HTTP face: one framing, one answer in memory, one time limit for a request

Cause: Content-Length beside Transfer-Encoding was accepted; a HEAD answer with a body and a header that is no HTTP ended the task without an answer; 204 had a length; a caller that sent ahead and read nothing filled the memory; the second request on a kept connection could trickle for the idle time. Ruled out: to go on working for a caller that ended only its sending side; it looks the same as one that went away. Change: refuse two framings and CONNECT; answers and read-ahead bounded; the time for a request runs from its first byte; headers that Connection names stay behind; wait_idle for drains.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from dunlinsaddle.calls.http import HOP_BY_HOP, HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import BODILESS, HOP_BY_HOP, HttpRequest, HttpResponse
 from dunlinsaddle.calls.keepalive import watch_connection
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
@@ -22,7 +22,6 @@
 OVERDUE_SECONDS = 1.0
 OVERDUE_FACTOR = 4.0
 SLOWEST_DECAY = 0.98
-BODILESS = frozenset({204, 304})
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +72,10 @@
         self._feed(data)
 
     def send(self, req: HttpRequest, host: str) -> 'asyncio.Future[Exchange]':
-        """Write a request. Raises h11.LocalProtocolError, before any byte is written."""
+        """Write a request.
+
+        Raises h11.LocalProtocolError or UnicodeError, before any byte is written.
+        """
         headers = [(b'host', host.encode())]
         headers += [(n, v) for n, v in req.headers if n not in HOP_BY_HOP]
         headers.append((b'content-length', str(len(req.body)).encode()))
@@ -230,7 +232,7 @@
             return NotSent('the deadline passed before it was sent')
         try:
             fut = conn.send(req, str(address))
-        except h11.LocalProtocolError as exc:
+        except (h11.LocalProtocolError, UnicodeError) as exc:
             conn.transport.abort()
             return NotSent(f'it cannot be written as HTTP: {exc}')
         return await self._wait(pool, conn, fut, deadline, resendable=resendable)
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -89,7 +89,7 @@
 
     def _work(self, req: HttpRequest, record: ServiceRecord, rule: RequestRule, rest: str) -> Work:
         now = asyncio.get_running_loop().time()
-        request_id = req.header(b'request-id')[:MAX_ID_LENGTH] or str(uuid6.uuid7())
+        request_id = req.header(b'request-id')[:MAX_ID_LENGTH].strip() or str(uuid6.uuid7())
         ctx = CallContext(
             request_id=request_id,
             caller=req.remote,
--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -8,6 +8,7 @@
 import h11
 import msgspec
 
+from dunlinsaddle.calls.keepalive import watch_connection
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.settings import Address
@@ -28,6 +29,7 @@
     }
 )
 OWN_PREFIX = b'dunlinsaddle-'
+BODILESS = frozenset({204, 304})
 
 
 class HttpRequest(NamedTuple):
@@ -74,7 +76,11 @@
     A caller that sets our headers itself could raise its own priority or allowance, so they
     end at the face that they came in by.
     """
-    return [(n, v) for n, v in headers if n not in HOP_BY_HOP and not n.startswith(OWN_PREFIX)]
+    dropped = HOP_BY_HOP
+    for name, value in headers:
+        if name == b'connection':
+            dropped = dropped | {part.strip() for part in value.lower().split(b',')}
+    return [(n, v) for n, v in headers if n not in dropped and not n.startswith(OWN_PREFIX)]
 
 
 def json_response(value: object, status: int = 200) -> HttpResponse:
@@ -102,56 +108,80 @@
     def __init__(self, face: 'HttpFace') -> None:
         self.face = face
         self.loop = asyncio.get_running_loop()
-        self.parser = self._parser()
+        size = face.limits.header_bytes
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
         self.transport: asyncio.Transport
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.head: h11.Request | None = None
         self.chunks: list[bytes] = []
         self.size = 0
+        self.ahead = 0  #: bytes read while a request is being answered
+        self.started = False
+        self.unsent = False
         self.remote = ''
 
-    def _parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self.face.limits.header_bytes)
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        # Any unsent byte pauses: a drain waits until the last answer has left the process.
+        transport.set_write_buffer_limits(high=0)
+        watch_connection(transport)
         name = transport.get_extra_info('peername')
         self.remote = str(name[0]) if isinstance(name, tuple) else ''
         self.face.connections.add(self)
         if len(self.face.connections) > self.face.limits.connections:
             self._refuse(Failure(ErrorKind.TOO_MANY_CONNECTIONS, retry_after=1.0))
             return
-        self._wait_for_request(self.face.limits.header_timeout)
+        self._set_timer(self.face.limits.header_timeout)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.face.connections.discard(self)
         self._stop_timer()
         if self.task is not None:
             self.task.cancel()
+        self.face.note_idle()
 
     def data_received(self, data: bytes) -> None:
-        try:
-            self.parser.receive_data(data)
-        except h11.RemoteProtocolError as exc:
-            self._refuse(Failure(ErrorKind.MALFORMED_REQUEST, str(exc)))
+        self.parser.receive_data(data)
+        if self.task is not None or self.unsent:
+            self._read_ahead(len(data))
             return
-        if self.task is None:
-            self._advance()
+        if not self.started:
+            # A sender that trickles bytes would hold a connection for ever: the time runs
+            # over the whole request, not from byte to byte.
+            self.started = True
+            self._set_timer(self.face.limits.header_timeout)
+        self._advance()
 
     def eof_received(self) -> bool:
+        # Most callers that go away send the same as one that only ends its sending side.
+        # Work for a caller that has gone is the waste that this system is against, so both
+        # count as gone: the call is cancelled down the chain.
         return False
 
     def pause_writing(self) -> None:
-        """Nothing to do: one answer at a time is in the buffer."""
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+        self.face.note_idle()
+        if self.task is None and not self.transport.is_closing():
+            self._advance()
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered."""
-        return self.task is not None or self.head is not None
+        """Whether a request is being read or answered, or an answer still being sent."""
+        return self.task is not None or self.started or self.unsent
 
-    def _wait_for_request(self, timeout: float) -> None:
+    def _read_ahead(self, size: int) -> None:
+        # Requests sent before the answer to the last one wait in the parser. Without a
+        # bound a caller that never reads its answers could fill the memory.
+        self.ahead += size
+        if self.ahead > self.face.limits.header_bytes:
+            self.transport.pause_reading()
+
+    def _set_timer(self, timeout: float) -> None:
         self._stop_timer()
         self.timer = self.loop.call_later(timeout, self._expired)
 
@@ -161,56 +191,66 @@
             self.timer = None
 
     def _expired(self) -> None:
-        # A sender that trickles bytes would hold a connection for ever: the time runs over
-        # the whole request, not from byte to byte.
-        if self.task is not None:
-            return
-        started = self.head is not None or bool(self.parser.trailing_data[0])
-        if started:
+        if self.unsent or self.transport.is_closing():
+            self.transport.abort()
+        elif self.started:
             self._refuse(Failure(ErrorKind.REQUEST_TIMEOUT))
         else:
             self.transport.close()
 
+    def _close(self) -> None:
+        """Close once all is sent, or after a while if the other side does not read."""
+        self.transport.close()
+        self._set_timer(self.face.limits.header_timeout)
+
     def _advance(self) -> None:
         try:
-            while True:
+            while self.task is None and not self.transport.is_closing():
                 event = self.parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self.ahead = 0
+                    self.transport.resume_reading()
                     return
-                match event:
-                    case h11.Request():
-                        if not self._begin(event):
-                            return
-                    case h11.Data():
-                        self.size += len(event.data)
-                        self.chunks.append(bytes(event.data))
-                        if self.size > self.face.limits.body_bytes:
-                            self._refuse(Failure(ErrorKind.BODY_TOO_LARGE))
-                            return
-                    case h11.EndOfMessage():
-                        self._start()
-                        return
-                    case h11.ConnectionClosed():
-                        self.transport.close()
-                        return
+                self._take(event)
         except h11.RemoteProtocolError as exc:
             too_large = exc.error_status_hint == 431
             kind = ErrorKind.HEADERS_TOO_LARGE if too_large else ErrorKind.MALFORMED_REQUEST
             self._refuse(Failure(kind, str(exc)))
 
-    def _begin(self, head: h11.Request) -> bool:
+    def _take(self, event: object) -> None:
+        match event:
+            case h11.Request():
+                failure = self._begin(event)
+                if failure is not None:
+                    self._refuse(failure)
+            case h11.Data():
+                self.size += len(event.data)
+                self.chunks.append(bytes(event.data))
+                if self.size > self.face.limits.body_bytes:
+                    self._refuse(Failure(ErrorKind.BODY_TOO_LARGE))
+            case h11.EndOfMessage():
+                self._start()
+            case h11.ConnectionClosed():
+                self._close()
+
+    def _begin(self, head: h11.Request) -> Failure | None:
         self.head = head
-        self._wait_for_request(self.face.limits.header_timeout)
+        self.started = True
+        self._set_timer(self.face.limits.header_timeout)
         if len(head.target) > MAX_TARGET_BYTES:
-            self._refuse(Failure(ErrorKind.TARGET_TOO_LONG))
-            return False
-        declared = next((v for n, v in head.headers if n == b'content-length'), b'0')
-        if int(declared) > self.face.limits.body_bytes:
-            self._refuse(Failure(ErrorKind.BODY_TOO_LARGE))
-            return False
+            return Failure(ErrorKind.TARGET_TOO_LONG)
+        if head.method == b'CONNECT':
+            return Failure(ErrorKind.METHOD_NOT_ALLOWED, 'CONNECT')
+        framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
+        if len(framing) > 1:
+            # Two parties that pick different ones would cut the stream at different places,
+            # and a caller could slip a request in as part of a body (RFC 9112, 6.1).
+            return Failure(ErrorKind.MALFORMED_REQUEST, 'Content-Length and Transfer-Encoding')
+        if int(framing.get(b'content-length', b'0')) > self.face.limits.body_bytes:
+            return Failure(ErrorKind.BODY_TOO_LARGE)
         if self.parser.they_are_waiting_for_100_continue:
             self._write([h11.InformationalResponse(status_code=100, headers=[])])
-        return True
+        return None
 
     def _start(self) -> None:
         assert self.head is not None
@@ -222,53 +262,63 @@
             b''.join(self.chunks),
             self.remote,
         )
+        self.chunks = []
         self.task = self.loop.create_task(self._respond(req))
 
     async def _respond(self, req: HttpRequest) -> None:
         try:
             response = await self.face.handler(req)
-        except asyncio.CancelledError:
-            raise
+            wire = self._wire(response)
         except Exception:
             self.face.on_fault(req)
-            response = failure_response(Failure(ErrorKind.INTERNAL))
+            wire = None
         self.task = None
-        self._answer(response)
+        if not self.transport.is_closing():
+            self._answer(wire)
 
-    def _answer(self, response: HttpResponse) -> None:
-        if self.transport.is_closing():
-            return
-        headers = [
-            *((n, v) for n, v in response.headers if n not in HOP_BY_HOP),
-            (b'content-length', str(len(response.body)).encode()),
-        ]
+    def _wire(self, response: HttpResponse) -> bytes:
+        headers = [(n, v) for n, v in response.headers if n not in HOP_BY_HOP]
+        assert self.head is not None
+        bodiless = self.head.method == b'HEAD' or response.status in BODILESS
+        if not bodiless:
+            headers.append((b'content-length', str(len(response.body)).encode()))
         if self.face.closing:
             headers.append((b'connection', b'close'))
+        body = b'' if bodiless else response.body
         head = h11.Response(status_code=response.status, headers=headers)
-        self._write([head, h11.Data(data=response.body), h11.EndOfMessage()])
-        if self.parser.our_state is h11.MUST_CLOSE or self.parser.our_state is h11.ERROR:
-            self.transport.close()
-            return
-        self._next_cycle()
+        return self._encode([head, h11.Data(data=body), h11.EndOfMessage()])
 
-    def _next_cycle(self) -> None:
+    def _answer(self, wire: bytes | None) -> None:
+        if wire is None:
+            self._refuse(Failure(ErrorKind.INTERNAL))
+            return
+        self.transport.write(wire)
+        if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
+            self._close()
+            return
         self.parser.start_next_cycle()
-        self.head, self.chunks, self.size = None, [], 0
-        self._wait_for_request(self.face.limits.idle_timeout)
-        self._advance()
+        self.head, self.size, self.started = None, 0, bool(self.parser.trailing_data[0])
+        limits = self.face.limits
+        self._set_timer(limits.header_timeout if self.started else limits.idle_timeout)
+        self.face.note_idle()
+        # One answer at a time is in memory: the next request waits until this one is sent.
+        if not self.unsent:
+            self._advance()
 
     def _refuse(self, failure: Failure) -> None:
-        self._stop_timer()
         response = failure_response(failure)
         headers = [*response.headers, (b'connection', b'close')]
         headers.append((b'content-length', str(len(response.body)).encode()))
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = h11.Response(status_code=response.status, headers=headers)
             self._write([head, h11.Data(data=response.body), h11.EndOfMessage()])
-        self.transport.close()
+        self._close()
 
     def _write(self, events: list[h11.Event]) -> None:
-        self.transport.write(b''.join(self.parser.send(event) or b'' for event in events))
+        self.transport.write(self._encode(events))
+
+    def _encode(self, events: list[h11.Event]) -> bytes:
+        return b''.join(self.parser.send(event) or b'' for event in events)
 
 
 class HttpFace:
@@ -286,6 +336,7 @@
         self.connections: set[_Connection] = set()
         self.closing = False
         self._server: asyncio.Server | None = None
+        self._idle = asyncio.Event()
 
     async def listen(self, address: Address) -> Address:
         """Start to listen; gives the address in use. Raises OSError when it is taken."""
@@ -296,6 +347,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def start_closing(self) -> None:
+        """Tell callers with each answer that its connection ends; go on listening."""
+        self.closing = True
+
     def stop_listening(self) -> None:
         """Take no new connection; those that wait for a request are closed."""
         self.closing = True
@@ -305,6 +360,16 @@
             if not conn.busy:
                 conn.transport.close()
 
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress and every answer has left this process."""
+        while any(conn.busy for conn in self.connections):
+            self._idle.clear()
+            await self._idle.wait()
+
+    def note_idle(self) -> None:
+        """Wake who waits for the end of the requests."""
+        self._idle.set()
+
     def close(self) -> None:
         """Close everything at once."""
         self.stop_listening()
