--- /dev/null
+++ b/standins/latency.py
@@ -0,0 +1,146 @@
+"""``make latency``: what one node and two nodes add to a call, against the target itself.
+
+Everything runs as separate processes on loopback. The three ways are measured in turn, in
+short rounds within one run, so that a busy moment of the machine falls on all of them.
+"""
+
+import argparse
+import asyncio
+import os
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from dunlinsaddle.settings import Address, read_address
+from standins.caller import Caller
+from standins.demo import operate, say, wait_until_served
+from standins.fleet import Fleet, Placed, TargetSpec
+
+PATH = '/templates/oak/1'
+MOST_MICROSECONDS = 10_000_000
+DIGITS = 3
+WARM_UP = 300
+RECORD = {'schema': 2, 'service': 'templates', 'requests': []}
+TICKS = os.sysconf('SC_CLK_TCK')
+
+
+class Way(NamedTuple):
+    """One way to the target: where calls are sent, and the nodes that they pass."""
+
+    name: str
+    address: Address
+    path: str
+    nodes: tuple[Placed, ...]
+
+
+class Measured(NamedTuple):
+    """What one way took. Processor seconds are those of the nodes that are passed."""
+
+    histogram: HdrHistogram
+    busy: list[float]
+    calls: list[int]
+
+
+def processor_seconds(pid: int) -> float:
+    """Give the processor time that a process has used."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def used(way: Way) -> float:
+    """Give the processor time that all nodes of a way have used."""
+    return sum(processor_seconds(placed.node.popen.pid) for placed in way.nodes)
+
+
+async def send_paced(caller: Caller, way: Way, rate: float, count: int, into: HdrHistogram) -> None:
+    """Send calls at a steady rate, whether or not earlier ones are answered."""
+    loop = asyncio.get_running_loop()
+    first = loop.time()
+
+    async def one() -> None:
+        began = time.perf_counter()
+        response = await caller.call(way.address, 'GET', way.path)
+        if response is None or response.status != 200:
+            raise RuntimeError(f'{way.name}: {response}')
+        into.record_value(int((time.perf_counter() - began) * 1e6))
+
+    tasks = []
+    for number in range(count):
+        at = first + number / rate
+        await asyncio.sleep(max(at - loop.time(), 0))
+        tasks.append(loop.create_task(one()))
+    await asyncio.gather(*tasks)
+
+
+async def measure(ways: list[Way], rate: float, rounds: int, count: int) -> dict[str, Measured]:
+    """Measure all ways in turn, ``rounds`` times ``count`` calls each."""
+    caller = Caller()
+    results = {
+        way.name: Measured(HdrHistogram(1, MOST_MICROSECONDS, DIGITS), [], []) for way in ways
+    }
+    for way in ways:
+        warm = HdrHistogram(1, MOST_MICROSECONDS, DIGITS)
+        await send_paced(caller, way, rate, WARM_UP, warm)
+    for _ in range(rounds):
+        for way in ways:
+            result = results[way.name]
+            before = used(way)
+            await send_paced(caller, way, rate, count, result.histogram)
+            result.busy.append(used(way) - before)
+            result.calls.append(count)
+    caller.close()
+    return results
+
+
+def report(results: dict[str, Measured]) -> None:
+    """Print one row a way, then what the nodes add."""
+    say(
+        f'{"way":<12}{"calls":>8}{"p50 us":>9}{"p99 us":>9}{"core us/call":>14}{"calls/s/core":>14}'
+    )
+    for name, result in results.items():
+        calls = sum(result.calls)
+        each = sum(result.busy) / calls
+        rate = f'{1 / each:.0f}' if each else '-'
+        p50 = result.histogram.get_value_at_percentile(50)
+        p99 = result.histogram.get_value_at_percentile(99)
+        say(f'{name:<12}{calls:>8}{p50:>9}{p99:>9}{each * 1e6:>14.0f}{rate:>14}')
+    direct = results['direct'].histogram
+    for name in ('one node', 'two nodes'):
+        through = results[name].histogram
+        added = [
+            through.get_value_at_percentile(q) - direct.get_value_at_percentile(q) for q in (50, 99)
+        ]
+        say(f'{name} added: p50 {added[0]} us, p99 {added[1]} us')
+
+
+def main() -> None:
+    """Start the processes, measure, print, stop."""
+    parser = argparse.ArgumentParser(description='Measures the latency that nodes add.')
+    parser.add_argument('--rate', default=300.0, type=float, help='calls a second')
+    parser.add_argument('--rounds', default=10, type=int)
+    parser.add_argument('--count', default=300, type=int, help='calls of a way in a round')
+    args = parser.parse_args()
+    with Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
+        target = fleet.place('bangor-1', TargetSpec('templates', 'bangor-hall', 140, 0.0))
+        # A node with a target of another service: its calls all go to the one above.
+        entry = fleet.place('menai-1', TargetSpec('slab-stock', 'menai-hall', 140, 0.0))
+        record = Path(folder) / 'templates.json'
+        record.write_bytes(msgspec.json.encode(RECORD))
+        operate(entry.faces['operators'], 'apply', str(record))
+        nodes = {p.name: read_address(p.faces['callers']) for p in (target, entry)}
+        asyncio.run(wait_until_served(list(nodes.values()), PATH))
+        ways = [
+            Way('direct', read_address(target.listening), '/oak/1', ()),
+            Way('one node', nodes['bangor-1'], PATH, (target,)),
+            Way('two nodes', nodes['menai-1'], PATH, (entry, target)),
+        ]
+        say(f'{args.rate:g} calls a second, {args.rounds} rounds in turn')
+        report(asyncio.run(measure(ways, args.rate, args.rounds, args.count)))
+
+
+if __name__ == '__main__':
+    main()
