--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -13,9 +13,11 @@
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
+from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
-from dunlinsaddle.calls.link import LinkLimits, PeerLinks, PeerServer
+from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.explain import Explanation, Question, explain
@@ -36,6 +38,9 @@
 
 REFRESH_SECONDS = 0.5
 WATCH_SECONDS = 0.25
+DRAIN_NOTICE = 1.0
+#: Listings hold many values of up to a megabyte.
+PLATFORM_BODY_BYTES = 1 << 26
 
 
 class Faces(NamedTuple):
@@ -61,8 +66,9 @@
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
-        self.client = HttpClient()
-        self.store: ObjectStore = HttpObjectStore(settings.platform, self.client)
+        self.client = HttpClient(settings.max_body_bytes)
+        self.platform_client = HttpClient(PLATFORM_BODY_BYTES)
+        self.store: ObjectStore = HttpObjectStore(settings.platform, self.platform_client)
         rng = Random(env.rng.random())
         self.agent = GossipAgent(self.view, settings.peer_key, rng, settings.seeds)
         self.target_watch = TargetWatch()
@@ -107,7 +113,7 @@
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
         self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
-        self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits)
+        self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits, self._peer_fault)
 
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
@@ -136,10 +142,18 @@
         """Take no new work, tell the others, and wait for what is in progress."""
         self.target.draining = True
         self.local.changed.set()
-        self.callers_http.stop_listening()
+        self.callers_http.start_closing()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_timeout):
+                # Callers and routers with an old view still come here for a moment: they
+                # are told to go elsewhere, which a closed port could not do.
+                await asyncio.sleep(DRAIN_NOTICE)
+                self.callers_http.stop_listening()
+                self.executor.refuse_waiting()
+                await self.callers_http.wait_idle()
+                await self.peer_server.wait_idle()
                 await self.running.wait_idle()
+                await self.local_http.wait_idle()
 
     async def stop(self) -> None:
         """Close everything."""
@@ -152,6 +166,7 @@
         self.peer_server.close()
         self.links.close()
         self.client.close()
+        self.platform_client.close()
 
     def me(self) -> Member:
         """Give the word that this node spreads of itself."""
@@ -212,6 +227,10 @@
         self.stats.faults += 1
         self.logger.exception('fault while answering', extra={'path': req.path})
 
+    def _peer_fault(self, call: Call) -> None:
+        self.stats.faults += 1
+        self.logger.exception('fault while answering a peer', extra={'service': call.service})
+
     async def _serve_peer(self, call: Call) -> Reply:
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
