Know a caller's resend by its name alone

Ruled out: the connection as identity; gateways carry many people on one. Change: only a Request-Id or Idempotency-Key names a request for this purpose; the fingerprint of quarantine no longer holds the id, or a killer with a fresh id would pass.

--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -84,19 +84,23 @@
             return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
         rule = classify(record, req.method, path['rest'])
         work = self._work(req, record, rule, path['rest'])
-        failure = self._over_rate(work, record)
+        name = req.header(b'idempotency-key') or req.header(b'request-id')
+        failure = self._over_rate(work, record, name)
         reply = refusal(failure) if failure else await self.dispatcher.dispatch(work)
-        self._note_refusal(work, reply)
+        self._note_refusal(work, reply, name)
         label = CallLabel(record.service, rule.rank.name.lower(), reply.outcome.value, reply.kind)
         self.stats.count(label)
         return self._response(reply, work)
 
-    def _over_rate(self, work: Work, record: ServiceRecord) -> Failure | None:
+    def _over_rate(self, work: Work, record: ServiceRecord, name: str) -> Failure | None:
         ctx = work.ctx
+        if not name:
+            # Two requests without a name may be alike and yet come from two people.
+            return None
         failure = self.guard.check(
             asyncio.get_running_loop().time(),
             ctx.caller,
-            ctx.fingerprint,
+            name,
             rank=ctx.priority.rank,
             ratio=record.resend_ratio,
         )
@@ -108,13 +112,15 @@
         self.stats.shed[failure.kind.value] += 1
         return failure
 
-    def _note_refusal(self, work: Work, reply: Reply) -> None:
+    def _note_refusal(self, work: Work, reply: Reply, name: str) -> None:
         ctx = work.ctx
+        if not name:
+            return
         if not reply.kind:
-            self.guard.answered(ctx.caller, ctx.fingerprint)
+            self.guard.answered(ctx.caller, name)
         elif reply.retry_after > 0:
             now = asyncio.get_running_loop().time()
-            self.guard.refused(now, ctx.caller, ctx.fingerprint, reply.retry_after)
+            self.guard.refused(now, ctx.caller, name, reply.retry_after)
 
     def _work(self, req: HttpRequest, record: ServiceRecord, rule: RequestRule, rest: str) -> Work:
         now = asyncio.get_running_loop().time()
@@ -247,7 +253,6 @@
 def fingerprint(req: HttpRequest, service: str) -> int:
     """Give what stays the same when a caller sends the same request again."""
     digest = xxhash.xxh64(service.encode())
-    digest.update(req.header(b'request-id').encode())
     digest.update(req.method.encode())
     digest.update(req.path.encode('latin-1'))
     digest.update(req.body)
--- a/dunlinsaddle/policy/callers.py
+++ b/dunlinsaddle/policy/callers.py
@@ -22,24 +22,24 @@
 class ResendGuard:
     """Lets a caller's early resends through only up to a share of its other calls.
 
-    A resend is early when it comes before the Retry-After that its refusal named. One that
-    waits as it was told costs nothing, so an honest caller never meets this guard; one that
+    A resend is known by its name, the request's id or idempotency key. It is early when it
+    comes before the Retry-After that its refusal named. One that waits as it was told costs nothing, so an honest caller never meets this guard; one that
     asks again at once is refused at the entry, before it costs any target a thing.
     """
 
     def __init__(self) -> None:
         self._callers: OrderedDict[str, _Caller] = OrderedDict()
-        self._come_back: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._come_back: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     def check(
-        self, now: float, caller: str, fingerprint: int, *, rank: Rank, ratio: float
+        self, now: float, caller: str, name: str, *, rank: Rank, ratio: float
     ) -> Failure | None:
         """Give the refusal for an early resend over the ratio, else None.
 
         The most valued requests pass always: a templater who presses "release" twice must
         not lose the order to this guard.
         """
-        told = self._come_back.get((caller, fingerprint), 0.0)
+        told = self._come_back.get((caller, name), 0.0)
         known = self._caller(caller)
         if told <= now:
             known.tokens = min(known.tokens + ratio, BURST)
@@ -54,16 +54,16 @@
         wait = min(told - now + 0.1 * known.early, PENALTY_MOST)
         return Failure(ErrorKind.CALLER_OVER_RATE, 'sent again before Retry-After', wait)
 
-    def refused(self, now: float, caller: str, fingerprint: int, retry_after: float) -> None:
+    def refused(self, now: float, caller: str, name: str, retry_after: float) -> None:
         """Note when a refused request was told to come back."""
-        self._come_back[caller, fingerprint] = now + retry_after
-        self._come_back.move_to_end((caller, fingerprint))
+        self._come_back[caller, name] = now + retry_after
+        self._come_back.move_to_end((caller, name))
         if len(self._come_back) > REFUSALS_MOST:
             self._come_back.popitem(last=False)
 
-    def answered(self, caller: str, fingerprint: int) -> None:
+    def answered(self, caller: str, name: str) -> None:
         """Note that a request was answered: the next one like it is a new one."""
-        self._come_back.pop((caller, fingerprint), None)
+        self._come_back.pop((caller, name), None)
 
     def _caller(self, caller: str) -> _Caller:
         known = self._callers.get(caller)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,8 +10,8 @@
         super().setUp()
         self.guard = ResendGuard()
 
-    def check(self, now: float, fingerprint: int = 1, rank: Rank = Rank.NORMAL):
-        return self.guard.check(now, 'tablet', fingerprint, rank=rank, ratio=0.2)
+    def check(self, now: float, name: str = 'one', rank: Rank = Rank.NORMAL):
+        return self.guard.check(now, 'tablet', name, rank=rank, ratio=0.2)
 
     def hammer(self, times: int, rank: Rank = Rank.NORMAL) -> int:
         passed = 0
@@ -19,7 +19,7 @@
             now = number * 0.01
             if self.check(now, rank=rank) is None:
                 passed += 1
-            self.guard.refused(now, 'tablet', 1, retry_after=100.0)
+            self.guard.refused(now, 'tablet', 'one', retry_after=100.0)
         return passed
 
     def test_caller_that_asks_again_at_once_is_refused_at_the_entry(self):
@@ -39,7 +39,7 @@
 
     def test_other_calls_of_the_same_caller_pass(self):
         self.hammer(100)
-        self.assertIsNone(self.check(1.0, fingerprint=2))
+        self.assertIsNone(self.check(1.0, name='two'))
 
     def test_most_valued_requests_always_pass(self):
         self.assertEqual(1000, self.hammer(1000, rank=Rank.CRITICAL))
