--- a/dunlinsaddle/policy/callers.py
+++ b/dunlinsaddle/policy/callers.py
@@ -23,8 +23,9 @@
     """Lets a caller's early resends through only up to a share of its other calls.
 
     A resend is known by its name, the request's id or idempotency key. It is early when it
-    comes before the Retry-After that its refusal named. One that waits as it was told costs nothing, so an honest caller never meets this guard; one that
-    asks again at once is refused at the entry, before it costs any target a thing.
+    comes before the Retry-After that its refusal named. One that waits as it was told costs
+    nothing, so an honest caller never meets this guard; one that asks again at once is refused
+    at the entry, before it costs any target a thing.
     """
 
     def __init__(self) -> None:
