--- a/dunlinsaddle/admin.py
+++ b/dunlinsaddle/admin.py
@@ -1,13 +1,13 @@
-"""The operators' face: records, status, targets. A change goes to the platform."""
+"""The operators' face: records, status, targets, metrics. A change goes to the platform."""
 
 import hmac
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, TypedDict
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
-import uuid6
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from dunlinsaddle.calls.http import (
     HttpRequest,
@@ -15,21 +15,44 @@
     failure_response,
     json_response,
 )
-from dunlinsaddle.errors import ErrorKind, Failure
-from dunlinsaddle.records.changes import RECORDS, Change, ChangeEntry, apply_change
+from dunlinsaddle.errors import ErrorKind, Failure, problem_of
+from dunlinsaddle.platform.store import Unavailable
+from dunlinsaddle.records.changes import (
+    COME_BACK,
+    Change,
+    Rejected,
+    apply_change,
+    check_change,
+    entry_of,
+)
+from dunlinsaddle.records.diff import changed_fields
+from dunlinsaddle.records.history import RECORDS, read_audit, read_history
 from dunlinsaddle.records.schema import encode_record
 
 if TYPE_CHECKING:
     from dunlinsaddle.node import Node
 
+MAX_CHANGE_BYTES = 65_536
+FACE_HEADER = (b'dunlinsaddle-face', b'operators')  #: tells this face from the other three
+
 
-class ChangeBody(TypedDict):
-    """The body of a change. ``record`` is null to delete; ``expected`` is the version read."""
+class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a change: ``record`` is null to delete, ``expected`` is the version read."""
 
     record: Any
     expected: int
     who: str
-    why: str
+    why: str = ''
+    id: str = ''
+    downgrade: bool = False
+
+
+class ExplainBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The request that is to be explained."""
+
+    service: str
+    method: str
+    path: str
 
 
 class OperatorsFace:
@@ -41,65 +64,268 @@
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request of an operator."""
-        if req.path == '/health':
+        response = await self._answer(req)
+        return response._replace(headers=[*response.headers, FACE_HEADER])
+
+    async def _answer(self, req: HttpRequest) -> HttpResponse:
+        url = urlsplit(req.path)
+        if url.path == '/health':
             return json_response({'ok': True})
         want = f'Bearer {self.node.settings.operator_token}'
-        if not hmac.compare_digest(want.encode(), req.header(b'authorization').encode()):
+        given = req.header(b'authorization')
+        if not hmac.compare_digest(want.encode(), given.encode('latin-1')):
             return failure_response(Failure(ErrorKind.UNAUTHORIZED, 'give the operator token'))
-        parts = req.path.partition('?')[0].strip('/').split('/')
-        match (req.method, *parts):
-            case ('GET', 'v1', 'status'):
+        if len(req.body) > MAX_CHANGE_BYTES:
+            detail = f'{len(req.body)} bytes: expected at most {MAX_CHANGE_BYTES}'
+            return failure_response(Failure(ErrorKind.BODY_TOO_LARGE, detail))
+        parts = [unquote(part) for part in url.path.strip('/').split('/')]
+        match parts:
+            case ['v1', 'records', *rest]:
+                return await self._records(req, rest)
+            case ['v1', *rest]:
+                return await self._others(req, rest, parse_qs(url.query))
+        return _not_found(req)
+
+    async def _records(self, req: HttpRequest, rest: list[str]) -> HttpResponse:
+        match (req.method, *rest):
+            case ('GET',):
+                return json_response(self._in_force())
+            case ('GET', service):
+                return await self._stored(service)
+            case ('PUT' | 'DELETE', service):
+                return await self._change(req, service)
+            case ('POST', service, 'check'):
+                return await self._check(req, service)
+            case ('POST', service, 'diff'):
+                return await self._diff(req, service)
+            case ('GET', service, 'history'):
+                return await self._history(service)
+        known = len(rest) < 2 or (len(rest) == 2 and rest[1] in ('check', 'diff', 'history'))
+        return _wrong_method(req) if known else _not_found(req)
+
+    async def _others(
+        self, req: HttpRequest, rest: list[str], query: dict[str, list[str]]
+    ) -> HttpResponse:
+        match (req.method, *rest):
+            case ('GET', 'status'):
                 return json_response(self.node.status())
-            case ('GET', 'v1', 'targets'):
+            case ('GET', 'rollout'):
+                return json_response(await self._rollout())
+            case ('GET', 'targets'):
                 return json_response(self.node.targets())
-            case ('GET', 'v1', 'records'):
-                return self._records()
-            case ('GET', 'v1', 'records', service):
-                return self._record(service)
-            case ('PUT', 'v1', 'records', service):
-                return await self._change(req, service)
-            case ('GET', 'v1', 'history', service):
+            case ('GET', 'metrics'):
+                return json_response(self.node.metrics())
+            case ('GET', 'audit'):
+                return await self._audit(query.get('since', ['0'])[0])
+            case ('GET', 'history', service):
                 return await self._history(service)
-        return failure_response(Failure(ErrorKind.NOT_FOUND, req.path))
+            case ('POST', 'explain'):
+                return self._explain(req)
+        known = rest in (
+            ['status'],
+            ['rollout'],
+            ['targets'],
+            ['metrics'],
+            ['audit'],
+            ['explain'],
+        ) or rest[:1] == ['history']
+        return _wrong_method(req) if known else _not_found(req)
 
-    def _records(self) -> HttpResponse:
-        entries = self.node.book.entries()
-        return json_response(
-            [{'service': e.service, 'version': e.version} for e in entries if e.record]
-        )
+    def _in_force(self) -> list[dict[str, Any]]:
+        book = self.node.book
+        return [
+            {
+                'service': e.service,
+                'version': e.version,
+                'schema': e.record.schema,
+                'mode': e.record.mode.value,
+                'since': book.since.get(e.service, 0.0),
+            }
+            for e in sorted(book.entries())
+            if e.record
+        ]
 
-    def _record(self, service: str) -> HttpResponse:
-        record = self.node.book.find(service)
-        if record is None:
-            return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, service))
-        version = self.node.book.version(service)
-        return json_response({'version': version, 'record': encode_record(record)})
+    async def _stored(self, service: str) -> HttpResponse:
+        """Answer with what the platform holds, or with what is in force while it is out."""
+        match await self.node.store.get(RECORDS, service):
+            case Ok(None):
+                return _unknown(service)
+            case Ok(held):
+                assert held is not None
+                doc = entry_of(held).doc
+                if doc is None:
+                    return _unknown(service)
+                return json_response({'version': held.version, 'record': doc, 'source': 'platform'})
+            case Err(_):
+                record = self.node.book.find(service)
+                if record is None:
+                    return _unavailable(Unavailable('and this node holds no such record'))
+                version = self.node.book.version(service)
+                doc = encode_record(record)
+                return json_response({'version': version, 'record': doc, 'source': 'node'})
 
     async def _change(self, req: HttpRequest, service: str) -> HttpResponse:
-        try:
-            body = msgspec.json.decode(req.body, type=ChangeBody)
-        except msgspec.MsgspecError as exc:
-            return failure_response(Failure(ErrorKind.INVALID_RECORD, str(exc)))
-        entry = ChangeEntry(
-            id=str(uuid6.uuid7()),
-            who=body['who'],
-            why=body['why'],
-            when=self.wall_clock(),
-            before=body['expected'],
-            deleted=body['record'] is None,
-        )
-        change = Change(service, body['record'], body['expected'], entry)
-        match await apply_change(self.node.store, change):
-            case Ok(version):
-                return json_response({'service': service, 'version': version})
+        match self._read_change(req, service):
+            case Ok(change):
+                result = await apply_change(self.node.store, change, self.node.book.newest)
             case Err(failure):
                 return failure_response(failure)
+        match result:
+            case Ok(accepted):
+                self.node.logger.info(
+                    'change accepted',
+                    extra={'service': service, 'who': change.who, 'change': change.id},
+                )
+                return json_response({'service': service, 'id': change.id, **accepted._asdict()})
+            case Err(rejected):
+                return _rejection(rejected)
 
-    async def _history(self, service: str) -> HttpResponse:
+    async def _check(self, req: HttpRequest, service: str) -> HttpResponse:
+        """Say whether a change would be accepted, and write nothing."""
+        match self._read_change(req, service):
+            case Ok(change):
+                pass
+            case Err(failure):
+                return failure_response(failure)
+        match await self.node.store.get(RECORDS, service):
+            case Ok(held):
+                failed = check_change(change, held, self.node.book.newest)
+                if failed is not None:
+                    return failure_response(failed)
+                fields = changed_fields(entry_of(held).doc if held else None, change.doc)
+                version = held.version if held else 0
+                return json_response({'service': service, 'version': version, 'changed': fields})
+            case Err(error):
+                return _unavailable(error)
+
+    async def _diff(self, req: HttpRequest, service: str) -> HttpResponse:
+        """Compare a document with what the platform holds."""
+        match _read_json(req):
+            case Ok(doc):
+                pass
+            case Err(failure):
+                return failure_response(failure)
         match await self.node.store.get(RECORDS, service):
             case Ok(held):
-                if held is None:
-                    return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, service))
-                return json_response((held.value or {}).get('history', []))
+                stored = entry_of(held).doc if held else None
+                fields = changed_fields(stored, doc)
+                version = held.version if held else 0
+                return json_response(
+                    {'service': service, 'version': version, 'changed': fields, 'record': stored}
+                )
             case Err(error):
-                return failure_response(Failure(ErrorKind.PLATFORM_UNAVAILABLE, error.detail))
+                return _unavailable(error)
+
+    def _read_change(self, req: HttpRequest, service: str) -> Result[Change, Failure]:
+        try:
+            body = msgspec.json.decode(req.body, type=ChangeBody)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as exc:
+            return Err(Failure(ErrorKind.INVALID_RECORD, str(exc)))
+        if not body.id:
+            # Without an id of the operator's own a resend could not be told from a new change.
+            return Err(Failure(ErrorKind.INVALID_RECORD, 'id: expected a unique text per change'))
+        doc = None if req.method == 'DELETE' else body.record
+        if req.method == 'PUT' and doc is None:
+            return Err(Failure(ErrorKind.INVALID_RECORD, 'record: missing; DELETE takes it away'))
+        return Ok(
+            Change(
+                body.id,
+                service,
+                doc,
+                body.expected,
+                body.who,
+                body.why,
+                self.wall_clock(),
+                body.downgrade,
+            )
+        )
+
+    async def _history(self, service: str) -> HttpResponse:
+        match await read_history(self.node.store, service):
+            case Ok(None):
+                return _unknown(service)
+            case Ok(lines):
+                return json_response([line._asdict() for line in lines or ()])
+            case Err(error):
+                return _unavailable(error)
+
+    async def _audit(self, since: str) -> HttpResponse:
+        try:
+            moment = float(since)
+        except ValueError:
+            detail = f'since: {since!r}: expected seconds since 1970'
+            return failure_response(Failure(ErrorKind.MALFORMED_REQUEST, detail))
+        match await read_audit(self.node.store, moment):
+            case Ok(lines):
+                return json_response([line._asdict() for line in lines])
+            case Err(error):
+                return _unavailable(error)
+
+    async def _rollout(self) -> Any:
+        """Give, per failure domain, how far the members that were asked are."""
+        sync = self.node.sync
+        found = await sync.survey()
+        own = self.node.settings.domain
+        found.setdefault(own, [])
+        rows = []
+        for domain, answers in sorted(found.items()):
+            known = [a.upto for a in answers if a is not None]
+            if domain == own:
+                known.append(self.node.book.complete_revision)
+            lowest = min(known, default=0)
+            versions = {
+                e.service: e.version for e in self.node.book.entries() if e.version <= lowest
+            }
+            asked = len(answers) + (domain == own)
+            rows.append(
+                {
+                    'domain': domain,
+                    'asked': asked,
+                    'answered': len(known),
+                    'revision': lowest if known else None,
+                    'in_force': versions,
+                }
+            )
+        return rows
+
+    def _explain(self, req: HttpRequest) -> HttpResponse:
+        try:
+            body = msgspec.json.decode(req.body, type=ExplainBody)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as exc:
+            return failure_response(Failure(ErrorKind.MALFORMED_REQUEST, str(exc)))
+        if self.node.book.find(body.service) is None:
+            return _unknown(body.service)
+        return json_response(self.node.explain(body.service, body.method, body.path))
+
+
+def _read_json(req: HttpRequest) -> Result[Any, Failure]:
+    try:
+        return Ok(msgspec.json.decode(req.body))
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as exc:
+        return Err(Failure(ErrorKind.INVALID_RECORD, str(exc)))
+
+
+def _rejection(rejected: Rejected) -> HttpResponse:
+    response = failure_response(rejected.failure)
+    if rejected.clash is None:
+        return response
+    problem = msgspec.to_builtins(problem_of(rejected.failure))
+    body = msgspec.json.encode({**problem, 'conflict': rejected.clash._asdict()})
+    return response._replace(body=body)
+
+
+def _unavailable(error: Unavailable) -> HttpResponse:
+    failure = Failure(ErrorKind.PLATFORM_UNAVAILABLE, error.detail, COME_BACK)
+    return failure_response(failure)
+
+
+def _unknown(service: str) -> HttpResponse:
+    return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, service))
+
+
+def _wrong_method(req: HttpRequest) -> HttpResponse:
+    return failure_response(Failure(ErrorKind.METHOD_NOT_ALLOWED, f'{req.method} {req.path}'))
+
+
+def _not_found(req: HttpRequest) -> HttpResponse:
+    return failure_response(Failure(ErrorKind.NOT_FOUND, req.path))
--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import hmac
 import secrets
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -23,6 +24,10 @@
     NotSent,
     Ping,
     Pong,
+    RecordFrame,
+    RecordsAnswer,
+    RecordsAsk,
+    RecordsPush,
     Reply,
 )
 from dunlinsaddle.errors import ErrorKind
@@ -101,6 +106,7 @@
 
 
 CallHandler = Callable[[Call], Awaitable[Reply]]
+RecordsHandler = Callable[[RecordFrame], RecordsAnswer | None]
 
 
 class _Serving(_FrameProtocol):
@@ -144,6 +150,10 @@
                     task_of_call.cancel()
             case Ping() if self.instance:
                 self.send(Pong(frame.number))
+            case RecordsAsk() | RecordsPush() if self.instance:
+                answer = self.server.on_records(frame)
+                if answer is not None:
+                    self.send(answer)
             case _:
                 self.transport.abort()
 
@@ -175,6 +185,7 @@
         self.limits = limits
         self.links: set[_Serving] = set()
         self.refused = 0
+        self.on_records: RecordsHandler = lambda frame: None
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> Address:
@@ -202,7 +213,7 @@
         self.key = key
         self.instance = instance
         self.ready: asyncio.Future[None] = self.loop.create_future()
-        self.waiting: dict[int, asyncio.Future[Reply | Lost]] = {}
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
         self.numbers = 0
         self.timer: asyncio.TimerHandle | None = None
         self.closed = False
@@ -226,7 +237,7 @@
                 self.trust()
                 self.ready.set_result(None)
                 self._probe()
-            case Reply():
+            case Reply() | RecordsAnswer():
                 # A reply whose call is over is late: it belongs to nobody.
                 fut = self.waiting.pop(frame.id, None)
                 if fut is not None and not fut.done():
@@ -236,10 +247,10 @@
             case _:
                 self.transport.abort()
 
-    def call(self, call: Call) -> 'asyncio.Future[Reply | Lost]':
+    def call(self, call: Call | RecordsAsk) -> 'asyncio.Future[Any]':
         self.numbers += 1
         call.id = self.numbers
-        fut: asyncio.Future[Reply | Lost] = self.loop.create_future()
+        fut: asyncio.Future[Any] = self.loop.create_future()
         self.waiting[call.id] = fut
         self.send(call)
         return fut
@@ -283,7 +294,8 @@
             return NotSent('the deadline passed before it was sent')
         fut = link.call(call)
         try:
-            return await asyncio.wait_for(fut, call.budget)
+            reply: Reply | Lost = await asyncio.wait_for(fut, call.budget)
+            return reply
         except TimeoutError:
             link.give_up(call.id)
             return Lost('no answer before the deadline', ErrorKind.DEADLINE_EXCEEDED)
@@ -291,6 +303,26 @@
             link.give_up(call.id)
             raise
 
+    async def ask_records(
+        self, address: Address, ask: RecordsAsk, timeout: float
+    ) -> RecordsAnswer | None:
+        """Ask a peer for records; None when no answer comes within ``timeout`` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                link = await self._link(address)
+                try:
+                    answer = await link.call(ask)
+                finally:
+                    link.waiting.pop(ask.id, None)
+        except (OSError, TimeoutError):
+            return None
+        return answer if isinstance(answer, RecordsAnswer) else None
+
+    async def push_records(self, address: Address, push: RecordsPush) -> None:
+        """Send records to a peer if it can be reached."""
+        with contextlib.suppress(OSError, TimeoutError):
+            (await self._link(address)).send(push)
+
     def close(self) -> None:
         """End all links."""
         for link in self._links.values():
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -6,6 +6,7 @@
 
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome, problem_of
 from dunlinsaddle.policy.admission import Load
+from dunlinsaddle.records.models import RecordEntry
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -80,9 +81,6 @@
     number: int
 
 
-Frame = Challenge | Hello | Call | Reply | Cancel | Ping | Pong
-
-
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """The call never left this node: it did not run."""
@@ -111,3 +109,47 @@
         retry_after=failure.retry_after if failure.rule.retry_after else 0.0,
         load=load,
     )
+
+
+class RecordsAsk(msgspec.Struct, tag='ra', array_like=True):
+    """Asks for records newer than ``since``, up to which the asker knows all changes."""
+
+    id: int
+    since: int
+
+
+class RecordsAnswer(msgspec.Struct, tag='rr', array_like=True):
+    """All changes after what was asked for and up to ``upto``; more may follow after that.
+
+    ``age`` in seconds since the answering side last knew itself up to date.
+    """
+
+    id: int
+    upto: int
+    age: float
+    more: bool
+    entries: list[RecordEntry]
+
+
+class RecordsPush(msgspec.Struct, tag='rp', array_like=True):
+    """All changes after ``since`` and up to ``upto``, sent unasked by a node of ``domain``."""
+
+    since: int
+    upto: int
+    domain: str
+    entries: list[RecordEntry]
+
+
+RecordFrame = RecordsAsk | RecordsPush
+Frame = (
+    Challenge
+    | Hello
+    | Call
+    | Reply
+    | Cancel
+    | Ping
+    | Pong
+    | RecordsAsk
+    | RecordsAnswer
+    | RecordsPush
+)
--- a/dunlinsaddle/cli/argtypes.py
+++ b/dunlinsaddle/cli/argtypes.py
@@ -1,5 +1,6 @@
 """Arguments of commands, read into their types."""
 
+from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
@@ -34,3 +35,33 @@
         return msgspec.json.decode(text)
     except msgspec.DecodeError as exc:
         raise CommandError(ExitStatus.INVALID_RECORD, f'{path}: not JSON: {exc}') from None
+    except (UnicodeError, RecursionError):
+        raise CommandError(ExitStatus.INVALID_RECORD, f'{path}: not JSON in UTF-8') from None
+
+
+def service_of(doc: Any, path: str) -> str:
+    """Give the service that a document describes."""
+    service = doc.get('service') if isinstance(doc, dict) else None
+    if not isinstance(service, str) or not service:
+        raise CommandError(ExitStatus.INVALID_RECORD, f'{path}: service is missing, name it')
+    return service
+
+
+def moment_argument(name: str, text: str | None, now: float) -> float:
+    """Read a moment in seconds since 1970: a time ago, or a date and time.
+
+    >>> moment_argument('since', '2h', 10_000.0)
+    2800.0
+    """
+    if text is None:
+        return 0.0
+    unit = {'s': 1, 'm': 60, 'h': 3600, 'd': 86_400}.get(text[-1:])
+    if unit and text[:-1].isdecimal():
+        return now - float(text[:-1]) * unit
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError:
+        raise CommandError(
+            ExitStatus.USAGE, f'{name}: {text!r} cannot be used, expected 30m, 12h, 7d or a date'
+        ) from None
+    return (moment if moment.tzinfo else moment.replace(tzinfo=UTC)).timestamp()
--- a/dunlinsaddle/cli/client.py
+++ b/dunlinsaddle/cli/client.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
 import msgspec
 
+from dunlinsaddle.admin import FACE_HEADER
 from dunlinsaddle.calls.client import Answered, HttpClient
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Headers
@@ -32,18 +34,25 @@
         """Read a JSON document."""
         return self._send('GET', path, b'')
 
-    def put(self, path: str, value: object) -> Any:
-        """Write a JSON document."""
-        return self._send('PUT', path, msgspec.json.encode(value))
-
     def post(self, path: str, value: object) -> Any:
         """Ask a question that needs a document."""
-        return self._send('POST', path, msgspec.json.encode(value))
+        return self.send('POST', path, value)
+
+    def send(self, method: str, path: str, value: object) -> Any:
+        """Send a JSON document; a failure ends the command."""
+        return self._send(method, path, msgspec.json.encode(value))
 
     def _send(self, method: str, path: str, body: bytes) -> Any:
         headers: Headers = [(b'authorization', f'Bearer {self.token}'.encode())]
+        path = quote(path, safe='/?=&')
         req = HttpRequest(method, path, headers, body, '')
-        return _read(asyncio.run(self._exchange(req)))
+        response = asyncio.run(self._exchange(req))
+        if FACE_HEADER not in response.headers:
+            raise CommandError(
+                ExitStatus.UNAVAILABLE,
+                f"{self.address} is not a node's operators' face; check --node",
+            )
+        return _read(response)
 
     async def _exchange(self, req: HttpRequest) -> HttpResponse:
         client = HttpClient()
@@ -54,7 +63,7 @@
         detail = exchange.detail
         raise CommandError(
             ExitStatus.UNAVAILABLE,
-            f'no answer from a node: {detail}; check --node and that the node runs',
+            f'no answer from {self.address}: {detail}; check --node and that the node runs',
         )
 
 
@@ -63,7 +72,7 @@
         value = msgspec.json.decode(response.body)
     except msgspec.DecodeError:
         raise CommandError(
-            ExitStatus.ERROR, f'status {response.status}: not the face for operators'
+            ExitStatus.ERROR, f'status {response.status}: the answer is not JSON'
         ) from None
     if response.status == 200:
         return value
--- a/dunlinsaddle/cli/commands/apply.py
+++ b/dunlinsaddle/cli/commands/apply.py
@@ -1,53 +1,60 @@
-"""``apply``: create or change a record."""
+"""``apply``: create or change records."""
+
+from typing import Any, NamedTuple
 
 from cleo.helpers import argument, option
 
-from dunlinsaddle.cli.argtypes import document_argument
-from dunlinsaddle.cli.constants import USER_VARIABLE
-from dunlinsaddle.cli.definition import NODE_OPTIONS, NodeCommand
+from dunlinsaddle.cli.argtypes import document_argument, service_of
+from dunlinsaddle.cli.client import NodeClient
+from dunlinsaddle.cli.commands.change import CHANGE_OPTIONS, ChangeCommand, stored_version
 from dunlinsaddle.cli.exceptions import CommandError
 from dunlinsaddle.status import ExitStatus
 
 
-class ApplyCommand(NodeCommand):
-    """Writes one record on the condition that nobody changed it meanwhile."""
+class _Planned(NamedTuple):
+    service: str
+    body: dict[str, Any]
+
+
+class ApplyCommand(ChangeCommand):
+    """Writes records, each on the condition that nobody changed it meanwhile."""
 
     name = 'apply'
     description = 'Create or change records, e.g. apply cut-orders.json --why "first record".'
     arguments = [argument('files', 'Record files, - for the standard input.', multiple=True)]
     options = [
-        *NODE_OPTIONS,
-        option('why', None, 'The reason, for the audit trail.', flag=False, default=''),
-        option('who', None, f'Who changes it, or {USER_VARIABLE}.', flag=False),
-        option('expected', None, 'The version that must stand there now.', flag=False),
+        *CHANGE_OPTIONS,
+        option('dry-run', None, 'Check the records and show what would change; write nothing.'),
+        option('downgrade', None, 'Write an older schema over a newer one, losing its fields.'),
     ]
 
     def work(self) -> ExitStatus:
-        """Apply each file in turn; the first failure ends the command."""
-        done = [self._apply(path) for path in self.argument('files')]
+        """Check all files, then apply each in turn; the first failure ends the command."""
+        docs = [document_argument(path, self.env) for path in self.argument('files')]
+        services = [
+            service_of(doc, path) for doc, path in zip(docs, self.argument('files'), strict=True)
+        ]
+        if len(docs) > 1 and (self.option('expected') or self.option('id')):
+            raise CommandError(ExitStatus.USAGE, 'expected and id go with one file, give just one')
+        node = self.node()
+        planned = [self._plan(node, s, d) for s, d in zip(services, docs, strict=True)]
+        # All are checked before one is written: a mistake in the last leaves nothing half done.
+        checks = [node.post(f'/v1/records/{p.service}/check', p.body) for p in planned]
+        if self.option('dry-run'):
+            self.show(checks, [_preview(check) for check in checks])
+            return ExitStatus.OK
+        done = [self.send(node, 'PUT', p.service, p.body) for p in planned]
         self.show(done, [f'{d["service"]} is at version {d["version"]}' for d in done])
         return ExitStatus.OK
 
-    def _apply(self, path: str) -> dict[str, object]:
-        doc = document_argument(path, self.env)
-        service = doc.get('service') if isinstance(doc, dict) else None
-        if not isinstance(service, str):
-            raise CommandError(ExitStatus.INVALID_RECORD, f'{path}: service is missing')
-        node = self.node()
-        body = {
-            'record': doc,
-            'expected': self._expected(service),
-            'who': self.option('who') or self.env.environ.get(USER_VARIABLE, 'unknown'),
-            'why': self.option('why'),
-        }
-        answer = node.put(f'/v1/records/{service}', body)
-        return {'service': service, 'version': answer['version']}
-
-    def _expected(self, service: str) -> int:
-        text = self.option('expected')
-        if text is None:
-            records = self.node().get('/v1/records')
-            return next((r['version'] for r in records if r['service'] == service), 0)
-        if not text.isdecimal():
-            raise CommandError(ExitStatus.USAGE, f'expected: {text!r} is not a version')
-        return int(text)
+    def _plan(self, node: NodeClient, service: str, doc: Any) -> _Planned:
+        expected = self.expected()
+        if expected is None:
+            expected = stored_version(node, service)
+        body = {**self.change_body(doc, expected), 'downgrade': self.option('downgrade')}
+        return _Planned(service, body)
+
+
+def _preview(check: dict[str, Any]) -> str:
+    fields = ', '.join(check['changed']) or 'nothing'
+    return f'{check["service"]} at version {check["version"]} would change: {fields}'
--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -9,17 +9,29 @@
 
 from dunlinsaddle import __version__
 from dunlinsaddle.cli.commands.apply import ApplyCommand
-from dunlinsaddle.cli.definition import BaseCommand
-from dunlinsaddle.cli.queries.nodes import StatusCommand, TargetsCommand
-from dunlinsaddle.cli.queries.records import GetCommand, HistoryCommand, ListCommand
+from dunlinsaddle.cli.commands.delete import DeleteCommand
+from dunlinsaddle.cli.definition import DEBUG_FLAG, BaseCommand
+from dunlinsaddle.cli.queries.audit import AuditCommand, HistoryCommand
+from dunlinsaddle.cli.queries.nodes import (
+    ExplainCommand,
+    RolloutCommand,
+    StatusCommand,
+    TargetsCommand,
+)
+from dunlinsaddle.cli.queries.records import DiffCommand, GetCommand, ListCommand
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
 COMMANDS: tuple[type[BaseCommand], ...] = (
     ApplyCommand,
+    AuditCommand,
+    DeleteCommand,
+    DiffCommand,
+    ExplainCommand,
     GetCommand,
     HistoryCommand,
     ListCommand,
+    RolloutCommand,
     StatusCommand,
     TargetsCommand,
 )
@@ -39,6 +51,11 @@
     except CleoError as exc:
         env.report(f'{exc} See {env.program} --help.')
         return ExitStatus.USAGE
+    except Exception as exc:
+        if DEBUG_FLAG in argv:
+            raise
+        env.report(f'a fault of this program: {exc!r}; run it with {DEBUG_FLAG} and report it')
+        return ExitStatus.ERROR
 
 
 def main() -> None:
--- a/dunlinsaddle/cli/definition.py
+++ b/dunlinsaddle/cli/definition.py
@@ -1,5 +1,6 @@
 """What all commands of the tool share: options, output, and errors in one line."""
 
+import traceback
 from typing import Any
 
 import msgspec
@@ -14,11 +15,13 @@
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
+DEBUG_FLAG = '--debug'
 JSON_OPTION = option('json', None, 'Write one JSON document.')
 NODE_OPTIONS: list[Option] = [
     JSON_OPTION,
     option('node', None, f"A node's operators' face, or {NODE_VARIABLE}.", flag=False),
     option('token', None, f"The operators' token, or {TOKEN_VARIABLE}.", flag=False),
+    option('debug', None, 'Show where a failure comes from.'),
 ]
 
 
@@ -34,6 +37,8 @@
         try:
             return self.work()
         except CommandError as exc:
+            if self.definition.has_option('debug') and self.option('debug'):
+                self.env.stderr.write(traceback.format_exc())
             self.env.report(str(exc))
             return exc.status
 
--- /dev/null
+++ b/dunlinsaddle/cli/queries/audit.py
@@ -0,0 +1,51 @@
+"""``history`` and ``audit``: who changed what, when and why."""
+
+from datetime import UTC, datetime
+from typing import Any
+
+from cleo.helpers import argument, option
+
+from dunlinsaddle.cli.argtypes import moment_argument
+from dunlinsaddle.cli.definition import NODE_OPTIONS, NodeCommand, table
+from dunlinsaddle.status import ExitStatus
+
+HEADINGS = ['WHEN', 'SERVICE', 'WHO', 'FROM', 'TO', 'CHANGED', 'WHY']
+
+
+class HistoryCommand(NodeCommand):
+    """Shows the audit trail of one record."""
+
+    name = 'history'
+    description = 'Show who changed a record, when and why, e.g. history cut-orders.'
+    arguments = [argument('service', 'Name of the service.')]
+
+    def work(self) -> ExitStatus:
+        """Show one line a change, the newest last."""
+        lines = self.node().get(f'/v1/records/{self.argument("service")}/history')
+        self.show(lines, table([HEADINGS, *map(_row, lines)]))
+        return ExitStatus.OK
+
+
+class AuditCommand(NodeCommand):
+    """Shows the changes of all records."""
+
+    name = 'audit'
+    description = 'Show the changes of all records, e.g. audit --since 7d.'
+    options = [
+        *NODE_OPTIONS,
+        option('since', None, 'From when on: 30m, 12h, 7d or 2026-01-31T12:00:00Z.', flag=False),
+    ]
+
+    def work(self) -> ExitStatus:
+        """Show one line a change, the newest last."""
+        since = moment_argument('since', self.option('since'), self.env.wall_clock())
+        lines = self.node().get(f'/v1/audit?since={since!r}')
+        self.show(lines, table([HEADINGS, *map(_row, lines)]))
+        return ExitStatus.OK
+
+
+def _row(line: dict[str, Any]) -> list[str]:
+    moment = datetime.fromtimestamp(line['when'], UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
+    changed = 'deleted' if line['deleted'] else ', '.join(line['changed']) or 'nothing'
+    versions = [str(line['before']), str(line['after'])]
+    return [moment, line['service'], line['who'], *versions, changed, line['why'] or '-']
--- a/dunlinsaddle/cli/queries/nodes.py
+++ b/dunlinsaddle/cli/queries/nodes.py
@@ -1,4 +1,6 @@
-"""``status`` and ``targets``: what a node knows of itself and of the fleet."""
+"""``status``, ``rollout``, ``targets`` and ``explain``: what a node knows and would do."""
+
+from cleo.helpers import argument
 
 from dunlinsaddle.cli.definition import NodeCommand, table
 from dunlinsaddle.status import ExitStatus
@@ -8,7 +10,7 @@
     """Shows the state of one node."""
 
     name = 'status'
-    description = 'Show the state of a node.'
+    description = 'Show the state of a node, e.g. status --node 127.0.0.1:7404.'
 
     def work(self) -> ExitStatus:
         """Show each figure on a line."""
@@ -17,11 +19,28 @@
         return ExitStatus.OK
 
 
+class RolloutCommand(NodeCommand):
+    """Shows how far changes have come."""
+
+    name = 'rollout'
+    description = 'Ask members of each failure domain which changes are in force there.'
+
+    def work(self) -> ExitStatus:
+        """Show one failure domain a line."""
+        rows = self.node().get('/v1/rollout')
+        lines = [
+            [r['domain'], f'{r["answered"]} of {r["asked"]}', str(r['revision'] or '-')]
+            for r in rows
+        ]
+        self.show(rows, table([['DOMAIN', 'ANSWERED', 'IN FORCE UP TO'], *lines]))
+        return ExitStatus.OK
+
+
 class TargetsCommand(NodeCommand):
     """Lists the targets that a node knows of."""
 
     name = 'targets'
-    description = 'List the targets that a node knows of.'
+    description = 'List the targets that a node knows of, e.g. targets --json.'
 
     def work(self) -> ExitStatus:
         """Show one target a line."""
@@ -29,3 +48,22 @@
         rows = [[t['service'] or '-', t['instance'], t['domain'], t['state']] for t in targets]
         self.show(targets, table([['SERVICE', 'INSTANCE', 'DOMAIN', 'STATE'], *rows]))
         return ExitStatus.OK
+
+
+class ExplainCommand(NodeCommand):
+    """Shows how a request would be treated."""
+
+    name = 'explain'
+    description = 'Show how a node would treat a request, e.g. explain cut-orders GET /orders/1.'
+    arguments = [
+        argument('service', 'Name of the service.'),
+        argument('method', 'Method of the request.'),
+        argument('path', "Path below the service's prefix."),
+    ]
+
+    def work(self) -> ExitStatus:
+        """Show each part of the answer on a line."""
+        body = {name: self.argument(name) for name in ('service', 'method', 'path')}
+        answer = self.node().post('/v1/explain', body)
+        self.show(answer, table([[key, str(value)] for key, value in answer.items()]))
+        return ExitStatus.OK
--- a/dunlinsaddle/cli/queries/records.py
+++ b/dunlinsaddle/cli/queries/records.py
@@ -1,25 +1,22 @@
-"""``get``, ``list`` and ``history``: what the records say, and how they came to."""
-
-from datetime import UTC, datetime
+"""``get``, ``list`` and ``diff``: what the records say."""
 
 import msgspec
 from cleo.helpers import argument
 
+from dunlinsaddle.cli.argtypes import document_argument, service_of
 from dunlinsaddle.cli.definition import NodeCommand, table
 from dunlinsaddle.status import ExitStatus
 
-SERVICE_ARGUMENT = argument('service', 'Name of the service.')
-
 
 class GetCommand(NodeCommand):
     """Shows one record."""
 
     name = 'get'
-    description = 'Show the record of a service.'
-    arguments = [SERVICE_ARGUMENT]
+    description = 'Show the record of a service, e.g. get cut-orders.'
+    arguments = [argument('service', 'Name of the service.')]
 
     def work(self) -> ExitStatus:
-        """Show the record in force at the node."""
+        """Show the record as it is stored, or as in force here while the platform is out."""
         answer = self.node().get(f'/v1/records/{self.argument("service")}')
         text = msgspec.json.format(msgspec.json.encode(answer['record'])).decode()
         self.show(answer, [text])
@@ -30,32 +27,29 @@
     """Lists all records."""
 
     name = 'list'
-    description = 'List the services that have a record.'
+    description = 'List the services that have a record in force at the node.'
 
     def work(self) -> ExitStatus:
         """Show each service and the version in force."""
         records = self.node().get('/v1/records')
-        rows = [[r['service'], str(r['version'])] for r in records]
-        self.show(records, table([['SERVICE', 'VERSION'], *rows]))
+        rows = [[r['service'], str(r['version']), str(r['schema']), r['mode']] for r in records]
+        self.show(records, table([['SERVICE', 'VERSION', 'SCHEMA', 'MODE'], *rows]))
         return ExitStatus.OK
 
 
-class HistoryCommand(NodeCommand):
-    """Shows the audit trail of one record."""
+class DiffCommand(NodeCommand):
+    """Compares a file with what is stored."""
 
-    name = 'history'
-    description = 'Show who changed a record, when and why.'
-    arguments = [SERVICE_ARGUMENT]
+    name = 'diff'
+    description = 'Show which fields of a file differ from what is stored, e.g. diff a.json.'
+    arguments = [argument('file', 'A record file, - for the standard input.')]
 
     def work(self) -> ExitStatus:
-        """Show one line a change, the oldest first."""
-        entries = self.node().get(f'/v1/history/{self.argument("service")}')
-        rows = [
-            [_moment(e['when']), e['who'], f'after {e["before"]}', e['why'] or '-'] for e in entries
-        ]
-        self.show(entries, table([['WHEN', 'WHO', 'CHANGED', 'WHY'], *rows]))
+        """Show the names of the fields that differ."""
+        path = self.argument('file')
+        doc = document_argument(path, self.env)
+        service = service_of(doc, path)
+        answer = self.node().post(f'/v1/records/{service}/diff', doc)
+        lines = answer['changed'] or [f'the same as version {answer["version"]}']
+        self.show(answer, lines)
         return ExitStatus.OK
-
-
-def _moment(seconds: float) -> str:
-    return datetime.fromtimestamp(seconds, UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
--- /dev/null
+++ b/dunlinsaddle/metrics.py
@@ -0,0 +1,143 @@
+"""Metrics by OpenTelemetry, read from plain numbers when somebody asks.
+
+A call pays for a few integer additions in ``Stats``; instruments are observed on the loop's
+own thread, for the operators' face or for an OTLP collector, so no count needs a lock.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader, MetricsData
+from opentelemetry.sdk.resources import Resource
+
+from dunlinsaddle import __version__
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.sync import RecordSync
+from dunlinsaddle.stats import Stats
+
+EXPORT_SECONDS = 10.0
+EXPORT_TIMEOUT = 5
+
+Labels = Mapping[str, str]
+Values = Iterable[tuple[float, Labels]]
+
+
+class Metrics:
+    """The instruments of one node."""
+
+    def __init__(self, resource: Labels, endpoint: str = '') -> None:
+        self.endpoint = endpoint
+        self.reader = InMemoryMetricReader()
+        self._provider = MeterProvider(
+            [self.reader], resource=Resource(dict(resource)), shutdown_on_exit=False
+        )
+        self._meter = self._provider.get_meter('dunlinsaddle', __version__)
+
+    def counter(self, name: str, unit: str, text: str, read: Callable[[], Values]) -> None:
+        """Add a sum that only grows."""
+        self._meter.create_observable_counter(name, [_callback(read)], unit, text)
+
+    def gauge(self, name: str, unit: str, text: str, read: Callable[[], Values]) -> None:
+        """Add a value that goes up and down."""
+        self._meter.create_observable_gauge(name, [_callback(read)], unit, text)
+
+    def read(self) -> dict[str, list[dict[str, Any]]]:
+        """Give the value of each instrument by name, with its attributes."""
+        found: dict[str, list[dict[str, Any]]] = {}
+        data = self.reader.get_metrics_data()
+        for resource in data.resource_metrics if data else ():
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    found[metric.name] = [
+                        {'value': getattr(point, 'value', None), **dict(point.attributes or {})}
+                        for point in metric.data.data_points
+                    ]
+        return found
+
+    async def export_loop(self) -> None:
+        """Send to the collector until cancelled; a lost export is made up by the next one."""
+        if not self.endpoint:
+            return
+        exporter = OTLPMetricExporter(endpoint=self.endpoint, timeout=EXPORT_TIMEOUT)
+        while True:
+            await asyncio.sleep(EXPORT_SECONDS)
+            data = self.reader.get_metrics_data()
+            if isinstance(data, MetricsData):
+                # Observed here, sent there: only the waiting leaves the loop's thread.
+                await asyncio.to_thread(exporter.export, data)
+
+    def close(self) -> None:
+        """Let go of the instruments."""
+        self._provider.shutdown()
+
+
+def observe_stats(metrics: Metrics, stats: Stats) -> None:
+    """Add the instruments of what a node counts."""
+    metrics.counter(
+        'dunlinsaddle.calls',
+        '{call}',
+        'Ended calls by service, rank, outcome and kind of refusal.',
+        lambda: [(count, label._asdict()) for label, count in stats.outcomes()],
+    )
+    metrics.counter(
+        'dunlinsaddle.shed',
+        '{call}',
+        'Calls that were refused, by reason.',
+        lambda: [(count, {'reason': reason}) for reason, count in stats.shed.items()],
+    )
+    metrics.counter(
+        'dunlinsaddle.observed_refusals',
+        '{call}',
+        'Calls that enforcing would have refused, by service.',
+        lambda: [(count, {'service': name}) for name, count in stats.observed_refusals.items()],
+    )
+    sums = (
+        ('retries', '{call}', 'Resends that were spent.'),
+        ('wasted', '{call}', 'Work done for calls that failed later.'),
+        ('queue_time', 's', 'Time that calls waited for a slot, summed.'),
+        ('queued', '{call}', 'Calls that waited for a slot.'),
+        ('added_time', 's', 'Time that the node added to calls, summed.'),
+        ('answered', '{call}', 'Calls that the added time was taken of.'),
+        ('faults', '{fault}', 'Faults of the node itself.'),
+    )
+    for name, unit, text in sums:
+        metrics.counter(f'dunlinsaddle.{name}', unit, text, _field(stats, name))
+
+
+def observe_records(metrics: Metrics, book: RecordBook, sync: RecordSync) -> None:
+    """Add the instruments of the records and of the calls to the platform."""
+    metrics.gauge(
+        'dunlinsaddle.record_version',
+        '1',
+        'Version of each record in force.',
+        lambda: [(e.version, {'service': e.service}) for e in book.entries()],
+    )
+    metrics.gauge(
+        'dunlinsaddle.records_unreadable',
+        '{record}',
+        'Newer versions of records that cannot be read here.',
+        lambda: [(len(book.unreadable), {})],
+    )
+    metrics.counter(
+        'dunlinsaddle.platform_calls',
+        '{call}',
+        'Calls to the platform for records.',
+        lambda: [(sync.platform_calls, {})],
+    )
+
+
+def _field(stats: Stats, name: str) -> Callable[[], Values]:
+    return lambda: [(getattr(stats, name), {})]
+
+
+def _callback(
+    read: Callable[[], Values],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(value, labels) for value, labels in read()]
+
+    return observe
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -6,8 +6,6 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from result import Ok
-
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.dispatch import Dispatcher
@@ -20,12 +18,14 @@
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.roster import Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.classify import classify
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.changes import RECORDS, versioned
+from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
@@ -50,7 +50,7 @@
         self.logger = logger
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
-        self.book = RecordBook()
+        self.book = RecordBook(wall_clock=env.wall_clock)
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
@@ -66,6 +66,8 @@
             settings.instance, self.view, router, self.links, self.executor, self.stats
         )
         self._build_faces(link_limits)
+        self.sync = self._build_sync()
+        self.instruments = self._build_instruments()
         self.faces: Faces
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -85,10 +87,35 @@
         self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
         self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits)
 
+    def _build_sync(self) -> RecordSync:
+        rng = Random(self.env.rng.random())
+        sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
+        self.peer_server.on_records = sync.take
+        return sync
+
+    def _build_instruments(self) -> Metrics:
+        cfg = self.settings
+        resource = {
+            'service.name': 'dunlinsaddle',
+            'service.instance.id': cfg.instance,
+            'dunlinsaddle.domain': cfg.domain,
+            'dunlinsaddle.region': cfg.region,
+        }
+        metrics = Metrics(resource, cfg.otlp_endpoint)
+        observe_stats(metrics, self.stats)
+        observe_records(metrics, self.book, self.sync)
+        metrics.gauge('dunlinsaddle.load', '{call}', 'Load of the target.', self._load_values)
+        return metrics
+
+    def _load_values(self) -> Values:
+        load = self.admission.load(asyncio.get_running_loop().time())
+        return [(value, {'of': name}) for name, value in load._asdict().items()]
+
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
         self.roster = Roster(store, self.settings.domain)
+        self.sync.store = store
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -99,6 +126,8 @@
             await self.peer_server.listen(cfg.peers),
             await self.operators_http.listen(cfg.operators),
         )
+        self._spawn(self.sync.run())
+        self._spawn(self.instruments.export_loop())
         self._spawn(self._refresh_loop())
         self._spawn(self._announce_loop())
         return self.faces
@@ -121,6 +150,7 @@
             face.close()
         self.peer_server.close()
         self.links.close()
+        self.instruments.close()
         self.client.close()
 
     def me(self) -> Member:
@@ -147,12 +177,30 @@
             'draining': self.target.draining,
             'faces': {name: str(address) for name, address in self.faces._asdict().items()},
             'load': load._asdict(),
-            'records': {e.service: e.version for e in self.book.entries()},
+            **self.sync.status(),
             'members': len(list(self.view.members())),
             'shed': dict(self.stats.shed),
             'retries': self.stats.retries,
         }
 
+    def metrics(self) -> Any:
+        """Give the value of every instrument."""
+        return self.instruments.read()
+
+    def explain(self, service: str, method: str, path: str) -> Any:
+        """Give how this node would treat a request of a known service."""
+        record = self.book.find(service)
+        assert record is not None
+        rule = classify(record, method, path)
+        return {
+            'rule': rule.name,
+            'rank': rule.rank.name.lower(),
+            'idempotent': rule.idempotent,
+            'mode': record.mode.value,
+            'version': self.book.version(service),
+            'targets': [m.instance for m in self.view.serving(service)],
+        }
+
     def targets(self) -> Any:
         """Give all instances known here."""
         return [
@@ -174,19 +222,10 @@
 
     async def _refresh_loop(self) -> None:
         while True:
-            await self._refresh_records()
             for member in await self.roster.read() or ():
                 self.view.take(member)
             await asyncio.sleep(REFRESH_SECONDS)
 
-    async def _refresh_records(self) -> None:
-        match await self.store.list(RECORDS):
-            case Ok(listing):
-                for held in listing.objects:
-                    match versioned(held):
-                        case Ok(entry):
-                            self.book.take(entry)
-
     async def _announce_loop(self) -> None:
         while True:
             await self.local.changed.wait()
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -68,9 +68,10 @@
         match result:
             case Ok(HttpResponse(status=200) as response):
                 return _object(response)
+            case Ok(HttpResponse(status=409, body=b'null')):
+                return Err(Conflict(None))
             case Ok(HttpResponse(status=409) as response):
-                current = msgspec.json.decode(response.body)
-                return Err(Conflict(_typed(current) if current else None))
+                return _object(response).and_then(lambda current: Err(Conflict(current)))
             case other:
                 return Err(_unavailable(other))
 
@@ -95,29 +96,50 @@
                 return Err(Unavailable(failed.detail))
 
 
-def _typed(raw: Any) -> StoredObject:
-    return StoredObject(raw['kind'], raw['name'], raw['version'], raw['value'])
+class _WireObject(msgspec.Struct):
+    kind: str
+    name: str
+    version: int
+    value: Any = None
+
+    def plain(self) -> StoredObject:
+        return StoredObject(self.kind, self.name, self.version, self.value)
+
+
+class _WireListing(msgspec.Struct):
+    objects: list[_WireObject]
+    revision: int
+
+    def plain(self) -> Listing:
+        return Listing([held.plain() for held in self.objects], self.revision)
 
 
 def _object(response: HttpResponse) -> Result[Any, Any]:
-    try:
-        return Ok(_typed(msgspec.json.decode(response.body)))
-    except (msgspec.MsgspecError, KeyError, TypeError) as exc:
-        return Err(Unavailable(f'unreadable answer: {exc}'))
+    return _decoded(response, _WireObject)
 
 
 def _listing(result: Result[HttpResponse, Unavailable]) -> Result[Listing, Unavailable]:
     match result:
         case Ok(HttpResponse(status=200) as response):
-            try:
-                raw = msgspec.json.decode(response.body)
-                return Ok(Listing([_typed(o) for o in raw['objects']], raw['revision']))
-            except (msgspec.MsgspecError, KeyError, TypeError) as exc:
-                return Err(Unavailable(f'unreadable answer: {exc}'))
+            return _decoded(response, _WireListing)
         case other:
             return Err(_unavailable(other))
 
 
+def _decoded(
+    response: HttpResponse, shape: type[_WireObject] | type[_WireListing]
+) -> Result[Any, Unavailable]:
+    """Read an answer; one that cannot be read counts as no answer at all.
+
+    An error page of a proxy or a body cut short must not end the loop that asked, and says
+    nothing on whether a write took effect.
+    """
+    try:
+        return Ok(msgspec.json.decode(response.body, type=shape).plain())
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as exc:
+        return Err(Unavailable(f'unreadable answer: {exc}'))
+
+
 def _unavailable(result: Result[HttpResponse, Unavailable]) -> Unavailable:
     match result:
         case Ok(response):
--- a/dunlinsaddle/records/changes.py
+++ b/dunlinsaddle/records/changes.py
@@ -1,7 +1,10 @@
 """Changes of records: a conditional write that carries its own audit entry."""
 
-from typing import Any, NamedTuple, TypedDict
+from datetime import UTC, datetime
+from typing import Any, NamedTuple
 
+import msgspec
+import xxhash
 from result import Err, Ok, Result
 
 from dunlinsaddle.errors import ErrorKind, Failure
@@ -13,80 +16,215 @@
     StoreError,
     Unavailable,
 )
-from dunlinsaddle.records.models import VersionedRecord
-from dunlinsaddle.records.schema import decode_record
+from dunlinsaddle.records.diff import changed_fields
+from dunlinsaddle.records.history import (
+    RECORDS,
+    ChangeEntry,
+    RecordObject,
+    entries_after,
+    make_room,
+    object_of,
+    readable,
+    version_after,
+)
+from dunlinsaddle.records.models import RecordEntry, VersionedRecord
+from dunlinsaddle.records.schema import NEWEST_SCHEMA, decode_entry, schema_of
+
+WRITE_TRIES = 3
+COME_BACK = 1.0
+MAX_TEXT = 500
 
-RECORDS = 'records'
 
+class Change(NamedTuple):
+    """What an operator asks for; ``doc`` is None to delete.
 
-class ChangeEntry(TypedDict):
-    """One accepted change, as the audit trail keeps it. ``when`` in seconds since 1970."""
+    ``id`` is the operator's own, the same in each resend of one change. ``expected`` is the
+    version read before, ABSENT where no record may stand. ``when`` in seconds since 1970.
+    """
 
     id: str
+    service: str
+    doc: Any
+    expected: int
     who: str
     why: str
     when: float
-    before: int
-    deleted: bool
+    downgrade: bool = False
 
 
-class StoredRecord(TypedDict):
-    """What the platform holds for a service: the document, and how it came to be."""
+class Accepted(NamedTuple):
+    """A change that took effect, and what it changed."""
 
-    record: Any
-    history: list[ChangeEntry]
+    version: int
+    changed: list[str]
+    settled: bool  #: found already written, by an earlier send of the same change
 
 
-class Change(NamedTuple):
-    """What an operator asks for; ``doc`` is None to delete."""
+class Clash(NamedTuple):
+    """What stands in the way of a change: what others changed since, and what this would."""
 
-    service: str
-    doc: Any
-    expected: int
-    entry: ChangeEntry
+    version: int
+    theirs: list[ChangeEntry]
+    their_fields: list[str]
+    your_fields: list[str]
+
+
+class Rejected(NamedTuple):
+    """A change that was not accepted; ``clash`` where somebody else was first."""
+
+    failure: Failure
+    clash: Clash | None = None
+
+
+def entry_of(held: StoredObject) -> RecordEntry:
+    """Give the document that an object of the platform holds."""
+    value = held.value
+    doc = value.get('record') if isinstance(value, dict) else value
+    return RecordEntry(held.name, held.version, doc)
 
 
 def versioned(held: StoredObject) -> Result[VersionedRecord, Failure]:
     """Read a record as it is stored."""
-    doc = (held.value or {}).get('record')
-    if doc is None:
-        return Ok(VersionedRecord(held.name, held.version, None))
-    return decode_record(doc).map(lambda r: VersionedRecord(held.name, held.version, r))
-
-
-async def apply_change(store: ObjectStore, change: Change) -> Result[int, Failure]:
-    """Write a change on its condition; gives the new version."""
-    if change.doc is not None:
-        checked = decode_record(change.doc)
-        if isinstance(checked, Err):
-            return checked
-    match await store.get(RECORDS, change.service):
-        case Ok(held):
-            pass
+    return decode_entry(entry_of(held))
+
+
+def check_change(
+    change: Change, held: StoredObject | None, newest: int = NEWEST_SCHEMA
+) -> Failure | None:
+    """Say what is wrong with a change, whatever the versions."""
+    texts = (('id', change.id), ('who', change.who), ('why', change.why))
+    for name, text in texts:
+        if len(text) > MAX_TEXT or (name != 'why' and not text.strip()):
+            detail = f'{name}: expected 1 to {MAX_TEXT} characters'
+            return Failure(ErrorKind.INVALID_RECORD, detail)
+    if change.doc is None:
+        return None
+    checked = decode_entry(RecordEntry(change.service, 0, change.doc), newest)
+    if isinstance(checked, Err):
+        return checked.err_value
+    stored = schema_of(entry_of(held).doc) if held else 0
+    # An older tool does not know the newer fields and would drop them without a word.
+    if schema_of(change.doc) < stored and not change.downgrade:
+        detail = f'schema {stored} stands there: write that, or ask for the downgrade'
+        return Failure(ErrorKind.NEWER_SCHEMA, detail)
+    return None
+
+
+async def apply_change(
+    store: ObjectStore, change: Change, newest: int = NEWEST_SCHEMA
+) -> Result[Accepted, Rejected]:
+    """Write a change on its condition, at most once however often it is sent.
+
+    When an answer is lost, what stands there is read back: the change's id in its history
+    says that it took effect. Writing again on the same condition is safe, since only one
+    write can meet a version.
+    """
+    detail = ''
+    for _ in range(WRITE_TRIES):
+        match await store.get(RECORDS, change.service):
+            case Ok(held):
+                pass
+            case Err(error):
+                return Err(_unavailable(error.detail))
+        decided = _decide(change, held, newest)
+        if decided is not None:
+            return decided
+        match await _write(store, change, held):
+            case Ok(stored):
+                return Ok(_accepted(change, stored, settled=False))
+            case Err(Conflict(current)):
+                return _decide(change, current, newest) or Err(_unavailable('it changes too fast'))
+            case Err(Unavailable(lost)):
+                detail = lost
+    return Err(_unavailable(detail))
+
+
+def _decide(
+    change: Change, held: StoredObject | None, newest: int
+) -> Result[Accepted, Rejected] | None:
+    """Give the answer that needs no write, None where the change is to be written."""
+    if not readable(held):
+        failure = Failure(ErrorKind.NEWER_SCHEMA, 'its audit trail cannot be read here')
+        return Err(Rejected(failure))
+    earlier = _find(change, held)
+    if held is not None and earlier is not None:
+        if earlier['digest'] != _digest(change):
+            failure = Failure(ErrorKind.KEY_REUSED, f'{change.id} was another change')
+            return Err(Rejected(failure))
+        return Ok(_accepted(change, held, settled=True))
+    failed = check_change(change, held, newest)
+    if failed is not None:
+        return Err(Rejected(failed))
+    if not _meets(change.expected, held):
+        return Err(_clash(change, held))
+    if change.doc is None and (held is None or entry_of(held).doc is None):
+        return Err(Rejected(Failure(ErrorKind.UNKNOWN_SERVICE, change.service)))
+    return None
+
+
+async def _write(
+    store: ObjectStore, change: Change, held: StoredObject | None
+) -> Result[StoredObject, StoreError]:
+    before = held.version if held else ABSENT
+    entry = ChangeEntry(
+        id=change.id,
+        who=change.who,
+        why=change.why,
+        when=change.when,
+        before=before,
+        changed=changed_fields(entry_of(held).doc if held else None, change.doc),
+        deleted=change.doc is None,
+        digest=_digest(change),
+    )
+    obj = object_of(held)
+    value = RecordObject(
+        record=change.doc, history=[*obj['history'], entry], archived=obj['archived']
+    )
+    match await make_room(store, change.service, value):
+        case Ok(fitting):
+            others = held.value if held and isinstance(held.value, dict) else {}
+            return await store.put(RECORDS, change.service, {**others, **fitting}, before)
         case Err(error):
-            return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE, error.detail, 1.0))
-    version = held.version if held else ABSENT
-    if version != change.expected:
-        return Err(_conflict(held))
-    history = list((held.value or {}).get('history', [])) if held else []
-    value = StoredRecord(record=change.doc, history=[*history, change.entry])
-    written = await store.put(RECORDS, change.service, value, change.expected)
-    return written.map(lambda stored: stored.version).map_err(_write_failure)
+            return Err(error)
+
+
+def _meets(expected: int, held: StoredObject | None) -> bool:
+    if held is None or (expected == ABSENT and entry_of(held).doc is None):
+        return expected == ABSENT
+    return expected == held.version
 
 
-def _write_failure(error: StoreError) -> Failure:
-    match error:
-        case Conflict(current):
-            return _conflict(current)
-        case Unavailable(detail):
-            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail, 1.0)
+def _digest(change: Change) -> str:
+    asked = [change.doc, change.expected, change.who, change.why]
+    return str(xxhash.xxh64_hexdigest(msgspec.json.encode(asked, order='sorted')))
 
 
-def _conflict(held: StoredObject | None) -> Failure:
+def _find(change: Change, held: StoredObject | None) -> ChangeEntry | None:
+    return next((e for e in object_of(held)['history'] if e['id'] == change.id), None)
+
+
+def _accepted(change: Change, held: StoredObject, *, settled: bool) -> Accepted:
+    entry = _find(change, held)
+    changed = entry['changed'] if entry else []
+    return Accepted(version_after(held, change.id), changed, settled)
+
+
+def _clash(change: Change, held: StoredObject | None) -> Rejected:
     if held is None:
-        return Failure(ErrorKind.VERSION_CONFLICT, 'there is no such record yet')
-    history = (held.value or {}).get('history', [])
-    who = history[-1]['who'] if history else 'somebody'
-    return Failure(
-        ErrorKind.VERSION_CONFLICT, f'version {held.version} stands there, changed by {who}'
+        failure = Failure(ErrorKind.VERSION_CONFLICT, 'there is no such record')
+        return Rejected(failure, Clash(ABSENT, [], [], []))
+    theirs = entries_after(held, change.expected)
+    fields = sorted({name for entry in theirs for name in entry['changed']})
+    yours = changed_fields(entry_of(held).doc, change.doc)
+    detail = f'version {held.version} stands there'
+    if theirs:
+        last = theirs[-1]
+        moment = datetime.fromtimestamp(last['when'], UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
+        detail += f', changed by {last["who"]} at {moment} ({", ".join(fields) or "nothing"})'
+    return Rejected(
+        Failure(ErrorKind.VERSION_CONFLICT, detail), Clash(held.version, theirs, fields, yours)
     )
+
+
+def _unavailable(detail: str) -> Rejected:
+    return Rejected(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail, COME_BACK))
--- /dev/null
+++ b/dunlinsaddle/records/diff.py
@@ -0,0 +1,36 @@
+"""Which fields differ between two documents of a record, whatever their schema versions."""
+
+from typing import Any
+
+from result import Ok
+
+from dunlinsaddle.records.models import ServiceRecord
+from dunlinsaddle.records.schema import decode_record
+
+
+def changed_fields(old: Any, new: Any) -> list[str]:
+    """Name the fields that differ, rules by their names; ``record`` for all of it.
+
+    Documents that can be read are compared by what they mean, so the same record in two
+    schema versions differs in ``schema`` alone.
+    """
+    if old is None or new is None:
+        return [] if old is new else ['record']
+    match decode_record(old), decode_record(new):
+        case Ok(before), Ok(after):
+            return _record_fields(before, after)
+    names = {*old, *new} if isinstance(old, dict) and isinstance(new, dict) else {'record'}
+    return sorted(n for n in names if n == 'record' or old.get(n) != new.get(n))
+
+
+def _record_fields(old: ServiceRecord, new: ServiceRecord) -> list[str]:
+    plain = [n for n in ServiceRecord._fields if n not in ('rules', 'service')]
+    fields = [n for n in plain if getattr(old, n) != getattr(new, n)]
+    before = {rule.name: rule for rule in old.rules}
+    after = {rule.name: rule for rule in new.rules}
+    names = sorted(n for n in {*before, *after} if before.get(n) != after.get(n))
+    fields += [f'requests.{name}' for name in names]
+    # The first rule that matches counts, so order alone can change what a record means.
+    if not names and list(before) != list(after):
+        fields.append('requests')
+    return fields
--- a/dunlinsaddle/records/models.py
+++ b/dunlinsaddle/records/models.py
@@ -1,7 +1,7 @@
 """The typed record of one service, as every part of a node reads it."""
 
 from enum import IntEnum, StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class Rank(IntEnum):
@@ -56,3 +56,11 @@
     service: str
     version: int
     record: ServiceRecord | None
+
+
+class RecordEntry(NamedTuple):
+    """A record as nodes pass it on: the document as written, None once it is deleted."""
+
+    service: str
+    version: int
+    doc: Any
--- a/dunlinsaddle/records/schema.py
+++ b/dunlinsaddle/records/schema.py
@@ -6,11 +6,20 @@
 from result import Err, Ok, Result
 
 from dunlinsaddle.errors import ErrorKind, Failure
-from dunlinsaddle.records.models import Mode, Rank, RequestRule, ServiceRecord
+from dunlinsaddle.records.models import (
+    Mode,
+    Rank,
+    RecordEntry,
+    RequestRule,
+    ServiceRecord,
+    VersionedRecord,
+)
 
 NEWEST_SCHEMA = 2
 MAX_RULES = 200
 MAX_RETRY_BOUND = 10
+MAX_RECORD_BYTES = 32_768  #: so that one record always fits into one frame between nodes
+MAX_PRIORITY = 3
 
 
 class RuleV1(TypedDict, total=False):
@@ -81,24 +90,52 @@
 }
 
 
-def decode_record(doc: Any) -> Result[ServiceRecord, Failure]:
+def decode_record(doc: Any, newest: int = NEWEST_SCHEMA) -> Result[ServiceRecord, Failure]:
     """Read a decoded JSON document of any known schema version.
 
     Errors: ``INVALID_RECORD`` with the field that is wrong, ``NEWER_SCHEMA`` for a version
-    that this program does not know.
+    above ``newest``.
     """
     if not isinstance(doc, dict):
         return _invalid('a record is a JSON object')
-    schema = doc.get('schema')
-    if not isinstance(schema, int) or isinstance(schema, bool) or schema < 1:
+    schema = schema_of(doc)
+    if schema < 1:
         return _invalid('schema: expected a whole number from 1')
-    if schema > NEWEST_SCHEMA:
+    if schema > newest:
         return Err(
             Failure(
                 ErrorKind.NEWER_SCHEMA,
-                f'schema: {schema} is newer than {NEWEST_SCHEMA}, the newest known here',
+                f'schema: {schema} is newer than {newest}, the newest known here',
             )
         )
+    return _decode_known(doc, schema)
+
+
+def schema_of(doc: Any) -> int:
+    """Give the schema version that a document names, 0 for none."""
+    schema = doc.get('schema') if isinstance(doc, dict) else None
+    return schema if isinstance(schema, int) and not isinstance(schema, bool) else 0
+
+
+def decode_entry(
+    entry: RecordEntry, newest: int = NEWEST_SCHEMA
+) -> Result[VersionedRecord, Failure]:
+    """Read a document that must describe the service it is filed under."""
+    if entry.doc is None:
+        return Ok(VersionedRecord(entry.service, entry.version, None))
+    match decode_record(entry.doc, newest):
+        case Ok(record) if record.service != entry.service:
+            return _invalid(f'service: {record.service!r}: expected {entry.service!r}')
+        case Ok(record):
+            return Ok(VersionedRecord(entry.service, entry.version, record))
+        case Err(failure):
+            return Err(failure)
+
+
+def _decode_known(doc: dict[str, Any], schema: int) -> Result[ServiceRecord, Failure]:
+    size = len(msgspec.json.encode(doc))
+    if size > MAX_RECORD_BYTES:
+        return _invalid(f'{size} bytes: expected at most {MAX_RECORD_BYTES}')
     shape: Any = RecordV1 if schema == 1 else RecordV2
     unknown = _unknown_field(doc, shape)
     if unknown:
@@ -107,8 +144,10 @@
         typed = msgspec.convert(doc, shape)
     except msgspec.ValidationError as exc:
         return _invalid(str(exc))
-    record = _from_v1(typed) if schema == 1 else _from_v2(typed)
-    return _checked(record)
+    problem = _priority_problem(typed) if schema == 1 else None
+    if problem:
+        return _invalid(problem)
+    return _checked(_from_v1(typed) if schema == 1 else _from_v2(typed))
 
 
 def encode_record(record: ServiceRecord) -> RecordV2:
@@ -161,13 +200,21 @@
     return None
 
 
+def _priority_problem(doc: RecordV1) -> str | None:
+    for index, rule in enumerate(doc.get('requests', [])):
+        priority = rule.get('priority', 2)
+        if not 0 <= priority <= MAX_PRIORITY:
+            return f'requests[{index}].priority: {priority}: expected 0 to {MAX_PRIORITY}'
+    return None
+
+
 def _from_v1(doc: RecordV1) -> ServiceRecord:
     rules = tuple(
         RequestRule(
             rule['name'],
             rule['method'],
             rule['path'],
-            Rank(min(max(rule.get('priority', 2), 0), 3)),
+            Rank(rule.get('priority', 2)),
             rule.get('idempotent', True),
         )
         for rule in doc.get('requests', [])
--- /dev/null
+++ b/dunlinsaddle/records/sync.py
@@ -0,0 +1,343 @@
+"""Brings every change of records from the platform to every node, through peers.
+
+Two watchers per failure domain wait at the platform; each pushes what changed to its own
+domain and to two members of every other one, which pass it on within theirs. Slow exchanges
+with a few fixed peers repair what a push missed. Nothing here has to agree with anyone: a
+second watcher too many costs a call, and one too few is found by the slow poll.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from random import Random
+from typing import Any, NamedTuple, Protocol
+
+import msgspec
+import xxhash
+from result import Err, Ok
+
+from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk, RecordsPush
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.platform.store import Listing, ObjectStore, Unavailable
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.changes import entry_of
+from dunlinsaddle.records.history import RECORDS
+from dunlinsaddle.records.models import RecordEntry
+from dunlinsaddle.settings import Address
+
+WATCHERS = 2  #: per failure domain, so that one may die unnoticed
+REACH = 2  #: members of each other domain that a watcher pushes to
+NEIGHBOURS = 3  #: fixed peers in the own domain, and as many elsewhere
+CHUNK_BYTES = 48_000
+
+
+class SyncTimes(NamedTuple):
+    """How often a node does what. Seconds."""
+
+    watch: float = 3.0  #: a connection gone silent is noticed within this and the grace
+    first_backoff: float = 0.2
+    most_backoff: float = 2.0
+    exchange: float = 2.0
+    answer: float = 1.0
+    start_spread: float = 0.3
+    stale_after: float = 15.0
+    per_member: float = 2.0  #: keeps slow polls of one domain at one each two seconds
+
+
+class Links(Protocol):
+    """What is asked of the links to peers."""
+
+    async def ask_records(
+        self, address: Address, ask: RecordsAsk, timeout: float
+    ) -> RecordsAnswer | None:
+        """Ask a peer for records; None when no answer comes."""
+
+    async def push_records(self, address: Address, push: RecordsPush) -> None:
+        """Send records to a peer if it can be reached."""
+
+
+class PlatformState:
+    """Since when the platform answers or does not, as this node's own calls show."""
+
+    def __init__(self) -> None:
+        self.reachable: bool | None = None
+        self.changed_at = 0.0
+
+    def note(self, now: float, reachable: bool) -> None:
+        """Note the end of a call."""
+        if reachable is not self.reachable:
+            self.reachable = reachable
+            self.changed_at = now
+
+
+class RecordSync:
+    """Keeps one node's book up to date."""
+
+    def __init__(
+        self,
+        book: RecordBook,
+        store: ObjectStore,
+        view: MemberView,
+        links: Links,
+        me: Callable[[], Member],
+        rng: Random,
+        logger: logging.Logger,
+        times: SyncTimes = SyncTimes(),  # noqa: B008 (immutable)
+    ) -> None:
+        self.book = book
+        self.store = store
+        self.view = view
+        self.links = links
+        self.me = me
+        self.rng = rng
+        self.logger = logger
+        self.times = times
+        self.platform = PlatformState()
+        self.platform_calls = 0
+        self.fresh_at = float('-inf')  #: up to then every change is known here
+        self._failures = 0
+        self._pushes: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Keep the book up to date until cancelled."""
+        # A fleet that starts as one must not ask the platform as one.
+        await asyncio.sleep(self.rng.uniform(0, self.times.start_spread))
+        await self._ask_some()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._repeat(self._ask_platform))
+            group.create_task(self._repeat(self._exchange))
+
+    def watchers(self) -> list[str]:
+        """Give the instances that should watch for this failure domain.
+
+        By rendezvous hash over the members known here: nodes whose views agree choose the
+        same two, and where views differ each chooses some, which is enough.
+        """
+        me = self.me()
+        names = {m.instance for m in self._others() if m.domain == me.domain} | {me.instance}
+        return sorted(names, key=lambda name: _score(me.domain, name))[:WATCHERS]
+
+    def take(self, frame: RecordFrame) -> RecordsAnswer | None:
+        """Take a frame from a peer; gives the answer to a question."""
+        match frame:
+            case RecordsAsk(id=number, since=since):
+                return self._answer(number, since)
+            case RecordsPush():
+                self._take_push(frame)
+        return None
+
+    def status(self) -> dict[str, Any]:
+        """Give what an operator wants to know of records and the platform at this node."""
+        seconds = _now() - self.platform.changed_at
+        state = {None: 'not asked', True: 'reachable', False: 'lost'}[self.platform.reachable]
+        book = self.book
+        return {
+            'records': {
+                e.service: {'version': e.version, 'since': book.since.get(e.service)}
+                for e in book.entries()
+            },
+            'unreadable': {name: found._asdict() for name, found in book.unreadable.items()},
+            'revision': book.complete_revision,
+            'platform': {'state': state, 'for_seconds': round(seconds, 1)},
+            'watchers': self.watchers(),
+        }
+
+    async def survey(self, most: int = 8) -> dict[str, list[RecordsAnswer | None]]:
+        """Ask up to ``most`` members of each failure domain how far they are."""
+        by_domain: dict[str, list[Member]] = {}
+        for member in self._others():
+            by_domain.setdefault(member.domain, []).append(member)
+        asked = [
+            (domain, member)
+            for domain, members in by_domain.items()
+            for member in self.rng.sample(members, min(most, len(members)))
+        ]
+        upto = self.book.complete_revision
+        answers = await asyncio.gather(
+            *(self.links.ask_records(m.peers, RecordsAsk(0, upto), 0.5) for _, m in asked)
+        )
+        found: dict[str, list[RecordsAnswer | None]] = {}
+        for (domain, _), answer in zip(asked, answers, strict=True):
+            found.setdefault(domain, []).append(answer)
+        return found
+
+    def _answer(self, number: int, since: int) -> RecordsAnswer:
+        upto = self.book.complete_revision
+        age = _now() - self.fresh_at
+        entries = self.book.documents_after(since)
+        chunk = next(_chunks(entries, since, max(upto, since)))
+        more = chunk.upto < upto
+        return RecordsAnswer(number, min(chunk.upto, upto), age, more, chunk.entries)
+
+    def _take_push(self, push: RecordsPush) -> None:
+        new = self._take_entries(push.entries)
+        self.book.complete(push.since, push.upto)
+        me = self.me()
+        if new and push.domain != me.domain:
+            # This domain may be cut off from the platform: what came in is for all of it.
+            own = [m for m in self._others() if m.domain == me.domain]
+            self._push(own, RecordsPush(push.since, push.upto, me.domain, push.entries))
+
+    def _take_entries(self, entries: Iterable[RecordEntry]) -> list[RecordEntry]:
+        new = [entry for entry in entries if self.book.take_entry(entry)]
+        for entry in new:
+            self.logger.info(
+                'record taken', extra={'service': entry.service, 'version': entry.version}
+            )
+        return new
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await step()
+            except Exception:
+                # A fault in one round must not leave the node with old records for ever.
+                self.logger.exception('fault while synchronising records')
+                await asyncio.sleep(self.times.most_backoff)
+
+    async def _ask_platform(self) -> None:
+        if self.me().instance in self.watchers():
+            await self._watch(self.times.watch)
+        elif _now() - self.fresh_at > self.times.stale_after:
+            await self._poll_when_stale()
+        else:
+            await asyncio.sleep(self.times.watch * self.rng.uniform(0.2, 0.4))
+
+    async def _poll_when_stale(self) -> None:
+        """Ask the platform when peers have brought nothing certain for long.
+
+        All members of a cut-off domain come here at once, so each waits longer the more of
+        them there are: the platform's load stays the same however large the domain is.
+        """
+        me = self.me()
+        members = 1 + sum(m.domain == me.domain for m in self._others())
+        await asyncio.sleep(members * self.times.per_member * self.rng.uniform(0.5, 1.5))
+        if _now() - self.fresh_at > self.times.stale_after:
+            await self._watch(0)
+
+    async def _watch(self, timeout: float) -> None:
+        since = self.book.complete_revision
+        began = _now()
+        self.platform_calls += 1
+        match await self.store.watch(RECORDS, since, timeout):
+            case Ok(listing):
+                self._failures = 0
+                self.platform.note(_now(), True)
+                self._take_listing(since, listing)
+                # A platform that answers at once, with nothing new, must not be asked in a spin.
+                if _now() - began < self.times.first_backoff and not listing.objects:
+                    await asyncio.sleep(self.times.first_backoff)
+            case Err(error):
+                await self._back_off(error)
+
+    def _take_listing(self, since: int, listing: Listing) -> None:
+        new = self._take_entries(map(entry_of, listing.objects))
+        self.book.complete(since, listing.revision)
+        self.fresh_at = _now()
+        if not new:
+            return
+        me = self.me()
+        new.sort(key=lambda e: e.version)
+        for chunk in _chunks(new, since, listing.revision):
+            push = RecordsPush(chunk.since, chunk.upto, me.domain, chunk.entries)
+            self._push(self._reach(me), push)
+
+    async def _back_off(self, error: Unavailable) -> None:
+        if self._failures == 0:
+            self.logger.warning('platform lost', extra={'detail': error.detail})
+        self.platform.note(_now(), False)
+        most = min(self.times.first_backoff * 2**self._failures, self.times.most_backoff)
+        self._failures = min(self._failures + 1, 10)
+        await asyncio.sleep(most * self.rng.uniform(0.5, 1.0))
+
+    def _reach(self, me: Member) -> list[Member]:
+        others = list(self._others())
+        chosen = [m for m in others if m.domain == me.domain]
+        for domain in sorted({m.domain for m in others} - {me.domain}):
+            members = [m for m in others if m.domain == domain]
+            chosen += self.rng.sample(members, min(REACH, len(members)))
+        return chosen
+
+    def _push(self, members: Iterable[Member], push: RecordsPush) -> None:
+        for member in members:
+            task = asyncio.get_running_loop().create_task(
+                self.links.push_records(member.peers, push)
+            )
+            self._pushes.add(task)
+            task.add_done_callback(self._pushes.discard)
+
+    async def _exchange(self) -> None:
+        await asyncio.sleep(self.times.exchange * self.rng.uniform(0.5, 1.0))
+        neighbours = self._neighbours()
+        if neighbours:
+            await self._pull(self.rng.choice(neighbours))
+
+    async def _ask_some(self) -> None:
+        # One old peer alone would leave a fresh node behind; the highest of several goes.
+        await asyncio.gather(*(self._pull(m) for m in self._neighbours()))
+
+    async def _pull(self, member: Member) -> None:
+        """Take what a peer has and this node lacks, and send it what it lacks itself."""
+        while True:
+            since = self.book.complete_revision
+            ask = RecordsAsk(0, since)
+            answer = await self.links.ask_records(member.peers, ask, self.times.answer)
+            if answer is None:
+                return
+            self._take_entries(answer.entries)
+            self.book.complete(since, answer.upto)
+            if not answer.more or answer.upto <= since:
+                break
+        if answer.upto >= self.book.complete_revision:
+            self.fresh_at = max(self.fresh_at, _now() - answer.age)
+        else:
+            self._push_missing(member, answer.upto)
+
+    def _push_missing(self, member: Member, upto: int) -> None:
+        entries = self.book.documents_after(upto)
+        for chunk in _chunks(entries, upto, self.book.complete_revision):
+            push = RecordsPush(chunk.since, chunk.upto, self.me().domain, chunk.entries)
+            self._push([member], push)
+
+    def _neighbours(self) -> list[Member]:
+        """Give a few peers, always the same ones, so that few links have to stay open."""
+        me = self.me()
+        others = sorted(self._others(), key=lambda m: _score(me.instance, m.instance))
+        near = [m for m in others if m.domain == me.domain]
+        far = [m for m in others if m.domain != me.domain]
+        return near[:NEIGHBOURS] + far[:NEIGHBOURS]
+
+    def _others(self) -> Iterator[Member]:
+        instance = self.me().instance
+        for member in self.view.members():
+            if member.instance != instance and member.state not in (State.DEAD, State.LEFT):
+                yield member
+
+
+class _Chunk(NamedTuple):
+    since: int
+    upto: int
+    entries: list[RecordEntry]
+
+
+def _chunks(entries: list[RecordEntry], since: int, upto: int) -> Iterator[_Chunk]:
+    """Cut entries, sorted by version, into parts that each fit into a frame."""
+    part: list[RecordEntry] = []
+    size = 0
+    for entry in entries:
+        more = len(msgspec.msgpack.encode(entry))
+        if part and size + more > CHUNK_BYTES:
+            last = part[-1].version
+            yield _Chunk(since, last, part)
+            since, part, size = last, [], 0
+        part.append(entry)
+        size += more
+    yield _Chunk(since, upto, part)
+
+
+def _score(salt: str, name: str) -> int:
+    return int(xxhash.xxh64_intdigest(f'{salt}/{name}'.encode()))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
