--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,6 +8,7 @@
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
+from dunlinsaddle.records.changes import Change
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
 
@@ -71,6 +72,19 @@
     }
 
 
+def build_change(change_id: str = 'change-1', **changes: Any) -> Change:
+    base = Change(
+        id=change_id,
+        service='cut-orders',
+        doc=build_document(),
+        expected=0,
+        who='ann',
+        why='trial',
+        when=1_700_000_000.0,
+    )
+    return base._replace(**changes)
+
+
 def build_member(instance: str = 'bangor-1', **changes: Any) -> Member:
     port = 1000 + sum(instance.encode()) % 1000
     base = Member(
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -24,7 +24,9 @@
         self.down = False
         self.delay = 0.0
         self.lose_answers = 0  #: so many writes take effect, but their answers get lost
+        self.drop_writes = 0  #: so many writes never arrive, and their answers get lost
         self.calls = 0
+        self.call_times: list[float] = []
         self.changed = asyncio.Event()
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
@@ -61,6 +63,7 @@
 
     async def _fails(self) -> bool:
         self.calls += 1
+        self.call_times.append(asyncio.get_running_loop().time())
         if self.delay:
             await asyncio.sleep(self.delay)
         return self.down
@@ -70,6 +73,9 @@
     ) -> Result[StoredObject, StoreError]:
         if await self._fails():
             return Err(Unavailable('down'))
+        if self.drop_writes > 0:
+            self.drop_writes -= 1
+            return Err(Unavailable('no answer'))
         held = self.objects.get((kind, name))
         if (held.version if held else 0) != expected:
             return Err(Conflict(copy.deepcopy(held)))
--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,204 @@
+import asyncio
+import itertools
+
+from result import Err, Ok
+
+from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.platform.store import Unavailable
+from dunlinsaddle.records.changes import Change, apply_change
+from dunlinsaddle.records.history import (
+    AUDIT,
+    HISTORY_BYTES,
+    RECORDS,
+    make_room,
+    object_of,
+    read_audit,
+    read_history,
+)
+from tests.builders import build_change, build_document
+from tests.clock import PausedClockTest
+from tests.fakes.store import FakeStore
+
+
+class ChangesTest(PausedClockTest):
+    def setUp(self):
+        super().setUp()
+        self.store = FakeStore()
+
+    def apply(self, change: Change, newest: int = 2):
+        return self.run_paused(apply_change(self.store, change, newest))
+
+    def trail(self, service: str = 'cut-orders'):
+        return self.run_paused(read_history(self.store, service)).unwrap()
+
+    def test_trail_has_one_entry_per_accepted_change_with_both_versions(self):
+        first = self.apply(build_change('a')).unwrap()
+        changed = build_change('b', doc=build_document(deadline=2.0), expected=first.version)
+        second = self.apply(changed).unwrap()
+        refused = self.apply(build_change('c', expected=first.version))
+        self.assertIsInstance(refused, Err)
+        lines = self.trail()
+        self.assertEqual(['a', 'b'], [line.id for line in lines])
+        self.assertEqual([0, first.version], [line.before for line in lines])
+        self.assertEqual([first.version, second.version], [line.after for line in lines])
+        self.assertEqual(['deadline'], lines[1].changed)
+
+    def test_write_whose_answer_is_lost_is_settled_and_made_once(self):
+        # The platform takes the write and its answer is lost. Reading back finds the id of
+        # the change: the operator hears that it took effect. Sent again, by an operator who
+        # lost the node's answer too, the change is found and not made a second time.
+        self.store.lose_answers = 1
+        accepted = self.apply(build_change('a')).unwrap()
+        again = self.apply(build_change('a')).unwrap()
+        self.assertEqual((True, True), (accepted.settled, again.settled))
+        self.assertEqual(accepted.version, again.version)
+        self.assertEqual(1, self.store.revision)
+
+    def test_resend_after_a_later_change_gives_the_version_it_led_to(self):
+        # The answer is lost, a colleague changes the record further, then the first operator
+        # sends again: on the version alone this would be told as a conflict with oneself.
+        first = self.apply(build_change('a')).unwrap()
+        self.apply(build_change('b', doc=build_document(deadline=2.0), expected=first.version))
+        again = self.apply(build_change('a')).unwrap()
+        self.assertEqual((first.version, True), (again.version, again.settled))
+        self.assertEqual(2, self.store.revision)
+
+    def test_resend_after_a_delete_does_not_bring_the_record_back(self):
+        # A create meets a tombstone as it meets nothing. Only its id in the trail keeps a
+        # late resend of the create from undoing the delete.
+        first = self.apply(build_change('a')).unwrap()
+        self.apply(build_change('b', doc=None, expected=first.version))
+        self.assertTrue(self.apply(build_change('a')).unwrap().settled)
+        self.assertIsNone(self.store.objects[RECORDS, 'cut-orders'].value['record'])
+
+    def test_one_id_for_two_changes_is_refused(self):
+        self.apply(build_change('a'))
+        rejected = self.apply(build_change('a', doc=build_document(deadline=2.0))).unwrap_err()
+        self.assertIs(ErrorKind.KEY_REUSED, rejected.failure.kind)
+
+    def test_unanswered_write_that_never_arrived_stays_unknown(self):
+        self.store.drop_writes = 9
+        rejected = self.apply(build_change('a')).unwrap_err()
+        self.assertIs(ErrorKind.PLATFORM_UNAVAILABLE, rejected.failure.kind)
+        self.store.drop_writes = 0
+        self.assertFalse(self.apply(build_change('a')).unwrap().settled)
+        self.assertEqual(1, len(self.trail()))
+
+    def test_of_two_operators_one_wins_and_the_other_hears_who_and_what(self):
+        # Both read the same version and write at once, each waiting on a slow platform.
+        first = self.apply(build_change('a')).unwrap()
+        self.store.delay = 0.05
+        ann = build_change('b', who='ann', doc=build_document(deadline=2.0), expected=first.version)
+        bob = build_change('c', who='bob', doc=build_document(retry_bound=5), expected=ann.expected)
+
+        async def race():
+            return await asyncio.gather(
+                apply_change(self.store, ann), apply_change(self.store, bob)
+            )
+
+        won, lost = self.run_paused(race())
+        self.assertIsInstance(won, Ok)
+        rejected = lost.unwrap_err()
+        self.assertIs(ErrorKind.VERSION_CONFLICT, rejected.failure.kind)
+        self.assertIn('changed by ann at 2023-11-14T22:13:20Z (deadline)', rejected.failure.detail)
+        self.assertEqual(['deadline'], rejected.clash.their_fields)
+        self.assertEqual(['deadline', 'retry_bound'], rejected.clash.your_fields)
+        self.assertEqual(won.unwrap().version, rejected.clash.version)
+
+    def test_many_operators_with_lost_answers_leave_one_entry_each_accepted_change(self):
+        # Twelve operators change one record at once, every third answer of a write is lost,
+        # and each tries again with the version it hears of until it is accepted.
+        lost = itertools.cycle([False, False, True])
+
+        class Lossy(FakeStore):
+            async def put(self, *args):
+                result = await super().put(*args)
+                return Err(Unavailable('lost')) if next(lost) and result.is_ok() else result
+
+        self.store = Lossy()
+        self.store.delay = 0.01
+
+        async def operator(number):
+            expected = 0
+            while True:
+                doc = build_document(deadline=1.0 + number)
+                change = build_change(f'{number}/{expected}', doc=doc, expected=expected)
+                match await apply_change(self.store, change):
+                    case Ok(accepted):
+                        return accepted.version
+                    case Err(rejected):
+                        assert rejected.clash is not None, rejected
+                        expected = rejected.clash.version
+
+        async def all_operators():
+            return await asyncio.gather(*map(operator, range(12)))
+
+        versions = self.run_paused(all_operators())
+        lines = self.trail()
+        self.assertEqual(sorted(versions), [line.after for line in lines])
+        self.assertEqual([0, *sorted(versions)[:-1]], [line.before for line in lines])
+
+    def test_long_trail_moves_to_audit_objects_and_loses_nothing(self):
+        version = 0
+        for number in range(400):
+            doc = build_document(deadline=1.0 + number)
+            change = build_change(str(number), doc=doc, expected=version, why='x' * 200)
+            version = self.apply(change).unwrap().version
+        self.assertEqual([str(n) for n in range(400)], [line.id for line in self.trail()])
+        audit = self.run_paused(read_audit(self.store)).unwrap()
+        self.assertEqual(400, len(audit))
+        self.assertGreater(len([k for k, _ in self.store.objects if k == AUDIT]), 0)
+
+    def test_move_that_was_begun_and_not_ended_is_taken_over(self):
+        # A writer copies the oldest entries away and dies before it writes the record. The
+        # next one finds the copy, shorter than its own would be, and goes on from it.
+        version = 0
+        for number in range(10):
+            doc = build_document(deadline=1.0 + number)
+            version = (
+                self.apply(build_change(str(number), doc=doc, expected=version)).unwrap().version
+            )
+        value = object_of(self.store.objects[RECORDS, 'cut-orders'])
+        begun = {**value, 'history': value['history'][:6]}
+        self.run_paused(make_room(self.store, 'cut-orders', begun, 10))
+        fitting = self.run_paused(make_room(self.store, 'cut-orders', value, 10)).unwrap()
+        self.assertEqual([str(n) for n in range(3, 10)], [e['id'] for e in fitting['history']])
+        self.assertEqual(1, fitting['archived'])
+        self.assertLess(HISTORY_BYTES, 900_000)
+
+    def test_older_tool_cannot_write_over_a_newer_schema(self):
+        # A tool of the old schema reads a record, changes it and writes it back: the fields
+        # that it does not know would be gone without a word.
+        old = {'schema': 1, 'service': 'cut-orders', 'requests': []}
+        first = self.apply(build_change('a')).unwrap()
+        change = build_change('b', doc=old, expected=first.version)
+        rejected = self.apply(change, newest=1).unwrap_err()
+        self.assertIs(ErrorKind.NEWER_SCHEMA, rejected.failure.kind)
+        self.assertIsInstance(self.apply(change._replace(downgrade=True)), Ok)
+        upgraded = build_change('c', expected=self.trail()[-1].after)
+        self.assertIn('schema', self.apply(upgraded).unwrap().changed)
+
+    def test_trail_of_a_newer_program_is_kept_whole_or_not_touched(self):
+        first = self.apply(build_change('a')).unwrap()
+        held = self.store.objects[RECORDS, 'cut-orders']
+        held.value['history'][0]['ticket'] = 'OPS-7'
+        held.value['labels'] = ['kept']
+        change = build_change('b', doc=build_document(deadline=2.0), expected=first.version)
+        self.apply(change)
+        value = self.store.objects[RECORDS, 'cut-orders'].value
+        self.assertEqual(('OPS-7', ['kept']), (value['history'][0]['ticket'], value['labels']))
+        value['history'][0] = {'another': 'shape'}
+        rejected = self.apply(build_change('c', expected=2)).unwrap_err()
+        self.assertIs(ErrorKind.NEWER_SCHEMA, rejected.failure.kind)
+
+    def test_delete_of_nothing_and_wrong_texts_are_refused(self):
+        cases = (
+            (build_change('a', doc=None), ErrorKind.UNKNOWN_SERVICE),
+            (build_change('a', who=' '), ErrorKind.INVALID_RECORD),
+            (build_change('a', why='x' * 501), ErrorKind.INVALID_RECORD),
+            (build_change('a', service='slab-stock'), ErrorKind.INVALID_RECORD),
+            (build_change('a', expected=3), ErrorKind.VERSION_CONFLICT),
+        )
+        for change, kind in cases:
+            self.assertIs(kind, self.apply(change).unwrap_err().failure.kind)
+        self.assertEqual(0, self.store.revision)
--- /dev/null
+++ b/tests/test_schema.py
@@ -0,0 +1,103 @@
+from testtools import TestCase
+
+from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.diff import changed_fields
+from dunlinsaddle.records.models import Rank, RecordEntry
+from dunlinsaddle.records.schema import MAX_RECORD_BYTES, decode_record, encode_record
+from tests.builders import build_document, build_record
+
+OLD = {
+    'schema': 1,
+    'service': 'cut-orders',
+    'requests': [
+        {'name': 'release', 'method': 'POST', 'path': '/r', 'priority': 0, 'idempotent': False}
+    ],
+    'deadline_seconds': 5.0,
+    'retries': 3,
+}
+
+
+class SchemaTest(TestCase):
+    def test_both_versions_mean_the_same(self):
+        rule = {'name': 'release', 'method': 'POST', 'path': '/r', 'idempotent': False}
+        new = build_document(requests=[{**rule, 'rank': 'critical'}], deadline=5.0, retry_bound=3)
+        self.assertEqual(['schema'], changed_fields(OLD, new))
+        self.assertEqual(Rank.CRITICAL, decode_record(OLD).unwrap().rules[0].rank)
+
+    def test_encoded_record_reads_back(self):
+        record = build_record(deadline=3.0, slots=5)
+        self.assertEqual(record, decode_record(encode_record(record)).unwrap())
+
+    def test_wrong_documents_name_the_field(self):
+        rule = OLD['requests'][0]
+        cases = (
+            ([], 'JSON object'),
+            ({'service': 'a'}, 'schema'),
+            (build_document(schema=True), 'schema'),
+            (build_document(deadlin=1.0), 'deadlin:'),
+            (build_document(deadline=0), 'deadline: 0'),
+            (build_document(retry_bound=11), 'retry_bound: 11'),
+            (build_document(service='Cut Orders'), "'Cut Orders'"),
+            (build_document(targets={'slot': 1}), 'targets.slot'),
+            (build_document(requests=[{'name': 'a'}]), 'method'),
+            (build_document(requests=[rule]), 'requests[0].priority'),
+            ({**OLD, 'requests': [rule, rule]}, 'two rules'),
+            ({**OLD, 'requests': [{**rule, 'priority': 4}]}, 'requests[0].priority: 4'),
+            ({**OLD, 'requests': [{**rule, 'path': 'r'}]}, "path 'r'"),
+            ({**OLD, 'requests': [{**rule, 'method': 'post'}]}, "method 'post'"),
+            ({**OLD, 'requests': [{**rule, 'name': 'x' * MAX_RECORD_BYTES}]}, 'at most 32768'),
+        )
+        for doc, text in cases:
+            failure = decode_record(doc).unwrap_err()
+            self.assertIs(ErrorKind.INVALID_RECORD, failure.kind)
+            self.assertIn(text, failure.detail)
+
+    def test_order_of_rules_is_a_change(self):
+        rules = [{'name': name, 'method': 'GET', 'path': '/**'} for name in ('first', 'second')]
+        new = build_document(requests=rules[::-1])
+        self.assertEqual(['requests'], changed_fields(build_document(requests=rules), new))
+
+
+class RecordBookTest(TestCase):
+    def test_nothing_goes_back_by_any_way(self):
+        # A late watch answer, an old peer or a replayed push brings an old version, also of a
+        # record that was deleted since: what is in force stays.
+        book = RecordBook()
+        old, new = RecordEntry('cut-orders', 3, OLD), RecordEntry('cut-orders', 5, None)
+        self.assertTrue(book.take_entry(new))
+        self.assertFalse(book.take_entry(old))
+        self.assertFalse(book.take_entry(new))
+        self.assertIsNone(book.find('cut-orders'))
+        self.assertEqual([new], book.documents_after(0))
+
+    def test_node_of_the_old_schema_keeps_its_last_good_record(self):
+        # During a changeover a node that knows only schema 1 meets a 2: it goes on with the
+        # record it could read, says so, and still hands the new one to others.
+        book = RecordBook(newest=1)
+        book.take_entry(RecordEntry('cut-orders', 3, OLD))
+        newer = RecordEntry('cut-orders', 5, build_document())
+        self.assertTrue(book.take_entry(newer))
+        self.assertEqual((3, 5.0), (book.version('cut-orders'), book.find('cut-orders').deadline))
+        self.assertEqual(5, book.unreadable['cut-orders'].version)
+        self.assertIn('schema: 2 is newer than 1', book.unreadable['cut-orders'].why)
+        self.assertEqual([newer], book.documents_after(3))
+        book.take_entry(RecordEntry('cut-orders', 6, {**OLD, 'retries': 1}))
+        self.assertEqual((6, {}), (book.version('cut-orders'), book.unreadable))
+
+    def test_unreadable_record_changes_nothing(self):
+        book = RecordBook()
+        book.take_entry(RecordEntry('cut-orders', 3, build_document()))
+        for version, doc in enumerate(('text', 7, [], {'schema': 2}, build_document('other')), 4):
+            book.take_entry(RecordEntry('cut-orders', version, doc))
+            self.assertEqual(3, book.version('cut-orders'))
+            self.assertEqual(version, book.unreadable['cut-orders'].version)
+
+    def test_revision_is_not_complete_over_a_gap(self):
+        book = RecordBook()
+        book.complete(0, 4)
+        book.complete(6, 9)
+        self.assertEqual(4, book.complete_revision)
+        book.complete(2, 7)
+        book.complete(0, 5)
+        self.assertEqual(7, book.complete_revision)
