--- /dev/null
+++ b/tests/fakes/records.py
@@ -0,0 +1,150 @@
+"""Nodes' record synchronisation in memory: links, cuts and the platform as each node sees it."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from result import Err, Result
+
+from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk, RecordsPush
+from dunlinsaddle.membership.view import Member, MemberView
+from dunlinsaddle.platform.store import Listing, Unavailable
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.sync import RecordSync
+from dunlinsaddle.settings import Address
+from tests.builders import build_logger, build_member
+from tests.fakes.store import FakeStore
+
+LATENCY = 0.001
+GRACE = 2.0
+
+
+class CutStore:
+    """The platform as one node sees it: calls over a cut path hang until they time out."""
+
+    def __init__(self, store: FakeStore, cut: Callable[[], bool]) -> None:
+        self.store = store
+        self.cut = cut
+
+    async def watch(self, kind: str, since: int, timeout: float) -> Result[Listing, Unavailable]:
+        if self.cut():
+            self.store.calls += 1
+            self.store.call_times.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(timeout + GRACE)
+            return Err(Unavailable('no answer in time'))
+        result = await self.store.watch(kind, since, timeout)
+        return Err(Unavailable('the answer got lost')) if self.cut() else result
+
+
+class FakeNode:
+    """One node's part in the synchronisation, and the versions it ever had in force."""
+
+    def __init__(self, fleet: 'FakeFleet', member: Member, newest: int = 2) -> None:
+        self.fleet = fleet
+        self.member = member
+        self.alive = True
+        self.book = RecordBook(newest=newest)
+        self.view = MemberView()
+        store = CutStore(fleet.store, lambda: member.domain in fleet.cut_from_platform)
+        self.sync = RecordSync(
+            self.book,
+            store,  # type: ignore[arg-type]
+            self.view,
+            self,
+            lambda: member,
+            Random(fleet.rng.random()),
+            build_logger('sync'),
+        )
+        self.task: asyncio.Task[None] | None = None
+
+    async def ask_records(
+        self, address: Address, ask: RecordsAsk, timeout: float
+    ) -> RecordsAnswer | None:
+        node = await self._reach(address, timeout)
+        return None if node is None else node.sync.take(ask)
+
+    async def push_records(self, address: Address, push: RecordsPush) -> None:
+        self.fleet.pushed.append(push)
+        node = await self._reach(address, 1.0)
+        if node is not None:
+            node.take(push)
+
+    def take(self, frame: RecordFrame) -> None:
+        self.sync.take(frame)
+
+    async def _reach(self, address: Address, timeout: float) -> 'FakeNode | None':
+        await asyncio.sleep(LATENCY)
+        node = self.fleet.nodes[address]
+        if node.alive and frozenset((self.member.domain, node.member.domain)) not in self.fleet.cut:
+            return node
+        await asyncio.sleep(timeout)
+        return None
+
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self.sync.run())
+
+    def kill(self) -> None:
+        self.alive = False
+        if self.task is not None:
+            self.task.cancel()
+
+
+class FakeFleet:
+    """Nodes of some failure domains around one platform."""
+
+    def __init__(self, domains: list[str], members: int, seed: int = 1) -> None:
+        self.rng = Random(seed)
+        self.store = FakeStore()
+        self.cut: set[frozenset[str]] = set()
+        self.cut_from_platform: set[str] = set()
+        self.pushed: list[RecordsPush] = []
+        self.nodes: dict[Address, FakeNode] = {}
+        for domain in domains:
+            for number in range(members):
+                self.add(domain, f'{domain}-{number}')
+
+    def add(self, domain: str, instance: str, newest: int = 2) -> FakeNode:
+        """Add a node that knows all others, and make it known to them."""
+        address = Address('127.0.0.1', len(self.nodes) + 1)
+        member = build_member(instance, domain=domain, peers=address)
+        node = FakeNode(self, member, newest)
+        for other in self.nodes.values():
+            other.view.take(member)
+            node.view.take(other.member)
+        self.nodes[address] = node
+        return node
+
+    def start(self) -> None:
+        for node in self.nodes.values():
+            node.start()
+
+    def of(self, domain: str) -> list[FakeNode]:
+        return [n for n in self.nodes.values() if n.alive and n.member.domain == domain]
+
+    def isolate(self, domain: str) -> None:
+        """Cut a failure domain from the platform and from all others."""
+        others = {n.member.domain for n in self.nodes.values()} - {domain}
+        self.cut |= {frozenset((domain, other)) for other in others}
+        self.cut_from_platform.add(domain)
+
+    def rejoin(self) -> None:
+        self.cut.clear()
+        self.cut_from_platform.clear()
+
+    async def seconds_until(
+        self, service: str, version: int, nodes: list[FakeNode], most: float = 60.0
+    ) -> float:
+        """Wait until a version is in force at all of some nodes; gives how long it took."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while any(n.book.version(service) < version for n in nodes):
+            if loop.time() - began > most:
+                behind = [n.member.instance for n in nodes if n.book.version(service) < version]
+                raise AssertionError(f'version {version} not in force at {behind}')
+            await asyncio.sleep(0.01)
+        return loop.time() - began
+
+    def busiest_second(self, since: float) -> int:
+        """Give the most platform calls that began within any one second from a moment on."""
+        times = [t for t in self.store.call_times if t >= since]
+        return max((sum(t <= other < t + 1 for other in times) for t in times), default=0)
--- /dev/null
+++ b/tests/test_sync.py
@@ -0,0 +1,315 @@
+import asyncio
+from random import Random
+
+from dunlinsaddle.calls.messages import RecordsAsk
+from dunlinsaddle.membership.view import State
+from dunlinsaddle.records.history import RECORDS
+from dunlinsaddle.records.sync import CHUNK_BYTES, WATCHERS
+from tests.builders import build_document
+from tests.clock import PausedClockTest
+from tests.fakes.records import FakeFleet, FakeNode
+
+DOMAINS = ['bangor-hall', 'caernarfon-hall', 'menai-hall']
+IN_FORCE_SECONDS = 2.0
+CATCH_UP_SECONDS = 5.0
+
+
+async def write(fleet: FakeFleet, deadline: float, service: str = 'cut-orders') -> int:
+    held = fleet.store.objects.get((RECORDS, service))
+    value = {'record': build_document(service, deadline=deadline)}
+    written = await fleet.store.put(RECORDS, service, value, held.version if held else 0)
+    return written.unwrap().version
+
+
+class InForceTest(PausedClockTest):
+    def test_change_is_in_force_everywhere_within_two_seconds(self):
+        async def scenario():
+            fleet = FakeFleet(DOMAINS, 20)
+            fleet.start()
+            await asyncio.sleep(5)
+            taken = []
+            for number in range(20):
+                version = await write(fleet, 1.0 + number)
+                nodes = list(fleet.nodes.values())
+                taken.append(await fleet.seconds_until('cut-orders', version, nodes))
+                await asyncio.sleep(fleet.rng.random() * 3)
+            return max(taken)
+
+        self.assertLess(self.run_paused(scenario()), IN_FORCE_SECONDS)
+
+    def test_domain_cut_from_the_platform_hears_through_another(self):
+        # The platform's answers to one failure domain vanish; its watchers wait in vain. The
+        # other domains still reach it: a watcher elsewhere pushes to two of its members, and
+        # these pass the change on to the rest.
+        async def scenario():
+            fleet = FakeFleet(DOMAINS, 10)
+            fleet.start()
+            await asyncio.sleep(5)
+            fleet.cut_from_platform.add('menai-hall')
+            await asyncio.sleep(1)
+            version = await write(fleet, 2.0)
+            return await fleet.seconds_until('cut-orders', version, fleet.of('menai-hall'))
+
+        self.assertLess(self.run_paused(scenario()), IN_FORCE_SECONDS)
+
+    def test_cut_off_domain_catches_up_after_it_rejoins(self):
+        # A failure domain loses the platform and all others for a while, during which records
+        # change and one is deleted. Watches on dead connections, backoff and exchanges each
+        # take their time; the moment of rejoining is varied against all of them.
+        async def scenario(seed: int):
+            fleet = FakeFleet(DOMAINS, 6, seed)
+            fleet.start()
+            await write(fleet, 1.0, 'slab-stock')
+            await asyncio.sleep(4)
+            fleet.isolate('menai-hall')
+            await asyncio.sleep(fleet.rng.random() * 12)
+            await fleet.store.delete(RECORDS, 'slab-stock', 1)
+            version = await write(fleet, 2.0)
+            await asyncio.sleep(fleet.rng.random() * 12)
+            fleet.rejoin()
+            taken = await fleet.seconds_until('cut-orders', version, fleet.of('menai-hall'))
+            return taken, [n.book.find('slab-stock') for n in fleet.of('menai-hall')]
+
+        for seed in range(40):
+            taken, deleted = self.run_paused(scenario(seed))
+            self.assertLess(taken, CATCH_UP_SECONDS)
+            self.assertEqual([None] * 6, deleted)
+
+    def test_watchers_that_died_unnoticed_are_made_up_for(self):
+        # Both watchers of one failure domain are killed and still count as alive in every
+        # view, so nobody there watches. The others' pushes carry changes in meanwhile.
+        async def scenario():
+            fleet = FakeFleet(DOMAINS, 6)
+            fleet.start()
+            await asyncio.sleep(4)
+            names = fleet.of('menai-hall')[0].sync.watchers()
+            for node in fleet.of('menai-hall'):
+                if node.member.instance in names:
+                    node.kill()
+            version = await write(fleet, 2.0)
+            return await fleet.seconds_until('cut-orders', version, fleet.of('menai-hall'))
+
+        self.assertLess(self.run_paused(scenario()), IN_FORCE_SECONDS)
+
+    def test_all_watchers_dead_unnoticed_leave_the_slow_poll(self):
+        # Every watcher of every domain dies at once and none is missed. Nobody waits at the
+        # platform any more: the nodes notice that nothing certain came for long and ask.
+        async def scenario():
+            fleet = FakeFleet(DOMAINS, 6)
+            fleet.start()
+            await asyncio.sleep(4)
+            for domain in DOMAINS:
+                names = fleet.of(domain)[0].sync.watchers()
+                for node in fleet.of(domain):
+                    if node.member.instance in names:
+                        node.kill()
+            version = await write(fleet, 2.0)
+            alive = [n for n in fleet.nodes.values() if n.alive]
+            return await fleet.seconds_until('cut-orders', version, alive)
+
+        self.assertLess(self.run_paused(scenario()), 40.0)
+
+    def test_watchers_noticed_dead_are_replaced(self):
+        async def scenario():
+            fleet = FakeFleet(['menai-hall'], 6)
+            node = next(iter(fleet.nodes.values()))
+            before = node.sync.watchers()
+            for other in fleet.nodes.values():
+                if other.member.instance in before:
+                    node.view.take(other.member._replace(state=State.DEAD))
+            return before, node.sync.watchers(), node.member.instance
+
+        before, after, me = self.run_paused(scenario())
+        self.assertEqual((WATCHERS, WATCHERS), (len(before), len(after)))
+        self.assertEqual(set(), (set(before) & set(after)) - {me})
+
+
+class NeverBackTest(PausedClockTest):
+    def test_fresh_node_gets_everything_from_peers_while_the_platform_is_down(self):
+        async def scenario():
+            fleet = FakeFleet(DOMAINS, 4)
+            fleet.start()
+            for number in range(30):
+                await write(fleet, 1.0, f'service-{number}')
+            await asyncio.sleep(4)
+            fleet.cut_from_platform.update(DOMAINS)
+            fresh = fleet.add('menai-hall', 'menai-hall-fresh')
+            fresh.start()
+            await asyncio.sleep(1)
+            return len(list(fresh.book.entries())), fresh.book.complete_revision
+
+        self.assertEqual((30, 30), self.run_paused(scenario()))
+
+    def test_fresh_node_with_an_old_peer_takes_the_higher(self):
+        # One peer was cut off and still has the old record, also of a service that has been
+        # deleted. It answers a fresh node first; the others' answers put it right.
+        async def scenario():
+            fleet = FakeFleet(['menai-hall'], 3)
+            await write(fleet, 1.0)
+            await write(fleet, 1.0, 'slab-stock')
+            old, *others = fleet.nodes.values()
+            for node in fleet.nodes.values():
+                await node.sync._watch(0)
+            await fleet.store.delete(RECORDS, 'slab-stock', 2)
+            version = await write(fleet, 2.0)
+            for node in others:
+                await node.sync._watch(0)
+            old.book._documents = {e.service: e for e in old.book.documents_after(0)[:2]}
+            fleet.cut_from_platform.add('menai-hall')
+            fresh = fleet.add('menai-hall', 'fresh')
+            await fresh.sync._pull(old.member)
+            for node in others:
+                await fresh.sync._pull(node.member)
+            await fresh.sync._pull(old.member)
+            return fresh.book.version('cut-orders') - version, fresh.book.find('slab-stock')
+
+        self.assertEqual((0, None), self.run_paused(scenario()))
+
+    def test_no_node_ever_goes_back_under_cuts_restarts_and_replayed_pushes(self):
+        # Failure domains are cut and rejoined at random while records change, nodes restart
+        # with nothing, and old pushes are delivered again at any time. At every step each
+        # node's version of each record is at least what it was; after the last rejoin all
+        # agree with the platform.
+        async def scenario(seed: int):
+            rng = Random(seed)
+            fleet = FakeFleet(DOMAINS, 4, seed)
+            fleet.start()
+            floor: dict[tuple[str, str], int] = {}
+            for step in range(60):
+                await self.disturb(fleet, rng)
+                await write(fleet, 1.0 + step, rng.choice(['cut-orders', 'slab-stock']))
+                await asyncio.sleep(rng.random())
+                for node in fleet.nodes.values():
+                    for entry in node.book.entries():
+                        key = (node.member.instance, entry.service)
+                        self.assertGreaterEqual(entry.version, floor.get(key, 0))
+                        floor[key] = entry.version
+            fleet.rejoin()
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            want = {name: held.version for (_, name), held in fleet.store.objects.items()}
+            for node in fleet.nodes.values():
+                have = {e.service: e.version for e in node.book.entries()}
+                self.assertEqual(want, have)
+
+        for seed in range(10):
+            self.run_paused(scenario(seed))
+
+    async def disturb(self, fleet: FakeFleet, rng: Random) -> None:
+        match rng.randrange(5):
+            case 0:
+                fleet.isolate(rng.choice(DOMAINS))
+            case 1:
+                fleet.rejoin()
+            case 2:
+                fleet.cut_from_platform.add(rng.choice(DOMAINS))
+            case 3:
+                nodes = list(fleet.nodes.values())
+                for push in rng.sample(fleet.pushed, min(20, len(fleet.pushed))):
+                    rng.choice(nodes).take(push)
+            case 4:
+                fleet.add(rng.choice(DOMAINS), f'fresh-{len(fleet.nodes)}').start()
+
+    def test_node_of_the_old_schema_hands_on_what_it_cannot_read(self):
+        # Between the platform and a node of the new schema stands one of the old schema. It
+        # keeps its own last good record, says why, and the new record still arrives.
+        async def scenario():
+            fleet = FakeFleet([], 0)
+            old = fleet.add('menai-hall', 'old', newest=1)
+            new = fleet.add('bangor-hall', 'new')
+            first = {'schema': 1, 'service': 'cut-orders', 'deadline_seconds': 4.0}
+            await fleet.store.put(RECORDS, 'cut-orders', {'record': first}, 0)
+            await old.sync._watch(0)
+            await write(fleet, 2.0)
+            await old.sync._watch(0)
+            fleet.cut_from_platform.add('bangor-hall')
+            await new.sync._pull(old.member)
+            return old, new
+
+        old, new = self.run_paused(scenario())
+        self.assertEqual((1, 2), (old.book.version('cut-orders'), new.book.version('cut-orders')))
+        self.assertEqual(2, old.book.unreadable['cut-orders'].version)
+
+    def test_many_large_records_cross_in_parts(self):
+        async def scenario():
+            fleet = FakeFleet(['menai-hall'], 2)
+            one, two = fleet.nodes.values()
+            rules = [
+                {'name': f'rule-{n}', 'method': 'GET', 'path': f'/{n}/' + 'x' * 100}
+                for n in range(100)
+            ]
+            for number in range(20):
+                doc = build_document(f'service-{number}', requests=rules)
+                await fleet.store.put(RECORDS, doc['service'], {'record': doc}, 0)
+            await one.sync._watch(0)
+            part = one.sync.take(RecordsAsk(0, 0))
+            await two.sync._pull(one.member)
+            return len(part.entries), part.more, two.book.complete_revision
+
+        count, more, revision = self.run_paused(scenario())
+        self.assertLess(count * 15_000, 2 * CHUNK_BYTES)
+        self.assertEqual((True, 20), (more, revision))
+
+
+class PlatformCallsTest(PausedClockTest):
+    def test_calls_at_rest_do_not_grow_with_the_fleet(self):
+        async def scenario(members: int):
+            fleet = FakeFleet(DOMAINS, members)
+            fleet.start()
+            await asyncio.sleep(10)
+            before = fleet.store.calls
+            await asyncio.sleep(60)
+            return (fleet.store.calls - before) / 60
+
+        few, many = self.run_paused(scenario(5)), self.run_paused(scenario(40))
+        self.assertEqual(few, many)
+        self.assertLess(many, 2.5)
+
+    def test_all_nodes_replaced_at_once_ask_their_peers_first(self):
+        # Every node starts new within a second, with nothing, while the old ones go: only
+        # the watchers ask the platform, the others get all from peers.
+        async def scenario():
+            fleet = FakeFleet(DOMAINS, 20)
+            fleet.start()
+            await write(fleet, 1.0)
+            await asyncio.sleep(10)
+            old = list(fleet.nodes.values())
+            began = asyncio.get_running_loop().time()
+            fresh: list[FakeNode] = []
+            for node in old:
+                name = f'{node.member.instance}-fresh'
+                fresh.append(fleet.add(node.member.domain, name))
+                fresh[-1].start()
+                node.kill()
+                for other in fleet.nodes.values():
+                    other.view.take(node.member._replace(state=State.LEFT))
+                await asyncio.sleep(1 / len(old))
+            await asyncio.sleep(10)
+            versions = {n.book.version('cut-orders') for n in fresh}
+            return versions, fleet.busiest_second(began)
+
+        versions, busiest = self.run_paused(scenario())
+        self.assertEqual({1}, versions)
+        self.assertLess(busiest, 40)
+
+    def test_return_of_the_platform_brings_no_herd(self):
+        # The platform is out for two minutes and comes back with a change. During the outage
+        # all nodes know that they may be behind. At no second does the load grow with the
+        # number of nodes, and the change is in force soon after the return.
+        async def scenario(members: int):
+            fleet = FakeFleet(DOMAINS, members)
+            fleet.start()
+            await asyncio.sleep(10)
+            began = asyncio.get_running_loop().time()
+            fleet.store.down = True
+            await asyncio.sleep(120)
+            fleet.store.down = False
+            version = await write(fleet, 2.0)
+            nodes = list(fleet.nodes.values())
+            taken = await fleet.seconds_until('cut-orders', version, nodes)
+            await asyncio.sleep(20)
+            return taken, fleet.busiest_second(began)
+
+        for members in (10, 40):
+            taken, busiest = self.run_paused(scenario(members))
+            self.assertLess(taken, CATCH_UP_SECONDS)
+            self.assertLess(busiest, 25)
