Let killed nodes of the fake fleet fall silent

Cause: a killed node still pushed, so two tests of dead watchers passed without what they are for; found by taking the slow poll out, which no test noticed.

--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -75,7 +75,8 @@
     async def _reach(self, address: Address, timeout: float) -> 'FakeNode | None':
         await asyncio.sleep(LATENCY)
         node = self.fleet.nodes[address]
-        if node.alive and frozenset((self.member.domain, node.member.domain)) not in self.fleet.cut:
+        path = frozenset((self.member.domain, node.member.domain))
+        if self.alive and node.alive and path not in self.fleet.cut:
             return node
         await asyncio.sleep(timeout)
         return None
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -42,7 +42,7 @@
         # other domains still reach it: a watcher elsewhere pushes to two of its members, and
         # these pass the change on to the rest.
         async def scenario():
-            fleet = FakeFleet(DOMAINS, 10)
+            fleet = FakeFleet(DOMAINS, 40)
             fleet.start()
             await asyncio.sleep(5)
             fleet.cut_from_platform.add('menai-hall')
@@ -86,6 +86,7 @@
             for node in fleet.of('menai-hall'):
                 if node.member.instance in names:
                     node.kill()
+            await asyncio.sleep(0.1)
             version = await write(fleet, 2.0)
             return await fleet.seconds_until('cut-orders', version, fleet.of('menai-hall'))
 
@@ -103,6 +104,7 @@
                 for node in fleet.of(domain):
                     if node.member.instance in names:
                         node.kill()
+            await asyncio.sleep(0.1)
             version = await write(fleet, 2.0)
             alive = [n for n in fleet.nodes.values() if n.alive]
             return await fleet.seconds_until('cut-orders', version, alive)
