--- a/dunlinsaddle/cli/argtypes.py
+++ b/dunlinsaddle/cli/argtypes.py
@@ -7,7 +7,7 @@
 
 from dunlinsaddle.cli.exceptions import CommandError
 from dunlinsaddle.environment import Environment
-from dunlinsaddle.settings import Address, read_address
+from dunlinsaddle.settings import SECRET_RULE, Address, read_address, read_secret
 from dunlinsaddle.status import ExitStatus
 
 
@@ -21,6 +21,16 @@
         ) from None
 
 
+def token_argument(name: str, text: str) -> str:
+    """Read a token, or end the command; a wrong one is not shown."""
+    try:
+        return read_secret(text)
+    except ValueError:
+        raise CommandError(
+            ExitStatus.USAGE, f'{name}: cannot be used, expected {SECRET_RULE}'
+        ) from None
+
+
 def document_argument(path: str, env: Environment) -> Any:
     """Read a JSON document from a file, or from the standard input for ``-``."""
     try:
--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -49,7 +49,8 @@
             ArgvInput([env.program, *argv]), StreamOutput(env.stdout), StreamOutput(env.stderr)
         )
     except CleoError as exc:
-        env.report(f'{exc} See {env.program} --help.')
+        what = ' '.join(str(exc).split()).rstrip('.')
+        env.report(f'{what}; see {env.program} --help')
         return ExitStatus.USAGE
     except Exception as exc:
         if DEBUG_FLAG in argv:
--- a/dunlinsaddle/cli/definition.py
+++ b/dunlinsaddle/cli/definition.py
@@ -8,7 +8,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from dunlinsaddle.cli.argtypes import address_argument
+from dunlinsaddle.cli.argtypes import address_argument, token_argument
 from dunlinsaddle.cli.client import NodeClient
 from dunlinsaddle.cli.constants import DEFAULT_NODE, NODE_VARIABLE, TOKEN_VARIABLE
 from dunlinsaddle.cli.exceptions import CommandError
@@ -67,7 +67,7 @@
             raise CommandError(
                 ExitStatus.USAGE, f'no operator token: give --token or {TOKEN_VARIABLE}'
             )
-        return NodeClient(address_argument('node', text), token)
+        return NodeClient(address_argument('node', text), token_argument('token', token))
 
 
 def table(rows: list[list[str]]) -> list[str]:
--- a/dunlinsaddle/daemon.py
+++ b/dunlinsaddle/daemon.py
@@ -16,7 +16,7 @@
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.logs import start_logs
 from dunlinsaddle.node import Node
-from dunlinsaddle.settings import OPTIONS, Option, Settings, env_name, read_settings
+from dunlinsaddle.settings import OPTIONS, Option, Settings, env_name, read_settings, secret_files
 from dunlinsaddle.status import ExitStatus
 
 
@@ -25,6 +25,10 @@
     return f'{opt.help} Allowed: {opt.allowed}. Variable: {env_name(opt.name)}.{default}'
 
 
+def _describe_file(name: str) -> str:
+    return f'File that holds the secret, instead of it. Variable: {env_name(name)}.'
+
+
 class ServeCommand(Command):
     """All flags of the daemon; each setting is one."""
 
@@ -35,6 +39,7 @@
         option('help', 'h', 'Show this help.'),
         option('version', None, 'Show the version.'),
         *(option(opt.name, None, _describe(opt), flag=False) for opt in OPTIONS),
+        *(option(name, None, _describe_file(name), flag=False) for name in secret_files()),
     ]
 
     def __init__(self, env: Environment) -> None:
@@ -49,7 +54,8 @@
         if self.option('version'):
             self.env.stdout.write(f'{__version__}\n')
             return ExitStatus.OK
-        flags = {opt.name: self.option(opt.name) for opt in OPTIONS}
+        names = [*(opt.name for opt in OPTIONS), *secret_files()]
+        flags = {name: self.option(name) for name in names}
         given = {name: text for name, text in flags.items() if text is not None}
         match read_settings(given, self.env.environ):
             case Err(error):
@@ -62,6 +68,7 @@
 def _usage() -> str:
     lines = ['usage: dunlinsaddled [--check] --SETTING VALUE ...', '', 'settings:']
     lines += [f'  --{opt.name}\n      {_describe(opt)}' for opt in OPTIONS]
+    lines += [f'  --{name}\n      {_describe_file(name)}' for name in secret_files()]
     return '\n'.join(lines) + '\n'
 
 
@@ -113,7 +120,7 @@
     try:
         return ServeCommand(env).run(io)
     except CleoError as exc:
-        env.report(f'{exc} See {env.program} --help.')
+        env.report(f'{str(exc).rstrip(".")}; see {env.program} --help')
         return ExitStatus.USAGE
 
 
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -29,8 +29,9 @@
 class Metrics:
     """The instruments of one node."""
 
-    def __init__(self, resource: Labels, endpoint: str = '') -> None:
+    def __init__(self, resource: Labels, endpoint: str = '', every: float = EXPORT_SECONDS) -> None:
         self.endpoint = endpoint
+        self.every = every
         self.reader = InMemoryMetricReader()
         self._provider = MeterProvider(
             [self.reader], resource=Resource(dict(resource)), shutdown_on_exit=False
@@ -64,7 +65,7 @@
             return
         exporter = OTLPMetricExporter(endpoint=self.endpoint, timeout=EXPORT_TIMEOUT)
         while True:
-            await asyncio.sleep(EXPORT_SECONDS)
+            await asyncio.sleep(self.every)
             data = self.reader.get_metrics_data()
             if isinstance(data, MetricsData):
                 # Observed here, sent there: only the waiting leaves the loop's thread.
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -82,9 +82,10 @@
         )
         callers = CallerFace(self.book, self.dispatcher, self.stats)
         self.local = LocalFace(self.target, self.running, self.book, self.dispatcher)
+        operators = OperatorsFace(self, self.env.wall_clock)
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
-        self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
+        self.operators_http = HttpFace(operators.handle, limits, self._fault)
         self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits)
 
     def _build_sync(self) -> RecordSync:
@@ -215,7 +216,8 @@
 
     def _fault(self, req: HttpRequest) -> None:
         self.stats.faults += 1
-        self.logger.exception('fault while answering', extra={'path': req.path})
+        extra = {'path': req.path, 'request_id': req.header(b'request-id')}
+        self.logger.exception('fault while answering', extra=extra)
 
     async def _serve_peer(self, call: Call) -> Reply:
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,158 @@
+import socket
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+from testtools import TestCase
+
+from dunlinsaddle.cli.core import COMMANDS
+from dunlinsaddle.status import ExitStatus
+from tests.builders import build_document
+from tests.utils import NodeThread, run_cli
+
+TOKEN = 'a-token-for-tests'
+
+
+class CliTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.place = NodeThread()
+        self.place.__enter__()
+        self.addCleanup(self.place.__exit__)
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.folder = Path(temporary.name)
+
+    def write(self, service: str = 'cut-orders', **changes):
+        path = self.folder / f'{service}.json'
+        path.write_bytes(msgspec.json.encode(build_document(service, **changes)))
+        return str(path)
+
+    def cli(self, *argv: str, **kwargs):
+        return self.place.cli(*argv, **kwargs)
+
+    def assert_fails(self, result, status: ExitStatus, text: str):
+        self.assertEqual((status, ''), (result.status, result.output), result.error)
+        self.assertEqual(1, result.error.count('\n'), result.error)
+        self.assertTrue(result.error.startswith('dunlinsaddle: error: '))
+        self.assertIn(text, result.error)
+
+    def test_life_of_a_record_can_be_read_from_its_trail(self):
+        first = self.cli('apply', self.write(), '--why', 'first record')
+        self.assertEqual('cut-orders is at version 1\n', first.output, first.error)
+        path = self.write(deadline=2.0)
+        self.assertEqual('deadline\n', self.cli('diff', path).output)
+        dry = self.cli('apply', '--dry-run', path)
+        self.assertEqual('cut-orders at version 1 would change: deadline\n', dry.output)
+        self.assertEqual('2', self.cli('apply', path, '--who', 'bob').output.split()[-1])
+        self.assertEqual(2.0, self.cli('get', 'cut-orders', '--json').json['record']['deadline'])
+        self.assertEqual('the same as version 2\n', self.cli('diff', path).output)
+        deleted = self.cli('delete', 'cut-orders', '--why', 'service retired')
+        self.assertEqual('cut-orders is deleted at version 3\n', deleted.output)
+        for result in (self.cli('history', 'cut-orders'), self.cli('audit', '--since', '1h')):
+            rows = [line.split()[1:] for line in result.output.splitlines()]
+            self.assertEqual(['cut-orders', 'ann', '0', '1', 'record', 'first', 'record'], rows[1])
+            self.assertEqual(['cut-orders', 'bob', '1', '2', 'deadline', '-'], rows[2])
+            self.assertEqual(['2', '3', 'deleted', 'service', 'retired'], rows[3][2:])
+        self.assertEqual([], self.cli('audit', '--since', '2999-01-01', '--json').json)
+
+    def test_queries_tell_what_is_in_force(self):
+        self.cli('apply', self.write(), self.write('slab-stock'))
+        deadline = time.monotonic() + 5
+        while len(self.cli('list', '--json').json) < 2 and time.monotonic() < deadline:
+            time.sleep(0.05)
+        self.assertEqual('cut-orders', self.cli('list').output.splitlines()[1].split()[0])
+        status = self.cli('status', '--json').json
+        self.assertEqual('reachable', status['platform']['state'])
+        self.assertEqual(1, status['records']['cut-orders']['version'])
+        self.assertEqual(['bangor-1'], status['watchers'])
+        rollout = self.cli('rollout', '--json').json
+        self.assertEqual({'cut-orders': 1, 'slab-stock': 2}, rollout[0]['in_force'])
+        explained = self.cli('explain', 'cut-orders', 'POST', '/orders/1/release', '--json').json
+        self.assertEqual(('release', False), (explained['rule'], explained['idempotent']))
+        self.assertEqual(0, self.cli('targets').status)
+
+    def test_one_wrong_file_of_several_leaves_nothing_written(self):
+        wrong = self.write('slab-stock', retry_bound=11)
+        result = self.cli('apply', self.write(), wrong)
+        self.assert_fails(result, ExitStatus.INVALID_RECORD, 'retry_bound: 11: expected 0 to 10')
+        self.assertEqual(0, self.place.store.revision)
+
+    def test_conflict_names_the_other_operator_and_what_changed(self):
+        self.cli('apply', self.write())
+        self.cli('apply', self.write(deadline=2.0), '--who', 'bob')
+        result = self.cli('apply', self.write(deadline=3.0), '--expected', '1')
+        self.assert_fails(result, ExitStatus.CONFLICT, 'version 2 stands there, changed by bob')
+        self.assertIn('(deadline)', result.error)
+
+    def test_lost_answer_is_settled_and_the_change_made_once(self):
+        self.place.store.lose_answers = 1
+        result = self.cli('apply', self.write(), '--json')
+        self.assertEqual((0, True), (result.status, result.json[0]['settled']))
+        self.assertEqual(1, len(self.cli('history', 'cut-orders', '--json').json))
+
+    def test_unknown_end_tells_how_to_settle_it(self):
+        # No write arrives and none is answered. The operator hears that the end is unknown
+        # and with which id to ask again; that run makes the change, once.
+        path = self.write()
+        self.place.store.drop_writes = 9
+        result = self.cli('apply', path)
+        self.assert_fails(result, ExitStatus.UNAVAILABLE, 'whether it was written is not known')
+        again = result.error.partition('run it again with ')[2].split()
+        self.assertEqual(0, self.cli('apply', path, *again).status)
+        self.assertEqual(0, self.cli('apply', path, *again).status)
+        self.assertEqual(1, len(self.cli('history', 'cut-orders', '--json').json))
+
+    def test_failures_are_one_line_with_their_status(self):
+        good = self.write()
+        with socket.socket() as sock:
+            sock.bind(('127.0.0.1', 0))
+            closed = f'127.0.0.1:{sock.getsockname()[1]}'
+        callers = str(self.place.faces.callers)
+        (self.folder / 'text.json').write_text('{')
+        text = str(self.folder / 'text.json')
+        cases = (
+            (['list', '--node', closed], ExitStatus.UNAVAILABLE, 'check --node'),
+            (['list', '--node', callers], ExitStatus.UNAVAILABLE, "not a node's operators' face"),
+            (['list', '--node', 'nowhere'], ExitStatus.USAGE, 'expected HOST:PORT'),
+            (['list', '--token', 'another-token'], ExitStatus.DENIED, 'give the operator token'),
+            (['list', '--token', 'a-token\n'], ExitStatus.USAGE, 'token: cannot be used'),
+            (['get', 'nothing'], ExitStatus.NOT_FOUND, 'nothing'),
+            (['history', 'nothing'], ExitStatus.NOT_FOUND, 'nothing'),
+            (['delete', 'nothing'], ExitStatus.NOT_FOUND, 'nothing'),
+            (['get', 'a/../b'], ExitStatus.NOT_FOUND, 'a/../b'),
+            (['apply', 'no-such-file'], ExitStatus.USAGE, 'No such file'),
+            (['apply', text], ExitStatus.INVALID_RECORD, 'not JSON'),
+            (['apply', good, '--expected', 'x'], ExitStatus.USAGE, 'not a version'),
+            (['apply', good, good, '--expected', '1'], ExitStatus.USAGE, 'just one'),
+            (['apply', good, '--expected', '9'], ExitStatus.CONFLICT, 'no such record'),
+            (['audit', '--since', 'soon'], ExitStatus.USAGE, "since: 'soon'"),
+            (['explain', 'nothing', 'GET', '/'], ExitStatus.NOT_FOUND, 'nothing'),
+            (['aply'], ExitStatus.USAGE, 'see dunlinsaddle --help'),
+            (['list', '--jsn'], ExitStatus.USAGE, 'see dunlinsaddle --help'),
+        )
+        for argv, status, text in cases:
+            self.assert_fails(self.cli(*argv), status, text)
+        self.assert_fails(run_cli('list'), ExitStatus.USAGE, 'no operator token')
+
+    def test_platform_that_is_out_is_one_line_and_reads_go_on(self):
+        self.cli('apply', self.write())
+        deadline = time.monotonic() + 5
+        while not self.cli('list', '--json').json and time.monotonic() < deadline:
+            time.sleep(0.05)
+        self.place.store.down = True
+        result = self.cli('apply', self.write(), '--expected', '1')
+        self.assert_fails(result, ExitStatus.UNAVAILABLE, 'The platform cannot be reached')
+        self.assertEqual('node', self.cli('get', 'cut-orders', '--json').json['source'])
+        self.assertEqual(1, len(self.cli('list', '--json').json))
+
+    def test_debug_shows_where_a_failure_comes_from(self):
+        self.assertIn('Traceback', self.cli('get', 'nothing', '--debug').error)
+
+    def test_each_command_says_what_it_is_for(self):
+        for command in COMMANDS:
+            result = self.cli(command.name, '--help')
+            self.assertEqual(0, result.status)
+            self.assertIn(command.description, ' '.join(result.output.split()))
+            self.assertTrue(command.description.endswith('.'), command.name)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,53 @@
+import asyncio
+
+from testtools import TestCase
+
+from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpResponse
+from dunlinsaddle.metrics import Metrics, observe_stats
+from dunlinsaddle.settings import Address
+from dunlinsaddle.stats import CallLabel, Stats
+
+
+class MetricsTest(TestCase):
+    def test_instruments_show_what_was_counted_since(self):
+        stats = Stats()
+        metrics = Metrics({'service.instance.id': 'bangor-1'})
+        observe_stats(metrics, stats)
+        self.assertEqual(0, metrics.read()['dunlinsaddle.retries'][0]['value'])
+        label = CallLabel('cut-orders', 'critical', 'done', '')
+        stats.count(label)
+        stats.count(label)
+        stats.shed['overloaded'] += 3
+        stats.queue_time += 0.5
+        found = metrics.read()
+        self.assertEqual([{'value': 2, **label._asdict()}], found['dunlinsaddle.calls'])
+        self.assertEqual([{'value': 3, 'reason': 'overloaded'}], found['dunlinsaddle.shed'])
+        self.assertEqual(0.5, found['dunlinsaddle.queue_time'][0]['value'])
+        metrics.close()
+
+    def test_collector_gets_what_the_face_shows(self):
+        # The real exporter sends to a listener on this loop, which can answer only while the
+        # export does not hold the loop.
+        async def scenario():
+            bodies: asyncio.Queue[tuple[str, bytes]] = asyncio.Queue()
+
+            async def collect(req):
+                bodies.put_nowait((req.path, req.body))
+                return HttpResponse(200, [], b'')
+
+            face = HttpFace(collect, HttpLimits())
+            address = await face.listen(Address('127.0.0.1', 0))
+            stats = Stats()
+            stats.retries = 7
+            metrics = Metrics({'service.name': 'x'}, f'http://{address}/v1/metrics', every=0.05)
+            observe_stats(metrics, stats)
+            task = asyncio.create_task(metrics.export_loop())
+            sent = await asyncio.wait_for(bodies.get(), 10)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            face.close()
+            return sent
+
+        path, body = asyncio.run(scenario())
+        self.assertEqual('/v1/metrics', path)
+        self.assertIn(b'dunlinsaddle.retries', body)
--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,125 @@
+import asyncio
+from random import Random
+
+import msgspec
+from result import Err, Ok
+
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpResponse
+from dunlinsaddle.platform.client import HttpObjectStore
+from dunlinsaddle.platform.store import Conflict, Unavailable
+from dunlinsaddle.settings import Address
+from standins.platform import MAX_VALUE_BYTES, Platform
+from tests.clock import PausedClockTest
+
+ADDRESS = Address('127.0.0.1', 9)
+
+
+class StoreClientTest(PausedClockTest):
+    def with_platform(self, scenario, handler=None):
+        async def run():
+            platform = Platform()
+            limits = HttpLimits(body_bytes=2 * MAX_VALUE_BYTES)
+            face = HttpFace(handler or platform.handle, limits)
+            await face.listen(ADDRESS)
+            client = HttpClient()
+            try:
+                return await scenario(HttpObjectStore(ADDRESS, client), platform)
+            finally:
+                client.close()
+                face.close()
+
+        return self.run_paused(run())
+
+    def test_writes_are_conditional_and_deletes_leave_a_tombstone(self):
+        async def scenario(store, platform):
+            made = await store.put('records', 'a', {'n': 1}, 0)
+            self.assertIsInstance(made, Ok)
+            again = (await store.put('records', 'a', {'n': 2}, 0)).unwrap_err()
+            self.assertEqual({'n': 1}, again.current.value)
+            gone = (await store.delete('records', 'a', 1)).unwrap()
+            self.assertEqual((2, None), (gone.version, gone.value))
+            self.assertEqual([gone], (await store.list('records')).unwrap().objects)
+            self.assertEqual(Conflict(None), (await store.put('audit', 'a', 1, 7)).unwrap_err())
+            large = await store.put('records', 'b', 'x' * MAX_VALUE_BYTES, 0)
+            self.assertEqual(Unavailable('status 413'), large.unwrap_err())
+            self.assertIsNone((await store.get('records', 'b')).unwrap())
+
+        self.with_platform(scenario)
+
+    def test_watch_loses_no_change_however_writes_fall(self):
+        # One watch after another, each from where the last ended, while changes are written
+        # at random moments, also between two watches and several at once.
+        async def scenario(store, platform):
+            rng = Random(3)
+
+            async def write():
+                for number in range(200):
+                    await store.put('records', f's{number}', number, 0)
+                    await asyncio.sleep(rng.choice([0, 0, 0.001, 0.1, 4]))
+
+            writer = asyncio.create_task(write())
+            seen, since, calls = [], 0, 0
+            while not writer.done() or len(seen) < 200:
+                listing = (await store.watch('records', since, 3)).unwrap()
+                seen += [o.name for o in listing.objects]
+                since, calls = listing.revision, calls + 1
+            return seen, calls
+
+        seen, calls = self.with_platform(scenario)
+        self.assertEqual([f's{n}' for n in range(200)], sorted(seen, key=lambda n: int(n[1:])))
+        self.assertEqual(200, len(set(seen)))
+        self.assertLess(calls, 400)
+
+    def test_lost_answer_and_outage_are_told_as_unknown(self):
+        async def scenario(store, platform):
+            platform.faults = {'lose_answers': 1}
+            lost = await store.put('records', 'a', 1, 0)
+            held = (await store.get('records', 'a')).unwrap()
+            platform.faults = {'down': True}
+            return lost, held.value, await store.get('records', 'a')
+
+        lost, value, out = self.with_platform(scenario)
+        self.assertIsInstance(lost.unwrap_err(), Unavailable)
+        self.assertEqual(1, value)
+        self.assertIsInstance(out.unwrap_err(), Unavailable)
+
+    def test_garbage_counts_as_no_answer(self):
+        # A proxy on the way answers with its own page, a body is cut short, types are wrong:
+        # none of it may be taken for a listing, for "there is none" or for a conflict.
+        good = {'kind': 'records', 'name': 'a', 'version': 1, 'value': None}
+        bodies = (
+            b'',
+            b'<html>busy</html>',
+            b'null',
+            b'[]',
+            b'{"objects": 7, "revision": 1}',
+            b'{"objects": [], "revision": "1"}',
+            b'{"objects": [{}], "revision": 1}',
+            msgspec.json.encode(good)[:-9],
+            msgspec.json.encode({**good, 'version': '1'}),
+            b'[' * 100_000,
+            b'\xff\xfe',
+        )
+
+        async def scenario(store, platform):
+            for status in (200, 409, 500):
+                for body in bodies:
+                    answer[:] = [status, body]
+                    results = [
+                        await store.list('records'),
+                        await store.watch('records', 0, 1),
+                        await store.put('records', 'a', 1, 0),
+                        await store.get('records', 'a'),
+                    ]
+                    for result in results:
+                        if result == Err(Conflict(None)) and (status, body) == (409, b'null'):
+                            continue
+                        self.assertIsInstance(result.unwrap_err(), Unavailable, (status, body))
+
+        answer = [200, b'']
+
+        async def garbage(req):
+            return HttpResponse(answer[0], [], answer[1])
+
+        self.with_platform(scenario, garbage)
--- /dev/null
+++ b/tests/utils.py
@@ -0,0 +1,76 @@
+"""Runs the command-line tool in-process, and a node for it to talk to."""
+
+import asyncio
+import threading
+from typing import Any, NamedTuple
+
+import msgspec
+
+from dunlinsaddle.cli.core import program
+from dunlinsaddle.node import Faces, Node
+from tests.builders import OPERATOR_TOKEN, build_environment, build_logger, build_settings
+from tests.fakes.store import FakeStore
+
+
+class CliResult(NamedTuple):
+    """How a run of the tool ended."""
+
+    status: int
+    output: str
+    error: str
+
+    @property
+    def json(self) -> Any:
+        return msgspec.json.decode(self.output)
+
+
+def run_cli(*argv: str, stdin: str = '', **environ: str) -> CliResult:
+    env = build_environment(environ=environ)
+    env.stdin.write(stdin)
+    env.stdin.seek(0)
+    status = program(list(argv), env)
+    return CliResult(status, env.stdout.getvalue(), env.stderr.getvalue())
+
+
+class NodeThread:
+    """A node on a loop in a thread of its own, over a store in memory; a context manager."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.node: Node
+        self.faces: Faces
+        self.loop = asyncio.new_event_loop()
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._stop = asyncio.Event()
+
+    def __enter__(self) -> 'NodeThread':
+        self._thread.start()
+        if not self._ready.wait(10):
+            raise AssertionError('the node did not start')
+        return self
+
+    def __exit__(self, *args: object) -> None:
+        self.loop.call_soon_threadsafe(self._stop.set)
+        self._thread.join(10)
+
+    def cli(self, *argv: str, stdin: str = '', **environ: str) -> CliResult:
+        defaults = {
+            'DUNLINSADDLE_NODE': str(self.faces.operators),
+            'DUNLINSADDLE_OPERATOR_TOKEN': OPERATOR_TOKEN,
+            'USER': 'ann',
+        }
+        return run_cli(*argv, stdin=stdin, **{**defaults, **environ})
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_until_complete(self._serve())
+        self.loop.close()
+
+    async def _serve(self) -> None:
+        self.node = Node(build_settings(), build_environment(), build_logger('node'))
+        self.node.use_store(self.store)
+        self.faces = await self.node.start()
+        self._ready.set()
+        await self._stop.wait()
+        await self.node.stop()
