Pass records down trees, and go round dead nodes

Cause: a watcher that pushes to each of 120 members sends about 180 KB a change of 1.5 KB; with trees of six it sends six. Found on the way: with a third of a domain dead and unnoticed some nodes waited 15.96 s, since their three fixed peers were all dead and so were those above them in the tree. Change: a push that finds no link serves the next level itself; a peer without an answer is passed over for 4 s. Ruled out: random peers each time, which would open links to the whole fleet.

--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import hashlib
 import hmac
 import secrets
@@ -318,10 +317,13 @@
             return None
         return answer if isinstance(answer, RecordsAnswer) else None
 
-    async def push_records(self, address: Address, push: RecordsPush) -> None:
-        """Send records to a peer if it can be reached."""
-        with contextlib.suppress(OSError, TimeoutError):
+    async def push_records(self, address: Address, push: RecordsPush) -> bool:
+        """Send records to a peer; say whether there is a link to it."""
+        try:
             (await self._link(address)).send(push)
+        except (OSError, TimeoutError):
+            return False
+        return True
 
     def close(self) -> None:
         """End all links."""
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -132,11 +132,15 @@
 
 
 class RecordsPush(msgspec.Struct, tag='rp', array_like=True):
-    """All changes after ``since`` and up to ``upto``, sent unasked by a node of ``domain``."""
+    """All changes after ``since`` and up to ``upto``, sent unasked by a node of ``domain``.
+
+    ``root`` is the instance whose tree over that domain it goes down, empty for none.
+    """
 
     since: int
     upto: int
     domain: str
+    root: str
     entries: list[RecordEntry]
 
 
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -16,7 +16,6 @@
 
 from dunlinsaddle import __version__
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.stats import Stats
 
 EXPORT_SECONDS = 10.0
@@ -109,8 +108,8 @@
         metrics.counter(f'dunlinsaddle.{name}', unit, text, _field(stats, name))
 
 
-def observe_records(metrics: Metrics, book: RecordBook, sync: RecordSync) -> None:
-    """Add the instruments of the records and of the calls to the platform."""
+def observe_records(metrics: Metrics, book: RecordBook) -> None:
+    """Add the instruments of the records in force."""
     metrics.gauge(
         'dunlinsaddle.record_version',
         '1',
@@ -123,12 +122,6 @@
         'Newer versions of records that cannot be read here.',
         lambda: [(len(book.unreadable), {})],
     )
-    metrics.counter(
-        'dunlinsaddle.platform_calls',
-        '{call}',
-        'Calls to the platform for records.',
-        lambda: [(sync.platform_calls, {})],
-    )
 
 
 def _field(stats: Stats, name: str) -> Callable[[], Values]:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -104,8 +104,14 @@
         }
         metrics = Metrics(resource, cfg.otlp_endpoint)
         observe_stats(metrics, self.stats)
-        observe_records(metrics, self.book, self.sync)
+        observe_records(metrics, self.book)
         metrics.gauge('dunlinsaddle.load', '{call}', 'Load of the target.', self._load_values)
+        metrics.counter(
+            'dunlinsaddle.platform_calls',
+            '{call}',
+            'Calls to the platform, each watch as one.',
+            lambda: [(self.store.calls, {})],
+        )
         return metrics
 
     def _load_values(self) -> Values:
--- a/dunlinsaddle/platform/store.py
+++ b/dunlinsaddle/platform/store.py
@@ -47,7 +47,9 @@
 
 
 class ObjectStore(Protocol):
-    """What the system asks of the platform."""
+    """What the system asks of the platform; ``calls`` counts what it asked so far."""
+
+    calls: int
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         """Read one object; None where there never was one."""
--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -1,9 +1,9 @@
 """Brings every change of records from the platform to every node, through peers.
 
-Two watchers per failure domain wait at the platform; each pushes what changed to its own
-domain and to two members of every other one, which pass it on within theirs. Slow exchanges
+Two watchers per failure domain wait at the platform; each pushes what changed down a tree over
+its own domain and to two members of every other one, which do the same in theirs. Slow exchanges
 with a few fixed peers repair what a push missed. Nothing here has to agree with anyone: a
-second watcher too many costs a call, and one too few is found by the slow poll.
+watcher too many costs a call, and one too few is found by the slow poll.
 """
 
 import asyncio
@@ -12,23 +12,22 @@
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
-import msgspec
-import xxhash
 from result import Err, Ok
 
 from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk, RecordsPush
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.platform.store import Listing, ObjectStore, Unavailable
+from dunlinsaddle.records import topology
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import entry_of
+from dunlinsaddle.records.chunks import cut
 from dunlinsaddle.records.history import RECORDS
 from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.settings import Address
 
-WATCHERS = 2  #: per failure domain, so that one may die unnoticed
 REACH = 2  #: members of each other domain that a watcher pushes to
-NEIGHBOURS = 3  #: fixed peers in the own domain, and as many elsewhere
-CHUNK_BYTES = 48_000
+SEEN = 256
+EXCHANGE_TRIES = 3
 
 
 class SyncTimes(NamedTuple):
@@ -39,6 +38,7 @@
     most_backoff: float = 2.0
     exchange: float = 2.0
     answer: float = 1.0
+    silent: float = 4.0  #: for so long a peer that gave no answer is not asked again
     start_spread: float = 0.3
     stale_after: float = 15.0
     per_member: float = 2.0  #: keeps slow polls of one domain at one each two seconds
@@ -52,8 +52,8 @@
     ) -> RecordsAnswer | None:
         """Ask a peer for records; None when no answer comes."""
 
-    async def push_records(self, address: Address, push: RecordsPush) -> None:
-        """Send records to a peer if it can be reached."""
+    async def push_records(self, address: Address, push: RecordsPush) -> bool:
+        """Send records to a peer; say whether there is a link to it."""
 
 
 class PlatformState:
@@ -93,9 +93,10 @@
         self.logger = logger
         self.times = times
         self.platform = PlatformState()
-        self.platform_calls = 0
         self.fresh_at = float('-inf')  #: up to then every change is known here
         self._failures = 0
+        self._silent_until: dict[str, float] = {}
+        self._seen: dict[tuple[str, int, int], None] = {}
         self._pushes: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -108,14 +109,9 @@
             group.create_task(self._repeat(self._exchange))
 
     def watchers(self) -> list[str]:
-        """Give the instances that should watch for this failure domain.
-
-        By rendezvous hash over the members known here: nodes whose views agree choose the
-        same two, and where views differ each chooses some, which is enough.
-        """
+        """Give the instances that should watch for this failure domain, as known here."""
         me = self.me()
-        names = {m.instance for m in self._others() if m.domain == me.domain} | {me.instance}
-        return sorted(names, key=lambda name: _score(me.domain, name))[:WATCHERS]
+        return topology.watchers(me.domain, {*self._own(me), me.instance})
 
     def take(self, frame: RecordFrame) -> RecordsAnswer | None:
         """Take a frame from a peer; gives the answer to a question."""
@@ -165,7 +161,7 @@
         upto = self.book.complete_revision
         age = _now() - self.fresh_at
         entries = self.book.documents_after(since)
-        chunk = next(_chunks(entries, since, max(upto, since)))
+        chunk = next(cut(entries, since, max(upto, since)))
         more = chunk.upto < upto
         return RecordsAnswer(number, min(chunk.upto, upto), age, more, chunk.entries)
 
@@ -173,10 +169,34 @@
         new = self._take_entries(push.entries)
         self.book.complete(push.since, push.upto)
         me = self.me()
-        if new and push.domain != me.domain:
+        if push.domain == me.domain:
+            if push.root and self._first(push):
+                self._push(self._children(me.instance, push.root), push)
+        elif new:
             # This domain may be cut off from the platform: what came in is for all of it.
-            own = [m for m in self._others() if m.domain == me.domain]
-            self._push(own, RecordsPush(push.since, push.upto, me.domain, push.entries))
+            passed = RecordsPush(push.since, push.upto, me.domain, me.instance, push.entries)
+            self._push(self._children(me.instance, me.instance), passed)
+
+    def _first(self, push: RecordsPush) -> bool:
+        """Say whether a push comes down its tree for the first time.
+
+        Not whether it brought news: two trees of different shape reach each node, and one that
+        ended where the other was faster would not go round a node that is dead in that one.
+        """
+        key = (push.root, push.since, push.upto)
+        if key in self._seen:
+            return False
+        self._seen[key] = None
+        if len(self._seen) > SEEN:
+            self._seen.pop(next(iter(self._seen)))
+        return True
+
+    def _children(self, instance: str, root: str) -> list[Member]:
+        """Give those whom an instance serves in the tree of ``root`` over this domain."""
+        me = self.me()
+        own = self._own(me)
+        names = topology.children(root, {*own, me.instance}, instance)
+        return [own[name] for name in names if name in own]
 
     def _take_entries(self, entries: Iterable[RecordEntry]) -> list[RecordEntry]:
         new = [entry for entry in entries if self.book.take_entry(entry)]
@@ -210,7 +230,7 @@
         them there are: the platform's load stays the same however large the domain is.
         """
         me = self.me()
-        members = 1 + sum(m.domain == me.domain for m in self._others())
+        members = 1 + len(self._own(me))
         await asyncio.sleep(members * self.times.per_member * self.rng.uniform(0.5, 1.5))
         if _now() - self.fresh_at > self.times.stale_after:
             await self._watch(0)
@@ -218,7 +238,6 @@
     async def _watch(self, timeout: float) -> None:
         since = self.book.complete_revision
         began = _now()
-        self.platform_calls += 1
         match await self.store.watch(RECORDS, since, timeout):
             case Ok(listing):
                 self._failures = 0
@@ -238,9 +257,9 @@
             return
         me = self.me()
         new.sort(key=lambda e: e.version)
-        for chunk in _chunks(new, since, listing.revision):
-            push = RecordsPush(chunk.since, chunk.upto, me.domain, chunk.entries)
-            self._push(self._reach(me), push)
+        for chunk in cut(new, since, listing.revision):
+            push = RecordsPush(chunk.since, chunk.upto, me.domain, me.instance, chunk.entries)
+            self._push([*self._children(me.instance, me.instance), *self._reach(me)], push)
 
     async def _back_off(self, error: Unavailable) -> None:
         if self._failures == 0:
@@ -251,39 +270,52 @@
         await asyncio.sleep(most * self.rng.uniform(0.5, 1.0))
 
     def _reach(self, me: Member) -> list[Member]:
-        others = list(self._others())
-        chosen = [m for m in others if m.domain == me.domain]
-        for domain in sorted({m.domain for m in others} - {me.domain}):
-            members = [m for m in others if m.domain == domain]
-            chosen += self.rng.sample(members, min(REACH, len(members)))
-        return chosen
+        """Give some members of each other failure domain."""
+        by_domain: dict[str, list[Member]] = {}
+        for member in self._others():
+            if member.domain != me.domain:
+                by_domain.setdefault(member.domain, []).append(member)
+        return [
+            member
+            for members in by_domain.values()
+            for member in self.rng.sample(members, min(REACH, len(members)))
+        ]
 
     def _push(self, members: Iterable[Member], push: RecordsPush) -> None:
         for member in members:
-            task = asyncio.get_running_loop().create_task(
-                self.links.push_records(member.peers, push)
-            )
+            task = asyncio.get_running_loop().create_task(self._push_to(member, push))
             self._pushes.add(task)
             task.add_done_callback(self._pushes.discard)
 
+    async def _push_to(self, member: Member, push: RecordsPush) -> None:
+        reached = await self.links.push_records(member.peers, push)
+        if not reached and push.root and member.domain == push.domain == self.me().domain:
+            # A dead node serves nobody, so those below it would wait for the next exchange.
+            self._push(self._children(member.instance, push.root), push)
+
     async def _exchange(self) -> None:
         await asyncio.sleep(self.times.exchange * self.rng.uniform(0.5, 1.0))
-        neighbours = self._neighbours()
-        if neighbours:
-            await self._pull(self.rng.choice(neighbours))
+        for _ in range(EXCHANGE_TRIES):
+            neighbours = self._neighbours()
+            if not neighbours:
+                return
+            member = self.rng.choice(neighbours)
+            if await self._pull(member):
+                return
+            self._silent_until[member.instance] = _now() + self.times.silent
 
     async def _ask_some(self) -> None:
         # One old peer alone would leave a fresh node behind; the highest of several goes.
         await asyncio.gather(*(self._pull(m) for m in self._neighbours()))
 
-    async def _pull(self, member: Member) -> None:
+    async def _pull(self, member: Member) -> bool:
         """Take what a peer has and this node lacks, and send it what it lacks itself."""
         while True:
             since = self.book.complete_revision
             ask = RecordsAsk(0, since)
             answer = await self.links.ask_records(member.peers, ask, self.times.answer)
             if answer is None:
-                return
+                return False
             self._take_entries(answer.entries)
             self.book.complete(since, answer.upto)
             if not answer.more or answer.upto <= since:
@@ -292,20 +324,26 @@
             self.fresh_at = max(self.fresh_at, _now() - answer.age)
         else:
             self._push_missing(member, answer.upto)
+        return True
 
     def _push_missing(self, member: Member, upto: int) -> None:
         entries = self.book.documents_after(upto)
-        for chunk in _chunks(entries, upto, self.book.complete_revision):
-            push = RecordsPush(chunk.since, chunk.upto, self.me().domain, chunk.entries)
+        for chunk in cut(entries, upto, self.book.complete_revision):
+            push = RecordsPush(chunk.since, chunk.upto, self.me().domain, '', chunk.entries)
             self._push([member], push)
 
     def _neighbours(self) -> list[Member]:
-        """Give a few peers, always the same ones, so that few links have to stay open."""
-        me = self.me()
-        others = sorted(self._others(), key=lambda m: _score(me.instance, m.instance))
-        near = [m for m in others if m.domain == me.domain]
-        far = [m for m in others if m.domain != me.domain]
-        return near[:NEIGHBOURS] + far[:NEIGHBOURS]
+        """Give the peers to exchange with.
+
+        A peer that gave no answer is passed over for a while: with all of them dead and not
+        yet noticed, a node would hear nothing before its slow poll.
+        """
+        now = _now()
+        answering = [m for m in self._others() if self._silent_until.get(m.instance, 0) <= now]
+        return topology.neighbours(self.me(), answering)
+
+    def _own(self, me: Member) -> dict[str, Member]:
+        return {m.instance: m for m in self._others() if m.domain == me.domain}
 
     def _others(self) -> Iterator[Member]:
         instance = self.me().instance
@@ -314,30 +352,5 @@
                 yield member
 
 
-class _Chunk(NamedTuple):
-    since: int
-    upto: int
-    entries: list[RecordEntry]
-
-
-def _chunks(entries: list[RecordEntry], since: int, upto: int) -> Iterator[_Chunk]:
-    """Cut entries, sorted by version, into parts that each fit into a frame."""
-    part: list[RecordEntry] = []
-    size = 0
-    for entry in entries:
-        more = len(msgspec.msgpack.encode(entry))
-        if part and size + more > CHUNK_BYTES:
-            last = part[-1].version
-            yield _Chunk(since, last, part)
-            since, part, size = last, [], 0
-        part.append(entry)
-        size += more
-    yield _Chunk(since, upto, part)
-
-
-def _score(salt: str, name: str) -> int:
-    return int(xxhash.xxh64_intdigest(f'{salt}/{name}'.encode()))
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -43,6 +43,7 @@
         self.fleet = fleet
         self.member = member
         self.alive = True
+        self.sent = 0  #: pushes
         self.book = RecordBook(newest=newest)
         self.view = MemberView()
         store = CutStore(fleet.store, lambda: member.domain in fleet.cut_from_platform)
@@ -63,11 +64,13 @@
         node = await self._reach(address, timeout)
         return None if node is None else node.sync.take(ask)
 
-    async def push_records(self, address: Address, push: RecordsPush) -> None:
+    async def push_records(self, address: Address, push: RecordsPush) -> bool:
         self.fleet.pushed.append(push)
+        self.sent += 1
         node = await self._reach(address, 1.0)
         if node is not None:
             node.take(push)
+        return node is not None
 
     def take(self, frame: RecordFrame) -> None:
         self.sync.take(frame)
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -4,8 +4,9 @@
 from dunlinsaddle.calls.messages import RecordsAsk
 from dunlinsaddle.membership.view import State
 from dunlinsaddle.node import Node
+from dunlinsaddle.records.chunks import CHUNK_BYTES
 from dunlinsaddle.records.history import RECORDS
-from dunlinsaddle.records.sync import CHUNK_BYTES, WATCHERS
+from dunlinsaddle.records.topology import FANOUT, WATCHERS
 from tests.builders import build_document, build_environment, build_logger, build_settings
 from tests.clock import PausedClockTest
 from tests.fakes.records import FakeFleet, FakeNode
@@ -39,6 +40,26 @@
 
         self.assertLess(self.run_paused(scenario()), IN_FORCE_SECONDS)
 
+    def test_dead_nodes_in_the_tree_are_gone_round(self):
+        # A third of a failure domain is dead and not yet noticed. Whoever they would have
+        # served hears down the other watcher's tree, or at the next exchange.
+        async def scenario():
+            fleet = FakeFleet(['menai-hall'], 120)
+            fleet.start()
+            await asyncio.sleep(10)
+            watchers = fleet.of('menai-hall')[0].sync.watchers()
+            nodes = [n for n in fleet.of('menai-hall') if n.member.instance not in watchers]
+            for node in fleet.rng.sample(nodes, 40):
+                node.kill()
+            await asyncio.sleep(0.1)
+            version = await write(fleet, 2.0)
+            taken = await fleet.seconds_until('cut-orders', version, fleet.of('menai-hall'))
+            return taken, max(n.sent for n in fleet.nodes.values())
+
+        taken, sent = self.run_paused(scenario())
+        self.assertLess(taken, IN_FORCE_SECONDS)
+        self.assertLess(sent, 5 * FANOUT)
+
     def test_domain_cut_from_the_platform_hears_through_another(self):
         # The platform's answers to one failure domain vanish; its watchers wait in vain. The
         # other domains still reach it: a watcher elsewhere pushes to two of its members, and
