--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -14,6 +14,7 @@
 from dunlinsaddle.cli.queries.audit import AuditCommand, HistoryCommand
 from dunlinsaddle.cli.queries.nodes import (
     ExplainCommand,
+    MetricsCommand,
     RolloutCommand,
     StatusCommand,
     TargetsCommand,
@@ -31,6 +32,7 @@
     GetCommand,
     HistoryCommand,
     ListCommand,
+    MetricsCommand,
     RolloutCommand,
     StatusCommand,
     TargetsCommand,
--- a/dunlinsaddle/cli/queries/nodes.py
+++ b/dunlinsaddle/cli/queries/nodes.py
@@ -1,4 +1,4 @@
-"""``status``, ``rollout``, ``targets`` and ``explain``: what a node knows and would do."""
+"""``status``, ``rollout``, ``targets``, ``metrics`` and ``explain``: what a node knows."""
 
 from cleo.helpers import argument
 
@@ -50,6 +50,24 @@
         return ExitStatus.OK
 
 
+class MetricsCommand(NodeCommand):
+    """Shows the metrics of one node."""
+
+    name = 'metrics'
+    description = 'Show the metrics of a node, e.g. metrics --json.'
+
+    def work(self) -> ExitStatus:
+        """Show one value a line, with its attributes."""
+        metrics = self.node().get('/v1/metrics')
+        rows = [
+            [name, str(point.pop('value')), ' '.join(f'{k}={v}' for k, v in point.items())]
+            for name, points in metrics.items()
+            for point in map(dict, points)
+        ]
+        self.show(metrics, table(rows))
+        return ExitStatus.OK
+
+
 class ExplainCommand(NodeCommand):
     """Shows how a request would be treated."""
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,5 @@
 import socket
 import tempfile
-import time
 from pathlib import Path
 
 import msgspec
@@ -59,9 +58,8 @@
 
     def test_queries_tell_what_is_in_force(self):
         self.cli('apply', self.write(), self.write('slab-stock'))
-        deadline = time.monotonic() + 5
-        while len(self.cli('list', '--json').json) < 2 and time.monotonic() < deadline:
-            time.sleep(0.05)
+        self.place.wait_for_record('cut-orders')
+        self.place.wait_for_record('slab-stock')
         self.assertEqual('cut-orders', self.cli('list').output.splitlines()[1].split()[0])
         status = self.cli('status', '--json').json
         self.assertEqual('reachable', status['platform']['state'])
@@ -138,9 +136,7 @@
 
     def test_platform_that_is_out_is_one_line_and_reads_go_on(self):
         self.cli('apply', self.write())
-        deadline = time.monotonic() + 5
-        while not self.cli('list', '--json').json and time.monotonic() < deadline:
-            time.sleep(0.05)
+        self.place.wait_for_record('cut-orders')
         self.place.store.down = True
         result = self.cli('apply', self.write(), '--expected', '1')
         self.assert_fails(result, ExitStatus.UNAVAILABLE, 'The platform cannot be reached')
--- /dev/null
+++ b/tests/test_operators_page.py
@@ -0,0 +1,37 @@
+import re
+import shlex
+from pathlib import Path
+
+from testtools import TestCase
+
+from dunlinsaddle.settings import OPTIONS, env_name, secret_files
+from dunlinsaddle.status import ExitStatus
+from tests.utils import NodeThread
+
+PAGE = (Path(__file__).parent.parent / 'docs' / 'OPERATORS.md').read_text()
+
+
+class OperatorsPageTest(TestCase):
+    def test_each_command_works_as_written(self):
+        commands = re.findall(r'^\$ dunlinsaddle (.+)$', PAGE, re.MULTILINE)
+        self.assertGreater(len(commands), 10)
+        with NodeThread() as place:
+            for command in commands:
+                argv = shlex.split(command)
+                if argv[0] == 'explain':
+                    place.wait_for_record('cut-orders')
+                result = place.cli(*argv)
+                self.assertEqual((0, ''), (result.status, result.error), command)
+
+    def test_settings_are_listed_as_they_are(self):
+        for opt in OPTIONS:
+            default = 'required' if opt.default is None else f'`{opt.default}`'
+            row = f'| `--{opt.name}` | `{env_name(opt.name)}` | {opt.allowed} | '
+            row += f'{default if opt.default != "" else "none"} | {opt.help} |'
+            self.assertIn(row, PAGE)
+        for name in secret_files():
+            self.assertIn(f'`--{name}`', PAGE)
+
+    def test_exit_statuses_are_all_there(self):
+        for status in ExitStatus:
+            self.assertRegex(PAGE, rf'(?m)^\| {status.value} \|')
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import threading
+import time
 from typing import Any, NamedTuple
 
 import msgspec
@@ -62,6 +63,14 @@
         }
         return run_cli(*argv, stdin=stdin, **{**defaults, **environ})
 
+    def wait_for_record(self, service: str) -> None:
+        """Wait until a record is in force at the node."""
+        deadline = time.monotonic() + 10
+        while self.node.book.find(service) is None:
+            if time.monotonic() > deadline:
+                raise AssertionError(f'{service} is not in force')
+            time.sleep(0.02)
+
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.run_until_complete(self._serve())
