Keep the trail in the record short, and read audit objects only as far as asked

Cause: reading the audit trail read every audit object of every record, and a fresh watcher reads all records with up to 64 KiB of trail each.

--- a/dunlinsaddle/cli/argtypes.py
+++ b/dunlinsaddle/cli/argtypes.py
@@ -57,14 +57,12 @@
     return service
 
 
-def moment_argument(name: str, text: str | None, now: float) -> float:
+def moment_argument(name: str, text: str, now: float) -> float:
     """Read a moment in seconds since 1970: a time ago, or a date and time.
 
     >>> moment_argument('since', '2h', 10_000.0)
     2800.0
     """
-    if text is None:
-        return 0.0
     unit = {'s': 1, 'm': 60, 'h': 3600, 'd': 86_400}.get(text[-1:])
     if unit and text[:-1].isdecimal():
         return now - float(text[:-1]) * unit
--- a/dunlinsaddle/cli/queries/audit.py
+++ b/dunlinsaddle/cli/queries/audit.py
@@ -33,7 +33,13 @@
     description = 'Show the changes of all records, e.g. audit --since 7d.'
     options = [
         *NODE_OPTIONS,
-        option('since', None, 'From when on: 30m, 12h, 7d or 2026-01-31T12:00:00Z.', flag=False),
+        option(
+            'since',
+            None,
+            'From when on: 30m, 12h, 7d or 2026-01-31T12:00:00Z.',
+            flag=False,
+            default='7d',
+        ),
     ]
 
     def work(self) -> ExitStatus:
--- a/dunlinsaddle/records/history.py
+++ b/dunlinsaddle/records/history.py
@@ -17,8 +17,9 @@
 
 RECORDS = 'records'
 AUDIT = 'audit'
-# The platform takes a megabyte, but a watch carries the whole object for each change.
-HISTORY_BYTES = 65_536
+# The platform takes a megabyte, but a watch carries the whole object for each change, and a
+# fresh watcher reads the objects of all services at once.
+HISTORY_BYTES = 16_384
 KEPT = 2
 
 
@@ -127,18 +128,10 @@
         case Ok(None):
             return Ok(None)
         case Ok(held):
-            pass
+            assert held is not None
+            return await _whole(store, held, 0.0)
         case Err(error):
             return Err(error)
-    assert held is not None
-    archived: list[ChangeEntry] = []
-    for number in range(object_of(held)['archived']):
-        match await store.get(AUDIT, f'{service}.{number}'):
-            case Ok(part):
-                archived += _entries((part.value or {}).get('history', [])) if part else []
-            case Err(error):
-                return Err(error)
-    return Ok(_lines(held, archived))
 
 
 async def read_audit(
@@ -150,23 +143,35 @@
             pass
         case Err(error):
             return Err(error)
-    match await store.list(AUDIT):
-        case Ok(parts):
-            pass
-        case Err(error):
-            return Err(error)
-    by_name = {part.name: part for part in parts.objects}
-    lines: list[AuditLine] = []
+    found: list[AuditLine] = []
     for held in listing.objects:
-        names = [f'{held.name}.{n}' for n in range(object_of(held)['archived'])]
-        objects = [by_name[name] for name in names if name in by_name]
-        archived = [e for o in objects for e in _entries((o.value or {}).get('history', []))]
-        lines += _lines(held, archived)
-    return Ok(sorted((e for e in lines if e.when >= since), key=lambda e: (e.when, e.after)))
+        match await _whole(store, held, since):
+            case Ok(lines):
+                found += [line for line in lines if line.when >= since]
+            case Err(error):
+                return Err(error)
+    return Ok(sorted(found, key=lambda line: (line.when, line.after)))
+
+
+async def _whole(
+    store: ObjectStore, held: StoredObject, since: float
+) -> Result[list[AuditLine], Unavailable]:
+    """Read the trail of a record, its audit objects only as far back as is asked for."""
+    obj = object_of(held)
+    entries = obj['history']
+    for number in reversed(range(obj['archived'])):
+        if entries and entries[0]['when'] < since:
+            break
+        match await store.get(AUDIT, f'{held.name}.{number}'):
+            case Ok(part):
+                older = _entries((part.value or {}).get('history', [])) if part else []
+                entries = [*older, *entries]
+            case Err(error):
+                return Err(error)
+    return Ok(_lines(held, entries))
 
 
-def _lines(held: StoredObject, archived: list[ChangeEntry]) -> list[AuditLine]:
-    entries = [*archived, *object_of(held)['history']]
+def _lines(held: StoredObject, entries: list[ChangeEntry]) -> list[AuditLine]:
     afters = [*(e['before'] for e in entries[1:]), held.version]
     return [
         AuditLine(
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -1,6 +1,7 @@
 import asyncio
 import itertools
 
+import msgspec
 from result import Err, Ok
 
 from dunlinsaddle.errors import ErrorKind
@@ -147,7 +148,21 @@
         self.assertEqual([str(n) for n in range(400)], [line.id for line in self.trail()])
         audit = self.run_paused(read_audit(self.store)).unwrap()
         self.assertEqual(400, len(audit))
+        sizes = [len(msgspec.json.encode(o.value)) for o in self.store.objects.values()]
         self.assertGreater(len([k for k, _ in self.store.objects if k == AUDIT]), 0)
+        self.assertLess(max(sizes), 2 * HISTORY_BYTES)
+
+    def test_audit_since_a_moment_reads_no_more_than_it_needs(self):
+        version = 0
+        for number in range(100):
+            change = build_change(
+                str(number), expected=version, when=1000.0 + number, why='x' * 300
+            )
+            change = change._replace(doc=build_document(deadline=1.0 + number))
+            version = self.apply(change).unwrap().version
+        before = self.store.calls
+        lines = self.run_paused(read_audit(self.store, 1098.0)).unwrap()
+        self.assertEqual((['98', '99'], 1), ([e.id for e in lines], self.store.calls - before))
 
     def test_move_that_was_begun_and_not_ended_is_taken_over(self):
         # A writer copies the oldest entries away and dies before it writes the record. The
@@ -164,7 +179,6 @@
         fitting = self.run_paused(make_room(self.store, 'cut-orders', value, 10)).unwrap()
         self.assertEqual([str(n) for n in range(3, 10)], [e['id'] for e in fitting['history']])
         self.assertEqual(1, fitting['archived'])
-        self.assertLess(HISTORY_BYTES, 900_000)
 
     def test_older_tool_cannot_write_over_a_newer_schema(self):
         # A tool of the old schema reads a record, changes it and writes it back: the fields
