Hear of changes through a slow platform

Ruled out: one long wait, which would hold up a node that rejoins on a silent connection. Change: the wait is learned from what answers took.

--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -9,6 +9,7 @@
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.platform.store import (
+    WATCH_GRACE,
     Conflict,
     JsonValue,
     Listing,
@@ -18,8 +19,7 @@
 )
 from dunlinsaddle.settings import Address
 
-CALL_TIMEOUT = 2.0
-WATCH_GRACE = 2.0
+CALL_TIMEOUT = 5.0  #: a slow platform still serves; one that is away fails to connect sooner
 
 
 class HttpObjectStore:
@@ -57,10 +57,12 @@
         path = f'/objects/{kind}/{name}'
         return self._changed(await self._send('DELETE', path, b'', expected))
 
-    async def watch(self, kind: str, since: int, timeout: float) -> Result[Listing, Unavailable]:
+    async def watch(
+        self, kind: str, since: int, timeout: float, grace: float = WATCH_GRACE
+    ) -> Result[Listing, Unavailable]:
         """Wait for something newer than ``since``."""
         path = f'/objects/{kind}?since={since}&timeout={timeout:g}'
-        return _listing(await self._send('GET', path, timeout=timeout + WATCH_GRACE))
+        return _listing(await self._send('GET', path, timeout=timeout + grace))
 
     def _changed(
         self, result: Result[HttpResponse, Unavailable]
--- a/dunlinsaddle/platform/store.py
+++ b/dunlinsaddle/platform/store.py
@@ -43,6 +43,7 @@
 
 
 StoreError = Conflict | Unavailable
+WATCH_GRACE = 2.0
 ABSENT = 0  #: as an expected version: the object must not exist
 
 
@@ -65,5 +66,10 @@
     async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
         """Delete on the condition that the version is ``expected``."""
 
-    async def watch(self, kind: str, since: int, timeout: float) -> Result[Listing, Unavailable]:
-        """Wait until something of a kind is newer than ``since``; empty after ``timeout`` s."""
+    async def watch(
+        self, kind: str, since: int, timeout: float, grace: float = WATCH_GRACE
+    ) -> Result[Listing, Unavailable]:
+        """Wait until something of a kind is newer than ``since``; empty after ``timeout`` s.
+
+        ``grace`` is how many seconds the answer itself may take.
+        """
--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -16,7 +16,7 @@
 
 from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk, RecordsPush
 from dunlinsaddle.membership.view import Member, MemberView, State
-from dunlinsaddle.platform.store import Listing, ObjectStore, Unavailable
+from dunlinsaddle.platform.store import WATCH_GRACE, Listing, ObjectStore, Unavailable
 from dunlinsaddle.records import topology
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import entry_of
@@ -28,12 +28,15 @@
 REACH = 2  #: members of each other domain that a watcher pushes to
 SEEN = 256
 EXCHANGE_TRIES = 3
+TIMER_SLACK = 0.1
 
 
 class SyncTimes(NamedTuple):
     """How often a node does what. Seconds."""
 
     watch: float = 3.0  #: a connection gone silent is noticed within this and the grace
+    grace: float = WATCH_GRACE
+    most_grace: float = 30.0
     first_backoff: float = 0.2
     most_backoff: float = 2.0
     exchange: float = 2.0
@@ -95,6 +98,7 @@
         self.platform = PlatformState()
         self.fresh_at = float('-inf')  #: up to then every change is known here
         self._failures = 0
+        self._grace = times.grace
         self._silent_until: dict[str, float] = {}
         self._seen: dict[tuple[str, int, int], None] = {}
         self._pushes: set[asyncio.Task[None]] = set()
@@ -238,17 +242,31 @@
     async def _watch(self, timeout: float) -> None:
         since = self.book.complete_revision
         began = _now()
-        match await self.store.watch(RECORDS, since, timeout):
+        result = await self.store.watch(RECORDS, since, timeout, self._grace)
+        took = _now() - began
+        self._learn_grace(took - timeout, answered=isinstance(result, Ok))
+        match result:
             case Ok(listing):
                 self._failures = 0
                 self.platform.note(_now(), True)
                 self._take_listing(since, listing)
                 # A platform that answers at once, with nothing new, must not be asked in a spin.
-                if _now() - began < self.times.first_backoff and not listing.objects:
+                if took < self.times.first_backoff and not listing.objects:
                     await asyncio.sleep(self.times.first_backoff)
             case Err(error):
                 await self._back_off(error)
 
+    def _learn_grace(self, late: float, *, answered: bool) -> None:
+        """Wait longer for a platform that is slow, and no longer than needed for a fast one.
+
+        With one short bound a platform that is just slower would never be heard; with one
+        long bound a connection that went silent would hold up a node that has rejoined.
+        """
+        if answered and late >= 0:
+            self._grace = min(max(self.times.grace, late * 3), self.times.most_grace)
+        elif not answered and late >= self._grace - TIMER_SLACK:
+            self._grace = min(self._grace * 2, self.times.most_grace)
+
     def _take_listing(self, since: int, listing: Listing) -> None:
         new = self._take_entries(map(entry_of, listing.objects))
         self.book.complete(since, listing.revision)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -6,10 +6,14 @@
 
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpResponse
+from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import Conflict, Unavailable
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.settings import Address
 from standins.platform import MAX_VALUE_BYTES, Platform
+from tests.builders import build_document, build_logger, build_member
 from tests.clock import PausedClockTest
 
 ADDRESS = Address('127.0.0.1', 9)
@@ -84,6 +88,33 @@
         self.assertEqual(1, value)
         self.assertIsInstance(out.unwrap_err(), Unavailable)
 
+    def test_records_come_through_a_slow_platform(self):
+        # Every answer of the platform takes 6 s for an hour. A node that waited a fixed time
+        # for each would never hear of a change; this one waits longer after each try, and is
+        # back at its short wait once the platform is fast again.
+        async def scenario(store, platform):
+            member = build_member()
+            sync = RecordSync(
+                RecordBook(),
+                store,
+                MemberView(),
+                None,
+                lambda: member,
+                Random(1),
+                build_logger('slow'),
+            )
+            await store.put('records', 'cut-orders', {'record': build_document()}, 0)
+            platform.faults = {'delay': 6.0}
+            task = asyncio.create_task(sync.run())
+            await asyncio.sleep(60)
+            version, slow = sync.book.version('cut-orders'), sync._grace
+            platform.faults = {}
+            await asyncio.sleep(20)
+            task.cancel()
+            return version, slow > 6, sync._grace
+
+        self.assertEqual((1, True, 2.0), self.with_platform(scenario))
+
     def test_garbage_counts_as_no_answer(self):
         # A proxy on the way answers with its own page, a body is cut short, types are wrong:
         # none of it may be taken for a listing, for "there is none" or for a conflict.
