--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -199,12 +199,14 @@
         record = self.book.find(service)
         assert record is not None
         rule = classify(record, method, path)
+        load = self.admission.load(asyncio.get_running_loop().time())
         return {
             'rule': rule.name,
             'rank': rule.rank.name.lower(),
             'idempotent': rule.idempotent,
             'mode': record.mode.value,
             'version': self.book.version(service),
+            'level_admitted': load.level if service == self.target.service else None,
             'targets': [m.instance for m in self.view.serving(service)],
         }
 
