Push all that a listing held, not only what was new to the watcher

Cause: a watcher that had one of two changes from a peer pushed only the other, with the word that nothing was missing up to the end; receivers then never asked for the first one (test: complete up to 2, version 0 in force; now 2). Found by reading. Ruled out: not moving the revision on pushes, which would make every push cost an exchange.

--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -108,9 +108,13 @@
         # A fleet that starts as one must not ask the platform as one.
         await asyncio.sleep(self.rng.uniform(0, self.times.start_spread))
         await self._ask_some()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._repeat(self._ask_platform))
-            group.create_task(self._repeat(self._exchange))
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._repeat(self._ask_platform))
+                group.create_task(self._repeat(self._exchange))
+        finally:
+            for task in self._pushes:
+                task.cancel()
 
     def watchers(self) -> list[str]:
         """Give the instances that should watch for this failure domain, as known here."""
@@ -268,14 +272,15 @@
             self._grace = min(self._grace * 2, self.times.most_grace)
 
     def _take_listing(self, since: int, listing: Listing) -> None:
-        new = self._take_entries(map(entry_of, listing.objects))
+        entries = sorted(map(entry_of, listing.objects), key=lambda e: e.version)
+        new = self._take_entries(entries)
         self.book.complete(since, listing.revision)
         self.fresh_at = _now()
         if not new:
             return
         me = self.me()
-        new.sort(key=lambda e: e.version)
-        for chunk in cut(new, since, listing.revision):
+        # All of them, not just the new: a push says that nothing is missing up to its end.
+        for chunk in cut(entries, since, listing.revision):
             push = RecordsPush(chunk.since, chunk.upto, me.domain, me.instance, chunk.entries)
             self._push([*self._children(me.instance, me.instance), *self._reach(me)], push)
 
@@ -357,7 +362,8 @@
         yet noticed, a node would hear nothing before its slow poll.
         """
         now = _now()
-        answering = [m for m in self._others() if self._silent_until.get(m.instance, 0) <= now]
+        self._silent_until = {i: t for i, t in self._silent_until.items() if t > now}
+        answering = [m for m in self._others() if m.instance not in self._silent_until]
         return topology.neighbours(self.me(), answering)
 
     def _own(self, me: Member) -> dict[str, Member]:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -1,11 +1,12 @@
 import asyncio
 from random import Random
 
-from dunlinsaddle.calls.messages import RecordsAsk
+from dunlinsaddle.calls.messages import RecordsAsk, RecordsPush
 from dunlinsaddle.membership.view import State
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.chunks import CHUNK_BYTES
 from dunlinsaddle.records.history import RECORDS
+from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.records.topology import FANOUT, WATCHERS
 from tests.builders import build_document, build_environment, build_logger, build_settings
 from tests.clock import PausedClockTest
@@ -234,6 +235,23 @@
             case 4:
                 fleet.add(rng.choice(DOMAINS), f'fresh-{len(fleet.nodes)}').start()
 
+    def test_watcher_that_knew_a_part_passes_on_all(self):
+        # A watcher hears of the newer of two changes from a peer first, then gets both from
+        # the platform. What it pushes says "all changes up to here": without the one that it
+        # knew already, a receiver would count itself complete and never ask for that one.
+        async def scenario():
+            fleet = FakeFleet(['menai-hall'], 2)
+            one, two = fleet.nodes.values()
+            await write(fleet, 1.0, 'slab-stock')
+            version = await write(fleet, 1.0)
+            entry = RecordEntry('cut-orders', version, build_document())
+            one.take(RecordsPush(1, version, 'menai-hall', '', [entry]))
+            await one.sync._watch(0)
+            await asyncio.sleep(0.1)
+            return two.book.complete_revision, two.book.version('cut-orders')
+
+        self.assertEqual((2, 2), self.run_paused(scenario()))
+
     def test_node_of_the_old_schema_hands_on_what_it_cannot_read(self):
         # Between the platform and a node of the new schema stands one of the old schema. It
         # keeps its own last good record, says why, and the new record still arrives.
