--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -194,8 +194,8 @@
     def test_no_node_ever_goes_back_under_cuts_restarts_and_replayed_pushes(self):
         # Failure domains are cut and rejoined at random while records change, nodes restart
         # with nothing, and old pushes are delivered again at any time. At every step each
-        # node's version of each record is at least what it was; after the last rejoin all
-        # agree with the platform.
+        # node's version of each record is at least what it was, and nothing is missing up to
+        # its complete revision; after the last rejoin all agree with the platform.
         async def scenario(seed: int):
             rng = Random(seed)
             fleet = FakeFleet(DOMAINS, 4, seed)
@@ -210,6 +210,7 @@
                         key = (node.member.instance, entry.service)
                         self.assertGreaterEqual(entry.version, floor.get(key, 0))
                         floor[key] = entry.version
+                    self.assert_complete(fleet, node)
             fleet.rejoin()
             await asyncio.sleep(CATCH_UP_SECONDS)
             want = {name: held.version for (_, name), held in fleet.store.objects.items()}
@@ -220,6 +221,12 @@
         for seed in range(10):
             self.run_paused(scenario(seed))
 
+    def assert_complete(self, fleet: FakeFleet, node: FakeNode) -> None:
+        have = {e.service: e.version for e in node.book.entries()}
+        for (_, name), held in fleet.store.objects.items():
+            if held.version <= node.book.complete_revision:
+                self.assertEqual(held.version, have.get(name))
+
     async def disturb(self, fleet: FakeFleet, rng: Random) -> None:
         match rng.randrange(5):
             case 0:
