--- a/dunlinsaddle/calls/peer_server.py
+++ b/dunlinsaddle/calls/peer_server.py
@@ -20,6 +20,10 @@
     Hello,
     Ping,
     Pong,
+    RecordFrame,
+    RecordsAnswer,
+    RecordsAsk,
+    RecordsPush,
     Reply,
     Welcome,
     refusal,
@@ -28,6 +32,7 @@
 from dunlinsaddle.settings import Address
 
 CallHandler = Callable[[Call], Awaitable[Reply]]
+RecordsHandler = Callable[[RecordFrame], RecordsAnswer | None]
 
 
 class _Serving(FrameProtocol):
@@ -83,6 +88,10 @@
                     task.cancel()
             case Ping() if self.instance:
                 self.send(Pong(frame.number))
+            case RecordsAsk() | RecordsPush() if self.instance:
+                answer = self.server.on_records(frame)
+                if answer is not None:
+                    self.send(answer)
             case _:
                 self.transport.abort()
 
@@ -152,6 +161,7 @@
         self.on_fault = on_fault
         self.links: set[_Serving] = set()
         self.refused = 0
+        self.on_records: RecordsHandler = lambda frame: None
         self._server: asyncio.Server | None = None
         self._idle = asyncio.Event()
 
--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -9,17 +9,31 @@
 
 from dunlinsaddle import __version__
 from dunlinsaddle.cli.commands.apply import ApplyCommand
-from dunlinsaddle.cli.definition import BaseCommand
-from dunlinsaddle.cli.queries.nodes import StatusCommand, TargetsCommand
-from dunlinsaddle.cli.queries.records import GetCommand, HistoryCommand, ListCommand
+from dunlinsaddle.cli.commands.delete import DeleteCommand
+from dunlinsaddle.cli.definition import DEBUG_FLAG, BaseCommand
+from dunlinsaddle.cli.queries.audit import AuditCommand, HistoryCommand
+from dunlinsaddle.cli.queries.nodes import (
+    ExplainCommand,
+    MetricsCommand,
+    RolloutCommand,
+    StatusCommand,
+    TargetsCommand,
+)
+from dunlinsaddle.cli.queries.records import DiffCommand, GetCommand, ListCommand
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
 COMMANDS: tuple[type[BaseCommand], ...] = (
     ApplyCommand,
+    AuditCommand,
+    DeleteCommand,
+    DiffCommand,
+    ExplainCommand,
     GetCommand,
     HistoryCommand,
     ListCommand,
+    MetricsCommand,
+    RolloutCommand,
     StatusCommand,
     TargetsCommand,
 )
@@ -37,8 +51,14 @@
             ArgvInput([env.program, *argv]), StreamOutput(env.stdout), StreamOutput(env.stderr)
         )
     except CleoError as exc:
-        env.report(f'{exc} See {env.program} --help.')
+        what = ' '.join(str(exc).split()).rstrip('.')
+        env.report(f'{what}; see {env.program} --help')
         return ExitStatus.USAGE
+    except Exception as exc:
+        if DEBUG_FLAG in argv:
+            raise
+        env.report(f'a fault of this program: {exc!r}; run it with {DEBUG_FLAG} and report it')
+        return ExitStatus.ERROR
 
 
 def main() -> None:
--- a/dunlinsaddle/cli/definition.py
+++ b/dunlinsaddle/cli/definition.py
@@ -1,5 +1,6 @@
 """What all commands of the tool share: options, output, and errors in one line."""
 
+import traceback
 from typing import Any
 
 import msgspec
@@ -7,18 +8,20 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from dunlinsaddle.cli.argtypes import address_argument
+from dunlinsaddle.cli.argtypes import address_argument, token_argument
 from dunlinsaddle.cli.client import NodeClient
 from dunlinsaddle.cli.constants import DEFAULT_NODE, NODE_VARIABLE, TOKEN_VARIABLE
 from dunlinsaddle.cli.exceptions import CommandError
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
+DEBUG_FLAG = '--debug'
 JSON_OPTION = option('json', None, 'Write one JSON document.')
 NODE_OPTIONS: list[Option] = [
     JSON_OPTION,
     option('node', None, f"A node's operators' face, or {NODE_VARIABLE}.", flag=False),
     option('token', None, f"The operators' token, or {TOKEN_VARIABLE}.", flag=False),
+    option('debug', None, 'Show where a failure comes from.'),
 ]
 
 
@@ -34,6 +37,8 @@
         try:
             return self.work()
         except CommandError as exc:
+            if self.definition.has_option('debug') and self.option('debug'):
+                self.env.stderr.write(traceback.format_exc())
             self.env.report(str(exc))
             return exc.status
 
@@ -62,7 +67,7 @@
             raise CommandError(
                 ExitStatus.USAGE, f'no operator token: give --token or {TOKEN_VARIABLE}'
             )
-        return NodeClient(address_argument('node', text), token)
+        return NodeClient(address_argument('node', text), token_argument('token', token))
 
 
 def table(rows: list[list[str]]) -> list[str]:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -6,8 +6,6 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from result import Ok
-
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.dispatch import Dispatcher
@@ -25,18 +23,18 @@
 from dunlinsaddle.membership.liveness import TargetWatch
 from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.changes import RECORDS, versioned
 from dunlinsaddle.records.models import Mode
+from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
-REFRESH_SECONDS = 0.5
 WATCH_SECONDS = 0.25
 DRAIN_NOTICE = 1.0
 #: Listings hold many values of up to a megabyte.
@@ -62,7 +60,7 @@
         self.logger = logger
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
-        self.book = RecordBook()
+        self.book = RecordBook(wall_clock=env.wall_clock)
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
@@ -96,6 +94,8 @@
             self.quarantine,
         )
         self._build_faces(link_limits)
+        self.sync = self._build_sync()
+        self.instruments = self._build_instruments()
         self.faces: Faces
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -110,14 +110,46 @@
         )
         callers = CallerFace(self.book, self.dispatcher, self.stats)
         self.local = LocalFace(self.target, self.running, self.book, self.dispatcher)
+        operators = OperatorsFace(self, self.env.wall_clock)
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
-        self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
+        self.operators_http = HttpFace(operators.handle, limits, self._fault)
         self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits, self._peer_fault)
 
+    def _build_sync(self) -> RecordSync:
+        rng = Random(self.env.rng.random())
+        sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
+        self.peer_server.on_records = sync.take
+        return sync
+
+    def _build_instruments(self) -> Metrics:
+        cfg = self.settings
+        resource = {
+            'service.name': 'dunlinsaddle',
+            'service.instance.id': cfg.instance,
+            'dunlinsaddle.domain': cfg.domain,
+            'dunlinsaddle.region': cfg.region,
+        }
+        metrics = Metrics(resource, cfg.otlp_endpoint)
+        observe_stats(metrics, self.stats)
+        observe_records(metrics, self.book)
+        metrics.gauge('dunlinsaddle.load', '{call}', 'Load of the target.', self._load_values)
+        metrics.counter(
+            'dunlinsaddle.platform_calls',
+            '{call}',
+            'Calls to the platform, each watch as one.',
+            lambda: [(self.store.calls, {})],
+        )
+        return metrics
+
+    def _load_values(self) -> Values:
+        load = self.admission.load(asyncio.get_running_loop().time())
+        return [(value, {'of': name}) for name, value in load._asdict().items()]
+
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
+        self.sync.store = store
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -134,7 +166,8 @@
         bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
         self._spawn(self.agent.run())
         self._spawn(bootstrap.run())
-        self._spawn(self._refresh_loop())
+        self._spawn(self.sync.run())
+        self._spawn(self.instruments.export_loop())
         self._spawn(self._announce_loop())
         return self.faces
 
@@ -165,6 +198,7 @@
         self.agent.leave()
         self.peer_server.close()
         self.links.close()
+        self.instruments.close()
         self.client.close()
         self.platform_client.close()
 
@@ -192,12 +226,16 @@
             'draining': self.target.draining,
             'faces': {name: str(address) for name, address in self.faces._asdict().items()},
             'load': load._asdict(),
-            'records': {e.service: e.version for e in self.book.entries()},
+            **self.sync.status(),
             'members': len(list(self.view.members())),
             'shed': dict(self.stats.shed),
             'retries': self.stats.retries,
         }
 
+    def metrics(self) -> Any:
+        """Give the value of every instrument."""
+        return self.instruments.read()
+
     def targets(self) -> Any:
         """Give all instances known here."""
         return [
@@ -225,7 +263,8 @@
 
     def _fault(self, req: HttpRequest) -> None:
         self.stats.faults += 1
-        self.logger.exception('fault while answering', extra={'path': req.path})
+        extra = {'path': req.path, 'request_id': req.header(b'request-id')}
+        self.logger.exception('fault while answering', extra=extra)
 
     def _peer_fault(self, call: Call) -> None:
         self.stats.faults += 1
@@ -234,19 +273,6 @@
     async def _serve_peer(self, call: Call) -> Reply:
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
-    async def _refresh_loop(self) -> None:
-        while True:
-            await self._refresh_records()
-            await asyncio.sleep(REFRESH_SECONDS)
-
-    async def _refresh_records(self) -> None:
-        match await self.store.list(RECORDS):
-            case Ok(listing):
-                for held in listing.objects:
-                    match versioned(held):
-                        case Ok(entry):
-                            self.book.take(entry)
-
     async def _announce_loop(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import copy
+from collections.abc import Collection
 from typing import Any
 
 from result import Err, Ok, Result
 
 from dunlinsaddle.platform.store import (
+    WATCH_GRACE,
     Conflict,
     Listing,
     StoredObject,
@@ -16,15 +18,23 @@
 
 
 class FakeStore:
-    """Keeps the promises of the platform's API, and breaks down when told to."""
+    """Keeps the promises of the platform's API, and breaks down when told to.
 
-    def __init__(self) -> None:
+    Kinds ``apart`` have a counter of versions of their own, so that a test can count the
+    versions of another kind while a whole node writes these.
+    """
+
+    def __init__(self, apart: Collection[str] = ()) -> None:
+        self.apart = apart
+        self.apart_revision = 0
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self.revision = 0
         self.down = False
         self.delay = 0.0
         self.lose_answers = 0  #: so many writes take effect, but their answers get lost
+        self.drop_writes = 0  #: so many writes never arrive, and their answers get lost
         self.calls = 0
+        self.call_times: list[float] = []
         self.changed = asyncio.Event()
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
@@ -45,7 +55,9 @@
     async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
         return await self._write(kind, name, None, expected)
 
-    async def watch(self, kind: str, since: int, timeout: float) -> Result[Listing, Unavailable]:
+    async def watch(
+        self, kind: str, since: int, timeout: float, grace: float = WATCH_GRACE
+    ) -> Result[Listing, Unavailable]:
         if await self._fails():
             return Err(Unavailable('down'))
         loop = asyncio.get_running_loop()
@@ -61,6 +73,7 @@
 
     async def _fails(self) -> bool:
         self.calls += 1
+        self.call_times.append(asyncio.get_running_loop().time())
         if self.delay:
             await asyncio.sleep(self.delay)
         return self.down
@@ -70,11 +83,13 @@
     ) -> Result[StoredObject, StoreError]:
         if await self._fails():
             return Err(Unavailable('down'))
+        if self.drop_writes > 0:
+            self.drop_writes -= 1
+            return Err(Unavailable('no answer'))
         held = self.objects.get((kind, name))
         if (held.version if held else 0) != expected:
             return Err(Conflict(copy.deepcopy(held)))
-        self.revision += 1
-        stored = StoredObject(kind, name, self.revision, copy.deepcopy(value))
+        stored = StoredObject(kind, name, self._next_revision(kind), copy.deepcopy(value))
         self.objects[kind, name] = stored
         self.changed.set()
         self.changed = asyncio.Event()
@@ -83,6 +98,14 @@
             return Err(Unavailable('the answer got lost'))
         return Ok(copy.deepcopy(stored))
 
+    def _next_revision(self, kind: str) -> int:
+        if kind in self.apart:
+            self.apart_revision += 1
+            return self.apart_revision
+        self.revision += 1
+        return self.revision
+
     def _listing(self, kind: str, since: int) -> Listing:
         objects = [o for (k, _), o in self.objects.items() if k == kind and o.version > since]
-        return Listing(copy.deepcopy(objects), self.revision)
+        revision = self.apart_revision if kind in self.apart else self.revision
+        return Listing(copy.deepcopy(objects), revision)
