--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -239,6 +239,9 @@
         self._set_timer(self.face.limits.header_timeout)
         if len(head.target) > MAX_TARGET_BYTES:
             return Failure(ErrorKind.TARGET_TOO_LONG)
+        # The parser bounds only what is not yet whole: a large head in one piece passes it.
+        if sum(len(n) + len(v) + 4 for n, v in head.headers) > self.face.limits.header_bytes:
+            return Failure(ErrorKind.HEADERS_TOO_LARGE)
         if head.method == b'CONNECT':
             return Failure(ErrorKind.METHOD_NOT_ALLOWED, 'CONNECT')
         framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
