--- a/dunlinsaddle/cli/definition.py
+++ b/dunlinsaddle/cli/definition.py
@@ -1,6 +1,7 @@
 """What all commands of the tool share: options, output, and errors in one line."""
 
 import traceback
+from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
@@ -70,6 +71,33 @@
         return NodeClient(address_argument('node', text), token_argument('token', token))
 
 
+def flat(value: dict[str, Any], prefix: str = '') -> list[list[str]]:
+    """Give a nested object as rows of a dotted name and a value.
+
+    >>> flat({'a': 1, 'b': {'c': 2}, 'd': {}})
+    [['a', '1'], ['b.c', '2'], ['d', '-']]
+    """
+    rows: list[list[str]] = []
+    for key, item in value.items():
+        name = f'{prefix}{key}'
+        if isinstance(item, dict) and item:
+            rows += flat(item, f'{name}.')
+        elif isinstance(item, list):
+            rows.append([name, ', '.join(map(str, item)) or '-'])
+        else:
+            rows.append([name, '-' if item in (None, {}) else str(item)])
+    return rows
+
+
+def moment(seconds: float) -> str:
+    """Give a moment in UTC.
+
+    >>> moment(0)
+    '1970-01-01T00:00:00Z'
+    """
+    return datetime.fromtimestamp(seconds, UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
+
+
 def table(rows: list[list[str]]) -> list[str]:
     """Lay rows out in columns.
 
--- a/dunlinsaddle/cli/queries/audit.py
+++ b/dunlinsaddle/cli/queries/audit.py
@@ -1,12 +1,11 @@
 """``history`` and ``audit``: who changed what, when and why."""
 
-from datetime import UTC, datetime
 from typing import Any
 
 from cleo.helpers import argument, option
 
 from dunlinsaddle.cli.argtypes import moment_argument
-from dunlinsaddle.cli.definition import NODE_OPTIONS, NodeCommand, table
+from dunlinsaddle.cli.definition import NODE_OPTIONS, NodeCommand, moment, table
 from dunlinsaddle.status import ExitStatus
 
 HEADINGS = ['WHEN', 'SERVICE', 'WHO', 'FROM', 'TO', 'CHANGED', 'WHY']
@@ -51,7 +50,13 @@
 
 
 def _row(line: dict[str, Any]) -> list[str]:
-    moment = datetime.fromtimestamp(line['when'], UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
     changed = 'deleted' if line['deleted'] else ', '.join(line['changed']) or 'nothing'
     versions = [str(line['before']), str(line['after'])]
-    return [moment, line['service'], line['who'], *versions, changed, line['why'] or '-']
+    return [
+        moment(line['when']),
+        line['service'],
+        line['who'],
+        *versions,
+        changed,
+        line['why'] or '-',
+    ]
--- a/dunlinsaddle/cli/queries/nodes.py
+++ b/dunlinsaddle/cli/queries/nodes.py
@@ -2,7 +2,7 @@
 
 from cleo.helpers import argument
 
-from dunlinsaddle.cli.definition import NodeCommand, table
+from dunlinsaddle.cli.definition import NodeCommand, flat, table
 from dunlinsaddle.status import ExitStatus
 
 
@@ -15,7 +15,7 @@
     def work(self) -> ExitStatus:
         """Show each figure on a line."""
         status = self.node().get('/v1/status')
-        self.show(status, table([[key, str(value)] for key, value in status.items()]))
+        self.show(status, table(flat(status)))
         return ExitStatus.OK
 
 
@@ -83,5 +83,5 @@
         """Show each part of the answer on a line."""
         body = {name: self.argument(name) for name in ('service', 'method', 'path')}
         answer = self.node().post('/v1/explain', body)
-        self.show(answer, table([[key, str(value)] for key, value in answer.items()]))
+        self.show(answer, table(flat(answer)))
         return ExitStatus.OK
--- a/dunlinsaddle/cli/queries/records.py
+++ b/dunlinsaddle/cli/queries/records.py
@@ -4,7 +4,7 @@
 from cleo.helpers import argument
 
 from dunlinsaddle.cli.argtypes import document_argument, service_of
-from dunlinsaddle.cli.definition import NodeCommand, table
+from dunlinsaddle.cli.definition import NodeCommand, moment, table
 from dunlinsaddle.status import ExitStatus
 
 
@@ -32,8 +32,11 @@
     def work(self) -> ExitStatus:
         """Show each service and the version in force."""
         records = self.node().get('/v1/records')
-        rows = [[r['service'], str(r['version']), str(r['schema']), r['mode']] for r in records]
-        self.show(records, table([['SERVICE', 'VERSION', 'SCHEMA', 'MODE'], *rows]))
+        rows = [
+            [r['service'], str(r['version']), str(r['schema']), r['mode'], moment(r['since'])]
+            for r in records
+        ]
+        self.show(records, table([['SERVICE', 'VERSION', 'SCHEMA', 'MODE', 'SINCE'], *rows]))
         return ExitStatus.OK
 
 
