--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -10,7 +10,7 @@
 from dunlinsaddle import __version__
 from dunlinsaddle.cli.commands.apply import ApplyCommand
 from dunlinsaddle.cli.commands.delete import DeleteCommand
-from dunlinsaddle.cli.definition import DEBUG_FLAG, BaseCommand
+from dunlinsaddle.cli.definition import DEBUG_FLAG, BaseCommand, table
 from dunlinsaddle.cli.queries.audit import AuditCommand, HistoryCommand
 from dunlinsaddle.cli.queries.nodes import (
     ExplainCommand,
@@ -39,8 +39,20 @@
 )
 
 
+def overview(name: str) -> str:
+    """Give the help of the whole tool: what each command is for."""
+    commands = sorted([command.name or '', command.description] for command in COMMANDS)
+    lines = [f'usage: {name} COMMAND [options]', '', *table(commands), '']
+    lines += [f'Options and arguments of a command: {name} COMMAND --help.']
+    return ''.join(f'{line}\n' for line in lines)
+
+
 def program(argv: list[str], env: Environment) -> int:
     """Run one command; gives the exit status."""
+    # The library would show the help of its own `list` here, whose name is ours.
+    if argv in ([], ['help'], ['-h'], ['--help']):
+        env.stdout.write(overview(env.program))
+        return ExitStatus.OK if argv else ExitStatus.USAGE
     app = Application('dunlinsaddle', __version__)
     app.auto_exits(False)
     app.catch_exceptions(False)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -146,6 +146,13 @@
     def test_debug_shows_where_a_failure_comes_from(self):
         self.assertIn('Traceback', self.cli('get', 'nothing', '--debug').error)
 
+    def test_help_of_the_tool_names_every_command(self):
+        for argv, status in (([], 2), (['--help'], 0), (['help'], 0)):
+            result = run_cli(*argv)
+            self.assertEqual(status, result.status)
+            for command in COMMANDS:
+                self.assertIn(f'\n{command.name} ', result.output)
+
     def test_each_command_says_what_it_is_for(self):
         for command in COMMANDS:
             result = self.cli(command.name, '--help')
