--- a/dunlinsaddle/records/schema.py
+++ b/dunlinsaddle/records/schema.py
@@ -138,7 +138,7 @@
         return _invalid(f'{size} bytes: expected at most {MAX_RECORD_BYTES}')
     shape: Any = RecordV1 if schema == 1 else RecordV2
     unknown = _unknown_field(doc, shape)
-    if unknown:
+    if unknown is not None:
         return _invalid(f'{unknown}: not a field of schema {schema}')
     try:
         typed = msgspec.convert(doc, shape)
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -1,3 +1,5 @@
+from random import Random
+
 from testtools import TestCase
 
 from dunlinsaddle.errors import ErrorKind
@@ -18,6 +20,21 @@
 }
 
 
+def random_document(rng: Random, good: dict) -> object:
+    values = [None, True, 0, -1, 2**64, 1e400, float('nan'), '', 'x', b'x', [], [[]], {}, {0: 1}]
+    match rng.randrange(4):
+        case 0:
+            return rng.choice(values)
+        case 1:
+            return {rng.choice([*good, 0, b'k', '']): rng.choice(values) for _ in range(4)}
+        case 2:
+            return {**good, rng.choice([*good, 0, 'more']): rng.choice(values[2:])}
+        case _:
+            rule = dict(good['requests'][0])
+            rule[rng.choice([*rule, 0, 'more'])] = rng.choice(values[:12])
+            return {**good, 'service': rng.choice(['a', 'cut-orders']), 'requests': [rule, rule]}
+
+
 class SchemaTest(TestCase):
     def test_both_versions_mean_the_same(self):
         rule = {'name': 'release', 'method': 'POST', 'path': '/r', 'idempotent': False}
@@ -93,6 +110,27 @@
             self.assertEqual(3, book.version('cut-orders'))
             self.assertEqual(version, book.unreadable['cut-orders'].version)
 
+    def test_random_documents_never_raise_and_never_half_take_force(self):
+        # A peer of another version, or a broken one, hands on anything that MessagePack can
+        # hold. An exception here would end the link; a half-read record would be worse.
+        rng = Random(4)
+        book = RecordBook()
+        book.take_entry(RecordEntry('cut-orders', 1, build_document()))
+        good = build_document(deadline=1.0, targets={'slots': 1})
+        unreadable = 0
+        for version in range(2, 3002):
+            before = book.version('cut-orders'), book.find('cut-orders')
+            doc = random_document(rng, good)
+            book.take_entry(RecordEntry('cut-orders', version, doc))
+            if book.version('cut-orders') == version:
+                want = None if doc is None else decode_record(doc).unwrap()
+                self.assertEqual(want, book.find('cut-orders'))
+                continue
+            unreadable += 1
+            self.assertEqual(before, (book.version('cut-orders'), book.find('cut-orders')))
+            self.assertEqual(version, book.unreadable['cut-orders'].version)
+        self.assertGreater(unreadable, 2000)
+
     def test_revision_is_not_complete_over_a_gap(self):
         book = RecordBook()
         book.complete(0, 4)
