Warn the other nodes of a service when a target dies of a request

Cause: a request that kills is sent again by another entry, whose nodes have not heard of it. Ruled out: waiting for membership messages, which come in seconds where the resend comes in milliseconds. Change: the node whose target died tells all nodes beside targets of that service, over the links.

--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -18,6 +18,7 @@
     Call,
     Cancel,
     Challenge,
+    Deaths,
     Frame,
     Hello,
     Lost,
@@ -206,10 +207,10 @@
             return None
         return answer if isinstance(answer, RecordsAnswer) else None
 
-    async def push_records(self, address: Address, push: RecordsPush) -> bool:
-        """Send records to a peer; say whether there is a link to it."""
+    async def tell(self, address: Address, frame: RecordsPush | Deaths) -> bool:
+        """Send a peer what wants no answer; say whether there is a link to it."""
         try:
-            (await self._link(address)).send(push)
+            (await self._link(address)).send(frame)
         except (OSError, TimeoutError):
             return False
         return True
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -168,6 +168,13 @@
     entries: list[RecordEntry]
 
 
+class Deaths(msgspec.Struct, tag='d', array_like=True):
+    """Targets died while they ran the request with this fingerprint, so many of them."""
+
+    fingerprint: int
+    deaths: int
+
+
 RecordFrame = RecordsAsk | RecordsPush
 Frame = (
     Challenge
@@ -181,4 +188,5 @@
     | RecordsAsk
     | RecordsAnswer
     | RecordsPush
+    | Deaths
 )
--- a/dunlinsaddle/calls/peer_server.py
+++ b/dunlinsaddle/calls/peer_server.py
@@ -16,6 +16,7 @@
     Call,
     Cancel,
     Challenge,
+    Deaths,
     Frame,
     Hello,
     Ping,
@@ -92,6 +93,8 @@
                 answer = self.server.on_records(frame)
                 if answer is not None:
                     self.send(answer)
+            case Deaths() if self.instance:
+                self.server.on_deaths(frame)
             case _:
                 self.transport.abort()
 
@@ -162,6 +165,7 @@
         self.links: set[_Serving] = set()
         self.refused = 0
         self.on_records: RecordsHandler = lambda frame: None
+        self.on_deaths: Callable[[Deaths], None] = lambda frame: None
         self._server: asyncio.Server | None = None
         self._idle = asyncio.Event()
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -14,7 +14,7 @@
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
@@ -82,6 +82,7 @@
             self.stats,
             self.quarantine,
             self._observes,
+            self._tell_deaths,
         )
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
@@ -120,6 +121,7 @@
         rng = Random(self.env.rng.random())
         sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
         self.peer_server.on_records = sync.take
+        self.peer_server.on_deaths = self._hear_deaths
         return sync
 
     def _build_instruments(self) -> Metrics:
@@ -256,6 +258,24 @@
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
 
+    def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
+        """Warn the nodes whose targets the same request could reach next.
+
+        Its caller sends it again at once, by any entry: only the nodes beside the other
+        targets of this service stand between the request and a further death.
+        """
+        frame = Deaths(fingerprint, deaths)
+        for member in self.view.serving(self.target.service):
+            if member.instance != self.settings.instance:
+                self._spawn(self._tell(member.peers, frame))
+
+    async def _tell(self, address: Address, frame: Deaths) -> None:
+        await self.links.tell(address, frame)
+
+    def _hear_deaths(self, frame: Deaths) -> None:
+        now = asyncio.get_running_loop().time()
+        self.quarantine.hear(now, frame.fingerprint, frame.deaths)
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -55,7 +55,7 @@
     ) -> RecordsAnswer | None:
         """Ask a peer for records; None when no answer comes."""
 
-    async def push_records(self, address: Address, push: RecordsPush) -> bool:
+    async def tell(self, address: Address, push: RecordsPush) -> bool:
         """Send records to a peer; say whether there is a link to it."""
 
 
@@ -311,7 +311,7 @@
             task.add_done_callback(self._pushes.discard)
 
     async def _push_to(self, member: Member, push: RecordsPush) -> None:
-        reached = await self.links.push_records(member.peers, push)
+        reached = await self.links.tell(member.peers, push)
         if not reached and push.root and member.domain == push.domain == self.me().domain:
             # A dead node serves nobody, so those below it would wait for the next exchange.
             self._push(self._children(member.instance, push.root), push)
--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -71,7 +71,7 @@
         node = await self._reach(address, timeout)
         return None if node is None else node.sync.take(ask)
 
-    async def push_records(self, address: Address, push: RecordsPush) -> bool:
+    async def tell(self, address: Address, push: RecordsPush) -> bool:
         self.fleet.pushed.append(push)
         self.sent += 1
         node = await self._reach(address, 1.0)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -109,7 +109,7 @@
                 for name in side:
                     self.assertEqual(side, self.serving(net, name))
             net.cut = lambda sender, receiver: False
-            took = net.run_until(lambda: self.healed(net, sides), 60)
+            took = net.run_until(lambda net=net, sides=sides: self.healed(net, sides), 60)
             self.assertLess(took, 20)
 
     def serving(self, net: Machines, name: str) -> set[str]:
