Tell neighbours of news, to get round frozen nodes

Cause: a frozen node takes pushes over a link that stays open and passes nothing on; those below it waited for an exchange. Ruled out: waiting for an answer to each push, which takes as long as noticing a silent link.

--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -177,13 +177,18 @@
         new = self._take_entries(push.entries)
         self.book.complete(push.since, push.upto)
         me = self.me()
-        if push.domain == me.domain:
-            if push.root and self._first(push):
-                self._push(self._children(me.instance, push.root), push)
-        elif new:
+        if push.domain == me.domain and push.root and self._first(push):
+            self._push(self._children(me.instance, push.root), push)
+        if not new:
+            return
+        if push.domain != me.domain:
             # This domain may be cut off from the platform: what came in is for all of it.
             passed = RecordsPush(push.since, push.upto, me.domain, me.instance, push.entries)
             self._push(self._children(me.instance, me.instance), passed)
+        # A node that is frozen, its links still open, ends a tree without a sign. News that
+        # also goes from neighbour to neighbour gets round it without waiting for an exchange.
+        near = [m for m in self._neighbours() if m.domain == me.domain]
+        self._push(near, RecordsPush(push.since, push.upto, me.domain, '', push.entries))
 
     def _first(self, push: RecordsPush) -> bool:
         """Say whether a push comes down its tree for the first time.
--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -50,6 +50,7 @@
         self.fleet = fleet
         self.member = member
         self.alive = True
+        self.frozen = False  #: links to it stay open, and it takes and answers nothing
         self.sent = 0  #: pushes
         self.book = RecordBook(newest=newest)
         self.view = MemberView()
@@ -74,6 +75,8 @@
     async def push_records(self, address: Address, push: RecordsPush) -> bool:
         self.fleet.pushed.append(push)
         self.sent += 1
+        if self.fleet.nodes[address].frozen:
+            return True
         node = await self._reach(address, 1.0)
         if node is not None:
             node.take(push)
@@ -86,7 +89,7 @@
         await asyncio.sleep(LATENCY)
         node = self.fleet.nodes[address]
         path = frozenset((self.member.domain, node.member.domain))
-        if self.alive and node.alive and path not in self.fleet.cut:
+        if self.alive and node.alive and not node.frozen and path not in self.fleet.cut:
             return node
         await asyncio.sleep(timeout)
         return None
@@ -94,6 +97,11 @@
     def start(self) -> None:
         self.task = asyncio.get_running_loop().create_task(self.sync.run())
 
+    def freeze(self) -> None:
+        self.frozen = True
+        if self.task is not None:
+            self.task.cancel()
+
     def kill(self) -> None:
         self.alive = False
         if self.task is not None:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -61,6 +61,25 @@
         self.assertLess(taken, IN_FORCE_SECONDS)
         self.assertLess(sent, 5 * FANOUT)
 
+    def test_frozen_nodes_in_the_tree_are_gone_round(self):
+        # A tenth of a failure domain is frozen, and links to it stay open: pushes to it vanish
+        # without a sign. Whoever hears first tells its neighbours too.
+        async def scenario(seed: int):
+            fleet = FakeFleet(['menai-hall'], 120, seed)
+            fleet.start()
+            await asyncio.sleep(10)
+            watchers = fleet.of('menai-hall')[0].sync.watchers()
+            nodes = [n for n in fleet.of('menai-hall') if n.member.instance not in watchers]
+            for node in fleet.rng.sample(nodes, 12):
+                node.freeze()
+            await asyncio.sleep(0.1)
+            version = await write(fleet, 2.0)
+            reachable = [n for n in fleet.of('menai-hall') if not n.frozen]
+            return await fleet.seconds_until('cut-orders', version, reachable)
+
+        for seed in (10, 19, 30, 31):
+            self.assertLess(self.run_paused(scenario(seed)), IN_FORCE_SECONDS)
+
     def test_domain_cut_from_the_platform_hears_through_another(self):
         # The platform's answers to one failure domain vanish; its watchers wait in vain. The
         # other domains still reach it: a watcher elsewhere pushes to two of its members, and
