Keep a target that announces itself once

Cause: five fuzz tests failed after the merge: a target that announced itself once was withdrawn after 6 s of silence, as if it had promised a heartbeat. Ruled out: longer silence, which only moves the end. Change: silence ends a target only after it used to repeat itself; otherwise its port decides.

--- a/dunlinsaddle/membership/liveness.py
+++ b/dunlinsaddle/membership/liveness.py
@@ -7,6 +7,7 @@
 
 LATE_AFTER = 2.2
 GONE_AFTER = 6.0
+REPEATS = 2  #: announcements in a row that show that a target repeats itself
 CONNECT_TIMEOUT = 1.0
 
 
@@ -22,20 +23,27 @@
     """Judges a target by its announcements, which come every two seconds.
 
     One that is late may only be slow: it is gone when it also refuses connections. One that
-    accepts them and stays silent for three periods is frozen, and gone as well.
+    accepts them and stays silent for three periods is frozen, and gone as well. That holds
+    only for a target that used to repeat itself: one that announced itself once and says no
+    more is as well as its port.
     """
 
     def __init__(self) -> None:
         self._heard: float | None = None
+        self._repeats = 0
 
     def heard(self, now: float) -> None:
         """Note an announcement."""
+        if self._heard is not None and now - self._heard < GONE_AFTER:
+            self._repeats += 1
+        else:
+            self._repeats = 0
         self._heard = now
 
     def hearing(self, now: float) -> Hearing:
         """Judge the silence; before the first announcement there is nothing to miss."""
         silence = 0.0 if self._heard is None else now - self._heard
-        if silence >= GONE_AFTER:
+        if silence >= GONE_AFTER and self._repeats >= REPEATS:
             return Hearing.GONE
         return Hearing.LATE if silence >= LATE_AFTER else Hearing.FRESH
 
