--- /dev/null
+++ b/standins/ways.py
@@ -0,0 +1,128 @@
+"""Compares ways between two nodes: a call of 400 bytes and its reply, on loopback.
+
+Each way has a listening process of its own; calls go out one by one at a steady rate.
+"""
+
+import argparse
+import asyncio
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import pynng
+from hdrh.histogram import HdrHistogram
+
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.frames import LinkLimits
+from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.errors import Outcome
+from dunlinsaddle.settings import Address, read_address
+from standins.demo import say
+from standins.fleet import PEER_KEY, START_SECONDS, Process
+from standins.latency import DIGITS, MOST_MICROSECONDS, processor_seconds
+
+BODY = b'x' * 400
+ANY = Address('127.0.0.1', 0)
+RATE = 300.0
+WARM_UP = 100
+
+Send = Callable[[], Awaitable[object]]
+
+
+async def _echo_http(req: HttpRequest) -> HttpResponse:
+    return HttpResponse(200, [], req.body)
+
+
+async def _echo_call(call: Call) -> Reply:
+    return Reply(0, 200, [], call.body, Outcome.DONE)
+
+
+async def _echo_pynng(rep: pynng.Rep0) -> None:
+    while True:
+        await rep.asend(await rep.arecv())
+
+
+def _free_address() -> Address:
+    with socket.create_server(ANY) as sock:
+        return Address(*sock.getsockname())
+
+
+async def listen(way: str) -> None:
+    """Listen until SIGTERM; prints the address first."""
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    match way:
+        case 'h11':
+            address = await HttpFace(_echo_http, HttpLimits()).listen(ANY)
+        case 'frames':
+            address = await PeerServer(PEER_KEY, _echo_call, LinkLimits()).listen(ANY)
+        case _:
+            address = _free_address()
+            echoing = asyncio.create_task(_echo_pynng(pynng.Rep0(listen=f'tcp://{address}')))
+            echoing.add_done_callback(lambda _: stop.set())
+    say(str(address))
+    await stop.wait()
+
+
+def sender(way: str, address: Address) -> Send:
+    """Give what sends one call and waits for its reply."""
+    match way:
+        case 'h11':
+            client = HttpClient()
+            req = HttpRequest('POST', '/x', [], BODY, '')
+            return lambda: client.send(address, req, 5)
+        case 'frames':
+            links = PeerLinks(PEER_KEY, 'trial', LinkLimits())
+            call = Call(0, 's', 'POST', '/x', [], BODY, 'r', 'c', 'x', 2, 5, 5.0, 0, 0, True)
+            return lambda: links.call(address, call)
+        case _:
+            req0 = pynng.Req0(dial=f'tcp://{address}')
+
+            async def send() -> object:
+                await req0.asend(BODY)
+                return await req0.arecv()
+
+            return send
+
+
+async def measure(way: str, address: Address, count: int) -> HdrHistogram:
+    """Send calls at a steady rate, one after another."""
+    send = sender(way, address)
+    histogram = HdrHistogram(1, MOST_MICROSECONDS, DIGITS)
+    for number in range(count + WARM_UP):
+        began = time.perf_counter()
+        await send()
+        if number >= WARM_UP:
+            histogram.record_value(int((time.perf_counter() - began) * 1e6))
+        await asyncio.sleep(1 / RATE)
+    return histogram
+
+
+def main() -> None:
+    """Measure every way twice in turn, or listen for one."""
+    parser = argparse.ArgumentParser(description='Compares ways between two nodes.')
+    parser.add_argument('--listen', choices=('h11', 'frames', 'pynng'))
+    parser.add_argument('--count', default=1000, type=int)
+    args = parser.parse_args()
+    if args.listen:
+        asyncio.run(listen(args.listen))
+        return
+    say(f'{"way":<8}{"p50 us":>8}{"p99 us":>8}{"core us/call":>14}')
+    for way in ('h11', 'frames', 'pynng') * 2:
+        proc = Process([sys.executable, '-m', 'standins.ways', '--listen', way], {})
+        address = read_address(proc.out.get(timeout=START_SECONDS))
+        before = processor_seconds(proc.popen.pid)
+        histogram = asyncio.run(measure(way, address, args.count))
+        busy = (processor_seconds(proc.popen.pid) - before) / (args.count + WARM_UP)
+        proc.stop()
+        p50, p99 = (histogram.get_value_at_percentile(q) for q in (50, 99))
+        say(f'{way:<8}{p50:>8}{p99:>8}{busy * 1e6:>14.0f}')
+
+
+if __name__ == '__main__':
+    main()
