No event for an empty body; prove the platform's silent connections

A platform call that times out on a kept connection drops the other kept ones: without that PlatformSilentTest fails, with it the next call takes < 0.1 s.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from dunlinsaddle.calls.http import BODILESS, HOP_BY_HOP, HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import BODILESS, HOP_BY_HOP, HttpRequest, HttpResponse, message_events
 from dunlinsaddle.calls.keepalive import watch_connection
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
@@ -83,7 +83,7 @@
         headers += [(n, v) for n, v in req.headers if n not in HOP_BY_HOP]
         headers.append((b'content-length', str(len(req.body)).encode()))
         head = h11.Request(method=req.method, target=req.path, headers=headers)
-        events: list[h11.Event] = [head, h11.Data(data=req.body), h11.EndOfMessage()]
+        events = message_events(head, req.body)
         wire = b''.join(self.parser.send(event) or b'' for event in events)
         self.fut = self.loop.create_future()
         self.method, self.heard = req.method, False
--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -83,6 +83,13 @@
     return [(n, v) for n, v in headers if n not in dropped and not n.startswith(OWN_PREFIX)]
 
 
+def message_events(head: h11.Request | h11.Response, body: bytes) -> list[h11.Event]:
+    """Give the events of one whole message; an empty body costs no event."""
+    if not body:
+        return [head, h11.EndOfMessage()]
+    return [head, h11.Data(data=body), h11.EndOfMessage()]
+
+
 def json_response(value: object, status: int = 200) -> HttpResponse:
     """Give a JSON response."""
     body = msgspec.json.encode(value)
@@ -289,7 +296,7 @@
             headers.append((b'connection', b'close'))
         body = b'' if bodiless else response.body
         head = h11.Response(status_code=response.status, headers=headers)
-        return self._encode([head, h11.Data(data=body), h11.EndOfMessage()])
+        return self._encode(message_events(head, body))
 
     def _answer(self, wire: bytes | None) -> None:
         if wire is None:
@@ -314,7 +321,7 @@
         headers.append((b'content-length', str(len(response.body)).encode()))
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = h11.Response(status_code=response.status, headers=headers)
-            self._write([head, h11.Data(data=response.body), h11.EndOfMessage()])
+            self._write(message_events(head, response.body))
         self._close()
 
     def _write(self, events: list[h11.Event]) -> None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,6 +4,7 @@
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.settings import Address
 from tests.clock import PausedClockTest
 from tests.fakes.target import ScriptedTarget, ok
@@ -301,3 +302,31 @@
             return True
 
         self.assertTrue(self.with_target(script, use))
+
+
+class PlatformSilentTest(ClientTest):
+    def test_one_call_finds_out_that_the_platform_forgot_the_connections(self):
+        # The platform's kept connections go silent while in use; new ones work. One call
+        # fails after its two seconds, and takes the other kept connections with it: the
+        # next call succeeds at once over a new one.
+        async def script(conversation, data):
+            self.seen = getattr(self, 'seen', 0) + 1
+            if self.seen <= 3 or conversation.number > 3:
+                await asyncio.sleep(0.01)
+                conversation.write(ok(b'{"objects": [], "revision": 1}'))
+
+        async def use(client, target):
+            store = HttpObjectStore(TARGET, client)
+            loop = asyncio.get_running_loop()
+            await asyncio.gather(*(store.list('records') for _ in range(3)))
+            began = loop.time()
+            first = await store.list('records')
+            lost_after = loop.time() - began
+            second = await store.list('records')
+            return first, lost_after, second, loop.time() - began - lost_after
+
+        first, lost_after, second, elapsed = self.with_target(script, use)
+        self.assertTrue(first.is_err())
+        self.assertAlmostEqual(2.0, lost_after, delta=0.05)
+        self.assertTrue(second.is_ok())
+        self.assertLess(elapsed, 0.1)
