--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,69 @@
+import asyncio
+import signal
+import time
+
+from testtools import TestCase
+
+from dunlinsaddle.settings import read_address
+from dunlinsaddle.status import ExitStatus
+from standins.caller import Caller
+from standins.demo import operate
+from standins.fleet import Fleet, TargetSpec
+from tests import test_whole_path
+
+SECONDS = 2.0
+
+
+class SignalTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        self.placed = self.fleet.place(
+            'bangor-1', TargetSpec('cut-orders', 'bangor-hall', 9, SECONDS)
+        )
+        operate(
+            self.placed.faces['operators'],
+            'apply',
+            test_whole_path.WholePathTest.write_record(self, 'cut-orders'),
+        )
+        test_whole_path.WholePathTest.answered(self, self.placed)
+
+    call = test_whole_path.WholePathTest.call
+
+    def signalled(self, *signals):
+        """Send signals while a call runs; give its status, the exit status and the time."""
+        node = self.placed.node
+
+        async def scenario():
+            caller = Caller()
+            address = read_address(self.placed.faces['callers'])
+            call = asyncio.create_task(caller.call(address, 'GET', '/cut-orders/orders/1'))
+            await asyncio.sleep(0.3)
+            for number in signals:
+                node.kill(number)
+                await asyncio.sleep(0.2)
+            response = await call
+            caller.close()
+            return response
+
+        began = time.monotonic()
+        response = asyncio.run(scenario())
+        status = node.popen.wait(10)
+        return response, status, time.monotonic() - began
+
+    def test_sigterm_lets_calls_end(self):
+        # The node is told to end while a call of two seconds runs. Its caller gets the whole
+        # answer, then the process ends with success.
+        response, status, _ = self.signalled(signal.SIGTERM)
+        self.assertEqual(200, response.status)
+        self.assertEqual(ExitStatus.OK, status)
+
+    def test_a_second_sigint_ends_at_once(self):
+        # Somebody at a terminal interrupts twice, because the drain takes too long for them:
+        # the call is cut, and the process ends at once and says that it was interrupted.
+        response, status, elapsed = self.signalled(signal.SIGINT, signal.SIGINT)
+        self.assertIsNone(response)
+        self.assertEqual(ExitStatus.INTERRUPTED, status)
+        self.assertLess(elapsed, SECONDS)
