--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -290,6 +290,19 @@
             pool.keep(conn, sent_at)
         return exchange
 
+    async def reaches(self, address: Address) -> bool:
+        """Say whether a fresh connection can be opened."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, address.host, address.port
+                )
+        except (OSError, TimeoutError):
+            return False
+        transport.close()
+        return True
+
     def _expire(self, pool: _Pool, conn: _Connection) -> None:
         if conn.answers:
             # What forgot this connection may have forgotten the others of its age too.
--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from typing import Any
 
 from dunlinsaddle.calls.frames import (
     HANDSHAKE_TIMEOUT,
@@ -17,12 +18,16 @@
     Call,
     Cancel,
     Challenge,
+    Deaths,
     Frame,
     Hello,
     Lost,
     NotSent,
     Ping,
     Pong,
+    RecordsAnswer,
+    RecordsAsk,
+    RecordsPush,
     Reply,
     Welcome,
 )
@@ -45,7 +50,7 @@
         self.greeted = False
         self.ready: asyncio.Future[None] = self.loop.create_future()
         self.proof: asyncio.Future[None] | None = None
-        self.waiting: dict[int, asyncio.Future[Reply | Lost]] = {}
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
         self.numbers = 0
         self.busy_since = 0.0
         self.retired = False
@@ -69,7 +74,7 @@
                 self.send(Hello(self.instance, proof, self.nonce))
             case Welcome() if self.greeted and not self.ready.done():
                 self._check(frame)
-            case Reply() if self.ready.done():
+            case Reply() | RecordsAnswer() if self.ready.done():
                 # A reply whose call is over is late: it belongs to nobody.
                 fut = self.waiting.pop(frame.id, None)
                 if fut is not None and not fut.done():
@@ -113,10 +118,10 @@
         if not self.waiting:
             self.transport.abort()
 
-    def call(self, call: Call) -> 'asyncio.Future[Reply | Lost]':
+    def call(self, call: Call | RecordsAsk) -> 'asyncio.Future[Any]':
         self.numbers += 1
         call.id = self.numbers
-        fut: asyncio.Future[Reply | Lost] = self.loop.create_future()
+        fut: asyncio.Future[Any] = self.loop.create_future()
         self.waiting[call.id] = fut
         self.send(call)
         if self.timer is None:
@@ -179,13 +184,37 @@
         number = call.id
         timer = loop.call_at(deadline, link.expire, number)
         try:
-            return await fut
+            reply: Reply | Lost = await fut
+            return reply
         except asyncio.CancelledError:
             link.give_up(number)
             raise
         finally:
             timer.cancel()
 
+    async def ask_records(
+        self, address: Address, ask: RecordsAsk, timeout: float
+    ) -> RecordsAnswer | None:
+        """Ask a peer for records; None when no answer comes within ``timeout`` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                link = await self._link(address)
+                try:
+                    answer = await link.call(ask)
+                finally:
+                    link.waiting.pop(ask.id, None)
+        except (OSError, TimeoutError):
+            return None
+        return answer if isinstance(answer, RecordsAnswer) else None
+
+    async def tell(self, address: Address, frame: RecordsPush | Deaths) -> bool:
+        """Send a peer what wants no answer; say whether there is a link to it."""
+        try:
+            (await self._link(address)).send(frame)
+        except (OSError, TimeoutError):
+            return False
+        return True
+
     def close(self) -> None:
         """End all links."""
         for task in self._dialling.values():
--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -9,24 +9,50 @@
 
 from dunlinsaddle import __version__
 from dunlinsaddle.cli.commands.apply import ApplyCommand
-from dunlinsaddle.cli.definition import BaseCommand
-from dunlinsaddle.cli.queries.nodes import StatusCommand, TargetsCommand
-from dunlinsaddle.cli.queries.records import GetCommand, HistoryCommand, ListCommand
+from dunlinsaddle.cli.commands.delete import DeleteCommand
+from dunlinsaddle.cli.definition import DEBUG_FLAG, BaseCommand, table
+from dunlinsaddle.cli.queries.audit import AuditCommand, HistoryCommand
+from dunlinsaddle.cli.queries.nodes import (
+    ExplainCommand,
+    MetricsCommand,
+    RolloutCommand,
+    StatusCommand,
+    TargetsCommand,
+)
+from dunlinsaddle.cli.queries.records import DiffCommand, GetCommand, ListCommand
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
 COMMANDS: tuple[type[BaseCommand], ...] = (
     ApplyCommand,
+    AuditCommand,
+    DeleteCommand,
+    DiffCommand,
+    ExplainCommand,
     GetCommand,
     HistoryCommand,
     ListCommand,
+    MetricsCommand,
+    RolloutCommand,
     StatusCommand,
     TargetsCommand,
 )
 
 
+def overview(name: str) -> str:
+    """Give the help of the whole tool: what each command is for."""
+    commands = sorted([command.name or '', command.description] for command in COMMANDS)
+    lines = [f'usage: {name} COMMAND [options]', '', *table(commands), '']
+    lines += [f'Options and arguments of a command: {name} COMMAND --help.']
+    return ''.join(f'{line}\n' for line in lines)
+
+
 def program(argv: list[str], env: Environment) -> int:
     """Run one command; gives the exit status."""
+    # The library would show the help of its own `list` here, whose name is ours.
+    if argv in ([], ['help'], ['-h'], ['--help']):
+        env.stdout.write(overview(env.program))
+        return ExitStatus.OK if argv else ExitStatus.USAGE
     app = Application('dunlinsaddle', __version__)
     app.auto_exits(False)
     app.catch_exceptions(False)
@@ -37,8 +63,14 @@
             ArgvInput([env.program, *argv]), StreamOutput(env.stdout), StreamOutput(env.stderr)
         )
     except CleoError as exc:
-        env.report(f'{exc} See {env.program} --help.')
+        what = ' '.join(str(exc).split()).rstrip('.')
+        env.report(f'{what}; see {env.program} --help')
         return ExitStatus.USAGE
+    except Exception as exc:
+        if DEBUG_FLAG in argv:
+            raise
+        env.report(f'a fault of this program: {exc!r}; run it with {DEBUG_FLAG} and report it')
+        return ExitStatus.ERROR
 
 
 def main() -> None:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -6,8 +6,6 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from result import Ok
-
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.dispatch import Dispatcher
@@ -16,22 +14,28 @@
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
-from dunlinsaddle.membership.roster import Roster, entry_of
+from dunlinsaddle.explain import Explanation, Question, explain
+from dunlinsaddle.membership.agent import GossipAgent
+from dunlinsaddle.membership.liveness import TargetWatch
+from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.changes import RECORDS, versioned
+from dunlinsaddle.records.models import Mode
+from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
-REFRESH_SECONDS = 0.5
+WATCH_SECONDS = 0.25
 DRAIN_NOTICE = 1.0
 #: Listings hold many values of up to a megabyte.
 PLATFORM_BODY_BYTES = 1 << 26
@@ -44,6 +48,7 @@
     local: Address
     peers: Address
     operators: Address
+    gossip: Address
 
 
 class Node:
@@ -55,23 +60,43 @@
         self.logger = logger
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
-        self.book = RecordBook()
+        self.book = RecordBook(wall_clock=env.wall_clock)
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
         self.client = HttpClient(settings.max_body_bytes)
         self.platform_client = HttpClient(PLATFORM_BODY_BYTES)
         self.store: ObjectStore = HttpObjectStore(settings.platform, self.platform_client)
-        self.roster = Roster(self.store, settings.domain)
+        rng = Random(env.rng.random())
+        self.agent = GossipAgent(self.view, settings.peer_key, rng, settings.seeds)
+        self.target_watch = TargetWatch()
         link_limits = LinkLimits(body_bytes=settings.max_body_bytes)
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
         self.admission = Admission()
-        self.executor = Executor(self.target, self.admission, self.client, self.running, self.stats)
-        router = Router(settings.domain, Random(env.rng.random()))
+        self.quarantine = Quarantine()
+        self.executor = Executor(
+            self.target,
+            self.admission,
+            self.client,
+            self.running,
+            self.stats,
+            self.quarantine,
+            self._observes,
+            self._tell_deaths,
+        )
+        router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
-            settings.instance, self.view, router, self.links, self.executor, self.stats
+            settings.instance,
+            self.view,
+            router,
+            self.links,
+            self.executor,
+            self.stats,
+            self.quarantine,
         )
         self._build_faces(link_limits)
+        self.sync = self._build_sync()
+        self.instruments = self._build_instruments()
         self.faces: Faces
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -86,15 +111,47 @@
         )
         callers = CallerFace(self.book, self.dispatcher, self.stats)
         self.local = LocalFace(self.target, self.running, self.book, self.dispatcher)
+        operators = OperatorsFace(self, self.env.wall_clock)
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
-        self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
+        self.operators_http = HttpFace(operators.handle, limits, self._fault)
         self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits, self._peer_fault)
 
+    def _build_sync(self) -> RecordSync:
+        rng = Random(self.env.rng.random())
+        sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
+        self.peer_server.on_records = sync.take
+        self.peer_server.on_deaths = self._hear_deaths
+        return sync
+
+    def _build_instruments(self) -> Metrics:
+        cfg = self.settings
+        resource = {
+            'service.name': 'dunlinsaddle',
+            'service.instance.id': cfg.instance,
+            'dunlinsaddle.domain': cfg.domain,
+            'dunlinsaddle.region': cfg.region,
+        }
+        metrics = Metrics(resource, cfg.otlp_endpoint)
+        observe_stats(metrics, self.stats)
+        observe_records(metrics, self.book)
+        metrics.gauge('dunlinsaddle.load', '{call}', 'Load of the target.', self._load_values)
+        metrics.counter(
+            'dunlinsaddle.platform_calls',
+            '{call}',
+            'Calls to the platform, each watch as one.',
+            lambda: [(self.store.calls, {})],
+        )
+        return metrics
+
+    def _load_values(self) -> Values:
+        load = self.admission.load(asyncio.get_running_loop().time())
+        return [(value, {'of': name}) for name, value in load._asdict().items()]
+
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
-        self.roster = Roster(store, self.settings.domain)
+        self.sync.store = store
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -104,8 +161,15 @@
             await self.local_http.listen(cfg.local),
             await self.peer_server.listen(cfg.peers),
             await self.operators_http.listen(cfg.operators),
+            await self.agent.listen(self.env.open_gossip, cfg.gossip),
         )
-        self._spawn(self._refresh_loop())
+        self.agent.start(self.me())
+        roster = Roster(self.store, cfg.domain)
+        bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
+        self._spawn(self.agent.run())
+        self._spawn(bootstrap.run())
+        self._spawn(self.sync.run())
+        self._spawn(self.instruments.export_loop())
         self._spawn(self._announce_loop())
         return self.faces
 
@@ -133,8 +197,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for face in (self.callers_http, self.local_http, self.operators_http):
             face.close()
+        self.agent.leave()
         self.peer_server.close()
         self.links.close()
+        self.instruments.close()
         self.client.close()
         self.platform_client.close()
 
@@ -149,7 +215,7 @@
             cfg.domain,
             self.target.service,
             self.faces.peers,
-            cfg.gossip,
+            self.faces.gossip,
         )
 
     def status(self) -> Any:
@@ -162,12 +228,16 @@
             'draining': self.target.draining,
             'faces': {name: str(address) for name, address in self.faces._asdict().items()},
             'load': load._asdict(),
-            'records': {e.service: e.version for e in self.book.entries()},
+            **self.sync.status(),
             'members': len(list(self.view.members())),
             'shed': dict(self.stats.shed),
             'retries': self.stats.retries,
         }
 
+    def metrics(self) -> Any:
+        """Give the value of every instrument."""
+        return self.instruments.read()
+
     def targets(self) -> Any:
         """Give all instances known here."""
         return [
@@ -175,6 +245,37 @@
             for m in sorted(self.view.members(), key=lambda m: (m.service, m.instance))
         ]
 
+    def explain(self, question: Question) -> Explanation | None:
+        """Explain what would happen to a request here; None without a record."""
+        record = self.book.find(question['service'])
+        if record is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        members = self.view.serving(record.service)
+        return explain(question, record, members, self.dispatcher.router, now)
+
+    def _observes(self, service: str) -> bool:
+        record = self.book.find(service)
+        return record is not None and record.mode is Mode.OBSERVE
+
+    def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
+        """Warn the nodes whose targets the same request could reach next.
+
+        Its caller sends it again at once, by any entry: only the nodes beside the other
+        targets of this service stand between the request and a further death.
+        """
+        frame = Deaths(fingerprint, deaths)
+        for member in self.view.serving(self.target.service):
+            if member.instance != self.settings.instance:
+                self._spawn(self._tell(member.peers, frame))
+
+    async def _tell(self, address: Address, frame: Deaths) -> None:
+        await self.links.tell(address, frame)
+
+    def _hear_deaths(self, frame: Deaths) -> None:
+        now = asyncio.get_running_loop().time()
+        self.quarantine.hear(now, frame.fingerprint, frame.deaths)
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
@@ -182,7 +283,8 @@
 
     def _fault(self, req: HttpRequest) -> None:
         self.stats.faults += 1
-        self.logger.exception('fault while answering', extra={'path': req.path})
+        extra = {'path': req.path, 'request_id': req.header(b'request-id')}
+        self.logger.exception('fault while answering', extra=extra)
 
     def _peer_fault(self, call: Call) -> None:
         self.stats.faults += 1
@@ -191,27 +293,23 @@
     async def _serve_peer(self, call: Call) -> Reply:
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
-    async def _refresh_loop(self) -> None:
-        while True:
-            await self._refresh_records()
-            for member in await self.roster.read() or ():
-                self.view.take(member)
-            await asyncio.sleep(REFRESH_SECONDS)
-
-    async def _refresh_records(self) -> None:
-        match await self.store.list(RECORDS):
-            case Ok(listing):
-                for held in listing.objects:
-                    match versioned(held):
-                        case Ok(entry):
-                            self.book.take(entry)
-
     async def _announce_loop(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            await self.local.changed.wait()
-            self.local.changed.clear()
-            member = self.me()
-            self.view.take(member)
-            if not await self.roster.write(member):
-                self.local.changed.set()
-                await asyncio.sleep(REFRESH_SECONDS)
+            # Not wait_for: in 3.11 it swallows a cancellation that comes with the event, and a
+            # node told to stop would hang.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_SECONDS):
+                    await self.local.changed.wait()
+            if self.local.changed.is_set():
+                self.local.changed.clear()
+                self.target_watch.heard(loop.time())
+            elif await self._target_gone(loop.time()):
+                self.target.service, self.target.address = '', None
+            self.agent.announce(self.me())
+
+    async def _target_gone(self, now: float) -> bool:
+        address = self.target.address
+        if address is None or self.target.draining:
+            return False
+        return await self.target_watch.gone(now, address)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,12 +6,17 @@
 from typing import Any
 
 from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.work import Work
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
+from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.retry import Allowance
+from dunlinsaddle.records.changes import Change
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
+from tests.fakes.network import open_in_memory
 
 PEER_KEY = 'a-key-for-tests'
 OPERATOR_TOKEN = 'a-token-for-tests'
@@ -24,6 +29,7 @@
         'stdin': io.StringIO(),
         'environ': {},
         'rng': Random(7),
+        'open_gossip': open_in_memory,
         **changes,
     }
     return Environment(**values)
@@ -73,6 +79,19 @@
     }
 
 
+def build_change(change_id: str = 'change-1', **changes: Any) -> Change:
+    base = Change(
+        id=change_id,
+        service='cut-orders',
+        doc=build_document(),
+        expected=0,
+        who='ann',
+        why='trial',
+        when=1_700_000_000.0,
+    )
+    return base._replace(**changes)
+
+
 def build_member(instance: str = 'bangor-1', **changes: Any) -> Member:
     port = 1000 + sum(instance.encode()) % 1000
     base = Member(
@@ -91,6 +110,23 @@
     return Ticket(call_id, level=200, arrived=0.0, deadline=10.0)._replace(**changes)
 
 
+def build_work(tokens: int = 3, **changes: Any) -> Work:
+    ctx = CallContext(
+        request_id='request-1',
+        caller='tablet',
+        service='cut-orders',
+        rule='read',
+        priority=Priority(Rank.NORMAL, 5),
+        deadline=10.0,
+        allowance=tokens,
+        hop=0,
+        idempotent=True,
+        key='',
+        fingerprint=1,
+    )
+    return Work(ctx._replace(**changes), 'GET', '/orders/1', [], b'', Allowance(tokens))
+
+
 def build_call(call_id: int = 1, **changes: Any) -> Call:
     values: dict[str, Any] = {
         'id': call_id,
