Ownership of idempotency keys by their time of birth

Cause: nothing kept a call that is not idempotent from running twice when its caller sent it by another entry. Ruled out: a table at each entry (runs twice), a vote among nodes (a store of our own), ranges by the entry's failure domain (a resend elsewhere finds another owner), early takeover on the word of a name or an address (the former process may be frozen). Change: pure rules for keys, intervals and the owner's table. key-expired is now of unknown outcome: the key may have run when it was young. New kinds owner-unreachable (unknown, may be resent) and answer-gone (done). The test of the error table names the one kind more that may be resent when its outcome is unknown; it compares the same whole set as before.

--- a/dunlinsaddle/errors.py
+++ b/dunlinsaddle/errors.py
@@ -36,6 +36,8 @@
     KEY_REUSED = 'key-reused'
     KEY_IN_PROGRESS = 'key-in-progress'
     OWNER_UNAVAILABLE = 'owner-unavailable'
+    OWNER_UNREACHABLE = 'owner-unreachable'
+    ANSWER_GONE = 'answer-gone'
     OVERLOADED = 'overloaded'
     REFUSED_EARLY = 'refused-early'
     TOO_LATE_TO_START = 'too-late-to-start'
@@ -95,7 +97,7 @@
     _K.METHOD_NOT_ALLOWED: _rule(405, _NOT_RUN, 'The path does not take this method.'),
     _K.TOO_DEEP: _rule(508, _NOT_RUN, 'The call chain is too deep.'),
     _K.KEY_MALFORMED: _rule(400, _NOT_RUN, 'The idempotency key cannot be used.'),
-    _K.KEY_EXPIRED: _rule(422, _NOT_RUN, 'The idempotency key is too old.'),
+    _K.KEY_EXPIRED: _rule(422, _UNKNOWN, 'The idempotency key is too old.'),
     _K.KEY_IN_FUTURE: _rule(422, _NOT_RUN, 'The idempotency key is from the future.'),
     _K.KEY_REUSED: _rule(422, _NOT_RUN, 'The key belongs to a different request.'),
     _K.KEY_IN_PROGRESS: _rule(
@@ -104,6 +106,10 @@
     _K.OWNER_UNAVAILABLE: _rule(
         503, _NOT_RUN, 'Nobody can take this key now.', retry_after=True, resend=True
     ),
+    _K.OWNER_UNREACHABLE: _rule(
+        503, _UNKNOWN, 'Who knows of this key cannot be asked.', retry_after=True, resend=True
+    ),
+    _K.ANSWER_GONE: _rule(410, Outcome.DONE, 'It ran, but its answer is no longer held.'),
     _K.OVERLOADED: _rule(
         503, _NOT_RUN, 'The service is overloaded.', retry_after=True, resend=True
     ),
--- /dev/null
+++ b/dunlinsaddle/policy/ownership.py
@@ -0,0 +1,212 @@
+"""Which node may run which keys: intervals of birth times that never overlap.
+
+Each range of a service holds intervals in order of time. Only the last may change, and only
+so that its owner's right never shrinks unless the owner itself has stopped using it:
+
+- the owner moves its own ``until`` on, or closes it early behind the last key it accepted;
+- anybody may append an interval that starts where the last one ends.
+
+A node that was paused or cut off can therefore only run keys that nobody else may ever run.
+No clock has to agree with another one: the time in a key merely says which interval it is in.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from dunlinsaddle.policy.keys import RANGES
+
+HORIZON = 300_000  #: how far ahead an owner holds its ranges, ms
+EXTEND_BELOW = 240_000  #: an owner extends when less than this is left, ms
+CLAIM_BELOW = 60_000  #: others claim what comes next when less than this is left, ms
+KEEP_CLOSED = 3_600_000  #: closed intervals are listed for this long, ms
+MOVES_AT_ONCE = 8
+
+
+class Owner(NamedTuple):
+    """One run of one instance; ``epoch`` is new at each start of its process."""
+
+    instance: str
+    epoch: str
+
+
+class Interval(NamedTuple):
+    """The keys born in [start, until), Unix milliseconds, and who may run them."""
+
+    owner: Owner
+    start: int
+    until: int
+
+
+Ranges = tuple[tuple[Interval, ...], ...]
+NO_RANGES: Ranges = ((),) * RANGES
+
+
+class RangeMap(NamedTuple):
+    """The ranges of one service, and the runs of its instances that can be given some."""
+
+    ranges: Ranges = NO_RANGES
+    present: Mapping[str, str] = {}  #: instance -> epoch
+
+    def find(self, number: int, birth: int) -> Interval | None:
+        """Give the interval of a range that a key's birth falls in."""
+        return find_interval(self.ranges[number], birth)
+
+    def forgot(self, number: int, birth: int) -> bool:
+        """Say whether the interval of a birth may have been listed once and is no more."""
+        intervals = self.ranges[number]
+        return bool(intervals) and birth < intervals[0].start
+
+
+class Plan(NamedTuple):
+    """A change to write, and the own ranges that it closes: range -> last birth allowed + 1."""
+
+    map: RangeMap
+    cuts: dict[int, int]
+
+
+class Situation(NamedTuple):
+    """What a plan is made from. ``highest`` is the latest birth accepted in each range, ms."""
+
+    me: Owner
+    serving: Sequence[str]
+    now: int
+    highest: Mapping[int, int]
+    leaving: bool = False
+
+
+def find_interval(intervals: Sequence[Interval], birth: int) -> Interval | None:
+    """Give the interval that a key's birth falls in."""
+    for interval in reversed(intervals):
+        if interval.start <= birth < interval.until:
+            return interval
+    return None
+
+
+def preferred(service: str, number: int, instances: Collection[str]) -> str | None:
+    """Give the instance that should own a range (rendezvous hash); None without instances."""
+    return max(
+        instances,
+        key=lambda name: xxhash.xxh64_intdigest(f'{service}\0{number}\0{name}'.encode()),
+        default=None,
+    )
+
+
+def plan_ranges(service: str, held: RangeMap, here: Situation) -> Plan | None:
+    """Give the ranges as this node would like them, or None where all is well.
+
+    A range is handed over only to a run of an instance that has entered itself as present.
+    """
+    planned = list(held.ranges)
+    cuts: dict[int, int] = {}
+    extends = any(_wants_extension(intervals, here) for intervals in held.ranges)
+    for number, intervals in enumerate(held.ranges):
+        last = intervals[-1] if intervals else None
+        if last is None or last.owner != here.me:
+            planned[number] = _claim(service, number, intervals, here)
+            continue
+        heir = _heir(service, number, here, held.present)
+        if here.leaving or (heir is not None and len(cuts) < MOVES_AT_ONCE):
+            cuts[number] = _cut(last, here.highest.get(number, 0), here.now)
+            planned[number] = _close(intervals, cuts[number], heir, here.now)
+        elif extends:
+            longer = last._replace(until=max(last.until, here.now + HORIZON))
+            planned[number] = (*intervals[:-1], longer)
+    present = _present(held.present, here)
+    if tuple(planned) == held.ranges and present == held.present:
+        return None
+    return Plan(RangeMap(_without_old(planned, here.now), present), cuts)
+
+
+def _present(held: Mapping[str, str], here: Situation) -> dict[str, str]:
+    me = here.me
+    if held.get(me.instance) == (None if here.leaving else me.epoch):
+        return dict(held)
+    present = {name: epoch for name, epoch in held.items() if name in here.serving}
+    present.pop(me.instance, None)
+    return present if here.leaving else {**present, me.instance: me.epoch}
+
+
+def _wants_extension(intervals: Sequence[Interval], here: Situation) -> bool:
+    if not intervals or intervals[-1].owner != here.me or here.leaving:
+        return False
+    return intervals[-1].until - here.now < EXTEND_BELOW
+
+
+def _claim(
+    service: str, number: int, intervals: tuple[Interval, ...], here: Situation
+) -> tuple[Interval, ...]:
+    if here.leaving:
+        return intervals
+    last = intervals[-1] if intervals else None
+    if last is not None and last.until - here.now >= CLAIM_BELOW:
+        return intervals
+    # The last owner missed its extension: it may be dead, or cut off from the platform alone.
+    gone = last.owner.instance if last else ''
+    others = [n for n in here.serving if n != gone or n == here.me.instance]
+    if preferred(service, number, others) != here.me.instance:
+        return intervals
+    start = last.until if last else here.now
+    return (*intervals, Interval(here.me, start, max(start, here.now) + HORIZON))
+
+
+def _heir(service: str, number: int, here: Situation, epochs: Mapping[str, str]) -> Owner | None:
+    others = [n for n in here.serving if n in epochs and n != here.me.instance]
+    able = others if here.leaving else [*others, here.me.instance]
+    chosen = preferred(service, number, able)
+    if chosen is None or chosen == here.me.instance:
+        return None
+    return Owner(chosen, epochs[chosen])
+
+
+def _cut(last: Interval, highest: int, now: int) -> int:
+    """Give where an own interval may end: behind each key that was accepted from it."""
+    return min(last.until, max(last.start, now, highest + 1))
+
+
+def _close(
+    intervals: tuple[Interval, ...], cut: int, heir: Owner | None, now: int
+) -> tuple[Interval, ...]:
+    closed = (*intervals[:-1], intervals[-1]._replace(until=cut))
+    return (*closed, Interval(heir, cut, max(cut, now) + HORIZON)) if heir else closed
+
+
+def _without_old(ranges: Sequence[tuple[Interval, ...]], now: int) -> Ranges:
+    def young(intervals: tuple[Interval, ...]) -> tuple[Interval, ...]:
+        kept = tuple(i for i in intervals[:-1] if i.until > now - KEEP_CLOSED)
+        return (*kept, *intervals[-1:])
+
+    return tuple(young(intervals) for intervals in ranges)
+
+
+def encode_map(held: RangeMap) -> Any:
+    """Give the form that the platform keeps: owners once, intervals as numbers."""
+    owners: dict[Owner, int] = {}
+    rows = [
+        [[owners.setdefault(i.owner, len(owners)), i.start, i.until] for i in intervals]
+        for intervals in held.ranges
+    ]
+    return {'owners': [list(o) for o in owners], 'ranges': rows, 'present': dict(held.present)}
+
+
+class _Stored(msgspec.Struct):
+    owners: list[Owner]
+    ranges: list[list[tuple[int, int, int]]]
+    present: dict[str, str]
+
+
+def decode_map(value: Any) -> RangeMap:
+    """Read what the platform keeps. Raises ValueError or MsgspecError if it cannot be."""
+    stored = msgspec.convert(value, _Stored)
+    if len(stored.ranges) != RANGES:
+        raise ValueError(f'{len(stored.ranges)} ranges, expected {RANGES}')
+    try:
+        ranges = tuple(
+            tuple(Interval(stored.owners[o], start, until) for o, start, until in row)
+            for row in stored.ranges
+        )
+    except IndexError as exc:
+        raise ValueError('an interval names no owner') from exc
+    return RangeMap(ranges, stored.present)
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -13,7 +13,9 @@
             for kind, rule in ANSWERS.items()
             if rule.resend and rule.outcome is Outcome.UNKNOWN
         }
-        self.assertEqual({ErrorKind.KEY_IN_PROGRESS, ErrorKind.PLATFORM_UNAVAILABLE}, unsafe)
+        # Each of these comes with an idempotency key or a change id, which makes resending safe.
+        keyed = {ErrorKind.KEY_IN_PROGRESS, ErrorKind.OWNER_UNREACHABLE}
+        self.assertEqual(keyed | {ErrorKind.PLATFORM_UNAVAILABLE}, unsafe)
 
     def test_problem_names_kind_outcome_and_detail(self):
         problem = problem_of(Failure(ErrorKind.DRAINING, 'bangor-1 is leaving'))
