Run each key at its owner alone, and say "not run" of the key

Change: a keeper that claims, extends and hands over ranges by conditional writes ahead of need, with a fence before each closing write; claims of opaque keys; a gate in the call path that asks the owner, hands a call over only on an explicit "not run", and answers duplicates at once. POST /-/keys/<service> mints a key for callers.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -5,6 +5,7 @@
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.membership.view import Member, MemberView
@@ -33,9 +34,12 @@
         self.links = links
         self.executor = executor
         self.stats = stats
+        self.once: OnceGate | None = None
 
     async def dispatch(self, work: Work) -> Reply:
         """Give a call to one target after another until one answer is final."""
+        if self.once is not None and not work.ctx.idempotent:
+            return await self.once.enter(work)
         loop = asyncio.get_running_loop()
         tried: set[str] = set()
         reply: Reply | None = None
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -29,6 +29,7 @@
 from dunlinsaddle.stats import CallLabel, Stats
 
 MAX_ID_LENGTH = 128
+KEYS_PATH = '/-/keys/'
 COMMON_DEADLINE = 10.0
 UNTRACED_RULE = RequestRule('untraced', '*', '/**')
 
@@ -76,6 +77,8 @@
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request of a caller."""
+        if req.path.startswith(KEYS_PATH):
+            return await self._mint_key(req)
         path = split_path(req.path)
         record = self.book.find(path['service'])
         if record is None:
@@ -87,6 +90,14 @@
         self.stats.count(label)
         return self._response(reply, work)
 
+    async def _mint_key(self, req: HttpRequest) -> HttpResponse:
+        service = req.path.removeprefix(KEYS_PATH)
+        if self.book.find(service) is None or self.dispatcher.once is None:
+            return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, service))
+        if req.method != 'POST':
+            return failure_response(Failure(ErrorKind.METHOD_NOT_ALLOWED, req.method))
+        return json_response({'key': (await self.dispatcher.once.mint(service)).text})
+
     def _work(self, req: HttpRequest, record: ServiceRecord, rule: RequestRule, rest: str) -> Work:
         now = asyncio.get_running_loop().time()
         request_id = req.header(b'request-id')[:MAX_ID_LENGTH] or str(uuid6.uuid7())
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -46,6 +46,8 @@
     idempotent: bool
     key: str = ''
     fingerprint: int = 0
+    asked: int = 0  #: nodes that were asked before for who owns the key
+    owned: bool = False  #: the key's owner has decided that the call may run
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
--- /dev/null
+++ b/dunlinsaddle/calls/once.py
@@ -0,0 +1,357 @@
+"""Gives each call that is not idempotent to the one node that may run its key."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+from result import Err
+
+from dunlinsaddle.calls.execute import Executor
+from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.work import Work, call_of, work_of
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.once.keeper import RangeKeeper
+from dunlinsaddle.once.opaque import claim_key
+from dunlinsaddle.policy.keys import RANGES, BornKey, Key, OpaqueKey, mint_key, parse_key, range_of
+from dunlinsaddle.policy.once_table import Denied, KeyTable, Known
+from dunlinsaddle.policy.ownership import HORIZON, Interval, Owner, RangeMap
+from dunlinsaddle.policy.retry import Allowance
+from dunlinsaddle.policy.route import Candidate, Router
+from dunlinsaddle.stats import Stats
+
+COME_BACK = 1.0
+MAX_ASKED = 2  #: an entry asks one node, and that one may know a newer owner
+MAX_HANDED_ON = 2
+HANDED_ON = frozenset({ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
+UNREACHED = frozenset({ErrorKind.OWNER_UNAVAILABLE.value, ErrorKind.OWNER_UNREACHABLE.value})
+KEY_HEADER = b'idempotency-key'
+
+
+class Way(NamedTuple):
+    """How far a call has come on its way to the owner of its key.
+
+    ``asked`` counts the nodes that were taken for the owner before this one. ``fresh`` says
+    that this very node made the key: nobody else can have run it before. ``reread`` says that
+    the map was read again for this call.
+    """
+
+    asked: int = 0
+    fresh: bool = False
+    reread: bool = False
+
+
+class OnceGate:
+    """The entry's and the owner's side of at-most-once.
+
+    "Not run" is said of the key, not of one attempt, for a caller may have sent the key by
+    another entry before. So it comes only from the key's owner, from a node that minted the
+    key itself, or on a fresh reading that nobody owns the key.
+    """
+
+    def __init__(
+        self,
+        keeper: RangeKeeper,
+        view: MemberView,
+        router: Router,
+        links: PeerLinks,
+        executor: Executor,
+        stats: Stats,
+        rng: Random,
+        window: Callable[[str], float],
+    ) -> None:
+        self.keeper = keeper
+        self.view = view
+        self.router = router
+        self.links = links
+        self.executor = executor
+        self.stats = stats
+        self.rng = rng
+        self.window = window
+        self.tables: dict[str, KeyTable[Reply]] = {}
+        self._runs: set[asyncio.Task[Reply]] = set()
+        self._refreshing: set[asyncio.Task[bool]] = set()
+
+    @property
+    def me(self) -> Owner:
+        """The present run of this instance."""
+        return self.keeper.me
+
+    async def enter(self, work: Work) -> Reply:
+        """Answer a call that came in here, from a caller or from the local target."""
+        if not work.ctx.key:
+            return await self._enter_without_key(work)
+        parsed = parse_key(work.ctx.key)
+        if isinstance(parsed, Err):
+            return refusal(Failure(ErrorKind.KEY_MALFORMED, parsed.err_value))
+        return await self._route(work, parsed.ok_value, Way())
+
+    async def serve(self, call: Call) -> Reply:
+        """Answer another node that takes this one for the owner of the call's key."""
+        work = work_of(call, asyncio.get_running_loop().time())
+        parsed = parse_key(call.key)
+        if isinstance(parsed, Err):
+            return refusal(Failure(ErrorKind.KEY_MALFORMED, parsed.err_value))
+        reply = await self._route(work, parsed.ok_value, Way(call.asked))
+        reply.unspent = work.allowance.tokens
+        return reply
+
+    async def mint(self, service: str) -> BornKey:
+        """Make a key that a node which can be reached owns now, for a caller to send."""
+        if self.keeper.map_of(service) is None:
+            await self.keeper.refresh(service)
+        return self._mint(service, set())
+
+    async def wait_idle(self) -> None:
+        """Wait until no run that this node decided on is in progress, here or elsewhere."""
+        while self._runs:
+            await asyncio.wait(self._runs)
+
+    async def _enter_without_key(self, work: Work) -> Reply:
+        """Mint a key that a reachable node owns; another one if that node was never reached."""
+        service = work.ctx.service
+        if self.keeper.map_of(service) is None:
+            await self.keeper.refresh(service)
+        tried: set[str] = set()
+        while True:
+            key = self._mint(service, tried)
+            headers = [*work.headers, (KEY_HEADER, key.text.encode())]
+            keyed = work._replace(ctx=work.ctx._replace(key=key.text), headers=headers)
+            reply = await self._route(keyed, key, Way(fresh=True))
+            if reply.kind != ErrorKind.OWNER_UNAVAILABLE.value:
+                return reply
+            interval = self.keeper.find(service, key)
+            if interval is None or not work.allowance.spend():
+                return reply
+            tried.add(interval.owner.instance)
+
+    def _mint(self, service: str, tried: set[str]) -> BornKey:
+        now = self.keeper.clock()
+        held = self.keeper.map_of(service) or RangeMap()
+        ranges: dict[str, list[int]] = {}
+        for number in range(RANGES):
+            interval = held.find(number, now)
+            if interval is not None:
+                ranges.setdefault(interval.owner.instance, []).append(number)
+        members = [m for m in self.view.serving(service) if m.instance in ranges]
+        candidates = [Candidate(m.instance, m.domain) for m in members]
+        now_loop = asyncio.get_running_loop().time()
+        chosen = self.router.choose(now_loop, candidates, frozenset(tried))
+        return mint_key(now, self.rng, service, ranges[chosen.instance] if chosen else ())
+
+    async def _route(self, work: Work, key: Key, way: Way) -> Reply:
+        known = self._table(work.ctx.service).look(key.text, work.ctx.fingerprint)
+        if known is not None:
+            return self._recall(known)
+        match key:
+            case OpaqueKey():
+                return await self._route_opaque(work, key, way)
+            case BornKey():
+                return await self._route_born(work, key, way)
+
+    async def _route_opaque(self, work: Work, key: OpaqueKey, way: Way) -> Reply:
+        claim = await claim_key(
+            self.keeper.store, work.ctx.service, key, self.me, self.keeper.clock
+        )
+        if claim is None:
+            return _refuse(ErrorKind.PLATFORM_UNAVAILABLE, 'the key cannot be claimed')
+        if claim.owner == self.me:
+            return await self._own(work, key, claim.birth)
+        return await self._ask(work, claim.owner, way)
+
+    async def _route_born(self, work: Work, key: BornKey, way: Way) -> Reply:
+        service = work.ctx.service
+        interval = self.keeper.find(service, key)
+        if not way.reread and self._doubtful(interval, way):
+            way = way._replace(reread=await self.keeper.refresh(service))
+            interval = self.keeper.find(service, key)
+        elif self.keeper.stale(service):
+            self._refresh_later(service)
+        if interval is None:
+            return await self._route_unowned(work, key, way)
+        if interval.owner == self.me:
+            return await self._own_born(work, key)
+        reply = await self._ask(work, interval.owner, way)
+        if way.fresh and reply.kind == ErrorKind.OWNER_UNREACHABLE.value:
+            # Each node that was asked turned the key down, and it was new: nobody has run it.
+            reply = _refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+        if reply.kind not in UNREACHED or way.reread or not await self.keeper.refresh(service):
+            return reply
+        newer = self.keeper.find(service, key)
+        if newer is None or newer.owner == interval.owner:
+            return reply
+        return await self._route_born(work, key, way._replace(reread=True))
+
+    def _doubtful(self, interval: Interval | None, way: Way) -> bool:
+        """Say whether a newer map may name another owner than this interval does."""
+        if interval is None:
+            return True
+        if interval.owner == self.me:
+            return False
+        # Whoever asked takes this node for the owner, by a map that may be newer than ours.
+        return way.asked > 0 or self._ended(interval.owner)
+
+    def _ended(self, owner: Owner) -> bool:
+        member = self.view.find(owner.instance)
+        gone = member is not None and member.state in (State.DEAD, State.LEFT)
+        return gone or owner.instance == self.me.instance
+
+    async def _own_born(self, work: Work, key: BornKey) -> Reply:
+        if self.keeper.accept(work.ctx.service, key):
+            return await self._own(work, key, key.birth)
+        # The range is on its way to another node, and the write that says so is not settled.
+        return _refuse(ErrorKind.OWNER_UNREACHABLE, 'the key is being handed over')
+
+    async def _route_unowned(self, work: Work, key: BornKey, way: Way) -> Reply:
+        held = self.keeper.map_of(work.ctx.service)
+        if held is not None and held.forgot(range_of(work.ctx.service, key), key.birth):
+            return _refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
+        if way.reread and key.birth > self.keeper.clock() + HORIZON:
+            return _refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
+        if way.reread or way.fresh:
+            return _refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
+        others = [m for m in self.view.serving(work.ctx.service) if m.instance != self.me.instance]
+        if not others or way.asked >= MAX_ASKED:
+            return _refuse(ErrorKind.OWNER_UNREACHABLE, 'no node here knows the owner')
+        return await self._send(work, self.rng.choice(others), way)
+
+    async def _ask(self, work: Work, owner: Owner, way: Way) -> Reply:
+        member = self.view.find(owner.instance)
+        ended = self._ended(owner)
+        if way.fresh and (member is None or ended):
+            return _refuse(ErrorKind.OWNER_UNAVAILABLE, f'{owner.instance} is not there')
+        if ended:
+            detail = f'{owner.instance}, which alone could have run it, has ended'
+            return _refuse(ErrorKind.OUTCOME_UNKNOWN, detail)
+        if member is None:
+            return _refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} is not known here')
+        if way.asked >= MAX_ASKED:
+            return _refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} was not asked')
+        return await self._send(work, member, way)
+
+    async def _send(self, work: Work, member: Member, way: Way) -> Reply:
+        match await self._call(work, member, asked=way.asked + 1):
+            case Reply() as reply:
+                return reply
+            case NotSent(detail) if way.fresh:
+                return _refuse(ErrorKind.OWNER_UNAVAILABLE, detail)
+            case NotSent(detail):
+                return _refuse(ErrorKind.OWNER_UNREACHABLE, detail)
+            case Lost(detail, kind):
+                return refusal(Failure(kind, detail))
+
+    async def _call(
+        self, work: Work, member: Member, *, asked: int = 0, owned: bool = False
+    ) -> Reply | NotSent | Lost:
+        loop = asyncio.get_running_loop()
+        handed = work.allowance.hand_down()
+        call = call_of(work, loop.time(), handed)
+        call.asked, call.owned = asked, owned
+        self.router.sent(member.instance)
+        try:
+            reply = await self.links.call(member.peers, call)
+        except asyncio.CancelledError:
+            self.router.answered(member.instance, None)
+            raise
+        match reply:
+            case Reply():
+                self.router.answered(member.instance, reply.load)
+                work.allowance.give_back(handed, reply.unspent)
+                reply.unspent = work.allowance.tokens
+            case NotSent():
+                self.router.failed(loop.time(), member.instance)
+                work.allowance.give_back(handed, handed)
+            case Lost():
+                self.router.failed(loop.time(), member.instance)
+        return reply
+
+    async def _own(self, work: Work, key: Key, birth: int) -> Reply:
+        service = work.ctx.service
+        table = self._table(service)
+        known = table.look(key.text, work.ctx.fingerprint)
+        if known is not None:
+            return self._recall(known)
+        now = self.keeper.clock()
+        table.raise_floor(now - int(self.window(service) * 1000))
+        begun = table.begin(key.text, birth, work.ctx.fingerprint, now)
+        if isinstance(begun, Denied):
+            return self._recall(begun)
+        # A caller that goes away must not turn its run into one of unknown end: it will come
+        # back with the same key and find the answer. The deadline bounds the run.
+        run = asyncio.get_running_loop().create_task(self._run(work, key.text, table))
+        self._runs.add(run)
+        run.add_done_callback(self._runs.discard)
+        return await asyncio.shield(run)
+
+    async def _run(self, work: Work, key: str, table: KeyTable[Reply]) -> Reply:
+        reply: Reply | None = None
+        try:
+            reply = await self._run_somewhere(work)
+        finally:
+            if reply is None or reply.outcome is Outcome.UNKNOWN:
+                table.unknown(key)
+            elif reply.outcome is Outcome.NOT_RUN:
+                table.not_run(key)
+            else:
+                table.done(key, reply, _size(reply))
+        return reply
+
+    async def _run_somewhere(self, work: Work) -> Reply:
+        """Run a call beside this node, or hand it on as long as it provably did not run."""
+        handed = work.allowance.hand_down()
+        reply = await self.executor.execute(work._replace(allowance=Allowance(handed)))
+        work.allowance.give_back(handed, reply.unspent)
+        tried = {self.me.instance}
+        while _goes_on(reply) and len(tried) <= MAX_HANDED_ON:
+            now = asyncio.get_running_loop().time()
+            members = {m.instance: m for m in self.view.serving(work.ctx.service)}
+            candidates = [Candidate(m.instance, m.domain) for m in members.values()]
+            chosen = self.router.choose(now, candidates, frozenset(tried))
+            if chosen is None or not work.allowance.spend():
+                break
+            tried.add(chosen.instance)
+            self.stats.retries += 1
+            match await self._call(work, members[chosen.instance], owned=True):
+                case Reply() as answer:
+                    reply = answer
+                case NotSent(detail):
+                    reply = refusal(Failure(ErrorKind.NO_TARGET, detail, COME_BACK))
+                case Lost(detail, kind):
+                    reply = refusal(Failure(kind, detail))
+        reply.unspent = work.allowance.tokens
+        return reply
+
+    def _table(self, service: str) -> KeyTable[Reply]:
+        return self.tables.setdefault(service, KeyTable())
+
+    def _recall(self, known: Known[Reply] | Denied) -> Reply:
+        match known:
+            case Known(answer):
+                return _copy(answer)
+            case Denied(kind):
+                return _refuse(kind)
+
+    def _refresh_later(self, service: str) -> None:
+        task = asyncio.get_running_loop().create_task(self.keeper.refresh(service))
+        self._refreshing.add(task)
+        task.add_done_callback(self._refreshing.discard)
+
+
+def _goes_on(reply: Reply) -> bool:
+    return reply.outcome is Outcome.NOT_RUN and ErrorKind(reply.kind) in HANDED_ON
+
+
+def _refuse(kind: ErrorKind, detail: str = '') -> Reply:
+    return refusal(Failure(kind, detail, COME_BACK))
+
+
+def _size(reply: Reply) -> int:
+    return len(reply.body) + sum(len(name) + len(value) for name, value in reply.headers)
+
+
+def _copy(reply: Reply) -> Reply:
+    # A reply is given its number on each link that it leaves by.
+    return msgspec.structs.replace(reply, unspent=0, load=None)
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import secrets
 from random import Random
 from typing import Any, NamedTuple
 
@@ -16,13 +17,16 @@
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import LinkLimits, PeerLinks, PeerServer
 from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.roster import Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.ownership import Owner
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import RECORDS, versioned
@@ -30,6 +34,8 @@
 from dunlinsaddle.stats import Stats
 
 REFRESH_SECONDS = 0.5
+RANGES_SECONDS = 0.5
+KEY_WINDOW = 900.0
 
 
 class Faces(NamedTuple):
@@ -65,10 +71,32 @@
         self.dispatcher = Dispatcher(
             settings.instance, self.view, router, self.links, self.executor, self.stats
         )
+        self._build_once(router)
         self._build_faces(link_limits)
         self.faces: Faces
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _build_once(self, router: Router) -> None:
+        me = Owner(self.settings.instance, secrets.token_hex(6))
+        clock = SteadyClock(self.env.wall_clock)
+        rng = Random(self.env.rng.random())
+        self.keeper = RangeKeeper(self.store, me, clock.now, rng)
+        self.once = OnceGate(
+            self.keeper,
+            self.view,
+            router,
+            self.links,
+            self.executor,
+            self.stats,
+            rng,
+            self._key_window,
+        )
+        self.dispatcher.once = self.once
+
+    def _key_window(self, service: str) -> float:
+        record = self.book.find(service)
+        return record.key_window if record else KEY_WINDOW
+
     def _build_faces(self, link_limits: LinkLimits) -> None:
         cfg = self.settings
         limits = HttpLimits(
@@ -88,6 +116,7 @@
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
+        self.keeper.store = store
         self.roster = Roster(store, self.settings.domain)
 
     async def start(self) -> Faces:
@@ -101,6 +130,7 @@
         )
         self._spawn(self._refresh_loop())
         self._spawn(self._announce_loop())
+        self._spawn(self._ranges_loop())
         return self.faces
 
     async def drain(self) -> None:
@@ -108,9 +138,11 @@
         self.target.draining = True
         self.local.changed.set()
         self.callers_http.stop_listening()
+        await self._keep_ranges()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_timeout):
                 await self.running.wait_idle()
+                await self.once.wait_idle()
 
     async def stop(self) -> None:
         """Close everything."""
@@ -170,8 +202,22 @@
         self.logger.exception('fault while answering', extra={'path': req.path})
 
     async def _serve_peer(self, call: Call) -> Reply:
+        if not call.idempotent and not call.owned:
+            return await self.once.serve(call)
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
+    async def _ranges_loop(self) -> None:
+        while True:
+            await self._keep_ranges()
+            await asyncio.sleep(RANGES_SECONDS)
+
+    async def _keep_ranges(self) -> None:
+        service = self.target.service
+        if not service:
+            return
+        serving = [m.instance for m in self.view.serving(service)]
+        await self.keeper.tick(service, serving, leaving=self.target.draining)
+
     async def _refresh_loop(self) -> None:
         while True:
             await self._refresh_records()
--- /dev/null
+++ b/dunlinsaddle/once/keeper.py
@@ -0,0 +1,222 @@
+"""Keeps this node's ranges in the platform, and a copy of the maps of other services."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+from result import Err, Ok
+
+from dunlinsaddle.platform.store import ABSENT, Conflict, ObjectStore, StoredObject
+from dunlinsaddle.policy.keys import BornKey, range_of
+from dunlinsaddle.policy.ownership import (
+    Interval,
+    Owner,
+    RangeMap,
+    Situation,
+    decode_map,
+    encode_map,
+    plan_ranges,
+)
+
+RANGE_MAPS = 'ranges'
+REREAD_SECONDS = 60.0
+LOOK_FOR_NEWCOMERS_SECONDS = 5.0
+PAUSE_SECONDS = (5.0, 10.0)  #: after an attempt that the platform did not answer
+OUTAGE_MEMORY_SECONDS = 1.0
+WRITE_TRIES = 4
+
+
+class _Held(NamedTuple):
+    version: int
+    map: RangeMap
+    read_at: float  #: the loop's clock
+
+
+class _Fence(NamedTuple):
+    """An own interval that a write of uncertain end may have closed at ``cut``."""
+
+    cut: int
+    version: int  #: the version on whose condition that write was sent
+
+
+class SteadyClock:
+    """Unix time in milliseconds that never jumps: read once, then moved on by the loop's clock.
+
+    A step of the wall clock would make ranges end early or keys expire; it costs a restart at
+    most this way.
+    """
+
+    def __init__(self, wall_clock: Callable[[], float]) -> None:
+        self.wall_clock = wall_clock
+        self._began: float | None = None
+        self._wall = 0.0
+
+    def now(self) -> int:
+        """Give the time in Unix milliseconds."""
+        time = asyncio.get_running_loop().time()
+        if self._began is None:
+            self._began, self._wall = time, self.wall_clock()
+        return int((self._wall + time - self._began) * 1000)
+
+
+class RangeKeeper:
+    """Claims, extends and hands over ranges by conditional writes, ahead of need.
+
+    No call of a caller waits for the platform while the map held here covers its key.
+    """
+
+    def __init__(
+        self, store: ObjectStore, me: Owner, clock: Callable[[], int], rng: Random
+    ) -> None:
+        self.store = store
+        self.me = me
+        self.clock = clock
+        self.rng = rng
+        self.reads = 0
+        self.writes = 0
+        self._held: dict[str, _Held] = {}
+        self._highest: dict[str, dict[int, int]] = {}
+        self._fences: dict[tuple[str, int], _Fence] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._read_numbers: dict[str, int] = {}
+        self._tried_at: dict[str, float] = {}
+        self._paused_until = 0.0
+        self._failed_at = -OUTAGE_MEMORY_SECONDS
+
+    def map_of(self, service: str) -> RangeMap | None:
+        """Give the map held of a service; None where none was ever read."""
+        held = self._held.get(service)
+        return held.map if held else None
+
+    def find(self, service: str, key: BornKey) -> Interval | None:
+        """Give the interval that a key is in, by the map held."""
+        held = self._held.get(service)
+        return held.map.find(range_of(service, key), key.birth) if held else None
+
+    def accept(self, service: str, key: BornKey) -> bool:
+        """Say whether this node may run a key; from a yes on, the range reaches behind it."""
+        interval = self.find(service, key)
+        if interval is None or interval.owner != self.me:
+            return False
+        number = range_of(service, key)
+        fence = self._fences.get((service, number))
+        if fence is not None and key.birth >= fence.cut:
+            return False
+        highest = self._highest.setdefault(service, {})
+        highest[number] = max(highest.get(number, 0), key.birth)
+        return True
+
+    def stale(self, service: str) -> bool:
+        """Say whether the map of a service is due to be read again."""
+        tried_at = self._tried_at.get(service)
+        return tried_at is None or asyncio.get_running_loop().time() - tried_at > REREAD_SECONDS
+
+    async def refresh(self, service: str) -> bool:
+        """Read a map anew; True when the answer to a read begun after this call came.
+
+        Calls that come while one read is on its way share the next one: a read that began
+        earlier proves nothing about what was written since.
+        """
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._failed_at < OUTAGE_MEMORY_SECONDS:
+            return False
+        asked = self._read_numbers.get(service, 0)
+        async with self._locks.setdefault(service, asyncio.Lock()):
+            if self._read_numbers.get(service, 0) > asked:
+                return loop.time() - self._failed_at >= OUTAGE_MEMORY_SECONDS
+            self._read_numbers[service] = asked + 1
+            self._tried_at[service] = loop.time()
+            self.reads += 1
+            match await self.store.get(RANGE_MAPS, service):
+                case Ok(stored) if self._take(service, stored):
+                    return True
+            self._failed_at = loop.time()
+            return False
+
+    async def tick(self, service: str, serving: Sequence[str], *, leaving: bool = False) -> None:
+        """Do what is due for the ranges of the local target's service."""
+        if asyncio.get_running_loop().time() < self._paused_until and not leaving:
+            return
+        if self._must_read(service, serving) and not await self.refresh(service):
+            self._pause()
+            return
+        for _ in range(WRITE_TRIES):
+            here = Situation(
+                self.me, serving, self.clock(), self._highest.get(service, {}), leaving
+            )
+            held = self._held.get(service) or _Held(ABSENT, RangeMap(), 0.0)
+            plan = plan_ranges(service, held.map, here)
+            if plan is None:
+                return
+            for number, cut in plan.cuts.items():
+                self._fence(service, number, _Fence(cut, held.version))
+            if await self._write(service, plan.map, held.version):
+                return
+
+    def _must_read(self, service: str, serving: Sequence[str]) -> bool:
+        held = self._held.get(service)
+        if held is None or self.stale(service) or self._uncertain(service, held):
+            return True
+        newcomers = any(name not in held.map.present for name in serving)
+        age = asyncio.get_running_loop().time() - held.read_at
+        return newcomers and age > LOOK_FOR_NEWCOMERS_SECONDS
+
+    def _fence(self, service: str, number: int, fence: _Fence) -> None:
+        """End the right to run newer keys, before the write that closes the range leaves.
+
+        Were it to end with the answer, the heir could run a key while this node still takes
+        it. An earlier write of uncertain end may yet be the one that counts: the lower cut stays.
+        """
+        earlier = self._fences.get((service, number))
+        if earlier is None or fence.cut < earlier.cut:
+            self._fences[service, number] = fence
+
+    def _uncertain(self, service: str, held: _Held) -> bool:
+        return any(
+            fence.version >= held.version
+            for (name, _), fence in self._fences.items()
+            if name == service
+        )
+
+    async def _write(self, service: str, wanted: RangeMap, expected: int) -> bool:
+        """Write a map; False when another write came first and the plan must be made anew."""
+        self.writes += 1
+        match await self.store.put(RANGE_MAPS, service, encode_map(wanted), expected):
+            case Ok(stored):
+                self._take(service, stored)
+                return True
+            case Err(Conflict(current)):
+                self._take(service, current)
+                return False
+        # The answer is lost: the write may have taken effect, or may still do so. Rights
+        # come only from a map that was read, and the fences stay until one newer than the
+        # write's condition was: from then on the platform turns that write down.
+        self._pause()
+        await self.refresh(service)
+        return True
+
+    def _pause(self) -> None:
+        # All nodes meet the end of an outage at once; spread, they stay below its rates.
+        self._paused_until = asyncio.get_running_loop().time() + self.rng.uniform(*PAUSE_SECONDS)
+
+    def _take(self, service: str, stored: StoredObject | None) -> bool:
+        """Take what was read; False where it says nothing of who owns what."""
+        now = asyncio.get_running_loop().time()
+        held = self._held.get(service) or _Held(ABSENT, RangeMap(), now)
+        self._held[service] = held._replace(read_at=now)
+        if stored is None:
+            return held.version == ABSENT
+        if stored.version <= held.version:
+            return stored.version == held.version
+        try:
+            newer = decode_map(stored.value)
+        except (ValueError, msgspec.MsgspecError):
+            # Deleted or unreadable: starting afresh could overlap with what others hold.
+            return False
+        self._held[service] = _Held(stored.version, newer, now)
+        for place, fence in list(self._fences.items()):
+            if place[0] == service and fence.version < stored.version:
+                del self._fences[place]
+        return True
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -75,6 +75,7 @@
     node: Process
     target: Process
     faces: dict[str, str]
+    address: str  #: of the target itself
 
 
 class Fleet:
@@ -122,8 +123,8 @@
         for path in spec.calls:
             argv += ['--call', path]
         target = self._start(argv)
-        target.out.get(timeout=START_SECONDS)
-        self.placed[name] = Placed(name, node, target, faces)
+        address = target.out.get(timeout=START_SECONDS)
+        self.placed[name] = Placed(name, node, target, faces, address)
         return self.placed[name]
 
     def _start(self, argv: list[str], environ: dict[str, str] | None = None) -> Process:
--- /dev/null
+++ b/standins/once_cost.py
@@ -0,0 +1,66 @@
+"""Measures what at-most-once costs a node: time for a decision, memory for a key."""
+
+import sys
+import time
+import tracemalloc
+from random import Random
+
+import msgspec
+
+from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.errors import Outcome
+from dunlinsaddle.policy.keys import BornKey, mint_key, parse_key, range_of
+from dunlinsaddle.policy.once_table import KeyTable
+from dunlinsaddle.policy.ownership import Owner, RangeMap, Situation, encode_map, plan_ranges
+
+KEYS = 40_000
+BODY = b'x' * 200
+NOW = 1_750_000_000_000
+
+
+def decide(texts: list[str]) -> tuple[KeyTable[Reply], float]:
+    """Take each key once, from its text to its answer; gives microseconds for one."""
+    table: KeyTable[Reply] = KeyTable()
+    began = time.perf_counter()
+    for text in texts:
+        key = parse_key(text).unwrap()
+        assert isinstance(key, BornKey)
+        range_of('cut-orders', key)
+        if table.look(key.text, 7) is None:
+            table.begin(key.text, key.birth, 7, NOW)
+            table.done(key.text, Reply(0, 200, [], BODY + b'.', Outcome.DONE), len(BODY))
+    return table, (time.perf_counter() - began) / len(texts) * 1e6
+
+
+def plan(instances: int) -> tuple[int, float]:
+    """Plan ranges that are well; gives the bytes of the map and microseconds for one plan."""
+    names = [f'instance-{number}' for number in range(instances)]
+    ranges = RangeMap()
+    for name in names:
+        here = Situation(Owner(name, f'{name:0>12}'), names, NOW, {})
+        planned = plan_ranges('cut-orders', ranges, here)
+        ranges = planned.map if planned else ranges
+    began = time.perf_counter()
+    for _ in range(100):
+        plan_ranges('cut-orders', ranges, Situation(Owner(names[0], 'e'), names, NOW, {}))
+    elapsed = (time.perf_counter() - began) / 100 * 1e6
+    return len(msgspec.json.encode(encode_map(ranges))), elapsed
+
+
+def main() -> None:
+    """Print the figures."""
+    rng = Random(1)
+    texts = [mint_key(NOW, rng, 'cut-orders').text for _ in range(KEYS)]
+    _, micros = decide(texts)
+    tracemalloc.start()
+    held, _ = decide(texts)
+    memory = tracemalloc.get_traced_memory()[0] / len(held)
+    tracemalloc.stop()
+    sys.stdout.write(f'decision: {micros:.1f} us, memory of a key: {memory:.0f} bytes\n')
+    for instances in (3, 7, 20):
+        size, micros = plan(instances)
+        sys.stdout.write(f'{instances} instances: map {size} bytes, plan {micros:.0f} us\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,13 +1,17 @@
 """Builders of test data: each gives something valid, changed where the test says so."""
 
+import asyncio
 import io
 import logging
 from random import Random
 from typing import Any
 
+from dunlinsaddle.calls.work import Work
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
+from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
 
@@ -87,3 +91,23 @@
 
 def build_ticket(call_id: int = 1, **changes: Any) -> Ticket:
     return Ticket(call_id, level=200, arrived=0.0, deadline=10.0)._replace(**changes)
+
+
+def build_work(key: str = '', **changes: Any) -> Work:
+    """Build a call in progress; to be used where a loop runs, for its deadline."""
+    ctx = CallContext(
+        request_id='r-1',
+        caller='10.0.0.1',
+        service='cut-orders',
+        rule='release',
+        priority=Priority(Rank.CRITICAL, 5),
+        deadline=asyncio.get_running_loop().time() + 10.0,
+        allowance=2,
+        hop=0,
+        idempotent=False,
+        key=key,
+        fingerprint=7,
+    )
+    headers = [(b'idempotency-key', key.encode())] if key else []
+    ctx = ctx._replace(**changes)
+    return Work(ctx, 'POST', '/orders/1/release', headers, b'{}', Allowance(ctx.allowance))
--- /dev/null
+++ b/tests/test_once_processes.py
@@ -0,0 +1,168 @@
+import asyncio
+import signal
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import msgspec
+from testtools import TestCase
+
+from dunlinsaddle.calls.http import HttpResponse
+from dunlinsaddle.policy.keys import RANGES, mint_key
+from dunlinsaddle.policy.ownership import decode_map
+from dunlinsaddle.settings import read_address
+from standins.caller import Caller
+from standins.demo import operate
+from standins.fleet import Fleet, TargetSpec
+from tests.builders import build_document
+
+DOMAINS = {'bangor-1': 'bangor-hall', 'caernarfon-1': 'caernarfon-hall', 'menai-1': 'menai-hall'}
+RUN_SECONDS = 0.6
+PATIENCE = 15.0
+RELEASE = '/cut-orders/orders/17/release'
+
+
+class OnceProcessesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        for name, domain in DOMAINS.items():
+            self.fleet.place(name, TargetSpec('cut-orders', domain, 50, RUN_SECONDS))
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        record = Path(folder.name) / 'cut-orders.json'
+        record.write_bytes(msgspec.json.encode(build_document()))
+        operate(self.fleet.placed['bangor-1'].faces['operators'], 'apply', str(record))
+        self.caller = Caller()
+        self.rng = Random(3)
+
+    def run_scenario(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        async def run() -> None:
+            await self.ranges_shared()
+            await scenario()
+            self.caller.close()
+
+        asyncio.run(run())
+
+    async def fetch(self, address: str, path: str) -> object:
+        response = await self.caller.call(read_address(address), 'GET', path)
+        assert response is not None
+        return msgspec.json.decode(response.body)
+
+    async def owners(self) -> list[str]:
+        stored = await self.fetch(self.fleet.platform, '/objects/ranges/cut-orders')
+        if not stored:
+            return []
+        return [row[-1].owner.instance for row in decode_map(stored['value']).ranges if row]
+
+    async def ranges_shared(self) -> None:
+        deadline = time.monotonic() + PATIENCE
+        while time.monotonic() < deadline:
+            owners = await self.owners()
+            if len(owners) == RANGES and set(owners) == set(DOMAINS):
+                return
+            await asyncio.sleep(0.2)
+        raise AssertionError(f'ranges after {PATIENCE} s: {Counter(owners)}')
+
+    async def mint(self, owner: str) -> str:
+        wanted = [n for n, name in enumerate(await self.owners()) if name == owner]
+        return mint_key(int(time.time() * 1000), self.rng, 'cut-orders', wanted).text
+
+    async def fetch_key(self, entry: str) -> str:
+        address = read_address(self.fleet.placed[entry].faces['callers'])
+        response = await self.caller.call(address, 'POST', '/-/keys/cut-orders')
+        assert response is not None
+        return msgspec.json.decode(response.body)['key']
+
+    async def send(self, entry: str, key: str) -> HttpResponse | None:
+        address = read_address(self.fleet.placed[entry].faces['callers'])
+        headers = [(b'idempotency-key', key.encode())]
+        return await self.caller.call(address, 'POST', RELEASE, headers, timeout=5.0)
+
+    async def runs(self, *names: str) -> Counter[str]:
+        total: Counter[str] = Counter()
+        for name in names or DOMAINS:
+            total.update(await self.fetch(self.fleet.placed[name].address, '/-/runs'))
+        return total
+
+    def outcome(self, response: HttpResponse | None) -> str:
+        assert response is not None
+        return dict(response.headers)[b'dunlinsaddle-outcome'].decode()
+
+    def test_owner_killed_while_its_target_runs_the_key(self):
+        # The caller's first call is lost with the node that had it; the target finishes the
+        # work all the same. Each resend is told "unknown", and nobody runs the key again.
+        async def scenario() -> None:
+            keys = [await self.mint('bangor-1') for _ in range(5)]
+            first = [asyncio.create_task(self.send('menai-1', key)) for key in keys]
+            await asyncio.sleep(RUN_SECONDS / 2)
+            self.fleet.placed['bangor-1'].node.kill()
+            outcomes = Counter([self.outcome(await task) for task in first])
+            for entry in ('menai-1', 'caernarfon-1') * 2:
+                outcomes.update([self.outcome(await self.send(entry, key)) for key in keys])
+            self.assertEqual({'unknown': 25}, dict(outcomes))
+            self.assertEqual(dict.fromkeys(keys, 1), dict(await self.runs()))
+
+        self.run_scenario(scenario)
+
+    def test_owner_frozen_while_it_runs_the_key(self):
+        # The owner's process stops for 2 s. The first call and a resend end as "unknown", for
+        # the link went silent. Once it runs again, the owner knows how the run ended.
+        async def scenario() -> None:
+            key, node = await self.mint('bangor-1'), self.fleet.placed['bangor-1'].node
+            first = asyncio.create_task(self.send('menai-1', key))
+            await asyncio.sleep(RUN_SECONDS / 2)
+            node.kill(signal.SIGSTOP)
+            second = asyncio.create_task(self.send('caernarfon-1', key))
+            await asyncio.sleep(2.5)
+            node.kill(signal.SIGCONT)
+            self.assertEqual('unknown', self.outcome(await first))
+            self.assertEqual('unknown', self.outcome(await second))
+            await asyncio.sleep(1)
+            for entry in DOMAINS:
+                self.assertEqual('done', self.outcome(await self.send(entry, key)))
+            self.assertEqual({key: 1}, dict(await self.runs()))
+
+        self.run_scenario(scenario)
+
+    def test_owner_drained_under_calls(self):
+        # The owner is told to stop while it runs keys: those end whole. Keys that come later
+        # run at its heirs; nothing is refused as "not run" that ran.
+        async def scenario() -> None:
+            key = await self.mint('bangor-1')
+            first = asyncio.create_task(self.send('menai-1', key))
+            await asyncio.sleep(RUN_SECONDS / 2)
+            self.fleet.placed['bangor-1'].node.kill(signal.SIGTERM)
+            self.assertEqual('done', self.outcome(await first))
+            self.assertNotIn('bangor-1', await self.owners())
+            keys = [await self.mint(name) for name in ('menai-1', 'caernarfon-1')]
+            for key in [*keys, await self.fetch_key('menai-1')]:
+                self.assertEqual('done', self.outcome(await self.send('caernarfon-1', key)))
+            self.assertEqual({1}, set((await self.runs()).values()))
+
+        self.run_scenario(scenario)
+
+    def test_target_killed_while_it_runs_a_call_without_a_key(self):
+        # No key came, so no resend can be told from a new call; but the system's own retries
+        # must not run it twice. The answer is "unknown", although other targets are idle.
+        async def scenario() -> None:
+            address = read_address(self.fleet.placed['menai-1'].faces['callers'])
+            calls = [self.caller.call(address, 'POST', RELEASE, timeout=5.0) for _ in range(9)]
+            tasks = [asyncio.create_task(call) for call in calls]
+            await asyncio.sleep(RUN_SECONDS / 2)
+            ran = {name: await self.runs(name) for name in DOMAINS}
+            victim = max(DOMAINS, key=lambda name: len(ran[name]))
+            self.fleet.placed[victim].target.kill()
+            outcomes = Counter([self.outcome(await task) for task in tasks])
+            after = await self.runs(*(name for name in DOMAINS if name != victim))
+            self.assertEqual({1}, set(ran[victim].values()) | set(after.values()))
+            self.assertEqual(set(), set(ran[victim]) & set(after))
+            self.assertGreaterEqual(outcomes['unknown'], len(ran[victim]))
+            self.assertEqual(9, outcomes.total())
+
+        self.run_scenario(scenario)
