--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -17,14 +17,15 @@
     json_response,
     response_of,
 )
-from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.calls.work import Running, RunningCalls, Work
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.callers import ResendGuard
 from dunlinsaddle.policy.classify import classify
 from dunlinsaddle.policy.context import MAX_HOPS, CallContext, priority_of
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.models import RequestRule, ServiceRecord
+from dunlinsaddle.records.models import Mode, RequestRule, ServiceRecord
 from dunlinsaddle.settings import read_address
 from dunlinsaddle.stats import CallLabel, Stats
 
@@ -74,6 +75,7 @@
         self.book = book
         self.dispatcher = dispatcher
         self.stats = stats
+        self.guard = ResendGuard()
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request of a caller."""
@@ -85,7 +87,10 @@
             return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
         rule = classify(record, req.method, path['rest'])
         work = self._work(req, record, rule, path['rest'])
-        reply = await self.dispatcher.dispatch(work)
+        name = req.header(b'idempotency-key') or req.header(b'request-id')
+        failure = self._over_rate(work, record, name)
+        reply = refusal(failure) if failure else await self.dispatcher.dispatch(work)
+        self._note_refusal(work, reply, name)
         label = CallLabel(record.service, rule.rank.name.lower(), reply.outcome.value, reply.kind)
         self.stats.count(label)
         return self._response(reply, work)
@@ -98,12 +103,42 @@
             return failure_response(Failure(ErrorKind.METHOD_NOT_ALLOWED, req.method))
         return json_response({'key': (await self.dispatcher.once.mint(service)).text})
 
+    def _over_rate(self, work: Work, record: ServiceRecord, name: str) -> Failure | None:
+        ctx = work.ctx
+        if not name:
+            # Two requests without a name may be alike and yet come from two people.
+            return None
+        failure = self.guard.check(
+            asyncio.get_running_loop().time(),
+            ctx.caller,
+            name,
+            rank=ctx.priority.rank,
+            ratio=record.resend_ratio,
+        )
+        if failure is None:
+            return None
+        if record.mode is Mode.OBSERVE:
+            self.stats.observed_refusals[failure.kind.value] += 1
+            return None
+        self.stats.shed[failure.kind.value] += 1
+        return failure
+
+    def _note_refusal(self, work: Work, reply: Reply, name: str) -> None:
+        ctx = work.ctx
+        if not name:
+            return
+        if not reply.kind:
+            self.guard.answered(ctx.caller, name)
+        elif reply.retry_after > 0:
+            now = asyncio.get_running_loop().time()
+            self.guard.refused(now, ctx.caller, name, reply.retry_after)
+
     def _work(self, req: HttpRequest, record: ServiceRecord, rule: RequestRule, rest: str) -> Work:
         now = asyncio.get_running_loop().time()
-        request_id = req.header(b'request-id')[:MAX_ID_LENGTH] or str(uuid6.uuid7())
+        request_id = req.header(b'request-id')[:MAX_ID_LENGTH].strip() or str(uuid6.uuid7())
         ctx = CallContext(
             request_id=request_id,
-            caller=req.remote,
+            caller=caller_of(req),
             service=record.service,
             rule=rule.name,
             priority=priority_of(rule.rank, request_id),
@@ -214,6 +249,18 @@
         return Work(ctx, req.method, rest, headers, req.body, allowance)
 
 
+def caller_of(req: HttpRequest) -> str:
+    """Tell callers apart that share an address, as those behind one gateway do.
+
+    Credentials are not checked here, only told apart: who changes them with every call gains
+    a new bucket for resends, and is bounded by admission like everybody else.
+    """
+    credentials = req.header(b'authorization')
+    if not credentials:
+        return req.remote
+    return f'{req.remote}/{xxhash.xxh64_hexdigest(credentials.encode())}'
+
+
 def fingerprint(req: HttpRequest, service: str) -> int:
     """Give what stays the same when a caller sends the same request again."""
     digest = xxhash.xxh64(service.encode())
--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -137,7 +137,7 @@
             if interval is not None:
                 ranges.setdefault(interval.owner.instance, []).append(number)
         members = [m for m in self.view.serving(service) if m.instance in ranges]
-        candidates = [Candidate(m.instance, m.domain) for m in members]
+        candidates = [Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members]
         now_loop = asyncio.get_running_loop().time()
         chosen = self.router.choose(now_loop, candidates, frozenset(tried))
         return mint_key(now, self.rng, service, ranges[chosen.instance] if chosen else ())
@@ -196,8 +196,7 @@
 
     def _ended(self, owner: Owner) -> bool:
         member = self.view.find(owner.instance)
-        gone = member is not None and member.state in (State.DEAD, State.LEFT)
-        return gone or owner.instance == self.me.instance
+        return owner.instance == self.me.instance or (member is not None and member.gone)
 
     async def _own_born(self, work: Work, key: BornKey) -> Reply:
         if self.keeper.accept(work.ctx.service, key):
@@ -308,7 +307,9 @@
         while _goes_on(reply) and len(tried) <= MAX_HANDED_ON:
             now = asyncio.get_running_loop().time()
             members = {m.instance: m for m in self.view.serving(work.ctx.service)}
-            candidates = [Candidate(m.instance, m.domain) for m in members.values()]
+            candidates = [
+                Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members.values()
+            ]
             chosen = self.router.choose(now, candidates, frozenset(tried))
             if chosen is None or not work.allowance.spend():
                 break
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -14,28 +14,39 @@
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
+from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
-from dunlinsaddle.calls.link import LinkLimits, PeerLinks, PeerServer
+from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.once import OnceGate
+from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
-from dunlinsaddle.membership.roster import Roster, entry_of
+from dunlinsaddle.explain import Explanation, Question, explain
+from dunlinsaddle.membership.agent import GossipAgent
+from dunlinsaddle.membership.liveness import TargetWatch
+from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
 from dunlinsaddle.policy.ownership import Owner
+from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import RECORDS, versioned
+from dunlinsaddle.records.models import Mode
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
 REFRESH_SECONDS = 0.5
 RANGES_SECONDS = 0.5
 KEY_WINDOW = 900.0
+WATCH_SECONDS = 0.25
+DRAIN_NOTICE = 1.0
+#: Listings hold many values of up to a megabyte.
+PLATFORM_BODY_BYTES = 1 << 26
 
 
 class Faces(NamedTuple):
@@ -45,6 +56,7 @@
     local: Address
     peers: Address
     operators: Address
+    gossip: Address
 
 
 class Node:
@@ -60,16 +72,34 @@
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
-        self.client = HttpClient()
-        self.store: ObjectStore = HttpObjectStore(settings.platform, self.client)
-        self.roster = Roster(self.store, settings.domain)
+        self.client = HttpClient(settings.max_body_bytes)
+        self.platform_client = HttpClient(PLATFORM_BODY_BYTES)
+        self.store: ObjectStore = HttpObjectStore(settings.platform, self.platform_client)
+        rng = Random(env.rng.random())
+        self.agent = GossipAgent(self.view, settings.peer_key, rng, settings.seeds)
+        self.target_watch = TargetWatch()
         link_limits = LinkLimits(body_bytes=settings.max_body_bytes)
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
         self.admission = Admission()
-        self.executor = Executor(self.target, self.admission, self.client, self.running, self.stats)
-        router = Router(settings.domain, Random(env.rng.random()))
+        self.quarantine = Quarantine()
+        self.executor = Executor(
+            self.target,
+            self.admission,
+            self.client,
+            self.running,
+            self.stats,
+            self.quarantine,
+            self._observes,
+        )
+        router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
-            settings.instance, self.view, router, self.links, self.executor, self.stats
+            settings.instance,
+            self.view,
+            router,
+            self.links,
+            self.executor,
+            self.stats,
+            self.quarantine,
         )
         self._build_once(router)
         self._build_faces(link_limits)
@@ -92,6 +122,7 @@
             self._key_window,
         )
         self.dispatcher.once = self.once
+        self._ranges_of = ''
 
     def _key_window(self, service: str) -> float:
         record = self.book.find(service)
@@ -111,13 +142,12 @@
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
         self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
-        self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits)
+        self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits, self._peer_fault)
 
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
         self.keeper.store = store
-        self.roster = Roster(store, self.settings.domain)
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -127,7 +157,13 @@
             await self.local_http.listen(cfg.local),
             await self.peer_server.listen(cfg.peers),
             await self.operators_http.listen(cfg.operators),
+            await self.agent.listen(self.env.open_gossip, cfg.gossip),
         )
+        self.agent.start(self.me())
+        roster = Roster(self.store, cfg.domain)
+        bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
+        self._spawn(self.agent.run())
+        self._spawn(bootstrap.run())
         self._spawn(self._refresh_loop())
         self._spawn(self._announce_loop())
         self._spawn(self._ranges_loop())
@@ -137,12 +173,20 @@
         """Take no new work, tell the others, and wait for what is in progress."""
         self.target.draining = True
         self.local.changed.set()
-        self.callers_http.stop_listening()
+        self.callers_http.start_closing()
         await self._keep_ranges()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_timeout):
+                # Callers and routers with an old view still come here for a moment: they
+                # are told to go elsewhere, which a closed port could not do.
+                await asyncio.sleep(DRAIN_NOTICE)
+                self.callers_http.stop_listening()
+                self.executor.refuse_waiting()
+                await self.callers_http.wait_idle()
+                await self.peer_server.wait_idle()
                 await self.running.wait_idle()
                 await self.once.wait_idle()
+                await self.local_http.wait_idle()
 
     async def stop(self) -> None:
         """Close everything."""
@@ -151,9 +195,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for face in (self.callers_http, self.local_http, self.operators_http):
             face.close()
+        self.agent.leave()
         self.peer_server.close()
         self.links.close()
         self.client.close()
+        self.platform_client.close()
 
     def me(self) -> Member:
         """Give the word that this node spreads of itself."""
@@ -166,7 +212,7 @@
             cfg.domain,
             self.target.service,
             self.faces.peers,
-            cfg.gossip,
+            self.faces.gossip,
         )
 
     def status(self) -> Any:
@@ -192,6 +238,19 @@
             for m in sorted(self.view.members(), key=lambda m: (m.service, m.instance))
         ]
 
+    def explain(self, question: Question) -> Explanation | None:
+        """Explain what would happen to a request here; None without a record."""
+        record = self.book.find(question['service'])
+        if record is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        members = self.view.serving(record.service)
+        return explain(question, record, members, self.dispatcher.router, now)
+
+    def _observes(self, service: str) -> bool:
+        record = self.book.find(service)
+        return record is not None and record.mode is Mode.OBSERVE
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
@@ -201,6 +260,10 @@
         self.stats.faults += 1
         self.logger.exception('fault while answering', extra={'path': req.path})
 
+    def _peer_fault(self, call: Call) -> None:
+        self.stats.faults += 1
+        self.logger.exception('fault while answering a peer', extra={'service': call.service})
+
     async def _serve_peer(self, call: Call) -> Reply:
         if not call.idempotent and not call.owned:
             return await self.once.serve(call)
@@ -213,16 +276,21 @@
 
     async def _keep_ranges(self) -> None:
         service = self.target.service
+        if service != self._ranges_of and self._ranges_of:
+            # The target has died or serves something else: its ranges go to others.
+            former, self._ranges_of = self._ranges_of, ''
+            await self.keeper.tick(former, self._serving(former), leaving=True)
         if not service:
             return
-        serving = [m.instance for m in self.view.serving(service)]
-        await self.keeper.tick(service, serving, leaving=self.target.draining)
+        self._ranges_of = service
+        await self.keeper.tick(service, self._serving(service), leaving=self.target.draining)
+
+    def _serving(self, service: str) -> list[str]:
+        return [m.instance for m in self.view.serving(service)]
 
     async def _refresh_loop(self) -> None:
         while True:
             await self._refresh_records()
-            for member in await self.roster.read() or ():
-                self.view.take(member)
             await asyncio.sleep(REFRESH_SECONDS)
 
     async def _refresh_records(self) -> None:
@@ -234,11 +302,22 @@
                             self.book.take(entry)
 
     async def _announce_loop(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            await self.local.changed.wait()
-            self.local.changed.clear()
-            member = self.me()
-            self.view.take(member)
-            if not await self.roster.write(member):
-                self.local.changed.set()
-                await asyncio.sleep(REFRESH_SECONDS)
+            # Not wait_for: in 3.11 it swallows a cancellation that comes with the event, and a
+            # node told to stop would hang.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_SECONDS):
+                    await self.local.changed.wait()
+            if self.local.changed.is_set():
+                self.local.changed.clear()
+                self.target_watch.heard(loop.time())
+            elif await self._target_gone(loop.time()):
+                self.target.service, self.target.address = '', None
+            self.agent.announce(self.me())
+
+    async def _target_gone(self, now: float) -> bool:
+        address = self.target.address
+        if address is None or self.target.draining:
+            return False
+        return await self.target_watch.gone(now, address)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,14 +6,17 @@
 from random import Random
 from typing import Any
 
+from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.environment import Environment
+from dunlinsaddle.errors import Outcome
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.policy.context import CallContext, Priority
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
+from tests.fakes.network import open_in_memory
 
 PEER_KEY = 'a-key-for-tests'
 OPERATOR_TOKEN = 'a-token-for-tests'
@@ -26,6 +29,7 @@
         'stdin': io.StringIO(),
         'environ': {},
         'rng': Random(7),
+        'open_gossip': open_in_memory,
         **changes,
     }
     return Environment(**values)
@@ -93,21 +97,58 @@
     return Ticket(call_id, level=200, arrived=0.0, deadline=10.0)._replace(**changes)
 
 
-def build_work(key: str = '', **changes: Any) -> Work:
-    """Build a call in progress; to be used where a loop runs, for its deadline."""
+def build_work(tokens: int = 3, **changes: Any) -> Work:
     ctx = CallContext(
-        request_id='r-1',
-        caller='10.0.0.1',
+        request_id='request-1',
+        caller='tablet',
         service='cut-orders',
-        rule='release',
-        priority=Priority(Rank.CRITICAL, 5),
-        deadline=asyncio.get_running_loop().time() + 10.0,
-        allowance=2,
+        rule='read',
+        priority=Priority(Rank.NORMAL, 5),
+        deadline=10.0,
+        allowance=tokens,
         hop=0,
+        idempotent=True,
+        key='',
+        fingerprint=1,
+    )
+    return Work(ctx._replace(**changes), 'GET', '/orders/1', [], b'', Allowance(tokens))
+
+
+def build_call(call_id: int = 1, **changes: Any) -> Call:
+    values: dict[str, Any] = {
+        'id': call_id,
+        'service': 'cut-orders',
+        'method': 'GET',
+        'path': '/orders/1',
+        'headers': [],
+        'body': b'',
+        'request_id': 'r-1',
+        'caller': '127.0.0.1',
+        'rule': 'read',
+        'rank': 2,
+        'slot': 5,
+        'budget': 10.0,
+        'allowance': 0,
+        'hop': 0,
+        'idempotent': True,
+        **changes,
+    }
+    return Call(**values)
+
+
+def build_reply(body: bytes = b'', **changes: Any) -> Reply:
+    values: dict[str, Any] = {'id': 0, 'status': 200, 'headers': [], 'outcome': Outcome.DONE}
+    return Reply(**{**values, 'body': body, **changes})
+
+
+def build_release(key: str = '', **changes: Any) -> Work:
+    """Build a call that must run at most once; where a loop runs, for its deadline."""
+    work = build_work(
+        2,
+        rule='release',
         idempotent=False,
         key=key,
-        fingerprint=7,
+        **{'deadline': asyncio.get_running_loop().time() + 10.0, **changes},
     )
     headers = [(b'idempotency-key', key.encode())] if key else []
-    ctx = ctx._replace(**changes)
-    return Work(ctx, 'POST', '/orders/1/release', headers, b'{}', Allowance(ctx.allowance))
+    return work._replace(method='POST', path='/orders/1/release', headers=headers)
--- a/tests/once_cluster.py
+++ b/tests/once_cluster.py
@@ -20,7 +20,7 @@
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
-from tests.builders import build_member, build_work
+from tests.builders import build_member, build_release
 from tests.fakes.store import FakeStore
 
 SERVICE = 'cut-orders'
@@ -122,7 +122,7 @@
         cluster.open[key] += 1
         cluster.sends[key] += 1
         number = cluster.sends[key]
-        reply = await self.enter(build_work(key, **changes))
+        reply = await self.enter(build_release(key, **changes))
         cluster.open[key] -= 1
         alone = alone and cluster.sends[key] == number
         if key:
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -87,7 +87,7 @@
     async def runs(self, *names: str) -> Counter[str]:
         total: Counter[str] = Counter()
         for name in names or DOMAINS:
-            total.update(await self.fetch(self.fleet.placed[name].address, '/-/runs'))
+            total.update(await self.fetch(self.fleet.placed[name].listening, '/-/runs'))
         return total
 
     def outcome(self, response: HttpResponse | None) -> str:
