--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -108,6 +108,10 @@
         if not name:
             # Two requests without a name may be alike and yet come from two people.
             return None
+        if ctx.key and not ctx.idempotent:
+            # The first send may be running: "not run" from here would be false. The owner of
+            # the key tells duplicates at once, at the cost of a look into its table.
+            return None
         failure = self.guard.check(
             asyncio.get_running_loop().time(),
             ctx.caller,
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -70,7 +70,7 @@
     key: str = ''
     fingerprint: int = 0
     deaths: int = 0
-    asked: int = 0  #: nodes that were asked before for who owns the key
+    asked: Hops = 0  #: nodes that were asked before for who owns the key
     owned: bool = False  #: the key's owner has decided that the call may run
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -1,12 +1,43 @@
 import asyncio
+from typing import Any
 
-from dunlinsaddle.errors import ErrorKind, Outcome
+from dunlinsaddle.calls.faces import CallerFace
+from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.messages import Reply, refusal
+from dunlinsaddle.calls.work import Work
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import State
-from tests.builders import build_member
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.models import VersionedRecord
+from dunlinsaddle.stats import Stats
+from tests.builders import build_member, build_record
 from tests.clock import PausedClockTest
 from tests.once_cluster import NAMES, SERVICE, Cluster, Process
 
 
+class EntryTest(PausedClockTest):
+    def test_an_entry_never_calls_a_running_key_not_run(self):
+        # The caller is told "in progress" and asks again at once, a dozen times. The entry
+        # damps resends, but "not run" from there would be a lie: the first send is running.
+        class Running:
+            once = None
+
+            async def dispatch(self, work: Work) -> Reply:
+                return refusal(Failure(ErrorKind.KEY_IN_PROGRESS, retry_after=5.0))
+
+        async def scenario() -> None:
+            book = RecordBook()
+            book.take(VersionedRecord('cut-orders', 1, build_record(resend_ratio=0.0)))
+            dispatcher: Any = Running()
+            face = CallerFace(book, dispatcher, Stats())
+            headers = [(b'idempotency-key', b'order-17')]
+            req = HttpRequest('POST', '/cut-orders/stock', headers, b'', '10.0.0.1')
+            statuses = {(await face.handle(req)).status for _ in range(12)}
+            self.assertEqual({409}, statuses)
+
+        self.run_paused(scenario())
+
+
 class OnceTest(PausedClockTest):
     def run_cluster(self, scenario):
         async def run() -> None:
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -69,6 +69,12 @@
             await asyncio.sleep(0.2)
         raise AssertionError(f'ranges after {PATIENCE} s: {Counter(owners)}')
 
+    async def ranges_left_by(self, name: str) -> None:
+        deadline = time.monotonic() + PATIENCE
+        while name in await self.owners():
+            self.assertLess(time.monotonic(), deadline, f'{name} still owns ranges')
+            await asyncio.sleep(0.2)
+
     async def mint(self, owner: str) -> str:
         wanted = [n for n, name in enumerate(await self.owners()) if name == owner]
         return mint_key(int(time.time() * 1000), self.rng, 'cut-orders', wanted).text
@@ -164,5 +170,6 @@
             self.assertEqual(set(), set(ran[victim]) & set(after))
             self.assertGreaterEqual(outcomes['unknown'], len(ran[victim]))
             self.assertEqual(9, outcomes.total())
+            await self.ranges_left_by(victim)
 
         self.run_scenario(scenario)
