--- a/dunlinsaddle/calls/peer_server.py
+++ b/dunlinsaddle/calls/peer_server.py
@@ -16,10 +16,15 @@
     Call,
     Cancel,
     Challenge,
+    Deaths,
     Frame,
     Hello,
     Ping,
     Pong,
+    RecordFrame,
+    RecordsAnswer,
+    RecordsAsk,
+    RecordsPush,
     Reply,
     Welcome,
     refusal,
@@ -28,6 +33,7 @@
 from dunlinsaddle.settings import Address
 
 CallHandler = Callable[[Call], Awaitable[Reply]]
+RecordsHandler = Callable[[RecordFrame], RecordsAnswer | None]
 
 
 class _Serving(FrameProtocol):
@@ -83,6 +89,12 @@
                     task.cancel()
             case Ping() if self.instance:
                 self.send(Pong(frame.number))
+            case RecordsAsk() | RecordsPush() if self.instance:
+                answer = self.server.on_records(frame)
+                if answer is not None:
+                    self.send(answer)
+            case Deaths() if self.instance:
+                self.server.on_deaths(frame)
             case _:
                 self.transport.abort()
 
@@ -152,6 +164,8 @@
         self.on_fault = on_fault
         self.links: set[_Serving] = set()
         self.refused = 0
+        self.on_records: RecordsHandler = lambda frame: None
+        self.on_deaths: Callable[[Deaths], None] = lambda frame: None
         self._server: asyncio.Server | None = None
         self._idle = asyncio.Event()
 
--- a/dunlinsaddle/cli/definition.py
+++ b/dunlinsaddle/cli/definition.py
@@ -1,5 +1,7 @@
 """What all commands of the tool share: options, output, and errors in one line."""
 
+import traceback
+from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
@@ -7,18 +9,20 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from dunlinsaddle.cli.argtypes import address_argument
+from dunlinsaddle.cli.argtypes import address_argument, token_argument
 from dunlinsaddle.cli.client import NodeClient
 from dunlinsaddle.cli.constants import DEFAULT_NODE, NODE_VARIABLE, TOKEN_VARIABLE
 from dunlinsaddle.cli.exceptions import CommandError
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
+DEBUG_FLAG = '--debug'
 JSON_OPTION = option('json', None, 'Write one JSON document.')
 NODE_OPTIONS: list[Option] = [
     JSON_OPTION,
     option('node', None, f"A node's operators' face, or {NODE_VARIABLE}.", flag=False),
     option('token', None, f"The operators' token, or {TOKEN_VARIABLE}.", flag=False),
+    option('debug', None, 'Show where a failure comes from.'),
 ]
 
 
@@ -34,6 +38,8 @@
         try:
             return self.work()
         except CommandError as exc:
+            if self.definition.has_option('debug') and self.option('debug'):
+                self.env.stderr.write(traceback.format_exc())
             self.env.report(str(exc))
             return exc.status
 
@@ -62,7 +68,34 @@
             raise CommandError(
                 ExitStatus.USAGE, f'no operator token: give --token or {TOKEN_VARIABLE}'
             )
-        return NodeClient(address_argument('node', text), token)
+        return NodeClient(address_argument('node', text), token_argument('token', token))
+
+
+def flat(value: dict[str, Any], prefix: str = '') -> list[list[str]]:
+    """Give a nested object as rows of a dotted name and a value.
+
+    >>> flat({'a': 1, 'b': {'c': 2}, 'd': {}})
+    [['a', '1'], ['b.c', '2'], ['d', '-']]
+    """
+    rows: list[list[str]] = []
+    for key, item in value.items():
+        name = f'{prefix}{key}'
+        if isinstance(item, dict) and item:
+            rows += flat(item, f'{name}.')
+        elif isinstance(item, list):
+            rows.append([name, ', '.join(map(str, item)) or '-'])
+        else:
+            rows.append([name, '-' if item in (None, {}) else str(item)])
+    return rows
+
+
+def moment(seconds: float) -> str:
+    """Give a moment in UTC.
+
+    >>> moment(0)
+    '1970-01-01T00:00:00Z'
+    """
+    return datetime.fromtimestamp(seconds, UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
 
 
 def table(rows: list[list[str]]) -> list[str]:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -7,8 +7,6 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from result import Ok
-
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.dispatch import Dispatcher
@@ -17,7 +15,7 @@
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
@@ -27,7 +25,9 @@
 from dunlinsaddle.membership.liveness import TargetWatch
 from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
+from dunlinsaddle.once.local import LocalRanges, Served
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
@@ -35,13 +35,11 @@
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.changes import RECORDS, versioned
 from dunlinsaddle.records.models import Mode
+from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
-REFRESH_SECONDS = 0.5
-RANGES_SECONDS = 0.5
 KEY_WINDOW = 900.0
 WATCH_SECONDS = 0.25
 DRAIN_NOTICE = 1.0
@@ -68,7 +66,7 @@
         self.logger = logger
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
-        self.book = RecordBook()
+        self.book = RecordBook(wall_clock=env.wall_clock)
         self.view = MemberView()
         self.target = LocalTarget()
         self.running = RunningCalls()
@@ -90,6 +88,7 @@
             self.stats,
             self.quarantine,
             self._observes,
+            self._tell_deaths,
         )
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
@@ -103,6 +102,8 @@
         )
         self._build_once(router)
         self._build_faces(link_limits)
+        self.sync = self._build_sync()
+        self.instruments = self._build_instruments()
         self.faces: Faces
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -122,7 +123,10 @@
             self._key_window,
         )
         self.dispatcher.once = self.once
-        self._ranges_of = ''
+        self.ranges = LocalRanges(self.keeper, self.view, self._served)
+
+    def _served(self) -> Served:
+        return Served(self.target.service, self.target.draining)
 
     def _key_window(self, service: str) -> float:
         record = self.book.find(service)
@@ -139,15 +143,48 @@
         )
         callers = CallerFace(self.book, self.dispatcher, self.stats)
         self.local = LocalFace(self.target, self.running, self.book, self.dispatcher)
+        operators = OperatorsFace(self, self.env.wall_clock)
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
         self.local_http = HttpFace(self.local.handle, limits, self._fault)
-        self.operators_http = HttpFace(OperatorsFace(self).handle, limits, self._fault)
+        self.operators_http = HttpFace(operators.handle, limits, self._fault)
         self.peer_server = PeerServer(cfg.peer_key, self._serve_peer, link_limits, self._peer_fault)
 
+    def _build_sync(self) -> RecordSync:
+        rng = Random(self.env.rng.random())
+        sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
+        self.peer_server.on_records = sync.take
+        self.peer_server.on_deaths = self._hear_deaths
+        return sync
+
+    def _build_instruments(self) -> Metrics:
+        cfg = self.settings
+        resource = {
+            'service.name': 'dunlinsaddle',
+            'service.instance.id': cfg.instance,
+            'dunlinsaddle.domain': cfg.domain,
+            'dunlinsaddle.region': cfg.region,
+        }
+        metrics = Metrics(resource, cfg.otlp_endpoint)
+        observe_stats(metrics, self.stats)
+        observe_records(metrics, self.book)
+        metrics.gauge('dunlinsaddle.load', '{call}', 'Load of the target.', self._load_values)
+        metrics.counter(
+            'dunlinsaddle.platform_calls',
+            '{call}',
+            'Calls to the platform, each watch as one.',
+            lambda: [(self.store.calls, {})],
+        )
+        return metrics
+
+    def _load_values(self) -> Values:
+        load = self.admission.load(asyncio.get_running_loop().time())
+        return [(value, {'of': name}) for name, value in load._asdict().items()]
+
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
         self.keeper.store = store
+        self.sync.store = store
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -164,9 +201,10 @@
         bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
         self._spawn(self.agent.run())
         self._spawn(bootstrap.run())
-        self._spawn(self._refresh_loop())
+        self._spawn(self.sync.run())
+        self._spawn(self.instruments.export_loop())
         self._spawn(self._announce_loop())
-        self._spawn(self._ranges_loop())
+        self._spawn(self.ranges.run())
         return self.faces
 
     async def drain(self) -> None:
@@ -174,7 +212,7 @@
         self.target.draining = True
         self.local.changed.set()
         self.callers_http.start_closing()
-        await self._keep_ranges()
+        await self.ranges.keep()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_timeout):
                 # Callers and routers with an old view still come here for a moment: they
@@ -198,6 +236,7 @@
         self.agent.leave()
         self.peer_server.close()
         self.links.close()
+        self.instruments.close()
         self.client.close()
         self.platform_client.close()
 
@@ -225,12 +264,16 @@
             'draining': self.target.draining,
             'faces': {name: str(address) for name, address in self.faces._asdict().items()},
             'load': load._asdict(),
-            'records': {e.service: e.version for e in self.book.entries()},
+            **self.sync.status(),
             'members': len(list(self.view.members())),
             'shed': dict(self.stats.shed),
             'retries': self.stats.retries,
         }
 
+    def metrics(self) -> Any:
+        """Give the value of every instrument."""
+        return self.instruments.read()
+
     def targets(self) -> Any:
         """Give all instances known here."""
         return [
@@ -251,6 +294,24 @@
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
 
+    def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
+        """Warn the nodes whose targets the same request could reach next.
+
+        Its caller sends it again at once, by any entry: only the nodes beside the other
+        targets of this service stand between the request and a further death.
+        """
+        frame = Deaths(fingerprint, deaths)
+        for member in self.view.serving(self.target.service):
+            if member.instance != self.settings.instance:
+                self._spawn(self._tell(member.peers, frame))
+
+    async def _tell(self, address: Address, frame: Deaths) -> None:
+        await self.links.tell(address, frame)
+
+    def _hear_deaths(self, frame: Deaths) -> None:
+        now = asyncio.get_running_loop().time()
+        self.quarantine.hear(now, frame.fingerprint, frame.deaths)
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
@@ -258,7 +319,8 @@
 
     def _fault(self, req: HttpRequest) -> None:
         self.stats.faults += 1
-        self.logger.exception('fault while answering', extra={'path': req.path})
+        extra = {'path': req.path, 'request_id': req.header(b'request-id')}
+        self.logger.exception('fault while answering', extra=extra)
 
     def _peer_fault(self, call: Call) -> None:
         self.stats.faults += 1
@@ -269,38 +331,6 @@
             return await self.once.serve(call)
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
-    async def _ranges_loop(self) -> None:
-        while True:
-            await self._keep_ranges()
-            await asyncio.sleep(RANGES_SECONDS)
-
-    async def _keep_ranges(self) -> None:
-        service = self.target.service
-        if service != self._ranges_of and self._ranges_of:
-            # The target has died or serves something else: its ranges go to others.
-            former, self._ranges_of = self._ranges_of, ''
-            await self.keeper.tick(former, self._serving(former), leaving=True)
-        if not service:
-            return
-        self._ranges_of = service
-        await self.keeper.tick(service, self._serving(service), leaving=self.target.draining)
-
-    def _serving(self, service: str) -> list[str]:
-        return [m.instance for m in self.view.serving(service)]
-
-    async def _refresh_loop(self) -> None:
-        while True:
-            await self._refresh_records()
-            await asyncio.sleep(REFRESH_SECONDS)
-
-    async def _refresh_records(self) -> None:
-        match await self.store.list(RECORDS):
-            case Ok(listing):
-                for held in listing.objects:
-                    match versioned(held):
-                        case Ok(entry):
-                            self.book.take(entry)
-
     async def _announce_loop(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
