--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -30,6 +30,7 @@
 from dunlinsaddle.stats import CallLabel, Stats
 
 MAX_ID_LENGTH = 128
+KEYS_PATH = '/-/keys/'
 COMMON_DEADLINE = 10.0
 UNTRACED_RULE = RequestRule('untraced', '*', '/**')
 
@@ -78,6 +79,8 @@
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request of a caller."""
+        if req.path.startswith(KEYS_PATH):
+            return await self._mint_key(req)
         path = split_path(req.path)
         record = self.book.find(path['service'])
         if record is None:
@@ -92,11 +95,23 @@
         self.stats.count(label)
         return self._response(reply, work)
 
+    async def _mint_key(self, req: HttpRequest) -> HttpResponse:
+        service = req.path.removeprefix(KEYS_PATH)
+        if self.book.find(service) is None or self.dispatcher.once is None:
+            return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, service))
+        if req.method != 'POST':
+            return failure_response(Failure(ErrorKind.METHOD_NOT_ALLOWED, req.method))
+        return json_response({'key': (await self.dispatcher.once.mint(service)).text})
+
     def _over_rate(self, work: Work, record: ServiceRecord, name: str) -> Failure | None:
         ctx = work.ctx
         if not name:
             # Two requests without a name may be alike and yet come from two people.
             return None
+        if ctx.key and not ctx.idempotent:
+            # The first send may be running: "not run" from here would be false. The owner of
+            # the key tells duplicates at once, at the cost of a look into its table.
+            return None
         failure = self.guard.check(
             asyncio.get_running_loop().time(),
             ctx.caller,
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import secrets
 from random import Random
 from typing import Any, NamedTuple
 
@@ -15,6 +16,7 @@
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
+from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
@@ -24,9 +26,12 @@
 from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
+from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
+from dunlinsaddle.once.local import LocalRanges, Served
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.ownership import Owner
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
@@ -35,6 +40,7 @@
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
+KEY_WINDOW = 900.0
 WATCH_SECONDS = 0.25
 DRAIN_NOTICE = 1.0
 #: Listings hold many values of up to a megabyte.
@@ -94,12 +100,38 @@
             self.stats,
             self.quarantine,
         )
+        self._build_once(router)
         self._build_faces(link_limits)
         self.sync = self._build_sync()
         self.instruments = self._build_instruments()
         self.faces: Faces
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _build_once(self, router: Router) -> None:
+        me = Owner(self.settings.instance, secrets.token_hex(6))
+        clock = SteadyClock(self.env.wall_clock)
+        rng = Random(self.env.rng.random())
+        self.keeper = RangeKeeper(self.store, me, clock.now, rng)
+        self.once = OnceGate(
+            self.keeper,
+            self.view,
+            router,
+            self.links,
+            self.executor,
+            self.stats,
+            rng,
+            self._key_window,
+        )
+        self.dispatcher.once = self.once
+        self.ranges = LocalRanges(self.keeper, self.view, self._served)
+
+    def _served(self) -> Served:
+        return Served(self.target.service, self.target.draining)
+
+    def _key_window(self, service: str) -> float:
+        record = self.book.find(service)
+        return record.key_window if record else KEY_WINDOW
+
     def _build_faces(self, link_limits: LinkLimits) -> None:
         cfg = self.settings
         limits = HttpLimits(
@@ -151,6 +183,7 @@
     def use_store(self, store: ObjectStore) -> None:
         """Take another object store, before the start."""
         self.store = store
+        self.keeper.store = store
         self.sync.store = store
 
     async def start(self) -> Faces:
@@ -171,6 +204,7 @@
         self._spawn(self.sync.run())
         self._spawn(self.instruments.export_loop())
         self._spawn(self._announce_loop())
+        self._spawn(self.ranges.run())
         return self.faces
 
     async def drain(self) -> None:
@@ -178,6 +212,7 @@
         self.target.draining = True
         self.local.changed.set()
         self.callers_http.start_closing()
+        await self.ranges.keep()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_timeout):
                 # Callers and routers with an old view still come here for a moment: they
@@ -188,6 +223,7 @@
                 await self.callers_http.wait_idle()
                 await self.peer_server.wait_idle()
                 await self.running.wait_idle()
+                await self.once.wait_idle()
                 await self.local_http.wait_idle()
 
     async def stop(self) -> None:
@@ -291,6 +327,8 @@
         self.logger.exception('fault while answering a peer', extra={'service': call.service})
 
     async def _serve_peer(self, call: Call) -> Reply:
+        if not call.idempotent and not call.owned:
+            return await self.once.serve(call)
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
 
     async def _announce_loop(self) -> None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data: each gives something valid, changed where the test says so."""
 
+import asyncio
 import io
 import logging
 from random import Random
@@ -152,3 +153,16 @@
 def build_reply(body: bytes = b'', **changes: Any) -> Reply:
     values: dict[str, Any] = {'id': 0, 'status': 200, 'headers': [], 'outcome': Outcome.DONE}
     return Reply(**{**values, 'body': body, **changes})
+
+
+def build_release(key: str = '', **changes: Any) -> Work:
+    """Build a call that must run at most once; where a loop runs, for its deadline."""
+    work = build_work(
+        2,
+        rule='release',
+        idempotent=False,
+        key=key,
+        **{'deadline': asyncio.get_running_loop().time() + 10.0, **changes},
+    )
+    headers = [(b'idempotency-key', key.encode())] if key else []
+    return work._replace(method='POST', path='/orders/1/release', headers=headers)
