--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,7 +4,7 @@
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
-from dunlinsaddle.platform.client import HttpObjectStore
+from dunlinsaddle.platform.client import CALL_TIMEOUT, HttpObjectStore
 from dunlinsaddle.settings import Address
 from tests.clock import PausedClockTest
 from tests.fakes.target import ScriptedTarget, ok
@@ -307,7 +307,7 @@
 class PlatformSilentTest(ClientTest):
     def test_one_call_finds_out_that_the_platform_forgot_the_connections(self):
         # The platform's kept connections go silent while in use; new ones work. One call
-        # fails after its two seconds, and takes the other kept connections with it: the
+        # fails after its time is up, and takes the other kept connections with it: the
         # next call succeeds at once over a new one.
         async def script(conversation, data):
             self.seen = getattr(self, 'seen', 0) + 1
@@ -327,6 +327,6 @@
 
         first, lost_after, second, elapsed = self.with_target(script, use)
         self.assertTrue(first.is_err())
-        self.assertAlmostEqual(2.0, lost_after, delta=0.05)
+        self.assertAlmostEqual(CALL_TIMEOUT, lost_after, delta=0.05)
         self.assertTrue(second.is_ok())
         self.assertLess(elapsed, 0.1)
