Thin replay of a trace through the real decisions

The policy under load has had no measurement. Adds a small discrete-event replay (paused clock, fake targets with slots and connections), a first adaptive limit, admitted level and learned levels, and the naive policy to compare with.

--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -7,10 +7,16 @@
 
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.context import LOWEST_LEVEL
+from dunlinsaddle.policy.level import AdmittedLevel
+from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
+from dunlinsaddle.policy.retry_after import retry_after
+from dunlinsaddle.records.models import ServiceRecord
 
-FIRST_LIMIT = 8
-QUEUE_PER_SLOT = 0.5
-RETRY_AFTER = 1.0
+LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
+SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
+HIGHEST_USE = 1.02  #: demand admitted as a share of capacity, at recovery_bias 0
+LOWEST_USE = 0.96  #: the same at recovery_bias 1
+TIME_GAIN = 0.05
 
 
 class Ticket(NamedTuple):
@@ -90,28 +96,59 @@
 
 
 class Admission:
-    """A limit, and a short queue in order of priority."""
+    """An adaptive limit, a short queue in order of priority, and the admitted level.
 
-    def __init__(self, *, limit: float = FIRST_LIMIT, most: int = 1000) -> None:
-        self.limit = limit
-        self.most = most
+    ``bias`` trades goodput (0: a longer queue keeps all slots busy) against recovery
+    (1: little waits when the overload ends).
+    """
+
+    def __init__(
+        self, *, limit: float = FIRST_LIMIT, most: int = 1000, bias: float = 0.5
+    ) -> None:
         self.inflight = 0
-        self.queue: SortedKeyList = SortedKeyList(key=lambda t: (t.level, t.arrived, t.call_id))
-        self.service_time = 0.0
+        self.queue: SortedKeyList = SortedKeyList(key=_order)
+        self._adaptive = AdaptiveLimit(limit, most)
+        self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
+        self._level = AdmittedLevel(HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias)
+        self._started: dict[int, float] = {}
+        self._times: dict[str, float] = {}
+        self._mean_time = 0.0
+
+    @classmethod
+    def of(cls, record: ServiceRecord) -> 'Admission':
+        """Build it as a record says; its slots are a first guess only."""
+        return cls(
+            limit=record.slots or FIRST_LIMIT,
+            most=record.connections,
+            bias=record.recovery_bias,
+        )
+
+    @property
+    def limit(self) -> float:
+        """The most calls that run at once, now."""
+        return self._adaptive.value
+
+    def restarted(self, now: float) -> None:
+        """Hear that the target has announced itself anew: it is cold."""
+        self._adaptive.restarted(now)
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
+        self._level.arrived(ticket.level)
+        self._level.update(now, self._capacity())
         if self.inflight < self.limit and not self.queue:
-            self.inflight += 1
+            self._start(now, ticket)
             return Run()
-        if now + self.service_time > ticket.deadline:
-            return Refuse(Failure(ErrorKind.TOO_LATE_TO_START, retry_after=RETRY_AFTER))
-        if len(self.queue) < max(self.limit * QUEUE_PER_SLOT, 1):
+        if ticket.level > self._level.level:
+            return Refuse(self._failure(ErrorKind.OVERLOADED, ticket))
+        if self._too_late(now, ticket):
+            return Refuse(self._failure(ErrorKind.TOO_LATE_TO_START, ticket))
+        if len(self.queue) < max(self.limit * self._queue_share, 1):
             self.queue.add(ticket)
             return Wait()
         worst: Ticket = self.queue[-1]
-        if worst.level <= ticket.level:
-            return Refuse(Failure(ErrorKind.OVERLOADED, retry_after=RETRY_AFTER))
+        if _order(worst) <= _order(ticket):
+            return Refuse(self._failure(ErrorKind.OVERLOADED, ticket))
         self.queue.pop(-1)
         self.queue.add(ticket)
         return Wait(evicted=worst)
@@ -119,8 +156,13 @@
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
         self.inflight -= 1
-        if sample.completed:
-            self.service_time += (sample.own_time - self.service_time) * 0.1
+        started = self._started.pop(ticket.call_id, now)
+        if not sample.completed:
+            return
+        self._adaptive.finished(now, sample.rule, sample.own_time)
+        seconds = now - started
+        self._mean_time = _averaged(self._mean_time, seconds)
+        self._times[sample.rule] = _averaged(self._times.get(sample.rule, 0.0), seconds)
 
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
@@ -132,13 +174,42 @@
         dropped: list[Ticket] = []
         while self.queue and self.inflight < self.limit:
             ticket = self.queue.pop(0)
-            if now + self.service_time > ticket.deadline:
+            if now + self._times.get(ticket.rule, 0.0) > ticket.deadline:
                 dropped.append(ticket)
                 continue
-            self.inflight += 1
+            self._start(now, ticket)
             started.append(ticket)
         return Released(started, dropped)
 
     def load(self, now: float) -> Load:
         """Give the load to report."""
-        return Load(self.inflight, len(self.queue), self.limit)
+        self._level.update(now, self._capacity())
+        level = int(self._level.level)
+        return Load(self.inflight, len(self.queue), self.limit, level)
+
+    def _start(self, now: float, ticket: Ticket) -> None:
+        self.inflight += 1
+        self._started[ticket.call_id] = now
+        self._adaptive.used(self.inflight)
+
+    def _capacity(self) -> float:
+        """Give the calls a second that the limit lets through (Little's law); 0 if unknown."""
+        return self.limit / self._mean_time if self._mean_time else 0.0
+
+    def _too_late(self, now: float, ticket: Ticket) -> bool:
+        ahead = self.queue.bisect_left(ticket)
+        wait = ahead / self._capacity() if self._mean_time else 0.0
+        return now + wait + self._times.get(ticket.rule, 0.0) > ticket.deadline
+
+    def _failure(self, kind: ErrorKind, ticket: Ticket) -> Failure:
+        capacity = self._capacity()
+        excess = self._level.demand / capacity if capacity else 1.0
+        return Failure(kind, retry_after=retry_after(excess, ticket.call_id))
+
+
+def _order(ticket: Ticket) -> tuple[int, float, int]:
+    return ticket.level, ticket.arrived, ticket.call_id
+
+
+def _averaged(mean: float, value: float) -> float:
+    return mean + (value - mean) * TIME_GAIN if mean else value
--- /dev/null
+++ b/dunlinsaddle/policy/naive.py
@@ -0,0 +1,58 @@
+"""The naive policy, to measure against: a fixed limit, first come first served."""
+
+from collections import deque
+
+from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.admission import (
+    Load,
+    Refuse,
+    Released,
+    Run,
+    Sample,
+    Ticket,
+    Verdict,
+    Wait,
+)
+
+RETRIES_PER_HOP = 3
+
+
+class FixedLimit:
+    """So many calls run at once, the others wait in the order of their arrival."""
+
+    def __init__(self, limit: int, most: int) -> None:
+        self.limit = limit
+        self.most = most
+        self.inflight = 0
+        self.queue: deque[Ticket] = deque()
+
+    def arrive(self, now: float, ticket: Ticket) -> Verdict:
+        """Decide on a new call."""
+        if self.inflight < self.limit and not self.queue:
+            self.inflight += 1
+            return Run()
+        if self.inflight + len(self.queue) >= self.most:
+            return Refuse(Failure(ErrorKind.OVERLOADED, retry_after=1.0))
+        self.queue.append(ticket)
+        return Wait()
+
+    def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
+        """Hear that a running call has ended."""
+        self.inflight -= 1
+
+    def abandon(self, ticket: Ticket) -> None:
+        """Take a waiting call out."""
+        if ticket in self.queue:
+            self.queue.remove(ticket)
+
+    def release(self, now: float) -> Released:
+        """Say which waiting calls start now."""
+        started: list[Ticket] = []
+        while self.queue and self.inflight < self.limit:
+            self.inflight += 1
+            started.append(self.queue.popleft())
+        return Released(started, [])
+
+    def load(self, now: float) -> Load:
+        """Give the load to report."""
+        return Load(self.inflight, len(self.queue), self.limit)
--- /dev/null
+++ b/dunlinsaddle/policy/retry_after.py
@@ -0,0 +1,16 @@
+"""When a refused caller should come back."""
+
+SHORTEST = 1.0
+LONGEST = 30.0
+SPREAD = 0.5
+_GOLDEN = 0.6180339887498949
+
+
+def retry_after(excess: float, ticket: int) -> float:
+    """Give seconds that grow with the excess (demand over capacity), spread by the ticket.
+
+    Callers refused together would come back together. Multiples of the golden ratio spread
+    consecutive tickets evenly, so that no randomness is needed.
+    """
+    jitter = 1 - SPREAD / 2 + SPREAD * (ticket * _GOLDEN % 1.0)
+    return min(SHORTEST * max(excess, 1.0), LONGEST) * jitter
--- /dev/null
+++ b/dunlinsaddle/replay/report.py
@@ -0,0 +1,115 @@
+"""The figures of a replay, and whether the stated outcomes were met."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from dunlinsaddle.records.models import Rank
+from dunlinsaddle.replay.capacity import allowed, full_rate
+from dunlinsaddle.replay.run import Request, Run
+from dunlinsaddle.replay.trace import Expect, Trace
+
+BIN = 0.25
+STEADY_BINS = 4
+RECOVERED = 0.99
+
+
+class Figures(NamedTuple):
+    """What one policy made of one trace. Shares from 0 to 1, times in seconds."""
+
+    goodput: float  #: whole requests as a share of what capacity allows
+    recovery: float  #: from the trigger's end to 99% of steady goodput; inf if never
+    critical: float  #: share of critical requests that came whole
+    wasted: float  #: share of target calls spent on sendings that failed
+    fairness: float  #: Jain's index over the callers' completed shares
+    resends: int  #: the most resends inside the fleet for one sending
+    deaths: int  #: targets that died of a request
+    median: float  #: time of whole requests
+    requests: int
+
+
+class Check(NamedTuple):
+    """One stated outcome and what was measured."""
+
+    expect: Expect
+    measured: float
+    met: bool
+
+
+def figures(run: Run) -> Figures:
+    """Work out the figures of a run."""
+    start = run.trace.header.warm_up
+    reqs = [r for r in run.requests if start <= r.arrived < run.trace.header.duration]
+    calls = sum(a.calls for r in reqs for a in r.attempts)
+    wasted = sum(a.wasted for r in reqs for a in r.attempts)
+    times = sorted(r.ended - r.arrived for r in reqs if r.whole)
+    return Figures(
+        goodput=_goodput(run.trace, reqs),
+        recovery=_recovery(run),
+        critical=_share([r for r in reqs if r.rank is Rank.CRITICAL and not r.kills]),
+        wasted=wasted / calls if calls else 0.0,
+        fairness=_fairness(reqs),
+        resends=max((a.resent for r in run.requests for a in r.attempts), default=0),
+        deaths=run.deaths,
+        median=times[len(times) // 2] if times else 0.0,
+        requests=len(reqs),
+    )
+
+
+def checks(trace: Trace, policy: str, measured: Figures) -> list[Check]:
+    """Compare figures with the outcomes that the trace states for a policy."""
+    found = []
+    for expect in trace.expects:
+        if expect.policy != policy:
+            continue
+        value = getattr(measured, expect.metric)
+        met = value >= expect.value if expect.op == '>=' else value <= expect.value
+        found.append(Check(expect, value, met))
+    return found
+
+
+def _share(reqs: list[Request]) -> float:
+    return sum(r.whole for r in reqs) / len(reqs) if reqs else 1.0
+
+
+def _goodput(trace: Trace, reqs: list[Request]) -> float:
+    """Compare with capacity as it is without faults: what a fault takes counts as lost."""
+    possible = 0.0
+    start = trace.header.warm_up
+    full = full_rate(trace)
+    for demand in trace.demands:
+        seconds = min(demand.until, trace.header.duration) - max(demand.at, start)
+        possible += max(seconds, 0.0) * sum(allowed(trace, demand.load * full).values())
+    return sum(r.whole for r in reqs) / possible if possible else 1.0
+
+
+def _recovery(run: Run) -> float:
+    """Look at requests by their arrival: a bin is well if 99% of the steady share is whole."""
+    end, start = run.trace.trigger_end(), run.trace.trigger_start()
+    if end is None or start is None:
+        return 0.0
+    steady = [r for r in run.requests if run.trace.header.warm_up <= r.arrived < start]
+    wanted = RECOVERED * (_share(steady) if steady else 1.0)
+    last = int((run.trace.header.duration - end) / BIN)
+    total: Counter[int] = Counter()
+    whole: Counter[int] = Counter()
+    for req in run.requests:
+        number = int((req.arrived - end) // BIN)
+        total[number] += 1
+        whole[number] += req.whole
+    well = [whole[i] >= wanted * total[i] for i in range(last)]
+    for i in range(last - STEADY_BINS + 1):
+        if all(well[i : i + STEADY_BINS]):
+            return i * BIN
+    return float('inf')
+
+
+def _fairness(reqs: list[Request]) -> float:
+    """Give Jain's index of the share that each caller completed."""
+    total: Counter[str] = Counter()
+    whole: Counter[str] = Counter()
+    for req in reqs:
+        total[req.caller] += 1
+        whole[req.caller] += req.whole
+    shares = [whole[c] / total[c] for c in total if c.startswith('caller-')]
+    squares = sum(s * s for s in shares)
+    return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
