Judge the limit by cohorts, and take each cut as a trial

Cause: the limit judged calls by when they ended. While it grew, the window held the short calls of the new limit, so the first baselines were half of the truth and every later own time looked inflated; the limit shrank to a few calls. Ruled out: the admitted level (with the limit held at the slots the level settled).

Change: a cohort is a set of calls that began under one limit, judged when 90% have ended.

--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -95,6 +95,13 @@
         """Give the load to report."""
 
 
+class _Start(NamedTuple):
+    """When a call was started, and in which cohort of the limit."""
+
+    when: float
+    cohort: int
+
+
 class Admission:
     """An adaptive limit, a short queue in order of priority, and the admitted level.
 
@@ -110,7 +117,7 @@
         self._adaptive = AdaptiveLimit(limit, most)
         self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
         self._level = AdmittedLevel(HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias)
-        self._started: dict[int, float] = {}
+        self._started: dict[int, _Start] = {}
         self._times: dict[str, float] = {}
         self._mean_time = 0.0
 
@@ -156,11 +163,12 @@
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
         self.inflight -= 1
-        started = self._started.pop(ticket.call_id, now)
+        start = self._started.pop(ticket.call_id)
+        own_time = sample.own_time if sample.completed else None
+        self._adaptive.finished(now, start.cohort, sample.rule, own_time)
         if not sample.completed:
             return
-        self._adaptive.finished(now, sample.rule, sample.own_time)
-        seconds = now - started
+        seconds = now - start.when
         self._mean_time = _averaged(self._mean_time, seconds)
         self._times[sample.rule] = _averaged(self._times.get(sample.rule, 0.0), seconds)
 
@@ -189,8 +197,8 @@
 
     def _start(self, now: float, ticket: Ticket) -> None:
         self.inflight += 1
-        self._started[ticket.call_id] = now
-        self._adaptive.used(self.inflight)
+        cohort = self._adaptive.started(self.inflight)
+        self._started[ticket.call_id] = _Start(now, cohort)
 
     def _capacity(self) -> float:
         """Give the calls a second that the limit lets through (Little's law); 0 if unknown."""
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -51,7 +51,7 @@
         if self.demand > room:
             wanted = room * MEMORY
             fitting = sum(1 for total in accumulate(self._counts) if total <= wanted)
-            self.level = min(self.level, max(fitting - 1, 0))
+            self.level = float(max(fitting - 1, 0))
             return
         end = int(self.level) + 1
         nearby = self._counts[max(end - NEARBY, 0) : end]
--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -2,32 +2,75 @@
 
 from typing import NamedTuple
 
-FIRST_LIMIT = 8.0
-WINDOW = 0.2  #: seconds between two decisions
-LONGEST_WINDOW = 1.0
-MIN_SAMPLES = 16
+FIRST_LIMIT = 16.0
+FIRST_SAMPLES = 4  #: of a rule in one cohort, whose mean is its first baseline
+FEWEST = 32  #: calls in a cohort, at least
+MOST = 96
+ENOUGH = 0.9  #: share of a cohort that must have ended
+LONGEST_COHORT = 2.0  #: seconds; then a quarter of the calls must do
 USED = 0.9  #: share of the limit that counts as using it
 CALM = 1.1  #: inflation of own time below which growth is fast
 INFLATED = 1.25
-CUT = 0.8
+CERTAIN = 2.5  #: standard errors above the baseline that are no chance
+CUT = 0.75  #: the smallest cut
+DEEPEST_CUT = 0.5
+FIRST_GROWTH = 0.5  #: for each completed call, until own time is inflated for the first time
 FAST_GROWTH = 1.15
 SLOW_GROWTH = 1.02
+MUCH_FASTER = 0.7  #: inflation below which the baseline follows at once
 FALL = 0.3  #: how fast the baseline follows a faster target
 DRIFT = 0.02  #: how fast it follows a slower one without proof
+FIRST_PROBE = 2.0  #: the first guess may be far too high, and the first baseline with it
 PROBE_AFTER = 5.0
 LONGEST_PROBE = 60.0
 COLD_SHARE = 0.25
 
 
 class _Trial(NamedTuple):
-    """A cut whose effect is awaited: what held before it, and since when it holds."""
+    """A cut whose effect is awaited, and what held before it."""
 
     inflation: float
     limit: float
-    since: float
+    cut: float
     probe: bool
 
 
+class _Cohort:
+    """Calls that all began under one limit; their mean own time tells what it does.
+
+    Judging by the calls that end within a window would count the short ones of the new
+    limit and the long ones of the old. A cohort is the same mixture each time.
+    """
+
+    def __init__(self, number: int, size: int, opened: float) -> None:
+        self.number = number
+        self.size = size
+        self.opened = opened
+        self.started = 0
+        self.ended = 0
+        self.samples = 0
+        self.total = 0.0
+        self.squares = 0.0
+        self.peak = 0
+        self.first: dict[str, list[float]] = {}  #: own times of rules without a baseline
+
+    def complete(self, now: float) -> bool:
+        """Say whether enough of it has ended."""
+        if self.ended >= self.size * ENOUGH:
+            return True
+        return now - self.opened > LONGEST_COHORT and self.ended >= FEWEST / 4
+
+    def mean(self) -> float:
+        """Give the mean inflation."""
+        return self.total / self.samples
+
+    def error(self) -> float:
+        """Give the standard error of the mean."""
+        mean = self.mean()
+        variance = max(self.squares / self.samples - mean * mean, 0.0)
+        return float((variance / self.samples) ** 0.5)
+
+
 class AdaptiveLimit:
     """Grows while used and while the target's own time stays near its baseline.
 
@@ -43,65 +86,92 @@
         self.first = min(first, most)
         self.value = self.first
         self._baselines: dict[str, float] = {}
+        self._inflation = 1.0
+        self._slow_start = True
         self._trial: _Trial | None = None
-        self._probe_at = float('inf')
+        self._probe_at = FIRST_PROBE
         self._probe_pause = PROBE_AFTER
-        self._clear(0.0)
+        self._cohort = _Cohort(0, FEWEST, 0.0)
 
     def restarted(self, now: float) -> None:
         """Start slowly: a target that has just come up is cold."""
         self.value = max(min(self.value, self.first) * COLD_SHARE, 1.0)
+        self._slow_start = True
         self._trial = None
-        self._clear(now)
-
-    def used(self, inflight: int) -> None:
-        """Note how many calls run."""
-        if inflight > self._peak:
-            self._peak = inflight
-
-    def finished(self, now: float, rule: str, own_time: float) -> None:
-        """Note a completed call; seconds without its calls to other services."""
+        self._open(now)
+
+    def started(self, inflight: int) -> int:
+        """Note that a call begins; gives the number of its cohort, -1 if it is in none."""
+        cohort = self._cohort
+        cohort.peak = max(cohort.peak, inflight)
+        if cohort.started >= cohort.size:
+            return -1
+        cohort.started += 1
+        return cohort.number
+
+    def finished(self, now: float, number: int, rule: str, own_time: float | None) -> None:
+        """Note the end of a call: seconds without its calls to others, None if it failed."""
+        cohort = self._cohort
+        if number != cohort.number:
+            return
+        cohort.ended += 1
+        if own_time is not None:
+            self._take(cohort, rule, own_time)
+        if cohort.complete(now):
+            if cohort.samples:
+                self._decide(now, cohort)
+            self._add_baselines(cohort)
+            self._open(now)
+
+    def _take(self, cohort: _Cohort, rule: str, own_time: float) -> None:
         baseline = self._baselines.get(rule)
         if baseline is None:
-            baseline = self._baselines[rule] = max(own_time, 1e-6)
-        self._sum += own_time / baseline
-        self._samples += 1
-        age = now - self._opened
-        if age >= WINDOW and (self._samples >= MIN_SAMPLES or age >= LONGEST_WINDOW):
-            self._decide(now, self._sum / self._samples)
-            self._clear(now)
-
-    def _clear(self, now: float) -> None:
-        self._opened = now
-        self._sum = 0.0
-        self._samples = 0
-        self._peak = 0
-
-    def _decide(self, now: float, inflation: float) -> None:
+            cohort.first.setdefault(rule, []).append(own_time)
+            return
+        ratio = own_time / baseline
+        cohort.samples += 1
+        cohort.total += ratio
+        cohort.squares += ratio * ratio
+        if self._slow_start and cohort.peak >= USED * self.value:
+            self.value = min(self.value + FIRST_GROWTH, self.most)
+
+    def _add_baselines(self, cohort: _Cohort) -> None:
+        """Take the first baselines of rules that are new, as far as the cohort has enough."""
+        for rule, times in cohort.first.items():
+            if len(times) >= FIRST_SAMPLES:
+                mean = sum(times) / len(times)
+                self._baselines[rule] = max(mean / self._inflation, 1e-6)
+
+    def _open(self, now: float) -> None:
+        size = int(min(max(self.value / 2, FEWEST), MOST))
+        if self._trial is not None:
+            size = min(size * 2, MOST)
+        self._cohort = _Cohort(self._cohort.number + 1, size, now)
+
+    def _decide(self, now: float, cohort: _Cohort) -> None:
+        inflation = cohort.mean()
+        self._inflation = inflation
         if self._trial is not None:
             self._judge(now, inflation, self._trial)
-        elif inflation > INFLATED:
-            self._cut(now, inflation, probe=False)
-        elif now >= self._probe_at and self._peak >= USED * self.value:
-            self._cut(now, inflation, probe=True)
+        elif inflation > max(INFLATED, 1 + CERTAIN * cohort.error()):
+            self._slow_start = False
+            self._cut(cohort, max(min(CUT, 1 / inflation), DEEPEST_CUT), probe=False)
+        elif now >= self._probe_at and cohort.peak >= USED * self.value:
+            self._cut(cohort, CUT, probe=True)
         else:
-            self._grow(inflation)
+            self._grow(inflation, cohort.peak)
             self._move_baseline(inflation)
 
-    def _cut(self, now: float, inflation: float, *, probe: bool) -> None:
-        self._trial = _Trial(inflation, self.value, now, probe)
-        self.value = max(min(self.value, self._peak) * CUT, 1.0)
+    def _cut(self, cohort: _Cohort, cut: float, *, probe: bool) -> None:
+        self._trial = _Trial(cohort.mean(), self.value, cut, probe)
+        self.value = max(min(self.value, cohort.peak) * cut, 1.0)
 
     def _judge(self, now: float, inflation: float, trial: _Trial) -> None:
-        # Calls that began before the cut still end in the first window after it.
-        if now - trial.since < 2 * WINDOW:
-            return
         self._trial = None
-        fell = inflation < trial.inflation * (1 + CUT) / 2
-        if fell:
+        if inflation < trial.inflation * (1 + trial.cut) / 2:
             if trial.probe:
                 self._scale(inflation)
-                self._probe_at = now + WINDOW
+                self._probe_at = now
             return
         self.value = min(trial.limit, self.most)
         if inflation > INFLATED:
@@ -110,14 +180,14 @@
         self._probe_pause = pause
         self._probe_at = now + pause
 
-    def _grow(self, inflation: float) -> None:
-        if self._peak < USED * self.value:
+    def _grow(self, inflation: float, peak: int) -> None:
+        if self._slow_start or peak < USED * self.value:
             return
         factor = FAST_GROWTH if inflation < CALM else SLOW_GROWTH
         self.value = min(max(self.value * factor, self.value + 1), self.most)
 
     def _move_baseline(self, inflation: float) -> None:
-        if inflation < CUT:
+        if inflation < MUCH_FASTER:
             self._scale(inflation)
         else:
             rate = FALL if inflation < 1 else DRIFT
--- a/dunlinsaddle/replay/report.py
+++ b/dunlinsaddle/replay/report.py
@@ -43,7 +43,7 @@
     wasted = sum(a.wasted for r in reqs for a in r.attempts)
     times = sorted(r.ended - r.arrived for r in reqs if r.whole)
     return Figures(
-        goodput=_goodput(run.trace, reqs),
+        goodput=_goodput(run),
         recovery=_recovery(run),
         critical=_share([r for r in reqs if r.rank is Rank.CRITICAL and not r.kills]),
         wasted=wasted / calls if calls else 0.0,
@@ -71,15 +71,20 @@
     return sum(r.whole for r in reqs) / len(reqs) if reqs else 1.0
 
 
-def _goodput(trace: Trace, reqs: list[Request]) -> float:
-    """Compare with capacity as it is without faults: what a fault takes counts as lost."""
+def _goodput(run: Run) -> float:
+    """Compare with capacity as it is without faults: what a fault takes counts as lost.
+
+    Requests count by the time of their answer: what still waits at the end has not come.
+    """
+    trace = run.trace
+    start, end = trace.header.warm_up, trace.header.duration
     possible = 0.0
-    start = trace.header.warm_up
     full = full_rate(trace)
     for demand in trace.demands:
-        seconds = min(demand.until, trace.header.duration) - max(demand.at, start)
+        seconds = min(demand.until, end) - max(demand.at, start)
         possible += max(seconds, 0.0) * sum(allowed(trace, demand.load * full).values())
-    return sum(r.whole for r in reqs) / possible if possible else 1.0
+    whole = sum(r.whole and start <= r.ended < end for r in run.requests)
+    return whole / possible if possible else 1.0
 
 
 def _recovery(run: Run) -> float:
