Limit the calls that the target works on itself, not those that wait below

Cause: with the wait for other services counted, the limit of a middle hop had to grow to several times its slots, and needed seconds for it; until then it shed work that the service below could have taken. Change: the policy hears when a call leaves for another service and comes back.

--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -14,8 +14,8 @@
 
 LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
 SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
-HIGHEST_USE = 1.02  #: demand admitted as a share of capacity, at recovery_bias 0
-LOWEST_USE = 0.96  #: the same at recovery_bias 1
+HIGHEST_USE = 1.06  #: demand admitted as a share of capacity, at recovery_bias 0
+LOWEST_USE = 1.0  #: the same at recovery_bias 1
 TIME_GAIN = 0.05
 
 
@@ -36,7 +36,7 @@
     inflight: int = 0
     waiting: int = 0
     limit: float = FIRST_LIMIT
-    level: int = LOWEST_LEVEL  #: the lowest priority that is admitted now
+    level: float = LOWEST_LEVEL  #: the lowest priority admitted now, with a fraction of the next
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +85,12 @@
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
 
+    def leave(self, now: float, ticket: Ticket) -> None:
+        """Hear that the target waits for another service on behalf of a running call."""
+
+    def come_back(self, now: float, ticket: Ticket) -> None:
+        """Hear that this wait has ended."""
+
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out: its caller has gone."""
 
@@ -113,6 +119,8 @@
         self, *, limit: float = FIRST_LIMIT, most: int = 1000, bias: float = 0.5
     ) -> None:
         self.inflight = 0
+        self._away: set[int] = set()
+        self.most = most
         self.queue: SortedKeyList = SortedKeyList(key=_order)
         self._adaptive = AdaptiveLimit(limit, most)
         self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
@@ -143,10 +151,10 @@
         """Decide on a new call."""
         self._level.arrived(ticket.level)
         self._level.update(now, self._capacity())
-        if self.inflight < self.limit and not self.queue:
+        if self._free() and not self.queue:
             self._start(now, ticket)
             return Run()
-        if ticket.level > self._level.level:
+        if ticket.level > self._level.level + 1:
             return Refuse(self._failure(ErrorKind.OVERLOADED, ticket))
         if self._too_late(now, ticket):
             return Refuse(self._failure(ErrorKind.TOO_LATE_TO_START, ticket))
@@ -163,15 +171,29 @@
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
         self.inflight -= 1
+        self.come_back(now, ticket)
         start = self._started.pop(ticket.call_id)
         own_time = sample.own_time if sample.completed else None
         self._adaptive.finished(now, start.cohort, sample.rule, own_time)
         if not sample.completed:
             return
         seconds = now - start.when
-        self._mean_time = _averaged(self._mean_time, seconds)
+        self._mean_time = _averaged(self._mean_time, sample.own_time)
         self._times[sample.rule] = _averaged(self._times.get(sample.rule, 0.0), seconds)
 
+    def leave(self, now: float, ticket: Ticket) -> None:
+        """Let another call take the place of one that waits for another service.
+
+        Counting those that wait would tie this target's limit to the speed of services
+        below: when one slows down, all above it would shrink, also for calls that need it
+        not at all.
+        """
+        self._away.add(ticket.call_id)
+
+    def come_back(self, now: float, ticket: Ticket) -> None:
+        """Count the call again; for a while more may run than the limit says."""
+        self._away.discard(ticket.call_id)
+
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
         self.queue.discard(ticket)
@@ -180,7 +202,7 @@
         """Say which waiting calls start now and which can no longer make their deadline."""
         started: list[Ticket] = []
         dropped: list[Ticket] = []
-        while self.queue and self.inflight < self.limit:
+        while self.queue and self._free():
             ticket = self.queue.pop(0)
             if now + self._times.get(ticket.rule, 0.0) > ticket.deadline:
                 dropped.append(ticket)
@@ -192,14 +214,20 @@
     def load(self, now: float) -> Load:
         """Give the load to report."""
         self._level.update(now, self._capacity())
-        level = int(self._level.level)
-        return Load(self.inflight, len(self.queue), self.limit, level)
+        return Load(self._active(), len(self.queue), self.limit, self._level.level)
 
     def _start(self, now: float, ticket: Ticket) -> None:
         self.inflight += 1
-        cohort = self._adaptive.started(self.inflight)
+        cohort = self._adaptive.started(self._active())
         self._started[ticket.call_id] = _Start(now, cohort)
 
+    def _active(self) -> int:
+        """Give the calls that the target works on itself."""
+        return self.inflight - len(self._away)
+
+    def _free(self) -> bool:
+        return self._active() < self.limit and self.inflight < self.most
+
     def _capacity(self) -> float:
         """Give the calls a second that the limit lets through (Little's law); 0 if unknown."""
         return self.limit / self._mean_time if self._mean_time else 0.0
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -6,12 +6,17 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.context import LOWEST_LEVEL
 
-MEMORY = 0.3  #: seconds over which demand is averaged
+SHORTEST_MEMORY = 0.2  #: seconds over which demand is averaged, as ENOUGH_CALLS take
+LONGEST_MEMORY = 1.0
+ENOUGH_CALLS = 150.0
 TICK = 0.1  #: seconds between two decisions
-RELAX_GAIN = 0.5
-MOST_RELAX = 64.0  #: levels that are opened in one tick at most
-NEARBY = 64  #: levels whose demand tells what the next ones will bring
-LEARN_GAIN = 0.1
+GAIN = 0.5  #: share of the way to the wanted level in one tick
+FAR_OVER = 1.5  #: demand over capacity from which the level falls at once
+MOST_RELAX = 64  #: levels that are opened in one tick at most
+KNOWN_MEMORY = 1.0  #: seconds over which the demand of open levels is remembered
+SHUT_MEMORY = 3.0  #: seconds for which the demand of shut levels is remembered
+ENOUGH_KNOWN = 10.0  #: calls; fewer prove no fall of demand
+LEARN_GAIN = 0.25
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
 REOPEN_RATE = 256.0  #: levels a second
 EDGE_MEMORY = 30.0  #: seconds for which a rule counts as calling a service
@@ -21,14 +26,18 @@
     """The level that fills a target's capacity, from the demand seen at each level.
 
     All targets of a chain order requests alike, so this one number, told upstream, lets
-    each hop refuse the same requests that this target would refuse.
+    each hop refuse the same requests that this target would refuse. What is refused
+    upstream is not seen here any more; its demand is remembered for a while, so that the
+    level opens by as much as the spare capacity can take and no further.
     """
 
     def __init__(self, utilisation: float = 1.0) -> None:
         self.utilisation = utilisation
         self.level = float(LOWEST_LEVEL)
         self.demand = 0.0  #: calls a second, over all levels
+        self._memory = SHORTEST_MEMORY
         self._counts = [0.0] * (LOWEST_LEVEL + 1)
+        self._known = [0.0] * (LOWEST_LEVEL + 1)
         self._ticked = 0.0
 
     def arrived(self, level: int) -> None:
@@ -41,24 +50,60 @@
         if elapsed < TICK:
             return
         self._ticked = now
-        self.demand = sum(self._counts) / MEMORY
+        self.demand = sum(self._counts) / self._memory
+        self._remember(elapsed)
         if capacity > 0:
-            self._decide(capacity * self.utilisation)
-        decay = exp(-elapsed / MEMORY)
+            self._decide(capacity * self.utilisation * self._memory)
+            self._resize(capacity)
+        decay = exp(-elapsed / self._memory)
         self._counts = [count * decay for count in self._counts]
 
-    def _decide(self, room: float) -> None:
-        if self.demand > room:
-            wanted = room * MEMORY
-            fitting = sum(1 for total in accumulate(self._counts) if total <= wanted)
-            self.level = float(max(fitting - 1, 0))
+    def _resize(self, capacity: float) -> None:
+        """Average over so many calls that chance moves the level little."""
+        wanted = ENOUGH_CALLS / capacity
+        memory = min(max(wanted, SHORTEST_MEMORY), LONGEST_MEMORY)
+        scale = memory / self._memory
+        if 0.8 < scale < 1.25:
             return
+        self._memory = memory
+        self._counts = [count * scale for count in self._counts]
+        self._known = [count * scale for count in self._known]
+
+    def _remember(self, elapsed: float) -> None:
+        end = int(self.level) + 1
+        now, known = sum(self._counts[:end]), sum(self._known[:end])
+        # The hash spreads each rank's demand evenly: what fell in the open levels has
+        # fallen in the shut ones too. Without this the surge's memory delays recovery.
+        fallen = now / known if known >= ENOUGH_KNOWN and now < known / 2 else 1.0
+        gain = min(elapsed / KNOWN_MEMORY, 1.0)
+        decay = fallen * exp(-elapsed / SHUT_MEMORY)
+        opened = [
+            k * fallen + gain * (c - k * fallen)
+            for k, c in zip(self._known[:end], self._counts[:end], strict=True)
+        ]
+        shut = [
+            max(k * decay, c) for k, c in zip(self._known[end:], self._counts[end:], strict=True)
+        ]
+        self._known = opened + shut
+
+    def _decide(self, room: float) -> None:
+        """Take the room in calls that the counts stand for."""
         end = int(self.level) + 1
-        nearby = self._counts[max(end - NEARBY, 0) : end]
-        density = sum(nearby) / len(nearby) / MEMORY
-        spare = (room - self.demand) * RELAX_GAIN
-        step = min(spare / density, MOST_RELAX) if density > 0 else MOST_RELAX
-        self.level = min(self.level + step, LOWEST_LEVEL)
+        wanted = _fill(self._counts[:end] + self._known[end:], room)
+        if sum(self._counts) > room * FAR_OVER:
+            self.level = min(wanted, self.level)
+        step = min(GAIN * (wanted - self.level), MOST_RELAX)
+        self.level = min(max(self.level + step, 0.0), LOWEST_LEVEL)
+
+
+def _fill(counts: list[float], room: float) -> float:
+    """Give the level, with its fraction, up to which the counts fill the room."""
+    before = 0.0
+    for level, total in enumerate(accumulate(counts)):
+        if total > room:
+            return level - 1 + (room - before) / (total - before)
+        before = total
+    return float(LOWEST_LEVEL)
 
 
 class _Learned:
@@ -79,8 +124,9 @@
     def __init__(self) -> None:
         self._learned: dict[tuple[str, str], _Learned] = {}
         self._edges: dict[str, dict[tuple[str, str], float]] = {}
+        self._share = 0.0
 
-    def learn(self, now: float, service: str, rule: str, level: int) -> None:
+    def learn(self, now: float, service: str, rule: str, level: float) -> None:
         """Take the level that came with an answer; answers of all targets are averaged."""
         known = self._learned.get((service, rule))
         if known is None:
@@ -94,13 +140,13 @@
         """Note that the local target calls a service while it works on a rule."""
         self._edges.setdefault(parent_rule, {})[service, rule] = now
 
-    def below(self, now: float, rule: str) -> int:
+    def below(self, now: float, rule: str) -> float:
         """Give the lowest level that all services admit which a rule calls."""
         edges = self._edges.get(rule)
         if not edges:
             return LOWEST_LEVEL
         fresh = [edge for edge, last in edges.items() if now - last < EDGE_MEMORY]
-        return min((int(self.admitted(now, *edge)) for edge in fresh), default=LOWEST_LEVEL)
+        return min((self.admitted(now, *edge) for edge in fresh), default=LOWEST_LEVEL)
 
     def admitted(self, now: float, service: str, rule: str) -> float:
         """Give the lowest level that a service admits for a rule, as far as known."""
@@ -110,11 +156,21 @@
     def check(self, now: float, service: str, rule: str, level: int) -> Failure | None:
         """Give the refusal for a call that would be refused further down; None if it may go."""
         admitted = self.admitted(now, service, rule)
-        if level <= admitted:
+        if level <= admitted or self._marginal(level - admitted):
             return None
         excess = level / max(admitted, 1.0)
         return Failure(ErrorKind.REFUSED_EARLY, retry_after=min(1.0 + excess, 8.0))
 
+    def _marginal(self, above: float) -> bool:
+        """Let a share of the level pass into which the capacity reaches."""
+        if above >= 1:
+            return False
+        self._share += 1 - above
+        if self._share < 1:
+            return False
+        self._share -= 1
+        return True
+
     def _aged(self, known: _Learned, now: float) -> float:
         stale = max(now - known.heard - STALE_AFTER, 0.0)
         return min(known.level + stale * REOPEN_RATE, LOWEST_LEVEL)
--- a/dunlinsaddle/policy/naive.py
+++ b/dunlinsaddle/policy/naive.py
@@ -40,6 +40,12 @@
         """Hear that a running call has ended."""
         self.inflight -= 1
 
+    def leave(self, now: float, ticket: Ticket) -> None:
+        """Keep the place: the limit counts all calls."""
+
+    def come_back(self, now: float, ticket: Ticket) -> None:
+        """Do nothing, for the place was kept."""
+
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
         if ticket in self.queue:
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -163,7 +163,9 @@
         computed: bool = yield from self.target.compute(self._give_up(attempt))
         own_time = loop.now - began
         answer = Answer()
-        if computed:
+        if computed and call.calls:
+            self.admission.leave(loop.now, ticket)
+            self._release()
             answer = yield from self._call_others(attempt, call, allowance)
         if self.target.deaths == life:
             self.target.open -= 1
@@ -188,6 +190,10 @@
     def _finish(self, ticket: Ticket, sample: Sample) -> None:
         now = self.fleet.loop.now
         self.admission.finish(now, ticket, sample)
+        self._release()
+
+    def _release(self) -> None:
+        now = self.fleet.loop.now
         released = self.admission.release(now)
         for started in released.started:
             self._settle(started, None)
