Observe the capacity while saturated instead of deriving it from the limit

Cause: limit over own time swung between 97 and 190 calls a second at a target that does 133, since the mean of own time trails each cut of the limit; the admitted level followed it.

--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -6,6 +6,7 @@
 from sortedcontainers import SortedKeyList
 
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.capacity import ObservedCapacity
 from dunlinsaddle.policy.context import LOWEST_LEVEL
 from dunlinsaddle.policy.level import AdmittedLevel
 from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
@@ -128,6 +129,8 @@
         self._started: dict[int, _Start] = {}
         self._times: dict[str, float] = {}
         self._mean_time = 0.0
+        self._observed = ObservedCapacity()
+        self._working: set[int] = set()
 
     @classmethod
     def of(cls, record: ServiceRecord) -> 'Admission':
@@ -150,28 +153,30 @@
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
         self._level.arrived(ticket.level)
-        self._level.update(now, self._capacity())
+        self._level.update(now, self._capacity(now))
         if self._free() and not self.queue:
             self._start(now, ticket)
             return Run()
         if ticket.level > self._level.level + 1:
-            return Refuse(self._failure(ErrorKind.OVERLOADED, ticket))
+            return Refuse(self._failure(now, ErrorKind.OVERLOADED, ticket))
         if self._too_late(now, ticket):
-            return Refuse(self._failure(ErrorKind.TOO_LATE_TO_START, ticket))
+            return Refuse(self._failure(now, ErrorKind.TOO_LATE_TO_START, ticket))
         if len(self.queue) < max(self.limit * self._queue_share, 1):
             self.queue.add(ticket)
             return Wait()
         worst: Ticket = self.queue[-1]
         if _order(worst) <= _order(ticket):
-            return Refuse(self._failure(ErrorKind.OVERLOADED, ticket))
+            return Refuse(self._failure(now, ErrorKind.OVERLOADED, ticket))
         self.queue.pop(-1)
         self.queue.add(ticket)
         return Wait(evicted=worst)
 
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
+        self._work_done(ticket)
+        self._away.discard(ticket.call_id)
         self.inflight -= 1
-        self.come_back(now, ticket)
+        self._observed.advance(now, saturated=not self._free())
         start = self._started.pop(ticket.call_id)
         own_time = sample.own_time if sample.completed else None
         self._adaptive.finished(now, start.cohort, sample.rule, own_time)
@@ -188,11 +193,14 @@
         below: when one slows down, all above it would shrink, also for calls that need it
         not at all.
         """
+        self._work_done(ticket)
         self._away.add(ticket.call_id)
+        self._observed.advance(now, saturated=not self._free())
 
     def come_back(self, now: float, ticket: Ticket) -> None:
         """Count the call again; for a while more may run than the limit says."""
         self._away.discard(ticket.call_id)
+        self._observed.advance(now, saturated=not self._free())
 
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
@@ -213,11 +221,13 @@
 
     def load(self, now: float) -> Load:
         """Give the load to report."""
-        self._level.update(now, self._capacity())
+        self._level.update(now, self._capacity(now))
         return Load(self._active(), len(self.queue), self.limit, self._level.level)
 
     def _start(self, now: float, ticket: Ticket) -> None:
         self.inflight += 1
+        self._working.add(ticket.call_id)
+        self._observed.advance(now, saturated=not self._free())
         cohort = self._adaptive.started(self._active())
         self._started[ticket.call_id] = _Start(now, cohort)
 
@@ -228,17 +238,25 @@
     def _free(self) -> bool:
         return self._active() < self.limit and self.inflight < self.most
 
-    def _capacity(self) -> float:
-        """Give the calls a second that the limit lets through (Little's law); 0 if unknown."""
-        return self.limit / self._mean_time if self._mean_time else 0.0
+    def _work_done(self, ticket: Ticket) -> None:
+        """Count a call once: when it first leaves for another service, or ends."""
+        if ticket.call_id in self._working:
+            self._working.discard(ticket.call_id)
+            self._observed.done()
+
+    def _capacity(self, now: float) -> float:
+        """Give the calls a second that the target can take; 0 if unknown."""
+        ceiling = self.limit / self._mean_time if self._mean_time else 0.0
+        return self._observed.estimate(now, ceiling)
 
     def _too_late(self, now: float, ticket: Ticket) -> bool:
         ahead = self.queue.bisect_left(ticket)
-        wait = ahead / self._capacity() if self._mean_time else 0.0
+        capacity = self._capacity(now)
+        wait = ahead / capacity if capacity else 0.0
         return now + wait + self._times.get(ticket.rule, 0.0) > ticket.deadline
 
-    def _failure(self, kind: ErrorKind, ticket: Ticket) -> Failure:
-        capacity = self._capacity()
+    def _failure(self, now: float, kind: ErrorKind, ticket: Ticket) -> Failure:
+        capacity = self._capacity(now)
         excess = self._level.demand / capacity if capacity else 1.0
         return Failure(kind, retry_after=retry_after(excess, ticket.call_id))
 
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -4,7 +4,7 @@
 from math import exp
 
 from dunlinsaddle.errors import ErrorKind, Failure
-from dunlinsaddle.policy.context import LOWEST_LEVEL
+from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
 
 SHORTEST_MEMORY = 0.2  #: seconds over which demand is averaged, as ENOUGH_CALLS take
 LONGEST_MEMORY = 1.0
@@ -13,9 +13,13 @@
 GAIN = 0.5  #: share of the way to the wanted level in one tick
 FAR_OVER = 1.5  #: demand over capacity from which the level falls at once
 MOST_RELAX = 64  #: levels that are opened in one tick at most
-KNOWN_MEMORY = 1.0  #: seconds over which the demand of open levels is remembered
-SHUT_MEMORY = 3.0  #: seconds for which the demand of shut levels is remembered
-ENOUGH_KNOWN = 10.0  #: calls; fewer prove no fall of demand
+NEARBY = 32  #: open levels whose demand tells that of the shut ones
+FEW_LEVELS = 4
+KNOWN_MEMORY = 2.0  #: seconds over which the demand of open levels is remembered
+SHUT_MEMORY = 5.0  #: seconds for which the demand of shut levels is remembered
+CERTAIN = 4.0  #: standard errors that are no chance
+FALLEN = 0.6
+RISEN = 1.4
 LEARN_GAIN = 0.25
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
 REOPEN_RATE = 256.0  #: levels a second
@@ -70,28 +74,52 @@
         self._known = [count * scale for count in self._known]
 
     def _remember(self, elapsed: float) -> None:
+        """Follow the demand of open levels; keep that of shut ones, which is not seen.
+
+        A level that was just opened shows no demand until the hops above have heard of it.
+        Taking that for spare room would open all levels, and flood the target a moment
+        later; so the memory outlasts the way up and down the chain.
+        """
         end = int(self.level) + 1
-        now, known = sum(self._counts[:end]), sum(self._known[:end])
-        # The hash spreads each rank's demand evenly: what fell in the open levels has
-        # fallen in the shut ones too. Without this the surge's memory delays recovery.
-        fallen = now / known if known >= ENOUGH_KNOWN and now < known / 2 else 1.0
+        shift = self._shift(end)
         gain = min(elapsed / KNOWN_MEMORY, 1.0)
-        decay = fallen * exp(-elapsed / SHUT_MEMORY)
-        opened = [
-            k * fallen + gain * (c - k * fallen)
-            for k, c in zip(self._known[:end], self._counts[:end], strict=True)
-        ]
-        shut = [
-            max(k * decay, c) for k, c in zip(self._known[end:], self._counts[end:], strict=True)
-        ]
-        self._known = opened + shut
+        floor = self._density(end)
+        rank_end = (end // SLOTS_PER_RANK + 1) * SLOTS_PER_RANK
+        decay = exp(-elapsed / SHUT_MEMORY)
+        known = [k * shift for k in self._known]
+        for level, count in enumerate(self._counts):
+            if level < end:
+                known[level] += gain * (count - known[level])
+            elif level < rank_end:
+                known[level] = max(known[level] * decay, floor)
+            else:
+                known[level] *= decay
+        self._known = known
+
+    def _shift(self, end: int) -> float:
+        """Give the factor by which demand has risen or fallen, 1 if it may be chance.
+
+        The hash spreads each rank's demand evenly: what changed in the open levels has
+        changed in the shut ones too. Without this the memory of a surge delays recovery.
+        """
+        now, known = sum(self._counts[:end]), sum(self._known[:end])
+        if abs(now - known) <= CERTAIN * max(known, 1.0) ** 0.5 or not known:
+            return 1.0
+        ratio = now / known
+        return 1.0 if FALLEN < ratio < RISEN else ratio
+
+    def _density(self, end: int) -> float:
+        """Give the mean demand of the open levels next to the shut ones, in their rank."""
+        start = max(end // SLOTS_PER_RANK * SLOTS_PER_RANK, end - NEARBY)
+        if end - start < FEW_LEVELS:
+            return 0.0
+        return sum(self._known[start:end]) / (end - start)
 
     def _decide(self, room: float) -> None:
         """Take the room in calls that the counts stand for."""
-        end = int(self.level) + 1
-        wanted = _fill(self._counts[:end] + self._known[end:], room)
+        wanted = _fill(self._known, room)
         if sum(self._counts) > room * FAR_OVER:
-            self.level = min(wanted, self.level)
+            self.level = min(_fill(self._counts, room), self.level)
         step = min(GAIN * (wanted - self.level), MOST_RELAX)
         self.level = min(max(self.level + step, 0.0), LOWEST_LEVEL)
 
