Keep the proven limit as a floor under cuts

Cause: while a target slowed down, trial cuts added up (40 slots, limit 18), and the limit took tens of service times to grow back. A slower target keeps its slots, so a cut goes no lower than 0.7 of the limit that was last seen to work. Ruled out: cohorts closed early (changed too, the time is now 10 s: the short calls of a middle hop had halved its baseline).

--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -7,7 +7,7 @@
 FEWEST = 32  #: calls in a cohort, at least
 MOST = 96
 ENOUGH = 0.9  #: share of a cohort that must have ended
-LONGEST_COHORT = 2.0  #: seconds; then a quarter of the calls must do
+LONGEST_COHORT = 10.0  #: seconds; then a quarter of the calls must do
 USED = 0.9  #: share of the limit that counts as using it
 CALM = 1.15  #: inflation of own time below which growth is fast
 INFLATED = 1.25
@@ -24,6 +24,8 @@
 PROBE_AFTER = 5.0
 LONGEST_PROBE = 60.0
 COLD_SHARE = 0.25
+FLOOR = 0.7  #: share of the proven limit that no cut goes below
+FORGET = 0.99  #: what a decision leaves of the proven limit
 
 
 class _Trial(NamedTuple):
@@ -88,6 +90,7 @@
         self._baselines: dict[str, float] = {}
         self._inflation = 1.0
         self._slow_start = True
+        self._proven = 0.0  #: the most that ran without inflation
         self._trial: _Trial | None = None
         self._probe_at = FIRST_PROBE
         self._probe_pause = PROBE_AFTER
@@ -151,6 +154,9 @@
     def _decide(self, now: float, cohort: _Cohort) -> None:
         inflation = cohort.mean()
         self._inflation = inflation
+        self._proven *= FORGET
+        if inflation < CALM:
+            self._proven = max(self._proven, min(cohort.peak, self.value))
         if self._trial is not None:
             self._judge(now, inflation, self._trial)
         elif inflation > max(INFLATED, 1 + CERTAIN * cohort.error()):
@@ -164,7 +170,10 @@
 
     def _cut(self, cohort: _Cohort, cut: float, *, probe: bool) -> None:
         self._trial = _Trial(cohort.mean(), self.value, cut, probe)
-        self.value = max(min(self.value, cohort.peak) * cut, 1.0)
+        # A target that slows down keeps its slots. Cuts made by chance, or while it slowed,
+        # would otherwise add up, and take long to grow back.
+        floor = max(self._proven * FLOOR, 1.0)
+        self.value = min(max(min(self.value, cohort.peak) * cut, floor), self.value)
 
     def _judge(self, now: float, inflation: float, trial: _Trial) -> None:
         self._trial = None
@@ -173,7 +182,7 @@
                 self._scale(inflation)
                 self._probe_at = now
             return
-        self.value = min(trial.limit, self.most)
+        self.value = min(max(trial.limit, self._proven), self.most)
         if inflation > INFLATED:
             self._scale(inflation)
         pause = min(self._probe_pause * 2, LONGEST_PROBE) if trial.probe else PROBE_AFTER
