--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -12,14 +12,17 @@
 from dunlinsaddle.cli.definition import BaseCommand
 from dunlinsaddle.cli.queries.nodes import StatusCommand, TargetsCommand
 from dunlinsaddle.cli.queries.records import GetCommand, HistoryCommand, ListCommand
+from dunlinsaddle.cli.queries.replay import BenchCommand, ReplayCommand
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
 COMMANDS: tuple[type[BaseCommand], ...] = (
     ApplyCommand,
+    BenchCommand,
     GetCommand,
     HistoryCommand,
     ListCommand,
+    ReplayCommand,
     StatusCommand,
     TargetsCommand,
 )
--- /dev/null
+++ b/dunlinsaddle/cli/queries/replay.py
@@ -0,0 +1,103 @@
+"""``replay`` and ``bench``: recorded traces against their stated outcomes."""
+
+from pathlib import Path
+from typing import Any
+
+from cleo.helpers import argument, option
+
+from dunlinsaddle.cli.definition import JSON_OPTION, BaseCommand, table
+from dunlinsaddle.cli.exceptions import CommandError
+from dunlinsaddle.replay.bench import write_bench
+from dunlinsaddle.replay.report import Check, Figures, checks, figure_names, figures, shown
+from dunlinsaddle.replay.run import POLICIES, replay
+from dunlinsaddle.replay.trace import Trace, TraceError, read_trace
+from dunlinsaddle.status import ExitStatus
+
+TRACES = 'tests/traces'
+
+
+class ReplayCommand(BaseCommand):
+    """Replays a trace and compares it with its stated outcomes."""
+
+    name = 'replay'
+    description = 'Replay a trace and compare it with its stated outcomes.'
+    arguments = [argument('trace', 'File of the trace, JSON lines.')]
+    options = [
+        JSON_OPTION,
+        option('policy', None, f'One of {", ".join(POLICIES)}.', flag=False, default='current'),
+    ]
+
+    def work(self) -> ExitStatus:
+        """Show the figures and each stated outcome; a missed one ends with its own status."""
+        policy = self.option('policy')
+        if policy not in POLICIES:
+            allowed = ', '.join(POLICIES)
+            raise CommandError(ExitStatus.USAGE, f'--policy: expected one of {allowed}')
+        trace = trace_argument(self.argument('trace'))
+        measured = figures(replay(trace, policy))
+        found = checks(trace, policy, measured)
+        self.show(_document(trace, policy, measured, found), _lines(trace, measured, found))
+        return ExitStatus.OK if all(c.met for c in found) else ExitStatus.NOT_MET
+
+
+class BenchCommand(BaseCommand):
+    """Replays all traces under all policies and writes the page of figures."""
+
+    name = 'bench'
+    description = 'Replay all traces, and write the figures and the plot.'
+    options = [
+        option('traces', None, 'Directory of the traces.', flag=False, default=TRACES),
+        option('out', None, 'Directory for BENCH.md and the plot.', flag=False, default='docs'),
+    ]
+
+    def work(self) -> ExitStatus:
+        """Write the page; a missed outcome ends with its own status."""
+        paths = sorted(Path(self.option('traces')).glob('*.jsonl'))
+        if not paths:
+            raise CommandError(ExitStatus.USAGE, f'{self.option("traces")}: no trace (*.jsonl)')
+        traces = [trace_argument(str(path)) for path in paths]
+        out = Path(self.option('out'))
+        missed = write_bench(traces, out, lambda line: self.env.stdout.write(f'{line}\n'))
+        return ExitStatus.NOT_MET if missed else ExitStatus.OK
+
+
+def trace_argument(path: str) -> Trace:
+    """Read a trace, or end the command with the line that is wrong."""
+    try:
+        with open(path, encoding='utf-8') as file:
+            return read_trace(file)
+    except OSError as exc:
+        raise CommandError(ExitStatus.USAGE, f'{path}: {exc.strerror}') from None
+    except TraceError as exc:
+        raise CommandError(ExitStatus.INVALID_RECORD, f'{path}: {exc}') from None
+
+
+def _document(trace: Trace, policy: str, measured: Figures, found: list[Check]) -> Any:
+    return {
+        'trace': trace.header.name,
+        'policy': policy,
+        'figures': measured._asdict(),
+        'outcomes': [
+            {
+                'metric': c.expect.metric,
+                'op': c.expect.op,
+                'value': c.expect.value,
+                'measured': c.measured,
+                'met': c.met,
+            }
+            for c in found
+        ],
+    }
+
+
+def _lines(trace: Trace, measured: Figures, found: list[Check]) -> list[str]:
+    rows = [[name, shown(getattr(measured, name))] for name in figure_names(trace)]
+    outcomes = [
+        [
+            'met' if c.met else 'MISSED',
+            f'{c.expect.metric} {c.expect.op} {c.expect.value:g}',
+            f'measured {shown(c.measured)}',
+        ]
+        for c in found
+    ]
+    return [*table(rows), *([''] if outcomes else []), *table(outcomes)]
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -116,9 +116,7 @@
     (1: little waits when the overload ends).
     """
 
-    def __init__(
-        self, *, limit: float = FIRST_LIMIT, most: int = 1000, bias: float = 0.5
-    ) -> None:
+    def __init__(self, *, limit: float = FIRST_LIMIT, most: int = 1000, bias: float = 0.5) -> None:
         self.inflight = 0
         self._away: set[int] = set()
         self.most = most
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -17,10 +17,10 @@
 from dunlinsaddle.policy.naive import RETRIES_PER_HOP
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
+from dunlinsaddle.records.models import ServiceRecord
 from dunlinsaddle.replay.events import EventLoop, Process, Waiter
 from dunlinsaddle.replay.fakes import FakeTarget, Network
 from dunlinsaddle.replay.trace import Call
-from dunlinsaddle.records.models import ServiceRecord
 
 SILENT_AFTER = 1.0  #: seconds until a silent connection is dropped
 VIEW_LAG = 0.5  #: seconds until all nodes have heard that a target has gone or come
@@ -145,9 +145,7 @@
         if isinstance(self.admission, Admission):
             self.admission.restarted(self.fleet.loop.now)
 
-    def _run(
-        self, attempt: Attempt, call: Call, allowance: Allowance, ticket: Ticket
-    ) -> Process:
+    def _run(self, attempt: Attempt, call: Call, allowance: Allowance, ticket: Ticket) -> Process:
         loop, life = self.fleet.loop, self.target.deaths
         if not self.target.accepts():
             self._finish(ticket, Sample(call.rule, 0.0, completed=False))
@@ -274,9 +272,7 @@
             if not may_resend(answer.kind, answer.outcome, idempotent=idempotent):
                 return answer
 
-    def _try(
-        self, attempt: Attempt, call: Call, allowance: Allowance, node: FakeNode
-    ) -> Process:
+    def _try(self, attempt: Attempt, call: Call, allowance: Allowance, node: FakeNode) -> Process:
         name = node.instance.instance
         handed = allowance.hand_down()
         held = Allowance(handed)
--- a/dunlinsaddle/replay/report.py
+++ b/dunlinsaddle/replay/report.py
@@ -118,3 +118,16 @@
     shares = [whole[c] / total[c] for c in total if c.startswith('caller-')]
     squares = sum(s * s for s in shares)
     return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
+
+
+def figure_names(trace: Trace) -> list[str]:
+    """Give the names of the figures, the one that the trace puts first at the front."""
+    first = trace.header.first
+    return [first, *(name for name in Figures._fields if name != first)]
+
+
+def shown(value: float) -> str:
+    """Write a figure for people."""
+    if value == float('inf'):
+        return 'never'
+    return str(value) if isinstance(value, int) else f'{value:.4f}'
--- a/dunlinsaddle/replay/trace.py
+++ b/dunlinsaddle/replay/trace.py
@@ -10,6 +10,10 @@
 from dunlinsaddle.records.models import ServiceRecord
 from dunlinsaddle.records.schema import decode_record
 
+Metric = Literal[
+    'goodput', 'recovery', 'critical', 'wasted', 'fairness', 'resends', 'deaths', 'median'
+]
+
 
 class TraceError(Exception):
     """A line that cannot be taken; ``number`` counts from 1."""
@@ -19,7 +23,7 @@
         self.number = number
 
 
-class Line(msgspec.Struct, tag_field='kind', forbid_unknown_fields=True, frozen=True):
+class Line(msgspec.Struct, tag_field='kind', forbid_unknown_fields=True):
     """What all lines share."""
 
 
@@ -34,7 +38,7 @@
     between: float = 0.0005  #: latency between failure domains
     clients: float = 0.001  #: latency to callers
     first: Literal['recovery', 'goodput'] = 'goodput'  #: which figure is reported first
-    bias: float | None = None  #: recovery_bias of all records, instead of their own
+    bias_trade: bool = False  #: the bench runs it under several values of recovery_bias
 
 
 class Service(Line, tag='service'):
@@ -50,7 +54,7 @@
     record: dict[str, Any] = {}
 
 
-class Call(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+class Call(msgspec.Struct, forbid_unknown_fields=True):
     """A call that a target makes for a request, and those that follow from it, in order."""
 
     service: str
@@ -107,10 +111,10 @@
 class Expect(Line, tag='expect'):
     """A stated outcome."""
 
-    metric: str
+    metric: Metric
     op: Literal['>=', '<=']
     value: float
-    policy: str = 'current'
+    policy: Literal['naive', 'current', 'local'] = 'current'
 
 
 AnyLine = Header | Service | Chain | Callers | Demand | Arrival | Fault | Expect
@@ -179,7 +183,7 @@
             raise TraceError(number, 'expected a single line of kind "trace"')
         case Service():
             trace.services[line.name] = line
-            trace.records[line.name] = _record(number, line, trace.header)
+            trace.records[line.name] = _record(number, line)
         case Chain():
             _known_calls(trace, number, [Call(line.service, line.rule, line.calls)])
             trace.chains[line.name] = line
@@ -198,11 +202,9 @@
             trace.expects.append(line)
 
 
-def _record(number: int, service: Service, header: Header) -> ServiceRecord:
+def _record(number: int, service: Service) -> ServiceRecord:
     targets = {'connections': service.connections}
     document = {'schema': 2, 'service': service.name, 'targets': targets, **service.record}
-    if header.bias is not None:
-        document['recovery_bias'] = header.bias
     decoded: Result[ServiceRecord, Failure] = decode_record(document)
     match decoded:
         case Ok(record):
