--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -18,14 +18,17 @@
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.work import RunningCalls, work_of
 from dunlinsaddle.environment import Environment
+from dunlinsaddle.explain import Explanation, Question, explain
 from dunlinsaddle.membership.roster import Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import RECORDS, versioned
+from dunlinsaddle.records.models import Mode
 from dunlinsaddle.settings import Address, Settings
 from dunlinsaddle.stats import Stats
 
@@ -60,10 +63,25 @@
         link_limits = LinkLimits(body_bytes=settings.max_body_bytes)
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
         self.admission = Admission()
-        self.executor = Executor(self.target, self.admission, self.client, self.running, self.stats)
-        router = Router(settings.domain, Random(env.rng.random()))
+        self.quarantine = Quarantine()
+        self.executor = Executor(
+            self.target,
+            self.admission,
+            self.client,
+            self.running,
+            self.stats,
+            self.quarantine,
+            self._observes,
+        )
+        router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
-            settings.instance, self.view, router, self.links, self.executor, self.stats
+            settings.instance,
+            self.view,
+            router,
+            self.links,
+            self.executor,
+            self.stats,
+            self.quarantine,
         )
         self._build_faces(link_limits)
         self.faces: Faces
@@ -160,6 +178,19 @@
             for m in sorted(self.view.members(), key=lambda m: (m.service, m.instance))
         ]
 
+    def explain(self, question: Question) -> Explanation | None:
+        """Explain what would happen to a request here; None without a record."""
+        record = self.book.find(question['service'])
+        if record is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        members = self.view.serving(record.service)
+        return explain(question, record, members, self.dispatcher.router, now)
+
+    def _observes(self, service: str) -> bool:
+        record = self.book.find(service)
+        return record is not None and record.mode is Mode.OBSERVE
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
