Use the limit and the learned levels in the node; replay with quarantine and resend guard

The admission policy now hears of the record, of announcements (cold targets), and of calls that leave for other services. Entry and middle nodes refuse early by learned levels; a service in observe mode only counts them.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -38,8 +38,17 @@
         self.stats = stats
         self.quarantine = quarantine
 
-    async def dispatch(self, work: Work) -> Reply:
-        """Give a call to one target after another until one answer is final."""
+    async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
+        """Give a call to one target after another until one answer is final.
+
+        ``parent_rule`` is the rule that the local target works on and makes this call for.
+        """
+        failure = self._early_refusal(work, parent_rule)
+        if failure is not None:
+            self.stats.shed[failure.kind.value] += 1
+            early = refusal(failure)
+            early.unspent = work.allowance.tokens
+            return early
         tried: set[str] = set()
         last: Reply | None = None
         may_have_run = False
@@ -61,6 +70,17 @@
         last.unspent = work.allowance.tokens
         return _truthful(last) if may_have_run else last
 
+    def _early_refusal(self, work: Work, parent_rule: str) -> Failure | None:
+        ctx, levels = work.ctx, self.executor.levels
+        now = asyncio.get_running_loop().time()
+        if parent_rule:
+            levels.called(now, parent_rule, ctx.service, ctx.rule)
+        failure = levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
+        if failure is not None and self.executor.observes(ctx.service):
+            self.stats.observed_refusals[failure.kind.value] += 1
+            return None
+        return failure
+
     def choose(self, service: str, tried: set[str]) -> Member | None:
         """Give the member to send a call to, or None when all were tried."""
         members = {m.instance: m for m in self.view.serving(service)}
@@ -83,6 +103,7 @@
         match reply:
             case Reply():
                 self._heard(loop.time(), member, reply)
+                self._learn(loop.time(), work, reply)
                 work.allowance.give_back(handed, reply.unspent)
                 return reply
             case NotSent(detail):
@@ -105,6 +126,10 @@
         if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
             self.router.avoid(now, member.instance)
 
+    def _learn(self, now: float, work: Work, reply: Reply) -> None:
+        if reply.load is not None:
+            self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, reply.load.level)
+
     def _after(self, work: Work, reply: Reply) -> Work:
         """Carry on with the call what its last try taught."""
         if not reply.deaths:
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from dunlinsaddle.calls.client import Answered, HttpClient
 from dunlinsaddle.calls.http import HttpRequest, forwarded_headers
@@ -10,6 +11,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.admission import (
     AdmissionPolicy,
+    Load,
     Refuse,
     Run,
     Sample,
@@ -18,6 +20,7 @@
     Wait,
 )
 from dunlinsaddle.policy.context import CallContext
+from dunlinsaddle.policy.level import ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
@@ -29,6 +32,7 @@
     """The target beside this node, as it announced itself."""
 
     def __init__(self) -> None:
+        self.on_announce: Callable[[], None] = lambda: None
         self.service = ''
         self.address: Address | None = None
         self.draining = False
@@ -38,6 +42,7 @@
         self.service = service
         self.address = address
         self.draining = False
+        self.on_announce()
 
 
 class Executor:
@@ -53,6 +58,7 @@
         quarantine: Quarantine,
         observes: Callable[[str], bool] = lambda service: False,
         on_death: Callable[[int, int], None] = lambda fingerprint, deaths: None,
+        levels: ChainLevels | None = None,
     ) -> None:
         self.target = target
         self.admission = admission
@@ -62,6 +68,7 @@
         self.quarantine = quarantine
         self.observes = observes
         self.on_death = on_death
+        self.levels = levels or ChainLevels()
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
         self._tickets = 0
         self._shadows: set[int] = set()
@@ -179,7 +186,7 @@
 
     async def _run(self, work: Work, ticket: Ticket) -> Reply:
         loop = asyncio.get_running_loop()
-        running = Running(work, loop.time())
+        running = Running(work, loop.time(), partial(self._waits, ticket))
         self.running.add(running)
         completed = False
         try:
@@ -192,9 +199,25 @@
             self.running.end(running)
             self._finish(ticket, Sample(ticket.rule, running.own_time(now), completed), now)
         reply.unspent = work.allowance.tokens
-        reply.load = self.admission.load(loop.time())
+        reply.load = self._load(work.ctx)
         return reply
 
+    def _load(self, ctx: CallContext) -> Load:
+        """Report the worst level of this hop and those below, for the hops above to refuse by."""
+        now = asyncio.get_running_loop().time()
+        load = self.admission.load(now)
+        return load._replace(level=min(load.level, self.levels.below(now, ctx.rule)))
+
+    def _waits(self, ticket: Ticket, now: float, waits: bool) -> None:
+        """Let another call run while the target waits for a service on behalf of this one."""
+        if ticket.call_id in self._shadows:
+            return
+        if waits:
+            self.admission.leave(now, ticket)
+        else:
+            self.admission.come_back(now, ticket)
+        self._release(now)
+
     async def _call_target(self, work: Work, running: Running) -> Reply:
         assert self.target.address is not None
         budget = work.ctx.deadline - running.started
@@ -230,6 +253,9 @@
             self.admission.abandon(ticket)
         else:
             self.admission.finish(now, ticket, sample)
+        self._release(now)
+
+    def _release(self, now: float) -> None:
         released = self.admission.release(now)
         for started in released.started:
             self._settle(started, None)
@@ -239,6 +265,6 @@
 
     def _refused(self, failure: Failure, work: Work) -> Reply:
         self.stats.shed[failure.kind.value] += 1
-        reply = refusal(failure, load=self.admission.load(asyncio.get_running_loop().time()))
+        reply = refusal(failure, load=self._load(work.ctx))
         reply.unspent = work.allowance.tokens
         return reply
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -200,7 +200,7 @@
         parent.children.add(task)
         parent.leave(loop.time())
         try:
-            return response_of(await self.dispatcher.dispatch(work))
+            return response_of(await self.dispatcher.dispatch(work, parent.work.ctx.rule))
         finally:
             parent.children.discard(task)
             parent.come_back(loop.time())
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
 from typing import NamedTuple
 
 from dunlinsaddle.calls.messages import Call, Headers
@@ -68,11 +69,14 @@
 class Running:
     """A call that the local target is running, and the calls it makes meanwhile."""
 
-    def __init__(self, work: Work, now: float) -> None:
+    def __init__(
+        self, work: Work, now: float, on_wait: Callable[[float, bool], None] | None = None
+    ) -> None:
         self.work = work
         self.token = secrets.token_hex(8)
         self.started = now
         self.children: set[asyncio.Task[object]] = set()
+        self._on_wait = on_wait
         self._open = 0
         self._opened_at = 0.0
         self._away = 0.0
@@ -81,6 +85,7 @@
         """Note that the target begins to wait for another service."""
         if not self._open:
             self._opened_at = now
+            self._tell(now, waits=True)
         self._open += 1
 
     def come_back(self, now: float) -> None:
@@ -88,6 +93,11 @@
         self._open -= 1
         if not self._open:
             self._away += now - self._opened_at
+            self._tell(now, waits=False)
+
+    def _tell(self, now: float, *, waits: bool) -> None:
+        if self._on_wait is not None:
+            self._on_wait(now, waits)
 
     def own_time(self, now: float) -> float:
         """Give the seconds that the target spent itself.
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -73,6 +73,7 @@
             self.quarantine,
             self._observes,
         )
+        self.target.on_announce = self._announced
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
             settings.instance,
@@ -191,6 +192,15 @@
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
 
+    def _announced(self) -> None:
+        self._configure()
+        self.admission.restarted(asyncio.get_running_loop().time())
+
+    def _configure(self) -> None:
+        record = self.book.find(self.target.service)
+        if record is not None:
+            self.admission.configure(record)
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
@@ -206,6 +216,7 @@
     async def _refresh_loop(self) -> None:
         while True:
             await self._refresh_records()
+            self._configure()
             for member in await self.roster.read() or ():
                 self.view.take(member)
             await asyncio.sleep(REFRESH_SECONDS)
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -122,8 +122,8 @@
         self.most = most
         self.queue: SortedKeyList = SortedKeyList(key=_order)
         self._adaptive = AdaptiveLimit(limit, most)
-        self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
-        self._level = AdmittedLevel(HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias)
+        self._level = AdmittedLevel()
+        self._use_bias(bias)
         self._started: dict[int, _Start] = {}
         self._times: dict[str, float] = {}
         self._mean_time = 0.0
@@ -144,6 +144,16 @@
         """The most calls that run at once, now."""
         return self._adaptive.value
 
+    @limit.setter
+    def limit(self, value: float) -> None:
+        self._adaptive.value = value
+
+    def configure(self, record: ServiceRecord) -> None:
+        """Take what the record says now; what was learned stays."""
+        self.most = record.connections
+        self._adaptive.guess(record.slots or FIRST_LIMIT, record.connections)
+        self._use_bias(record.recovery_bias)
+
     def restarted(self, now: float) -> None:
         """Hear that the target has announced itself anew: it is cold."""
         self._adaptive.restarted(now)
@@ -191,6 +201,8 @@
         below: when one slows down, all above it would shrink, also for calls that need it
         not at all.
         """
+        if ticket.call_id not in self._started:
+            return
         self._work_done(ticket)
         self._away.add(ticket.call_id)
         self._observed.advance(now, saturated=not self._free())
@@ -229,6 +241,10 @@
         cohort = self._adaptive.started(self._active())
         self._started[ticket.call_id] = _Start(now, cohort)
 
+    def _use_bias(self, bias: float) -> None:
+        self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
+        self._level.utilisation = HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias
+
     def _active(self) -> int:
         """Give the calls that the target works on itself."""
         return self.inflight - len(self._away)
--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -96,6 +96,14 @@
         self._probe_pause = PROBE_AFTER
         self._cohort = _Cohort(0, FEWEST, 0.0)
 
+    def guess(self, first: float, most: int) -> None:
+        """Take a first guess and the upper bound; what was learned goes before the guess."""
+        self.most = most
+        if first != self.first and not self._baselines:
+            self.value = first
+        self.first = min(first, most)
+        self.value = min(self.value, most)
+
     def restarted(self, now: float) -> None:
         """Start slowly: a target that has just come up is cold."""
         self.value = max(min(self.value, self.first) * COLD_SHARE, 1.0)
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -13,8 +13,11 @@
     Ticket,
     Wait,
 )
+from dunlinsaddle.policy.callers import ResendGuard
+from dunlinsaddle.policy.context import Priority
 from dunlinsaddle.policy.level import ChainLevels
 from dunlinsaddle.policy.naive import RETRIES_PER_HOP
+from dunlinsaddle.policy.quarantine import DEATHS_MOST, Barred, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.records.models import ServiceRecord
@@ -29,13 +32,34 @@
 class Attempt:
     """One sending of a request by its caller, and the target calls it has cost."""
 
-    __slots__ = ('caller', 'calls', 'deadline', 'failed', 'kills', 'level', 'resent', 'wasted')
+    __slots__ = (
+        'caller',
+        'calls',
+        'deadline',
+        'deaths',
+        'failed',
+        'fingerprint',
+        'kills',
+        'priority',
+        'resent',
+        'wasted',
+    )
 
-    def __init__(self, caller: str, level: int, deadline: float, *, kills: bool = False) -> None:
+    def __init__(
+        self,
+        caller: str,
+        priority: Priority,
+        deadline: float,
+        *,
+        fingerprint: int = 0,
+        kills: bool = False,
+    ) -> None:
         self.caller = caller
-        self.level = level
+        self.priority = priority
         self.deadline = deadline
+        self.fingerprint = fingerprint
         self.kills = kills
+        self.deaths = 0
         self.calls = 0
         self.wasted = 0
         self.resent = 0
@@ -106,21 +130,34 @@
         self._waiting: dict[int, Waiter] = {}
         self._tickets = 0
 
+    def enter(self, attempt: Attempt, call: Call, allowance: Allowance) -> Process:
+        """Take a request of a caller."""
+        return (yield from self.dispatch(attempt, call, allowance))
+
     def dispatch(
         self, attempt: Attempt, call: Call, allowance: Allowance, parent: str = ''
     ) -> Process:
         """Send a call to targets of its service until one answer is final."""
         raise NotImplementedError
 
+    def _bar(self, attempt: Attempt) -> Failure | None:
+        """Refuse a request that targets have died of."""
+        return None
+
+    def _mourn(self, attempt: Attempt) -> None:
+        """Note that the target died while it ran a request."""
+
     def execute(self, attempt: Attempt, call: Call, allowance: Allowance) -> Process:
         """Run a call at the local target, or refuse it."""
         loop = self.fleet.loop
         if not self.target.up:
             return refused(ErrorKind.NO_TARGET)
+        barred = self._bar(attempt)
+        if barred is not None:
+            return Answer(barred)
         self._tickets += 1
-        ticket = Ticket(
-            self._tickets, attempt.level, loop.now, attempt.deadline, call.rule, attempt.caller
-        )
+        level = attempt.priority.level
+        ticket = Ticket(self._tickets, level, loop.now, attempt.deadline, call.rule, attempt.caller)
         match self.admission.arrive(loop.now, ticket):
             case Refuse(failure):
                 return Answer(failure, self._load(call))
@@ -173,6 +210,8 @@
             kind = ErrorKind.DEADLINE_EXCEEDED
             kind = kind if self.target.deaths == life else ErrorKind.TARGET_LOST
             answer = refused(kind)
+            if kind is ErrorKind.TARGET_LOST:
+                self._mourn(attempt)
         done = answer.failure is None
         self._finish(ticket, Sample(call.rule, own_time, done))
         return answer._replace(load=self._load(call))
@@ -242,6 +281,47 @@
     ) -> None:
         super().__init__(fleet, instance, target, admission, router)
         self.levels = levels
+        self.guard = ResendGuard()
+        self.quarantine = Quarantine()
+
+    def enter(self, attempt: Attempt, call: Call, allowance: Allowance) -> Process:
+        """Let early resends through only up to the record's ratio."""
+        now = self.fleet.loop.now
+        record = self.fleet.records[call.service]
+        failure = self.guard.check(
+            now,
+            attempt.caller,
+            attempt.fingerprint,
+            rank=attempt.priority.rank,
+            ratio=record.resend_ratio,
+        )
+        if failure is not None:
+            return Answer(failure)
+        answer: Answer = yield from self.dispatch(attempt, call, allowance)
+        now = self.fleet.loop.now
+        if answer.failure is None:
+            self.guard.answered(attempt.caller, attempt.fingerprint)
+        elif answer.failure.retry_after > 0:
+            wait = answer.failure.retry_after
+            self.guard.refused(now, attempt.caller, attempt.fingerprint, wait)
+        return answer
+
+    def _bar(self, attempt: Attempt) -> Failure | None:
+        match self.quarantine.standing(self.fleet.loop.now, attempt.fingerprint):
+            case Barred(failure):
+                return failure
+        return None
+
+    def _mourn(self, attempt: Attempt) -> None:
+        now = self.fleet.loop.now
+        attempt.deaths = self.quarantine.died(now, attempt.fingerprint)
+        self.fleet.loop.call_at(now + VIEW_LAG, self._tell, attempt.fingerprint, attempt.deaths)
+
+    def _tell(self, fingerprint: int, deaths: int) -> None:
+        for nodes in self.fleet.nodes.values():
+            for node in nodes:
+                if isinstance(node, CurrentNode):
+                    node.quarantine.hear(self.fleet.loop.now, fingerprint, deaths)
 
     def dispatch(
         self, attempt: Attempt, call: Call, allowance: Allowance, parent: str = ''
@@ -251,7 +331,8 @@
         if self.levels is not None:
             if parent:
                 self.levels.called(loop.now, parent, call.service, call.rule)
-            refusal = self.levels.check(loop.now, call.service, call.rule, attempt.level)
+            level = attempt.priority.level
+            refusal = self.levels.check(loop.now, call.service, call.rule, level)
             if refusal is not None:
                 return Answer(refusal)
         tried: set[str] = set()
@@ -268,6 +349,8 @@
                 attempt.resent += 1
             tried.add(chosen.instance)
             answer = yield from self._try(attempt, call, allowance, listed[chosen.instance])
+            if attempt.deaths >= DEATHS_MOST:
+                return answer
             idempotent = self.fleet.idempotent(call.service, call.rule)
             if not may_resend(answer.kind, answer.outcome, idempotent=idempotent):
                 return answer
--- a/dunlinsaddle/replay/run.py
+++ b/dunlinsaddle/replay/run.py
@@ -5,7 +5,7 @@
 
 from dunlinsaddle.errors import Failure
 from dunlinsaddle.policy.admission import Admission
-from dunlinsaddle.policy.context import SLOTS_PER_RANK
+from dunlinsaddle.policy.context import SLOTS_PER_RANK, Priority
 from dunlinsaddle.policy.level import ChainLevels
 from dunlinsaddle.policy.naive import FixedLimit
 from dunlinsaddle.policy.retry import Allowance
@@ -99,7 +99,7 @@
         domain = trace.header.domains[number % len(trace.header.domains)]
         instance = Candidate(f'{service}-{number}', domain)
         target = FakeTarget(self.loop, trace.services[service], Random(self.rng.random()))
-        router = Router(domain, Random(self.rng.random()))
+        router = Router(domain, Random(self.rng.random()), instance.instance)
         record = trace.records[service]
         if self.policy == 'naive':
             slots = trace.services[service].slots
@@ -129,12 +129,13 @@
         rank = rank_of(self.trace, chain)
         req = Request(chain.name, rank, caller, self.loop.now, kills)
         self.run_data.requests.append(req)
+        number = len(self.run_data.requests)
         deadline = self.loop.now + self.trace.records[chain.service].deadline
         callers = self.trace.callers
         call = Call(chain.service, chain.rule, chain.calls)
         while True:
-            level = rank * SLOTS_PER_RANK + self.rng.randrange(SLOTS_PER_RANK)
-            attempt = Attempt(caller, level, deadline, kills=kills)
+            priority = Priority(rank, self.rng.randrange(SLOTS_PER_RANK))
+            attempt = Attempt(caller, priority, deadline, fingerprint=number, kills=kills)
             req.attempts.append(attempt)
             failure = yield from self._send(attempt, call)
             if failure is None or len(req.attempts) > callers.resends:
@@ -152,7 +153,7 @@
             entry = self.rng.choice(self.entries)
         yield self.trace.header.clients
         allowance = Allowance(self.trace.records[call.service].retry_bound)
-        answer: Answer = yield from entry.dispatch(attempt, call, allowance)
+        answer: Answer = yield from entry.enter(attempt, call, allowance)
         yield self.trace.header.clients
         late = self.loop.now > attempt.deadline
         attempt.end(whole=answer.failure is None and not late)
--- a/dunlinsaddle/replay/trace.py
+++ b/dunlinsaddle/replay/trace.py
@@ -127,7 +127,7 @@
     services: dict[str, Service] = {}
     records: dict[str, ServiceRecord] = {}
     chains: dict[str, Chain] = {}
-    callers: Callers = Callers()
+    callers: Callers = msgspec.field(default_factory=Callers)
     demands: list[Demand] = []
     arrivals: list[Arrival] = []
     faults: list[Fault] = []
