--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -8,6 +8,7 @@
 from dunlinsaddle.calls.work import Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.policy.level import Heard
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
@@ -128,7 +129,8 @@
 
     def _learn(self, now: float, work: Work, reply: Reply) -> None:
         if reply.load is not None:
-            self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, reply.load.level)
+            heard = Heard(reply.load.level, reply.load.age)
+            self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, heard)
 
     def _after(self, work: Work, reply: Reply) -> Work:
         """Carry on with the call what its last try taught."""
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -206,7 +206,8 @@
         """Report the worst level of this hop and those below, for the hops above to refuse by."""
         now = asyncio.get_running_loop().time()
         load = self.admission.load(now)
-        return load._replace(level=min(load.level, self.levels.below(now, ctx.rule)))
+        worst = self.levels.worst(now, ctx.rule, load.level)
+        return load._replace(level=worst.level, age=worst.age)
 
     def _waits(self, ticket: Ticket, now: float, waits: bool) -> None:
         """Let another call run while the target waits for a service on behalf of this one."""
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -38,6 +38,7 @@
     waiting: int = 0
     limit: float = FIRST_LIMIT
     level: float = LOWEST_LEVEL  #: the lowest priority admitted now, with a fraction of the next
+    age: float = 0.0  #: seconds since the target that admits it has confirmed it
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -2,6 +2,7 @@
 
 from itertools import accumulate
 from math import exp
+from typing import NamedTuple
 
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
@@ -134,19 +135,28 @@
     return float(LOWEST_LEVEL)
 
 
+class Heard(NamedTuple):
+    """A level, and for how many seconds its target has not confirmed it."""
+
+    level: float
+    age: float = 0.0
+
+
 class _Learned:
-    __slots__ = ('heard', 'level')
+    __slots__ = ('confirmed', 'level')
 
-    def __init__(self, level: float, heard: float) -> None:
+    def __init__(self, level: float, confirmed: float) -> None:
         self.level = level
-        self.heard = heard
+        self.confirmed = confirmed
 
 
 class ChainLevels:
     """What this node has learned of the levels that services admit, with their chains.
 
     A level that nothing refreshes opens again by itself: if all calls to a service are
-    refused early, no answer comes back to say that the overload has ended.
+    refused early, no answer comes back to say that the overload has ended. The age is
+    handed on with the level; otherwise services that call each other in a circle would keep
+    a low level alive among themselves when its target has long opened up.
     """
 
     def __init__(self) -> None:
@@ -154,32 +164,36 @@
         self._edges: dict[str, dict[tuple[str, str], float]] = {}
         self._share = 0.0
 
-    def learn(self, now: float, service: str, rule: str, level: float) -> None:
+    def learn(self, now: float, service: str, rule: str, heard: Heard) -> None:
         """Take the level that came with an answer; answers of all targets are averaged."""
         known = self._learned.get((service, rule))
         if known is None:
-            self._learned[service, rule] = _Learned(level, now)
+            self._learned[service, rule] = _Learned(heard.level, now - heard.age)
             return
-        known.level = self._aged(known, now)
-        known.level += LEARN_GAIN * (level - known.level)
-        known.heard = now
+        known.level = _aged(known, now)
+        known.level += LEARN_GAIN * (heard.level - known.level)
+        known.confirmed = now - heard.age
 
     def called(self, now: float, parent_rule: str, service: str, rule: str) -> None:
         """Note that the local target calls a service while it works on a rule."""
         self._edges.setdefault(parent_rule, {})[service, rule] = now
 
-    def below(self, now: float, rule: str) -> float:
-        """Give the lowest level that all services admit which a rule calls."""
-        edges = self._edges.get(rule)
-        if not edges:
-            return LOWEST_LEVEL
-        fresh = [edge for edge, last in edges.items() if now - last < EDGE_MEMORY]
-        return min((self.admitted(now, *edge) for edge in fresh), default=LOWEST_LEVEL)
+    def worst(self, now: float, rule: str, own: float) -> Heard:
+        """Give the worst of the own level and those of all services that a rule calls."""
+        found = Heard(own)
+        for edge, last in self._edges.get(rule, {}).items():
+            known = self._learned.get(edge)
+            if known is None or now - last > EDGE_MEMORY:
+                continue
+            level = _aged(known, now)
+            if level < found.level:
+                found = Heard(level, max(now - known.confirmed, 0.0))
+        return found
 
     def admitted(self, now: float, service: str, rule: str) -> float:
         """Give the lowest level that a service admits for a rule, as far as known."""
         known = self._learned.get((service, rule))
-        return LOWEST_LEVEL if known is None else self._aged(known, now)
+        return LOWEST_LEVEL if known is None else _aged(known, now)
 
     def check(self, now: float, service: str, rule: str, level: int) -> Failure | None:
         """Give the refusal for a call that would be refused further down; None if it may go."""
@@ -199,6 +213,7 @@
         self._share -= 1
         return True
 
-    def _aged(self, known: _Learned, now: float) -> float:
-        stale = max(now - known.heard - STALE_AFTER, 0.0)
-        return min(known.level + stale * REOPEN_RATE, LOWEST_LEVEL)
+
+def _aged(known: _Learned, now: float) -> float:
+    stale = max(now - known.confirmed - STALE_AFTER, 0.0)
+    return min(known.level + stale * REOPEN_RATE, LOWEST_LEVEL)
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -15,7 +15,7 @@
 )
 from dunlinsaddle.policy.callers import ResendGuard
 from dunlinsaddle.policy.context import Priority
-from dunlinsaddle.policy.level import ChainLevels
+from dunlinsaddle.policy.level import ChainLevels, Heard
 from dunlinsaddle.policy.naive import RETRIES_PER_HOP
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Barred, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
@@ -366,8 +366,8 @@
         else:
             self.router.answered(name, answer.load)
             if self.levels is not None and answer.load is not None:
-                level = answer.load.level
-                self.levels.learn(self.fleet.loop.now, call.service, call.rule, level)
+                heard = Heard(answer.load.level, answer.load.age)
+                self.levels.learn(self.fleet.loop.now, call.service, call.rule, heard)
         if answer.kind is not ErrorKind.PEER_LOST:
             allowance.give_back(handed, held.tokens)
         return answer
@@ -376,8 +376,8 @@
         load = super()._load(call)
         if self.levels is None:
             return load
-        below = self.levels.below(self.fleet.loop.now, call.rule)
-        return load._replace(level=min(load.level, below))
+        worst = self.levels.worst(self.fleet.loop.now, call.rule, load.level)
+        return load._replace(level=worst.level, age=worst.age)
 
 
 class NaiveNode(FakeNode):
