--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -8,6 +8,7 @@
 from dunlinsaddle.calls.work import Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.policy.context import CallContext
 from dunlinsaddle.policy.level import Heard
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
@@ -56,7 +57,7 @@
         while True:
             member = self.choose(work.ctx.service, tried)
             if member is None:
-                last = last or _nobody(work.ctx.service)
+                last = last or self._nobody(work.ctx)
                 break
             if last is not None and not work.allowance.spend():
                 break
@@ -140,6 +141,12 @@
         deaths = self.quarantine.hear(now, work.ctx.fingerprint, reply.deaths)
         return work._replace(ctx=work.ctx._replace(deaths=deaths))
 
+    def _nobody(self, ctx: CallContext) -> Reply:
+        now = asyncio.get_running_loop().time()
+        self.executor.levels.unavailable(now, ctx.service, ctx.rule)
+        detail = f'no target of {ctx.service} is known'
+        return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
+
     def _may_resend(self, work: Work, reply: Reply) -> bool:
         if work.ctx.deaths >= DEATHS_MOST:
             return False
@@ -147,11 +154,6 @@
         return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
 
 
-def _nobody(service: str) -> Reply:
-    detail = f'no target of {service} is known'
-    return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
-
-
 def _truthful(reply: Reply) -> Reply:
     """Keep a refusal from saying "not run" when an earlier try of the same call may have run."""
     if reply.outcome is not Outcome.NOT_RUN:
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -17,7 +17,7 @@
 SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
 HIGHEST_USE = 1.06  #: demand admitted as a share of capacity, at recovery_bias 0
 LOWEST_USE = 1.0  #: the same at recovery_bias 1
-TIME_GAIN = 0.05
+TIME_GAIN = 0.1
 
 
 class Ticket(NamedTuple):
@@ -158,6 +158,8 @@
     def restarted(self, now: float) -> None:
         """Hear that the target has announced itself anew: it is cold."""
         self._adaptive.restarted(now)
+        self._observed = ObservedCapacity()
+        self._observed.advance(now, saturated=not self._free())
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
--- a/dunlinsaddle/policy/capacity.py
+++ b/dunlinsaddle/policy/capacity.py
@@ -4,7 +4,7 @@
 ENOUGH_TIME = 1.0
 FIRST_CALLS = 10.0
 PATIENCE = 0.2  #: seconds with free places that are usual even near capacity
-DOUBLING = 0.5  #: seconds with free places in which the estimate doubles
+DOUBLING = 0.25  #: seconds with free places in which the estimate doubles
 
 
 class ObservedCapacity:
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -24,6 +24,7 @@
 LEARN_GAIN = 0.25
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
 REOPEN_RATE = 256.0  #: levels a second
+NOTHING = -1.0  #: the level of a service that admits nothing
 EDGE_MEMORY = 30.0  #: seconds for which a rule counts as calling a service
 
 
@@ -174,6 +175,10 @@
         known.level += LEARN_GAIN * (heard.level - known.level)
         known.confirmed = now - heard.age
 
+    def unavailable(self, now: float, service: str, rule: str) -> None:
+        """Take it that a service without any target admits nothing, until it is asked again."""
+        self._learned[service, rule] = _Learned(NOTHING, now)
+
     def called(self, now: float, parent_rule: str, service: str, rule: str) -> None:
         """Note that the local target calls a service while it works on a rule."""
         self._edges.setdefault(parent_rule, {})[service, rule] = now
--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -11,15 +11,16 @@
 USED = 0.9  #: share of the limit that counts as using it
 CALM = 1.15  #: inflation of own time below which growth is fast
 INFLATED = 1.25
-CERTAIN = 2.5  #: standard errors above the baseline that are no chance
+CERTAIN = 3.5  #: standard errors above the baseline that are no chance
 CUT = 0.75  #: the smallest cut
 DEEPEST_CUT = 0.5
 FIRST_GROWTH = 0.5  #: for each completed call, until own time is inflated for the first time
+KNOWN_GROWTH = 1.0  #: the same below what has run well before
 FAST_GROWTH = 1.15
 SLOW_GROWTH = 1.05
 MUCH_FASTER = 0.7  #: inflation below which the baseline follows at once
-FALL = 0.3  #: how fast the baseline follows a faster target
-DRIFT = 0.05  #: how fast it follows a slower one without proof
+FALL = 0.2  #: how fast the baseline follows a faster target
+DRIFT = 0.1  #: how fast it follows a slower one without proof
 FIRST_PROBE = 2.0  #: the first guess may be far too high, and the first baseline with it
 PROBE_AFTER = 5.0
 LONGEST_PROBE = 60.0
@@ -144,7 +145,8 @@
         cohort.total += ratio
         cohort.squares += ratio * ratio
         if self._slow_start and cohort.peak >= USED * self.value:
-            self.value = min(self.value + FIRST_GROWTH, self.most)
+            growth = KNOWN_GROWTH if self.value < self._proven * FLOOR else FIRST_GROWTH
+            self.value = min(self.value + growth, self.most)
 
     def _add_baselines(self, cohort: _Cohort) -> None:
         """Take the first baselines of rules that are new, as far as the cohort has enough."""
@@ -155,8 +157,6 @@
 
     def _open(self, now: float) -> None:
         size = int(min(max(self.value / 2, FEWEST), MOST))
-        if self._trial is not None:
-            size = min(size * 2, MOST)
         self._cohort = _Cohort(self._cohort.number + 1, size, now)
 
     def _decide(self, now: float, cohort: _Cohort) -> None:
@@ -165,9 +165,14 @@
         self._proven *= FORGET
         if inflation < CALM:
             self._proven = max(self._proven, min(cohort.peak, self.value))
+        floor = self._proven * FLOOR
         if self._trial is not None:
             self._judge(now, inflation, self._trial)
         elif inflation > max(INFLATED, 1 + CERTAIN * cohort.error()):
+            if self.value <= floor:
+                # Fewer run than have run well before: it is cold or slow, nothing queues.
+                self.value = min(self.value * FAST_GROWTH, floor)
+                return
             self._slow_start = False
             self._cut(cohort, max(min(CUT, 1 / inflation), DEEPEST_CUT), probe=False)
         elif now >= self._probe_at and cohort.peak >= USED * self.value:
@@ -186,11 +191,12 @@
     def _judge(self, now: float, inflation: float, trial: _Trial) -> None:
         self._trial = None
         if inflation < trial.inflation * (1 + trial.cut) / 2:
+            self._proven = min(self._proven, trial.limit * trial.cut)
             if trial.probe:
                 self._scale(inflation)
                 self._probe_at = now
             return
-        self.value = min(max(trial.limit, self._proven), self.most)
+        self.value = min(trial.limit, max(self._proven, self.value), self.most)
         if inflation > INFLATED:
             self._scale(inflation)
         pause = min(self._probe_pause * 2, LONGEST_PROBE) if trial.probe else PROBE_AFTER
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -307,6 +307,7 @@
         return answer
 
     def _bar(self, attempt: Attempt) -> Failure | None:
+        self.quarantine.hear(self.fleet.loop.now, attempt.fingerprint, attempt.deaths)
         match self.quarantine.standing(self.fleet.loop.now, attempt.fingerprint):
             case Barred(failure):
                 return failure
@@ -328,13 +329,9 @@
     ) -> Process:
         """Refuse early what deeper hops would refuse, else send with the shared allowance."""
         loop = self.fleet.loop
-        if self.levels is not None:
-            if parent:
-                self.levels.called(loop.now, parent, call.service, call.rule)
-            level = attempt.priority.level
-            refusal = self.levels.check(loop.now, call.service, call.rule, level)
-            if refusal is not None:
-                return Answer(refusal)
+        refusal = self._early_refusal(attempt, call, parent)
+        if refusal is not None:
+            return Answer(refusal)
         tried: set[str] = set()
         answer: Answer | None = None
         while True:
@@ -342,7 +339,7 @@
             candidates = [node.instance for node in listed.values()]
             chosen = self.router.choose(loop.now, candidates, frozenset(tried))
             if chosen is None:
-                return answer or refused(ErrorKind.NO_TARGET)
+                return answer or self._nobody(call)
             if answer is not None and not allowance.spend():
                 return answer
             if answer is not None:
@@ -355,6 +352,19 @@
             if not may_resend(answer.kind, answer.outcome, idempotent=idempotent):
                 return answer
 
+    def _early_refusal(self, attempt: Attempt, call: Call, parent: str) -> Failure | None:
+        now, levels = self.fleet.loop.now, self.levels
+        if levels is None:
+            return None
+        if parent:
+            levels.called(now, parent, call.service, call.rule)
+        return levels.check(now, call.service, call.rule, attempt.priority.level)
+
+    def _nobody(self, call: Call) -> Answer:
+        if self.levels is not None:
+            self.levels.unavailable(self.fleet.loop.now, call.service, call.rule)
+        return refused(ErrorKind.NO_TARGET)
+
     def _try(self, attempt: Attempt, call: Call, allowance: Allowance, node: FakeNode) -> Process:
         name = node.instance.instance
         handed = allowance.hand_down()
--- a/dunlinsaddle/replay/report.py
+++ b/dunlinsaddle/replay/report.py
@@ -88,7 +88,10 @@
 
 
 def _recovery(run: Run) -> float:
-    """Look at requests by their arrival: a bin is well if 99% of the steady share is whole."""
+    """Look at requests by their arrival, a second at a time, in steps of a bin.
+
+    Recovered is the first second of which 99% of the steady share comes whole.
+    """
     end, start = run.trace.trigger_end(), run.trace.trigger_start()
     if end is None or start is None:
         return 0.0
@@ -101,9 +104,9 @@
         number = int((req.arrived - end) // BIN)
         total[number] += 1
         whole[number] += req.whole
-    well = [whole[i] >= wanted * total[i] for i in range(last)]
     for i in range(last - STEADY_BINS + 1):
-        if all(well[i : i + STEADY_BINS]):
+        bins = range(i, i + STEADY_BINS)
+        if sum(whole[b] for b in bins) >= wanted * sum(total[b] for b in bins):
             return i * BIN
     return float('inf')
 
--- a/dunlinsaddle/replay/trace.py
+++ b/dunlinsaddle/replay/trace.py
@@ -135,11 +135,14 @@
 
     def trigger_end(self) -> float | None:
         """Give the moment when the last fault or surge ends; None if there is none."""
-        ends = [f.until for f in self.faults]
+        ends = [f.until + self._cold_seconds(f) for f in self.faults]
         surges = [d.until for d in self.demands if d.load > 1]
         ends += [end for end in surges if end < self.header.duration]
         return max(ends, default=None)
 
+    def _cold_seconds(self, fault: Fault) -> float:
+        return self.services[fault.service].cold_seconds if fault.fault == 'restart' else 0.0
+
     def trigger_start(self) -> float | None:
         """Give the moment when the first fault or surge begins; None if there is none."""
         starts = [f.at for f in self.faults] + [d.at for d in self.demands if d.load > 1]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,9 @@
 """Builders of test data: each gives something valid, changed where the test says so."""
 
 import io
+import json
 import logging
+from heapq import heappop, heappush
 from random import Random
 from typing import Any
 
@@ -10,6 +12,7 @@
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.limit import AdaptiveLimit
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
@@ -107,3 +110,44 @@
         fingerprint=1,
     )
     return Work(ctx._replace(**changes), 'GET', '/orders/1', [], b'', Allowance(tokens))
+
+
+def build_trace_lines(load: float = 0.5) -> list[str]:
+    """A trace of one service with ten slots on each of two targets."""
+    lines: list[dict[str, Any]] = [
+        {'kind': 'trace', 'name': 'small', 'duration': 9, 'domains': ['bangor-hall']},
+        {'kind': 'service', 'name': 'stock', 'targets': 2, 'slots': 10, 'service_time': 0.1},
+        {'kind': 'chain', 'name': 'read', 'service': 'stock'},
+        {'kind': 'demand', 'at': 0, 'until': 9, 'load': load},
+    ]
+    return [json.dumps(line) for line in lines]
+
+
+class FakeServer:
+    """A target that is always offered more than the limit lets through."""
+
+    def __init__(self, slots: int, service_time: float) -> None:
+        self.slots = slots
+        self.service_time = service_time
+        self.now = 0.0
+        self.rng = Random(3)
+        self.inflight = 0
+        self._free = [0.0] * slots
+        self._ends: list[tuple[float, float, int]] = []
+
+    def run(self, limit: AdaptiveLimit, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            while self.inflight < limit.value:
+                self._start(limit)
+            end, began, cohort = heappop(self._ends)
+            self.now = end
+            self.inflight -= 1
+            limit.finished(end, cohort, 'read', end - began)
+
+    def _start(self, limit: AdaptiveLimit) -> None:
+        self.inflight += 1
+        begin = max(self.now, heappop(self._free))
+        end = begin + self.service_time * (0.5 + 0.5 * self.rng.expovariate(1.0))
+        heappush(self._free, end)
+        heappush(self._ends, (end, self.now, limit.started(self.inflight)))
--- /dev/null
+++ b/tests/test_differential.py
@@ -0,0 +1,72 @@
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from dunlinsaddle.records.models import Rank
+from dunlinsaddle.replay.run import replay
+from dunlinsaddle.replay.trace import read_trace
+
+WORTH = {Rank.CRITICAL: 8, Rank.HIGH: 4, Rank.NORMAL: 2, Rank.LOW: 1}
+SLACK = 0.03  #: of all work: chance moves single requests either way
+
+
+def chain_trace(slots: list[int], load: float, critical: float, seed: int) -> list[str]:
+    """Give a small trace with one chain over as many services as there are slots."""
+    lines: list[dict] = [
+        {'kind': 'trace', 'name': 'random', 'duration': 8, 'domains': ['a', 'b'], 'seed': seed}
+    ]
+    ranks = [('best', 'critical'), ('read', 'normal')]
+    for number, count in enumerate(slots):
+        lines.append(
+            {
+                'kind': 'service',
+                'name': f's{number}',
+                'targets': 2,
+                'slots': count,
+                'service_time': 0.2,
+                'record': {
+                    'deadline': 3.0,
+                    'requests': [
+                        {'name': n, 'method': 'GET', 'path': f'/{n}', 'rank': r} for n, r in ranks
+                    ],
+                },
+            }
+        )
+    for name, share in (('best', critical), ('read', 1 - critical)):
+        calls: list[dict] = []
+        for number in reversed(range(1, len(slots))):
+            calls = [{'service': f's{number}', 'rule': name, 'calls': calls}]
+        lines.append(
+            {
+                'kind': 'chain',
+                'name': name,
+                'service': 's0',
+                'rule': name,
+                'share': share,
+                'calls': calls,
+            }
+        )
+    lines.append({'kind': 'demand', 'at': 0, 'until': 8, 'load': load})
+    return [json.dumps(line) for line in lines]
+
+
+class DifferentialTest(TestCase):
+    @settings(max_examples=12, derandomize=True, deadline=None)
+    @given(
+        slots=st.lists(st.integers(6, 20), min_size=1, max_size=4),
+        load=st.sampled_from([0.6, 1.5, 3.0, 6.0]),
+        critical=st.sampled_from([0.02, 0.1]),
+        seed=st.integers(1, 1000),
+    )
+    def test_current_policy_completes_no_less_valued_work_than_the_naive(
+        self, slots, load, critical, seed
+    ):
+        lines = chain_trace(slots, load, critical, seed)
+        worth = {}
+        for policy in ('naive', 'current'):
+            reqs = replay(read_trace(lines), policy).requests
+            worth[policy] = sum(WORTH[r.rank] for r in reqs if r.whole)
+            total = sum(WORTH[r.rank] for r in reqs)
+        self.assertGreaterEqual(worth['current'], worth['naive'] - SLACK * total)
--- /dev/null
+++ b/tests/test_limit.py
@@ -0,0 +1,35 @@
+from testtools import TestCase
+
+from dunlinsaddle.policy.limit import AdaptiveLimit
+from tests.builders import FakeServer
+
+
+class AdaptiveLimitTest(TestCase):
+    def test_limit_finds_the_slots_without_being_told(self):
+        server = FakeServer(slots=60, service_time=0.02)
+        limit = AdaptiveLimit(most=1000)
+        server.run(limit, seconds=20)
+        self.assertGreater(limit.value, 45)
+        self.assertLess(limit.value, 120)
+
+    def test_limit_never_exceeds_the_connections(self):
+        server = FakeServer(slots=200, service_time=0.02)
+        limit = AdaptiveLimit(most=30)
+        server.run(limit, seconds=10)
+        self.assertLessEqual(limit.value, 30)
+
+    def test_slower_target_keeps_its_limit(self):
+        # The caller sees ever fewer calls admitted, though the target could take them. The
+        # target becomes five times slower; own time rises and the limit is cut. A cut does
+        # not make a slow target faster, so each cut is followed by the next, down to one.
+        server = FakeServer(slots=60, service_time=0.02)
+        limit = AdaptiveLimit(most=1000)
+        server.run(limit, seconds=20)
+        server.service_time *= 5
+        server.run(limit, seconds=30)
+        self.assertGreater(limit.value, 40)
+
+    def test_restarted_target_starts_slowly(self):
+        limit = AdaptiveLimit(first=100, most=1000)
+        limit.restarted(1.0)
+        self.assertEqual(25, limit.value)
