--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -8,7 +8,7 @@
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
 
 SHORTEST_MEMORY = 0.2  #: seconds over which demand is averaged, as ENOUGH_CALLS take
-LONGEST_MEMORY = 1.0
+LONGEST_MEMORY = 0.5
 ENOUGH_CALLS = 150.0
 TICK = 0.1  #: seconds between two decisions
 GAIN = 0.5  #: share of the way to the wanted level in one tick
