Align the baselines of rules, and let the limit return to what has run well

Cause: a rare rule first seen while the target was slow kept a baseline of a sixth of the truth, so its calls alone looked like inflation; and a limit below the proven one did not grow while its own level kept demand away.

--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -159,7 +159,7 @@
         """Hear that the target has announced itself anew: it is cold."""
         self._adaptive.restarted(now)
         self._observed = ObservedCapacity()
-        self._observed.advance(now, saturated=not self._free())
+        self._observe(now)
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
@@ -187,7 +187,7 @@
         self._work_done(ticket)
         self._away.discard(ticket.call_id)
         self.inflight -= 1
-        self._observed.advance(now, saturated=not self._free())
+        self._observe(now)
         start = self._started.pop(ticket.call_id)
         own_time = sample.own_time if sample.completed else None
         self._adaptive.finished(now, start.cohort, sample.rule, own_time)
@@ -208,12 +208,12 @@
             return
         self._work_done(ticket)
         self._away.add(ticket.call_id)
-        self._observed.advance(now, saturated=not self._free())
+        self._observe(now)
 
     def come_back(self, now: float, ticket: Ticket) -> None:
         """Count the call again; for a while more may run than the limit says."""
         self._away.discard(ticket.call_id)
-        self._observed.advance(now, saturated=not self._free())
+        self._observe(now)
 
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
@@ -240,7 +240,7 @@
     def _start(self, now: float, ticket: Ticket) -> None:
         self.inflight += 1
         self._working.add(ticket.call_id)
-        self._observed.advance(now, saturated=not self._free())
+        self._observe(now)
         cohort = self._adaptive.started(self._active())
         self._started[ticket.call_id] = _Start(now, cohort)
 
@@ -248,6 +248,9 @@
         self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
         self._level.utilisation = HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias
 
+    def _observe(self, now: float) -> None:
+        self._observed.advance(now, saturated=not self._free())
+
     def _active(self) -> int:
         """Give the calls that the target works on itself."""
         return self.inflight - len(self._away)
--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -19,6 +19,7 @@
 FAST_GROWTH = 1.15
 SLOW_GROWTH = 1.05
 MUCH_FASTER = 0.7  #: inflation below which the baseline follows at once
+ALIGN = 0.2  #: how fast a rule's baseline follows that of the others
 FALL = 0.2  #: how fast the baseline follows a faster target
 DRIFT = 0.1  #: how fast it follows a slower one without proof
 FIRST_PROBE = 2.0  #: the first guess may be far too high, and the first baseline with it
@@ -55,6 +56,7 @@
         self.total = 0.0
         self.squares = 0.0
         self.peak = 0
+        self.by_rule: dict[str, list[float]] = {}  #: inflations of rules with a baseline
         self.first: dict[str, list[float]] = {}  #: own times of rules without a baseline
 
     def complete(self, now: float) -> bool:
@@ -131,6 +133,7 @@
             self._take(cohort, rule, own_time)
         if cohort.complete(now):
             if cohort.samples:
+                self._align_rules(cohort)
                 self._decide(now, cohort)
             self._add_baselines(cohort)
             self._open(now)
@@ -141,12 +144,18 @@
             cohort.first.setdefault(rule, []).append(own_time)
             return
         ratio = own_time / baseline
+        cohort.by_rule.setdefault(rule, []).append(ratio)
         cohort.samples += 1
         cohort.total += ratio
         cohort.squares += ratio * ratio
-        if self._slow_start and cohort.peak >= USED * self.value:
-            growth = KNOWN_GROWTH if self.value < self._proven * FLOOR else FIRST_GROWTH
-            self.value = min(self.value + growth, self.most)
+        if self._trial is not None:
+            return
+        if self.value < self._proven:
+            # Too little may be let in to use the limit, as long as it is the limit that
+            # holds back: what has run well before needs no such sign.
+            self.value = min(self.value + KNOWN_GROWTH, self._proven)
+        elif self._slow_start and cohort.peak >= USED * self.value:
+            self.value = min(self.value + FIRST_GROWTH, self.most)
 
     def _add_baselines(self, cohort: _Cohort) -> None:
         """Take the first baselines of rules that are new, as far as the cohort has enough."""
@@ -155,6 +164,18 @@
                 mean = sum(times) / len(times)
                 self._baselines[rule] = max(mean / self._inflation, 1e-6)
 
+    def _align_rules(self, cohort: _Cohort) -> None:
+        """Let rules whose inflation stands out follow the mean of all.
+
+        A rule that is rare, or was first seen while the target was slow, has a baseline
+        that does not fit the others'; its calls alone would look like inflation for ever.
+        """
+        mean = cohort.mean()
+        for rule, ratios in cohort.by_rule.items():
+            own = sum(ratios) / len(ratios)
+            weight = ALIGN * min(len(ratios) / FIRST_SAMPLES, 1.0)
+            self._baselines[rule] *= 1 + weight * (own / mean - 1)
+
     def _open(self, now: float) -> None:
         size = int(min(max(self.value / 2, FEWEST), MOST))
         self._cohort = _Cohort(self._cohort.number + 1, size, now)
@@ -219,3 +240,4 @@
     def _scale(self, factor: float) -> None:
         for rule in self._baselines:
             self._baselines[rule] *= factor
+        self._inflation /= factor
