No trials while a restarted target warms up

Cause: own time falls by itself after a cold start; trials took that for the effect of their cuts and kept the limit at a third of the slots.

--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -93,6 +93,7 @@
         self._baselines: dict[str, float] = {}
         self._inflation = 1.0
         self._slow_start = True
+        self._return_to = 0.0  #: the limit before the target's restart, until it is back
         self._proven = 0.0  #: the most that ran without inflation
         self._trial: _Trial | None = None
         self._probe_at = FIRST_PROBE
@@ -108,7 +109,12 @@
         self.value = min(self.value, most)
 
     def restarted(self, now: float) -> None:
-        """Start slowly: a target that has just come up is cold."""
+        """Start slowly: a target that has just come up is cold.
+
+        Its own time is inflated for a while, and falls by itself. A trial would take that
+        for the effect of its cut; so up to the limit of before there are none.
+        """
+        self._return_to = max(self.value, self._return_to) if self._baselines else 0.0
         self.value = max(min(self.value, self.first) * COLD_SHARE, 1.0)
         self._slow_start = True
         self._trial = None
@@ -150,10 +156,10 @@
         cohort.squares += ratio * ratio
         if self._trial is not None:
             return
-        if self.value < self._proven:
+        if self.value < max(self._proven, self._return_to):
             # Too little may be let in to use the limit, as long as it is the limit that
             # holds back: what has run well before needs no such sign.
-            self.value = min(self.value + KNOWN_GROWTH, self._proven)
+            self.value += KNOWN_GROWTH
         elif self._slow_start and cohort.peak >= USED * self.value:
             self.value = min(self.value + FIRST_GROWTH, self.most)
 
@@ -183,6 +189,9 @@
     def _decide(self, now: float, cohort: _Cohort) -> None:
         inflation = cohort.mean()
         self._inflation = inflation
+        if self.value < self._return_to:
+            return
+        self._return_to = 0.0
         self._proven *= FORGET
         if inflation < CALM:
             self._proven = max(self._proven, min(cohort.peak, self.value))
