--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -9,6 +9,8 @@
 from dunlinsaddle.calls.work import Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.policy.context import CallContext
+from dunlinsaddle.policy.level import Heard
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
@@ -40,8 +42,17 @@
         self.quarantine = quarantine
         self.once: OnceGate | None = None
 
-    async def dispatch(self, work: Work) -> Reply:
-        """Give a call to one target after another until one answer is final."""
+    async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
+        """Give a call to one target after another until one answer is final.
+
+        ``parent_rule`` is the rule that the local target works on and makes this call for.
+        """
+        failure = self._early_refusal(work, parent_rule)
+        if failure is not None:
+            self.stats.shed[failure.kind.value] += 1
+            early = refusal(failure)
+            early.unspent = work.allowance.tokens
+            return early
         if self.once is not None and not work.ctx.idempotent:
             reply = await self.once.enter(work)
             self._after(work, reply)
@@ -52,7 +63,7 @@
         while True:
             member = self.choose(work.ctx.service, tried)
             if member is None:
-                last = last or _nobody(work.ctx.service)
+                last = last or self._nobody(work.ctx)
                 break
             if last is not None and not work.allowance.spend():
                 break
@@ -67,6 +78,17 @@
         last.unspent = work.allowance.tokens
         return _truthful(last) if may_have_run else last
 
+    def _early_refusal(self, work: Work, parent_rule: str) -> Failure | None:
+        ctx, levels = work.ctx, self.executor.levels
+        now = asyncio.get_running_loop().time()
+        if parent_rule:
+            levels.called(now, parent_rule, ctx.service, ctx.rule)
+        failure = levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
+        if failure is not None and self.executor.observes(ctx.service):
+            self.stats.observed_refusals[failure.kind.value] += 1
+            return None
+        return failure
+
     def choose(self, service: str, tried: set[str]) -> Member | None:
         """Give the member to send a call to, or None when all were tried."""
         members = {m.instance: m for m in self.view.serving(service)}
@@ -89,6 +111,7 @@
         match reply:
             case Reply():
                 self._heard(loop.time(), member, reply)
+                self._learn(loop.time(), work, reply)
                 work.allowance.give_back(handed, reply.unspent)
                 return reply
             case NotSent(detail):
@@ -111,6 +134,11 @@
         if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
             self.router.avoid(now, member.instance)
 
+    def _learn(self, now: float, work: Work, reply: Reply) -> None:
+        if reply.load is not None:
+            heard = Heard(reply.load.level, reply.load.age)
+            self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, heard)
+
     def _after(self, work: Work, reply: Reply) -> Work:
         """Carry on with the call what its last try taught."""
         if not reply.deaths:
@@ -119,6 +147,12 @@
         deaths = self.quarantine.hear(now, work.ctx.fingerprint, reply.deaths)
         return work._replace(ctx=work.ctx._replace(deaths=deaths))
 
+    def _nobody(self, ctx: CallContext) -> Reply:
+        now = asyncio.get_running_loop().time()
+        self.executor.levels.unavailable(now, ctx.service, ctx.rule)
+        detail = f'no target of {ctx.service} is known'
+        return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
+
     def _may_resend(self, work: Work, reply: Reply) -> bool:
         if work.ctx.deaths >= DEATHS_MOST:
             return False
@@ -126,11 +160,6 @@
         return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
 
 
-def _nobody(service: str) -> Reply:
-    detail = f'no target of {service} is known'
-    return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
-
-
 def _truthful(reply: Reply) -> Reply:
     """Keep a refusal from saying "not run" when an earlier try of the same call may have run."""
     if reply.outcome is not Outcome.NOT_RUN:
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -11,6 +11,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.admission import (
     AdmissionPolicy,
+    Load,
     Refuse,
     Run,
     Sample,
@@ -19,6 +20,7 @@
     Wait,
 )
 from dunlinsaddle.policy.context import CallContext
+from dunlinsaddle.policy.level import ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
@@ -30,15 +32,43 @@
     """The target beside this node, as it announced itself."""
 
     def __init__(self) -> None:
+        self.on_announce: Callable[[], None] = lambda: None
         self.service = ''
         self.address: Address | None = None
-        self.draining = False
+        self.leaving = False  #: the node itself stops, whatever the target says
+        self._drains = False
+        self._refused = False
+
+    @property
+    def draining(self) -> bool:
+        """Whether nothing new may be given to it."""
+        return self._drains or self.leaving
 
     def announce(self, service: str, address: Address) -> None:
-        """Take an announcement; a new one ends a drain."""
+        """Take an announcement; that of a new target ends the drain of the old one.
+
+        A target repeats its announcement while it drains, too: taken as new, it would be
+        given work again. It is a new one if it is elsewhere, or if its port was closed.
+        """
+        same = (service, address) == (self.service, self.address)
+        if same and not self._refused:
+            return
         self.service = service
         self.address = address
-        self.draining = False
+        self._drains = self._refused = False
+        self.on_announce()
+
+    def drain(self) -> None:
+        """Give it nothing new."""
+        self._drains = True
+
+    def note_refused(self) -> None:
+        """Note that it takes no connections."""
+        self._refused = True
+
+    def withdraw(self) -> None:
+        """Forget it: it has gone."""
+        self.service, self.address = '', None
 
 
 class Executor:
@@ -54,6 +84,7 @@
         quarantine: Quarantine,
         observes: Callable[[str], bool] = lambda service: False,
         on_death: Callable[[int, int], None] = lambda fingerprint, deaths: None,
+        levels: ChainLevels | None = None,
     ) -> None:
         self.target = target
         self.admission = admission
@@ -63,6 +94,7 @@
         self.quarantine = quarantine
         self.observes = observes
         self.on_death = on_death
+        self.levels = levels or ChainLevels()
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
         self._waiting_tickets: dict[int, Ticket] = {}
         self._tickets = 0
@@ -197,7 +229,7 @@
 
     async def _run(self, work: Work, ticket: Ticket) -> Reply:
         loop = asyncio.get_running_loop()
-        running = Running(work, loop.time())
+        running = Running(work, loop.time(), partial(self._waits, ticket))
         self.running.add(running)
         completed = False
         try:
@@ -213,9 +245,26 @@
             self.running.end(running)
             self._finish(ticket, Sample(ticket.rule, running.own_time(now), completed), now)
         reply.unspent = work.allowance.tokens
-        reply.load = self.admission.load(loop.time())
+        reply.load = self._load(work.ctx)
         return reply
 
+    def _load(self, ctx: CallContext) -> Load:
+        """Report the worst level of this hop and those below, for the hops above to refuse by."""
+        now = asyncio.get_running_loop().time()
+        load = self.admission.load(now)
+        worst = self.levels.worst(now, ctx.rule, load.level)
+        return load._replace(level=worst.level, age=worst.age)
+
+    def _waits(self, ticket: Ticket, now: float, waits: bool) -> None:
+        """Let another call run while the target waits for a service on behalf of this one."""
+        if ticket.call_id in self._shadows:
+            return
+        if waits:
+            self.admission.leave(now, ticket)
+        else:
+            self.admission.come_back(now, ticket)
+        self._release(now)
+
     async def _call_target(self, work: Work, running: Running) -> Reply:
         assert self.target.address is not None
         budget = work.ctx.deadline - running.started
@@ -232,6 +281,7 @@
                 headers = forwarded_headers(response.headers)
                 return Reply(0, response.status, headers, response.body, Outcome.DONE)
             case NotSent(detail):
+                self.target.note_refused()
                 return refusal(Failure(ErrorKind.NO_TARGET, detail, COME_BACK))
             case Lost(detail, kind):
                 reply = refusal(Failure(kind, detail))
@@ -244,7 +294,10 @@
     async def _target_lives(self) -> bool:
         """Say whether the target takes connections: a dead one refuses them at once."""
         assert self.target.address is not None
-        return await self.client.reaches(self.target.address)
+        lives = await self.client.reaches(self.target.address)
+        if not lives:
+            self.target.note_refused()
+        return lives
 
     def _may_repeat(self, work: Work) -> bool:
         # A target that leaves is given nothing new, a call it already has included.
@@ -256,6 +309,9 @@
             self.admission.abandon(ticket)
         else:
             self.admission.finish(now, ticket, sample)
+        self._release(now)
+
+    def _release(self, now: float) -> None:
         released = self.admission.release(now)
         for started in released.started:
             self._settle(started, None)
@@ -265,6 +321,6 @@
 
     def _refused(self, failure: Failure, work: Work) -> Reply:
         self.stats.shed[failure.kind.value] += 1
-        reply = refusal(failure, load=self.admission.load(asyncio.get_running_loop().time()))
+        reply = refusal(failure, load=self._load(work.ctx))
         reply.unspent = work.allowance.tokens
         return reply
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -184,7 +184,7 @@
             case ('POST', '/-/announce'):
                 return self._announce(req)
             case ('POST', '/-/drain'):
-                self.target.draining = True
+                self.target.drain()
                 self.changed.set()
                 return json_response({'draining': True})
             case (_, path) if path.startswith('/-/'):
@@ -221,7 +221,7 @@
         parent.children.add(task)
         parent.leave(loop.time())
         try:
-            return response_of(await self.dispatcher.dispatch(work))
+            return response_of(await self.dispatcher.dispatch(work, parent.work.ctx.rule))
         finally:
             parent.children.discard(task)
             parent.come_back(loop.time())
--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -20,12 +20,14 @@
     TargetsCommand,
 )
 from dunlinsaddle.cli.queries.records import DiffCommand, GetCommand, ListCommand
+from dunlinsaddle.cli.queries.replay import BenchCommand, ReplayCommand
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.status import ExitStatus
 
 COMMANDS: tuple[type[BaseCommand], ...] = (
     ApplyCommand,
     AuditCommand,
+    BenchCommand,
     DeleteCommand,
     DiffCommand,
     ExplainCommand,
@@ -33,6 +35,7 @@
     HistoryCommand,
     ListCommand,
     MetricsCommand,
+    ReplayCommand,
     RolloutCommand,
     StatusCommand,
     TargetsCommand,
