Press for a while in the demo, with and without too many callers

Cause: 300 calls at once ended before any limit could be learned, so the demo showed a cold start. Change: three phases of 3 s, at 10, 150 and 10 callers.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -11,6 +11,8 @@
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.settings import Address
 
+REFUSED_PAUSE = 0.1  #: seconds; an impatient caller, who does not heed Retry-After
+
 
 class Tally(NamedTuple):
     """What a batch of calls came to."""
@@ -39,19 +41,23 @@
         exchange = await self.client.send(node, req, timeout)
         return exchange.response if isinstance(exchange, Answered) else None
 
-    async def burst(
-        self, nodes: list[Address], method: str, path: str, count: int, at_once: int
+    async def press(
+        self, nodes: list[Address], method: str, path: str, seconds: float, at_once: int
     ) -> Tally:
-        """Send ``count`` calls, ``at_once`` at a time, over all nodes in turn."""
+        """Send calls for a while, ``at_once`` at a time; each worker pauses after a refusal."""
         tally = Tally(Counter(), Counter())
-        numbers = iter(range(count))
-
-        async def worker() -> None:
-            for number in numbers:
-                node = nodes[number % len(nodes)]
-                _count(tally, await self.call(node, method, path))
-
-        await asyncio.gather(*(worker() for _ in range(at_once)))
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+
+        async def worker(number: int) -> None:
+            node = nodes[number % len(nodes)]
+            while loop.time() < end:
+                response = await self.call(node, method, path)
+                _count(tally, response)
+                if response is None or response.status != 200:
+                    await asyncio.sleep(REFUSED_PAUSE)
+
+        await asyncio.gather(*(worker(number) for number in range(at_once)))
         return tally
 
     def close(self) -> None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -14,8 +14,8 @@
 
 RECORDS = Path(__file__).parent.parent / 'examples' / 'llechfaen'
 SETTLE_SECONDS = 10.0
-CALLS = 300
-AT_ONCE = 20
+PRESS_SECONDS = 3.0
+AT_ONCE = 10
 SURGE_AT_ONCE = 150
 
 # Slots are a tenth of Llechfaen's, so that one machine can push the chain past capacity.
@@ -62,9 +62,9 @@
 
 
 async def surge(nodes: list[Address], path: str, at_once: int) -> Tally:
-    """Send many calls at once."""
+    """Send calls for a few seconds, so many at once."""
     caller = Caller()
-    tally = await caller.burst(nodes, 'GET', path, CALLS, at_once)
+    tally = await caller.press(nodes, 'GET', path, PRESS_SECONDS, at_once)
     caller.close()
     return tally
 
@@ -93,9 +93,9 @@
         asyncio.run(wait_until_served(nodes, '/cut-orders/orders/17'))
         say(operate(operators, 'targets'))
         path = '/cut-orders/orders/17'
-        report(f'{CALLS} calls, {AT_ONCE} at once:', asyncio.run(surge(nodes, path, AT_ONCE)))
-        title = f'{CALLS} calls, {SURGE_AT_ONCE} at once, past capacity:'
-        report(title, asyncio.run(surge(nodes, path, SURGE_AT_ONCE)))
+        for at_once in (AT_ONCE, SURGE_AT_ONCE, AT_ONCE):
+            title = f'{at_once} callers at once for {PRESS_SECONDS:g} s:'
+            report(title, asyncio.run(surge(nodes, path, at_once)))
     say(f'all stopped after {time.monotonic() - began:.1f} s')
 
 
