Drain without waiting for the platform to take the ranges

Cause: the hand-over of ranges was awaited before the drain began; a platform that is out held it up by two of its timeouts. Change: it runs beside the drain and is awaited within the drain's bound.

--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -212,7 +212,8 @@
         self.target.draining = True
         self.local.changed.set()
         self.callers_http.start_closing()
-        await self.ranges.keep()
+        # Not awaited here: a platform that is out must not hold up the drain.
+        handing_over = asyncio.create_task(self.ranges.keep())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_timeout):
                 # Callers and routers with an old view still come here for a moment: they
@@ -224,6 +225,7 @@
                 await self.peer_server.wait_idle()
                 await self.running.wait_idle()
                 await self.once.wait_idle()
+                await handing_over
                 await self.local_http.wait_idle()
 
     async def stop(self) -> None:
