Let no early answer say not-run of a key that may have run

Cause: an entry that refused early, or knew no record yet, answered not-run to a resend whose first send may have run. Ruled out: unknown for all early refusals, which would take from idempotent calls a true and useful answer. Change: keyed non-idempotent calls pass the early refusal to the key's owner; without a record they are answered owner-unreachable, unknown. Figures: the new test in test_dispatch fails without the change.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -48,7 +48,7 @@
         ``parent_rule`` is the rule that the local target works on and makes this call for.
         """
         failure = self._early_refusal(work, parent_rule)
-        if failure is not None:
+        if failure is not None and not _keyed(work.ctx):
             self.stats.shed[failure.kind.value] += 1
             early = refusal(failure)
             early.unspent = work.allowance.tokens
@@ -160,6 +160,15 @@
         return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
 
 
+def _keyed(ctx: CallContext) -> bool:
+    """Say whether an earlier send of the same request may have run.
+
+    "Not run" is said of the key, and only its owner knows that: an early refusal here would
+    be false of a key whose first answer was lost.
+    """
+    return bool(ctx.key) and not ctx.idempotent
+
+
 def _truthful(reply: Reply) -> Reply:
     """Keep a refusal from saying "not run" when an earlier try of the same call may have run."""
     if reply.outcome is not Outcome.NOT_RUN:
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -31,7 +31,7 @@
 
 MAX_ID_LENGTH = 128
 KEYS_PATH = '/-/keys/'
-COMMON_DEADLINE = 10.0
+NO_RECORD_COME_BACK = 1.0
 UNTRACED_RULE = RequestRule('untraced', '*', '/**')
 
 
@@ -84,7 +84,7 @@
         path = split_path(req.path)
         record = self.book.find(path['service'])
         if record is None:
-            return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
+            return failure_response(_no_record(req, path['service']))
         rule = classify(record, req.method, path['rest'])
         work = self._work(req, record, rule, path['rest'])
         name = req.header(b'idempotency-key') or req.header(b'request-id')
@@ -162,6 +162,18 @@
         return response
 
 
+def _no_record(req: HttpRequest, service: str) -> Failure:
+    """Give the answer where no record is known.
+
+    A fresh node may not have heard of the record yet. With an idempotency key the request
+    may be a resend of one that ran, so "not run" cannot be said.
+    """
+    if req.header(b'idempotency-key'):
+        detail = f'no record of {service} is known here'
+        return Failure(ErrorKind.OWNER_UNREACHABLE, detail, NO_RECORD_COME_BACK)
+    return Failure(ErrorKind.UNKNOWN_SERVICE, service)
+
+
 class LocalFace:
     """What the target beside a node may ask: announce itself, drain, call other services."""
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,10 +6,11 @@
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
-from dunlinsaddle.calls.work import RunningCalls
+from dunlinsaddle.calls.work import RunningCalls, Work
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.level import Heard
 from dunlinsaddle.policy.quarantine import Barred, Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.settings import Address
@@ -32,6 +33,13 @@
         return self.replies.pop(0)
 
 
+class FakeGate:
+    """An owner that answers from its table."""
+
+    async def enter(self, work: Work) -> Reply:
+        return DONE
+
+
 class DeadTarget(HttpClient):
     """A target that dies of every call and takes no connection afterwards."""
 
@@ -93,6 +101,32 @@
         reply = self.dispatch(links)
         self.assertEqual(Outcome.UNKNOWN, reply.outcome)
 
+    def test_early_refusal_never_says_not_run_of_a_key(self):
+        # The first send of a release ran and its answer was lost; meanwhile the chain below
+        # became overloaded. The resend must reach the key's owner: refused here, the caller
+        # would hear "not run" of an order that was released.
+        async def scenario() -> tuple[Reply, Reply]:
+            known = Quarantine()
+            executor = build_executor(LiveTarget(), known)
+            dispatcher = Dispatcher(
+                'entry',
+                MemberView(),
+                Router('bangor-hall', Random(1)),
+                FakeLinks(),
+                executor,
+                Stats(),
+                known,
+            )
+            dispatcher.once = FakeGate()
+            now = asyncio.get_running_loop().time()
+            executor.levels.learn(now, 'cut-orders', 'read', Heard(-1.0))
+            keyed = await dispatcher.dispatch(build_work(key='a-key', idempotent=False))
+            plain = await dispatcher.dispatch(build_work())
+            return keyed, plain
+
+        keyed, plain = self.run_paused(scenario())
+        self.assertEqual((ErrorKind.REFUSED_EARLY.value, Outcome.DONE), (plain.kind, keyed.outcome))
+
     def test_tries_end_with_the_allowance(self):
         links = FakeLinks(*[NotSent('refused')] * 10)
         self.dispatch(links, tokens=1)
