Let a fresh node hear of all members of a large fleet

Cause: a fresh node among 960 knew 583 after 14 s, as three answers of shuffled words repeated each other, and it stopped asking too early. Whole buckets in order ended at 888 of 961: the byte budget cut each bucket at the same member every time.

Change: answers give whole buckets in a random order, shuffled within; a node that was alone until a minute ago asks six others every 0.5 s until its view equals theirs.

--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -33,7 +33,6 @@
 
 MAX_STEP = 1 << 40  #: how far beyond our own an incarnation may be that we answer by going past it
 RETURN_PROBES = 30  #: of the whole fleet, when one who was held dead comes back
-MET_MANY = 3  #: so many unknown members in one message: there are more to be asked for
 
 
 class GossipTimes(NamedTuple):
@@ -48,6 +47,7 @@
     suspicion_most: float = 60.0
     sync: float = 10.0
     sync_again: float = 0.5
+    young: float = 60.0
     revisit: float = 5.0
     forget: float = 3600.0
     stall: float = 1.0
@@ -63,6 +63,7 @@
     bytes_per_second: int = 2000
     burst: int = 1500
     pages: int = 6
+    join: int = 6
 
 
 class Send(NamedTuple):
@@ -89,7 +90,7 @@
         self.me: Member
         self.seeds: set[Address] = set()
         self.contacts: set[Address] = set()
-        self._met = 0
+        self._young_until = 0.0
         self._joining = False
         self.rumors = Rumors(sizes.extra_sends)
         self.budget = Budget(sizes.bytes_per_second, sizes.burst)
@@ -155,12 +156,8 @@
         """Take a message that was opened with the shared key."""
         if message.sender == self.me.instance and message.reply_to == self.me.gossip:
             return []
-        self._met = 0
         for word in message.words:
             self._hear(now, word)
-        if self._met >= MET_MANY:
-            self._joining = True
-            self._sync_at = min(self._sync_at, now + self.times.sync_again)
         match message:
             case Ping(number=number):
                 return [self._answer(message, Ack(**self._head(), number=number))]
@@ -210,7 +207,6 @@
         if word.age >= self.times.forget:
             return
         self._take(now, member_of(word, word.details), word.age)
-        self._met += 1
 
     def _take(self, now: float, member: Member, age: int = 0) -> None:
         before = self.view.find(member.instance)
@@ -367,9 +363,10 @@
     def _begin_sync(self, now: float) -> list[Send]:
         joining = self._joining
         self._joining = False
-        others = [m.gossip for m in self._others(self.sizes.relays if joining else 1)]
+        others = [m.gossip for m in self._others(self.sizes.join if joining else 1)]
         period = self.times.sync if others else self.times.probe
         if not others:
+            self._young_until = now + self.times.young
             self.contacts |= self.seeds - {self.me.gossip}
         few = self.rng.sample(sorted(self.contacts), min(len(self.contacts), self.sizes.relays))
         self.contacts.clear()
@@ -390,11 +387,20 @@
         sends = self._pages(now, sync, differing)
         if not sync.answer:
             sends.append(self._answer(sync, self._sync(answer=True)))
+        elif now < self._young_until:
+            self._joining = True
+            self._sync_at = min(self._sync_at, now + self.times.sync_again)
         return sends
 
     def _pages(self, now: float, sync: Sync, differing: set[int]) -> list[Send]:
+        # Whole buckets, in an order of our own: a fresh node that asks several at once hears
+        # few words twice, and asks no more for the buckets that it has in full.
+        order = self.rng.sample(sorted(differing), len(differing))
+        places = {bucket: place for place, bucket in enumerate(order)}
         members = [m for m in self.view.members() if bucket_of(m.instance) in differing]
+        # The budget may end within a bucket; its rest must not be the same each time.
         self.rng.shuffle(members)
+        members.sort(key=lambda m: places[bucket_of(m.instance)])
         words = (word_of(m, age=now - self.died.get(m.instance, now)) for m in members)
         pages = islice(pages_of(words, PAGE_BYTES), self.sizes.pages)
         paid = takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,7 +2,8 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.membership.messages import MAX_BYTES, Rumor, Sealer, word_of
+from dunlinsaddle.membership.messages import MAX_BYTES, Rumor, Sealer, Sync, word_of
+from dunlinsaddle.membership.sync import BUCKETS
 from dunlinsaddle.membership.view import State
 from tests.builders import PEER_KEY, build_member
 from tests.fakes.network import Machines
@@ -17,6 +18,21 @@
         took = net.run_until(net.all_alive, 8)
         self.assertLess(took, 5)
 
+    def test_no_member_of_a_large_fleet_is_left_out_of_a_view_exchange(self):
+        # A fresh node asks again and again, and the byte budget lets through a part of a bucket
+        # each time. When that was always the same part, it never heard of the rest.
+        net = Machines()
+        node = net.add('full')
+        for i in range(959):
+            node.view.take(build_member(f'n{i:03}'))
+        sync = Sync(sender='fresh', reply_to=build_member().gossip, digests=[0] * BUCKETS)
+        heard: set[str] = set()
+        for now in range(1500):
+            node.budget.refill(now)
+            for send in node.receive(now, sync):
+                heard |= {word.instance for word in send.message.words}
+        self.assertEqual(960, len(heard))
+
     def test_a_killed_node_is_suspected_within_three_seconds_and_then_dead(self):
         # Calls to the killed node fail until routers avoid it. Its ring neighbour probes it
         # every other second, asks others to try, and passes the suspicion on; nobody denies
