--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -133,7 +133,7 @@
         self.announce(self.me._replace(state=State.LEFT))
         peers = self._others(self.sizes.relays + self.sizes.fanout)
         words = [word_of(self.me)]
-        return [self._send(m.gossip, self._rumor(words)) for m in peers]
+        return [Send(m.gossip, self._rumor(words)) for m in peers]
 
     def tick(self, now: float) -> list[Send]:
         """Do what is due."""
@@ -264,7 +264,7 @@
         if target.state in (State.SUSPECT, State.DEAD):
             # The target learns what is said of it, and can deny it.
             words = [word_of(target, full=False), *words]
-        return self._send(target.gossip, Ping(**self._head(words), number=number))
+        return Send(target.gossip, Ping(**self._head(words), number=number))
 
     def _acked(self, ack: Ack) -> list[Send]:
         probe = self._outstanding.pop(ack.number, None)
@@ -274,7 +274,7 @@
         relayed = self._relayed.pop(ack.number, None)
         if relayed is None:
             return []
-        return [self._send(relayed.reply_to, Ack(**self._head(), number=relayed.number))]
+        return [Send(relayed.reply_to, Ack(**self._head(), number=relayed.number))]
 
     def _relay(self, now: float, req: PingRequest) -> list[Send]:
         target = self.view.find(req.target)
@@ -282,7 +282,7 @@
             return []
         number = self.rng.getrandbits(48)
         self._relayed[number] = Relayed(req.reply_to, req.number, now)
-        return [self._send(target.gossip, Ping(**self._head(), number=number))]
+        return [Send(target.gossip, Ping(**self._head(), number=number))]
 
     def _time_out(self, now: float) -> list[Send]:
         sends = []
@@ -305,9 +305,8 @@
         if held is None or held.gone:
             return []
         others = self._others(self.sizes.relays, probe.instance)
-        head = self._head
         return [
-            self._send(m.gossip, PingRequest(**head(), number=number, target=probe.instance))
+            Send(m.gossip, PingRequest(**self._head(), number=number, target=probe.instance))
             for m in others
         ]
 
@@ -371,7 +370,7 @@
         few = self.rng.sample(sorted(self.contacts), min(len(self.contacts), self.sizes.relays))
         self.contacts.clear()
         self._sync_at = now + period * self.rng.uniform(0.8, 1.2)
-        return [self._send(to, self._sync()) for to in [*others, *few]]
+        return [Send(to, self._sync()) for to in [*others, *few]]
 
     def _sync(self, *, answer: bool = False) -> Sync:
         words = [word_of(self.me)]
@@ -416,7 +415,7 @@
         for member in self._others(self.sizes.fanout):
             words = self._words()
             if words:
-                sends.append(self._send(member.gossip, self._rumor(words)))
+                sends.append(Send(member.gossip, self._rumor(words)))
         return sends
 
     def _words(self) -> list[Word]:
@@ -427,7 +426,7 @@
         if held is not None and held.state != State.ALIVE:
             # Whoever is thought dead while it talks has a right to hear it, and to deny it.
             answer.words = [word_of(held, full=False), *answer.words]
-        return self._send(message.reply_to, answer)
+        return Send(message.reply_to, answer)
 
     def _others(self, count: int, but: str = '') -> list[Member]:
         return self.order.sample(self.view, self.me, count, but)
@@ -438,6 +437,3 @@
 
     def _rumor(self, words: list[Word]) -> Rumor:
         return Rumor(sender=self.me.instance, reply_to=self.me.gossip, words=words)
-
-    def _send(self, to: Address, message: AnyMessage) -> Send:
-        return Send(to, message)
