--- a/dunlinsaddle/membership/agent.py
+++ b/dunlinsaddle/membership/agent.py
@@ -6,8 +6,9 @@
 from random import Random
 
 from dunlinsaddle.membership.messages import Sealer
-from dunlinsaddle.membership.protocol import Gossip, GossipSizes, GossipTimes, Send
+from dunlinsaddle.membership.protocol import Gossip, Send
 from dunlinsaddle.membership.transport import Opener, Transport
+from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.settings import Address
 
--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -28,6 +28,7 @@
 from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Relayed
 from dunlinsaddle.membership.rumors import Budget, Rumors
 from dunlinsaddle.membership.sync import bucket_of, digests_of
+from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.settings import Address
 
@@ -35,37 +36,6 @@
 RETURN_PROBES = 30  #: of the whole fleet, when one who was held dead comes back
 
 
-class GossipTimes(NamedTuple):
-    """Periods and bounds, in seconds."""
-
-    tick: float = 0.25
-    probe: float = 1.0
-    direct: float = 0.5
-    indirect: float = 0.5
-    suspicion: float = 5.0
-    suspicion_each: float = 0.1
-    suspicion_most: float = 60.0
-    sync: float = 10.0
-    sync_again: float = 0.5
-    young: float = 60.0
-    revisit: float = 5.0
-    forget: float = 3600.0
-    stall: float = 1.0
-
-
-class GossipSizes(NamedTuple):
-    """Counts and bytes."""
-
-    relays: int = 3
-    fanout: int = 2
-    extra_sends: int = 5
-    words: int = 480
-    bytes_per_second: int = 2000
-    burst: int = 1500
-    pages: int = 6
-    join: int = 6
-
-
 class Send(NamedTuple):
     """A message to be sent."""
 
--- /dev/null
+++ b/dunlinsaddle/membership/tuning.py
@@ -0,0 +1,34 @@
+"""Periods, counts and byte bounds of the gossip."""
+
+from typing import NamedTuple
+
+
+class GossipTimes(NamedTuple):
+    """Periods and bounds, in seconds."""
+
+    tick: float = 0.25
+    probe: float = 1.0
+    direct: float = 0.5
+    indirect: float = 0.5
+    suspicion: float = 5.0
+    suspicion_each: float = 0.1
+    suspicion_most: float = 60.0
+    sync: float = 10.0
+    sync_again: float = 0.5
+    young: float = 60.0
+    revisit: float = 5.0
+    forget: float = 3600.0
+    stall: float = 1.0
+
+
+class GossipSizes(NamedTuple):
+    """Counts and bytes."""
+
+    relays: int = 3
+    fanout: int = 2
+    extra_sends: int = 5
+    words: int = 480
+    bytes_per_second: int = 2000
+    burst: int = 1500
+    pages: int = 6
+    join: int = 6
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -8,8 +8,9 @@
 from random import Random
 
 from dunlinsaddle.membership.messages import Sealer
-from dunlinsaddle.membership.protocol import Gossip, GossipTimes, Send
+from dunlinsaddle.membership.protocol import Gossip, Send
 from dunlinsaddle.membership.transport import Receiver, Transport
+from dunlinsaddle.membership.tuning import GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.settings import Address
 
