--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -28,41 +28,12 @@
 from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Relayed
 from dunlinsaddle.membership.rumors import Budget, Rumors
 from dunlinsaddle.membership.sync import bucket_of, digests_of
+from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.settings import Address
 
 MAX_STEP = 1 << 40  #: how far beyond our own an incarnation may be that we answer by going past it
 RETURN_PROBES = 30  #: of the whole fleet, when one who was held dead comes back
-MET_MANY = 3  #: so many unknown members in one message: there are more to be asked for
-
-
-class GossipTimes(NamedTuple):
-    """Periods and bounds, in seconds."""
-
-    tick: float = 0.25
-    probe: float = 1.0
-    direct: float = 0.5
-    indirect: float = 0.5
-    suspicion: float = 5.0
-    suspicion_each: float = 0.1
-    suspicion_most: float = 60.0
-    sync: float = 10.0
-    sync_again: float = 0.5
-    revisit: float = 5.0
-    forget: float = 3600.0
-    stall: float = 1.0
-
-
-class GossipSizes(NamedTuple):
-    """Counts and bytes."""
-
-    relays: int = 3
-    fanout: int = 2
-    extra_sends: int = 5
-    words: int = 480
-    bytes_per_second: int = 2000
-    burst: int = 1500
-    pages: int = 6
 
 
 class Send(NamedTuple):
@@ -89,7 +60,7 @@
         self.me: Member
         self.seeds: set[Address] = set()
         self.contacts: set[Address] = set()
-        self._met = 0
+        self._young_until = 0.0
         self._joining = False
         self.rumors = Rumors(sizes.extra_sends)
         self.budget = Budget(sizes.bytes_per_second, sizes.burst)
@@ -132,7 +103,7 @@
         self.announce(self.me._replace(state=State.LEFT))
         peers = self._others(self.sizes.relays + self.sizes.fanout)
         words = [word_of(self.me)]
-        return [self._send(m.gossip, self._rumor(words)) for m in peers]
+        return [Send(m.gossip, self._rumor(words)) for m in peers]
 
     def tick(self, now: float) -> list[Send]:
         """Do what is due."""
@@ -155,12 +126,8 @@
         """Take a message that was opened with the shared key."""
         if message.sender == self.me.instance and message.reply_to == self.me.gossip:
             return []
-        self._met = 0
         for word in message.words:
             self._hear(now, word)
-        if self._met >= MET_MANY:
-            self._joining = True
-            self._sync_at = min(self._sync_at, now + self.times.sync_again)
         match message:
             case Ping(number=number):
                 return [self._answer(message, Ack(**self._head(), number=number))]
@@ -210,7 +177,6 @@
         if word.age >= self.times.forget:
             return
         self._take(now, member_of(word, word.details), word.age)
-        self._met += 1
 
     def _take(self, now: float, member: Member, age: int = 0) -> None:
         before = self.view.find(member.instance)
@@ -268,7 +234,7 @@
         if target.state in (State.SUSPECT, State.DEAD):
             # The target learns what is said of it, and can deny it.
             words = [word_of(target, full=False), *words]
-        return self._send(target.gossip, Ping(**self._head(words), number=number))
+        return Send(target.gossip, Ping(**self._head(words), number=number))
 
     def _acked(self, ack: Ack) -> list[Send]:
         probe = self._outstanding.pop(ack.number, None)
@@ -278,7 +244,7 @@
         relayed = self._relayed.pop(ack.number, None)
         if relayed is None:
             return []
-        return [self._send(relayed.reply_to, Ack(**self._head(), number=relayed.number))]
+        return [Send(relayed.reply_to, Ack(**self._head(), number=relayed.number))]
 
     def _relay(self, now: float, req: PingRequest) -> list[Send]:
         target = self.view.find(req.target)
@@ -286,7 +252,7 @@
             return []
         number = self.rng.getrandbits(48)
         self._relayed[number] = Relayed(req.reply_to, req.number, now)
-        return [self._send(target.gossip, Ping(**self._head(), number=number))]
+        return [Send(target.gossip, Ping(**self._head(), number=number))]
 
     def _time_out(self, now: float) -> list[Send]:
         sends = []
@@ -309,9 +275,8 @@
         if held is None or held.gone:
             return []
         others = self._others(self.sizes.relays, probe.instance)
-        head = self._head
         return [
-            self._send(m.gossip, PingRequest(**head(), number=number, target=probe.instance))
+            Send(m.gossip, PingRequest(**self._head(), number=number, target=probe.instance))
             for m in others
         ]
 
@@ -367,14 +332,15 @@
     def _begin_sync(self, now: float) -> list[Send]:
         joining = self._joining
         self._joining = False
-        others = [m.gossip for m in self._others(self.sizes.relays if joining else 1)]
+        others = [m.gossip for m in self._others(self.sizes.join if joining else 1)]
         period = self.times.sync if others else self.times.probe
         if not others:
+            self._young_until = now + self.times.young
             self.contacts |= self.seeds - {self.me.gossip}
         few = self.rng.sample(sorted(self.contacts), min(len(self.contacts), self.sizes.relays))
         self.contacts.clear()
         self._sync_at = now + period * self.rng.uniform(0.8, 1.2)
-        return [self._send(to, self._sync()) for to in [*others, *few]]
+        return [Send(to, self._sync()) for to in [*others, *few]]
 
     def _sync(self, *, answer: bool = False) -> Sync:
         words = [word_of(self.me)]
@@ -390,11 +356,20 @@
         sends = self._pages(now, sync, differing)
         if not sync.answer:
             sends.append(self._answer(sync, self._sync(answer=True)))
+        elif now < self._young_until:
+            self._joining = True
+            self._sync_at = min(self._sync_at, now + self.times.sync_again)
         return sends
 
     def _pages(self, now: float, sync: Sync, differing: set[int]) -> list[Send]:
+        # Whole buckets, in an order of our own: a fresh node that asks several at once hears
+        # few words twice, and asks no more for the buckets that it has in full.
+        order = self.rng.sample(sorted(differing), len(differing))
+        places = {bucket: place for place, bucket in enumerate(order)}
         members = [m for m in self.view.members() if bucket_of(m.instance) in differing]
+        # The budget may end within a bucket; its rest must not be the same each time.
         self.rng.shuffle(members)
+        members.sort(key=lambda m: places[bucket_of(m.instance)])
         words = (word_of(m, age=now - self.died.get(m.instance, now)) for m in members)
         pages = islice(pages_of(words, PAGE_BYTES), self.sizes.pages)
         paid = takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
@@ -410,7 +385,7 @@
         for member in self._others(self.sizes.fanout):
             words = self._words()
             if words:
-                sends.append(self._send(member.gossip, self._rumor(words)))
+                sends.append(Send(member.gossip, self._rumor(words)))
         return sends
 
     def _words(self) -> list[Word]:
@@ -421,7 +396,7 @@
         if held is not None and held.state != State.ALIVE:
             # Whoever is thought dead while it talks has a right to hear it, and to deny it.
             answer.words = [word_of(held, full=False), *answer.words]
-        return self._send(message.reply_to, answer)
+        return Send(message.reply_to, answer)
 
     def _others(self, count: int, but: str = '') -> list[Member]:
         return self.order.sample(self.view, self.me, count, but)
@@ -432,6 +407,3 @@
 
     def _rumor(self, words: list[Word]) -> Rumor:
         return Rumor(sender=self.me.instance, reply_to=self.me.gossip, words=words)
-
-    def _send(self, to: Address, message: AnyMessage) -> Send:
-        return Send(to, message)
