A target's own announcements do not end its drain; old connections are closed

Cause: each announcement, one every two seconds, was taken for a new start, so a drain ended by itself and new work came. The fake target of the tests announced itself once, which hid it.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -21,6 +21,7 @@
 REUSE_SECONDS = 2.0
 #: The same for a request that must not be sent twice: were it lost, it could not be repeated.
 REUSE_ONCE_SECONDS = 0.25
+PRUNE_MARGIN = 0.01
 OVERDUE_SECONDS = 1.0
 OVERDUE_FACTOR = 4.0
 SLOWEST_DECAY = 0.98
@@ -167,20 +168,29 @@
 
     def __init__(self) -> None:
         self.idle: list[_Connection] = []
+        self.timer: asyncio.TimerHandle | None = None
         self.slowest = 0.0
         self.answered_at = 0.0  #: when the latest request that was answered had been sent
 
     def take(self, within: float) -> _Connection | None:
         """Give the connection that was answered on last, if that is recent enough."""
-        while self.idle:
-            conn = self.idle.pop()
-            if conn.reusable(within):
-                return conn
-            if conn.reusable(REUSE_SECONDS):
-                self.idle.append(conn)
-                return None
-            conn.transport.abort()
-        return None
+        while self.idle and not self.idle[-1].reusable(REUSE_SECONDS):
+            self.idle.pop().transport.abort()
+        if not self.idle or not self.idle[-1].reusable(within):
+            return None
+        return self.idle.pop()
+
+    def _prune(self) -> None:
+        """Close what will not be used again, the oldest first: it fills the target's places."""
+        self.timer = None
+        while self.idle and not self.idle[0].reusable(REUSE_SECONDS):
+            self.idle.pop(0).transport.abort()
+        if self.idle:
+            self._prune_after(self.idle[0])
+
+    def _prune_after(self, conn: _Connection) -> None:
+        at = conn.answered_at + REUSE_SECONDS + PRUNE_MARGIN
+        self.timer = conn.loop.call_at(at, self._prune)
 
     def keep(self, conn: _Connection, sent_at: float) -> None:
         """Keep a connection that has just been answered on, and note the time it took."""
@@ -191,6 +201,8 @@
         self.answered_at = max(self.answered_at, sent_at)
         if len(self.idle) < MAX_IDLE:
             self.idle.append(conn)
+            if self.timer is None:
+                self._prune_after(conn)
         else:
             conn.transport.abort()
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -175,7 +175,7 @@
 
     async def drain(self) -> None:
         """Take no new work, tell the others, and wait for what is in progress."""
-        self.target.draining = True
+        self.target.leave()
         self.local.changed.set()
         self.callers_http.start_closing()
         with contextlib.suppress(TimeoutError):
@@ -310,6 +310,6 @@
 
     async def _target_gone(self, now: float) -> bool:
         address = self.target.address
-        if address is None or self.target.draining:
+        if address is None or self.target.leaving:
             return False
         return await self.target_watch.gone(now, address)
--- a/tests/fakes/target.py
+++ b/tests/fakes/target.py
@@ -34,6 +34,7 @@
     def __init__(self, script: Script) -> None:
         self.script = script
         self.connections = 0
+        self.ended = 0
         self.requests: list[bytes] = []
         self.closed = asyncio.Event()
 
@@ -52,4 +53,5 @@
             pass
         finally:
             self.closed.set()
+            self.ended += 1
             writer.close()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.settings import Address
 from tests.clock import PausedClockTest
 from tests.fakes.pair import Pair, SleepingTarget
 
@@ -69,6 +70,32 @@
         self.assertEqual((0, 0), (cut, late))
         self.assertGreater(refused, 0)
 
+    def test_a_target_that_announces_itself_goes_on_draining(self):
+        # The target asks for its drain, and goes on announcing itself every two seconds as
+        # before. Callers are refused until it is replaced: another address ends the drain.
+        async def use(pair):
+            local = pair.beside.faces.local
+            await pair.send(local, 'POST', '/-/drain')
+            await asyncio.sleep(5)
+            refused = await pair.call(pair.beside)
+            pair.beside.target.announce('cut-orders', Address('127.0.0.1', 9001))
+            return refused.status, pair.beside.target.draining
+
+        self.assertEqual((503, False), self.with_pair(use))
+
+    def test_a_drained_target_that_comes_back_on_its_port_serves_again(self):
+        # The target drains, ends, and is started anew on the same port ten seconds later.
+        # In between it was found gone, so its announcement is that of a new target.
+        async def use(pair):
+            await pair.send(pair.beside.faces.local, 'POST', '/-/drain')
+            pair.announcing.cancel()
+            await asyncio.sleep(10)
+            pair.announcing = asyncio.get_running_loop().create_task(pair.announce())
+            await asyncio.sleep(1)
+            return (await pair.call(pair.beside)).status
+
+        self.assertEqual(200, self.with_pair(use))
+
     def test_calls_that_run_elsewhere_are_waited_for(self):
         # The entry node leaves. It has no call at its own target, but its caller waits for
         # one at another: closing now would cut that answer.
@@ -151,6 +178,24 @@
         self.assertAlmostEqual(1.0, elapsed, delta=0.05)
         self.assertEqual(8, started)
 
+    def test_a_call_that_waited_for_a_target_that_is_gone_did_not_run(self):
+        # All slots are taken for nine seconds and one call waits. The target falls silent and
+        # is taken for gone. When a slot is free there is nobody to give the call to: its
+        # caller hears that it did not run.
+        async def use(pair):
+            loop = asyncio.get_running_loop()
+            pair.announcing.cancel()
+            full = [loop.create_task(pair.call(pair.beside, n, sleep='9')) for n in range(8)]
+            await asyncio.sleep(0.1)
+            response = await pair.call(pair.beside, 8)
+            await asyncio.gather(*full)
+            return response, pair.beside.stats.faults, list(pair.target.started)
+
+        response, faults, started = self.with_pair(use)
+        self.assertEqual(b'not-run', dict(response.headers)[b'dunlinsaddle-outcome'])
+        self.assertEqual(0, faults)
+        self.assertNotIn('8', started)
+
     def test_a_call_that_cannot_be_sent_after_its_deadline_did_not_run(self):
         async def use(pair):
             req = HttpRequest('GET', '/cut-orders/orders/1', [], b'', '')
