--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -5,6 +5,7 @@
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import Member, MemberView, State
@@ -37,9 +38,14 @@
         self.executor = executor
         self.stats = stats
         self.quarantine = quarantine
+        self.once: OnceGate | None = None
 
     async def dispatch(self, work: Work) -> Reply:
         """Give a call to one target after another until one answer is final."""
+        if self.once is not None and not work.ctx.idempotent:
+            reply = await self.once.enter(work)
+            self._after(work, reply)
+            return reply
         tried: set[str] = set()
         last: Reply | None = None
         may_have_run = False
