--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -90,6 +90,7 @@
             self._observes,
             self._tell_deaths,
         )
+        self.target.on_announce = self._announced
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
             settings.instance,
@@ -209,7 +210,7 @@
 
     async def drain(self) -> None:
         """Take no new work, tell the others, and wait for what is in progress."""
-        self.target.leave()
+        self.target.leaving = True
         self.local.changed.set()
         self.callers_http.start_closing()
         await self.ranges.keep()
@@ -312,6 +313,15 @@
         now = asyncio.get_running_loop().time()
         self.quarantine.hear(now, frame.fingerprint, frame.deaths)
 
+    def _announced(self) -> None:
+        self._configure()
+        self.admission.restarted(asyncio.get_running_loop().time())
+
+    def _configure(self) -> None:
+        record = self.book.find(self.target.service)
+        if record is not None:
+            self.admission.configure(record)
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
@@ -343,7 +353,7 @@
                 self.local.changed.clear()
                 self.target_watch.heard(loop.time())
             elif await self._target_gone(loop.time()):
-                self.target.service, self.target.address = '', None
+                self.target.withdraw()
             self.agent.announce(self.me())
 
     async def _target_gone(self, now: float) -> bool:
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -6,11 +6,18 @@
 from sortedcontainers import SortedKeyList
 
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.capacity import ObservedCapacity
 from dunlinsaddle.policy.context import LOWEST_LEVEL
+from dunlinsaddle.policy.level import AdmittedLevel
+from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
+from dunlinsaddle.policy.retry_after import retry_after
+from dunlinsaddle.records.models import ServiceRecord
 
-FIRST_LIMIT = 8
-QUEUE_PER_SLOT = 0.5
-RETRY_AFTER = 1.0
+LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
+SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
+HIGHEST_USE = 1.06  #: demand admitted as a share of capacity, at recovery_bias 0
+LOWEST_USE = 1.0  #: the same at recovery_bias 1
+TIME_GAIN = 0.1
 
 
 class Ticket(NamedTuple):
@@ -30,7 +37,8 @@
     inflight: int = 0
     waiting: int = 0
     limit: float = FIRST_LIMIT
-    level: int = LOWEST_LEVEL  #: the lowest priority that is admitted now
+    level: float = LOWEST_LEVEL  #: the lowest priority admitted now, with a fraction of the next
+    age: float = 0.0  #: seconds since the target that admits it has confirmed it
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +87,12 @@
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
 
+    def leave(self, now: float, ticket: Ticket) -> None:
+        """Hear that the target waits for another service on behalf of a running call."""
+
+    def come_back(self, now: float, ticket: Ticket) -> None:
+        """Hear that this wait has ended."""
+
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out: its caller has gone."""
 
@@ -89,38 +103,117 @@
         """Give the load to report."""
 
 
+class _Start(NamedTuple):
+    """When a call was started, and in which cohort of the limit."""
+
+    when: float
+    cohort: int
+
+
 class Admission:
-    """A limit, and a short queue in order of priority."""
+    """An adaptive limit, a short queue in order of priority, and the admitted level.
 
-    def __init__(self, *, limit: float = FIRST_LIMIT, most: int = 1000) -> None:
-        self.limit = limit
-        self.most = most
+    ``bias`` trades goodput (0: a longer queue keeps all slots busy) against recovery
+    (1: little waits when the overload ends).
+    """
+
+    def __init__(self, *, limit: float = FIRST_LIMIT, most: int = 1000, bias: float = 0.5) -> None:
         self.inflight = 0
-        self.queue: SortedKeyList = SortedKeyList(key=lambda t: (t.level, t.arrived, t.call_id))
-        self.service_time = 0.0
+        self._away: set[int] = set()
+        self.most = most
+        self.queue: SortedKeyList = SortedKeyList(key=_order)
+        self._adaptive = AdaptiveLimit(limit, most)
+        self._level = AdmittedLevel()
+        self._use_bias(bias)
+        self._started: dict[int, _Start] = {}
+        self._times: dict[str, float] = {}
+        self._mean_time = 0.0
+        self._observed = ObservedCapacity()
+        self._working: set[int] = set()
+
+    @classmethod
+    def of(cls, record: ServiceRecord) -> 'Admission':
+        """Build it as a record says; its slots are a first guess only."""
+        return cls(
+            limit=record.slots or FIRST_LIMIT,
+            most=record.connections,
+            bias=record.recovery_bias,
+        )
+
+    @property
+    def limit(self) -> float:
+        """The most calls that run at once, now."""
+        return self._adaptive.value
+
+    @limit.setter
+    def limit(self, value: float) -> None:
+        self._adaptive.value = value
+
+    def configure(self, record: ServiceRecord) -> None:
+        """Take what the record says now; what was learned stays."""
+        self.most = record.connections
+        self._adaptive.guess(record.slots or FIRST_LIMIT, record.connections)
+        self._use_bias(record.recovery_bias)
+
+    def restarted(self, now: float) -> None:
+        """Hear that the target has announced itself anew: it is cold."""
+        self._adaptive.restarted(now)
+        self._observed = ObservedCapacity()
+        self._observe(now)
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
-        if self.inflight < self.limit and not self.queue:
-            self.inflight += 1
+        self._level.arrived(ticket.level)
+        self._level.update(now, self._capacity(now))
+        if self._free() and not self.queue:
+            self._start(now, ticket)
             return Run()
-        if now + self.service_time > ticket.deadline:
-            return Refuse(Failure(ErrorKind.TOO_LATE_TO_START, retry_after=RETRY_AFTER))
-        if len(self.queue) < max(self.limit * QUEUE_PER_SLOT, 1):
+        if ticket.level > self._level.level + 1:
+            return Refuse(self._failure(now, ErrorKind.OVERLOADED, ticket))
+        if self._too_late(now, ticket):
+            return Refuse(self._failure(now, ErrorKind.TOO_LATE_TO_START, ticket))
+        if len(self.queue) < max(self.limit * self._queue_share, 1):
             self.queue.add(ticket)
             return Wait()
         worst: Ticket = self.queue[-1]
-        if worst.level <= ticket.level:
-            return Refuse(Failure(ErrorKind.OVERLOADED, retry_after=RETRY_AFTER))
+        if _order(worst) <= _order(ticket):
+            return Refuse(self._failure(now, ErrorKind.OVERLOADED, ticket))
         self.queue.pop(-1)
         self.queue.add(ticket)
         return Wait(evicted=worst)
 
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
+        self._work_done(ticket)
+        self._away.discard(ticket.call_id)
         self.inflight -= 1
-        if sample.completed:
-            self.service_time += (sample.own_time - self.service_time) * 0.1
+        self._observe(now)
+        start = self._started.pop(ticket.call_id)
+        own_time = sample.own_time if sample.completed else None
+        self._adaptive.finished(now, start.cohort, sample.rule, own_time)
+        if not sample.completed:
+            return
+        seconds = now - start.when
+        self._mean_time = _averaged(self._mean_time, sample.own_time)
+        self._times[sample.rule] = _averaged(self._times.get(sample.rule, 0.0), seconds)
+
+    def leave(self, now: float, ticket: Ticket) -> None:
+        """Let another call take the place of one that waits for another service.
+
+        Counting those that wait would tie this target's limit to the speed of services
+        below: when one slows down, all above it would shrink, also for calls that need it
+        not at all.
+        """
+        if ticket.call_id not in self._started:
+            return
+        self._work_done(ticket)
+        self._away.add(ticket.call_id)
+        self._observe(now)
+
+    def come_back(self, now: float, ticket: Ticket) -> None:
+        """Count the call again; for a while more may run than the limit says."""
+        self._away.discard(ticket.call_id)
+        self._observe(now)
 
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
@@ -130,15 +223,67 @@
         """Say which waiting calls start now and which can no longer make their deadline."""
         started: list[Ticket] = []
         dropped: list[Ticket] = []
-        while self.queue and self.inflight < self.limit:
+        while self.queue and self._free():
             ticket = self.queue.pop(0)
-            if now + self.service_time > ticket.deadline:
+            if now + self._times.get(ticket.rule, 0.0) > ticket.deadline:
                 dropped.append(ticket)
                 continue
-            self.inflight += 1
+            self._start(now, ticket)
             started.append(ticket)
         return Released(started, dropped)
 
     def load(self, now: float) -> Load:
         """Give the load to report."""
-        return Load(self.inflight, len(self.queue), self.limit)
+        self._level.update(now, self._capacity(now))
+        return Load(self._active(), len(self.queue), self.limit, self._level.level)
+
+    def _start(self, now: float, ticket: Ticket) -> None:
+        self.inflight += 1
+        self._working.add(ticket.call_id)
+        self._observe(now)
+        cohort = self._adaptive.started(self._active())
+        self._started[ticket.call_id] = _Start(now, cohort)
+
+    def _use_bias(self, bias: float) -> None:
+        self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
+        self._level.utilisation = HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias
+
+    def _observe(self, now: float) -> None:
+        self._observed.advance(now, saturated=not self._free())
+
+    def _active(self) -> int:
+        """Give the calls that the target works on itself."""
+        return self.inflight - len(self._away)
+
+    def _free(self) -> bool:
+        return self._active() < self.limit and self.inflight < self.most
+
+    def _work_done(self, ticket: Ticket) -> None:
+        """Count a call once: when it first leaves for another service, or ends."""
+        if ticket.call_id in self._working:
+            self._working.discard(ticket.call_id)
+            self._observed.done()
+
+    def _capacity(self, now: float) -> float:
+        """Give the calls a second that the target can take; 0 if unknown."""
+        ceiling = self.limit / self._mean_time if self._mean_time else 0.0
+        return self._observed.estimate(now, ceiling)
+
+    def _too_late(self, now: float, ticket: Ticket) -> bool:
+        ahead = self.queue.bisect_left(ticket)
+        capacity = self._capacity(now)
+        wait = ahead / capacity if capacity else 0.0
+        return now + wait + self._times.get(ticket.rule, 0.0) > ticket.deadline
+
+    def _failure(self, now: float, kind: ErrorKind, ticket: Ticket) -> Failure:
+        capacity = self._capacity(now)
+        excess = self._level.demand / capacity if capacity else 1.0
+        return Failure(kind, retry_after=retry_after(excess, ticket.call_id))
+
+
+def _order(ticket: Ticket) -> tuple[int, float, int]:
+    return ticket.level, ticket.arrived, ticket.call_id
+
+
+def _averaged(mean: float, value: float) -> float:
+    return mean + (value - mean) * TIME_GAIN if mean else value
