--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -266,7 +266,10 @@
         self._release(now)
 
     async def _call_target(self, work: Work, running: Running) -> Reply:
-        assert self.target.address is not None
+        address = self.target.address
+        if address is None:
+            # It went while the call waited in the queue.
+            return refusal(Failure(ErrorKind.NO_TARGET, 'the target has gone', COME_BACK))
         budget = work.ctx.deadline - running.started
         headers = [
             *((n, v) for n, v in forwarded_headers(work.headers) if n != b'request-timeout'),
@@ -276,7 +279,7 @@
         ]
         req = HttpRequest(work.method, work.path, headers, work.body, '')
         again = partial(self._may_repeat, work) if work.ctx.idempotent else None
-        match await self.client.send(self.target.address, req, budget, may_repeat=again):
+        match await self.client.send(address, req, budget, may_repeat=again):
             case Answered(response):
                 headers = forwarded_headers(response.headers)
                 return Reply(0, response.status, headers, response.body, Outcome.DONE)
@@ -293,8 +296,10 @@
 
     async def _target_lives(self) -> bool:
         """Say whether the target takes connections: a dead one refuses them at once."""
-        assert self.target.address is not None
-        lives = await self.client.reaches(self.target.address)
+        address = self.target.address
+        if address is None:
+            return False
+        lives = await self.client.reaches(address)
         if not lives:
             self.target.note_refused()
         return lives
