--- a/tests/clock.py
+++ b/tests/clock.py
@@ -19,8 +19,9 @@
         try:
             return loop.run_until_complete(coro)
         finally:
-            for task in asyncio.all_tasks(loop):
+            tasks = asyncio.all_tasks(loop)
+            for task in tasks:
                 task.cancel()
-            loop.run_until_complete(asyncio.sleep(0))
+            loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
             loop.close()
             asyncio.set_event_loop(None)
