Let a woken node ask for the denials that it slept through

Cause: a node that held another suspected, slept 8 s and woke kept that word, since the denial had been spread meanwhile and is not sent again; it then held a living member dead for 6 s. Found by a test written to see whether the reset of waits after a pause is proved at all: without it no test had failed.

With the reset of waits taken out, test_a_paused_node_does_not_bury_who_denied_while_it_slept fails; with the end of stale suspicions taken out, test_a_suspicion_that_is_over_is_passed_on_no_more.

--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -298,6 +298,9 @@
         self._outstanding.clear()
         self._relayed.clear()
         self.suspected = dict.fromkeys(self.suspected, now)
+        # Denials that were spread meanwhile will not be sent again: ask what was missed.
+        self._joining = True
+        self._sync_at = now
 
     def _conclude(self, now: float) -> None:
         # When many are suspected at once it is rather the network that has failed, and their
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -66,6 +66,33 @@
         self.assertLess(took, 5)
         self.assertEqual(2, net.nodes['n000'].view.find('n003').incarnation)
 
+    def test_a_paused_node_does_not_bury_who_denied_while_it_slept(self):
+        # The node suspects another, then sleeps; the other denies in the meantime. By its clock
+        # the suspicion is over when it wakes, before any denial has reached it.
+        net = Machines()
+        net.fill(12)
+        net.paused.add('n005')
+        sleeper = net.nodes['n003']
+        net.run_until(lambda: sleeper.view.find('n005').state == State.SUSPECT, 4)
+        net.paused = {'n003'}
+        net.run(8)
+        sleeper.tick(net.now)
+        self.assertEqual(State.SUSPECT, sleeper.view.find('n005').state)
+        net.paused.clear()
+        net.run_until(net.all_alive, 10)
+
+    def test_a_suspicion_that_is_over_is_passed_on_no_more(self):
+        # Kept in the queue until a cut has healed, it would put the living under suspicion on
+        # their own side.
+        net = Machines()
+        net.fill(3)
+        node = net.nodes['n000']
+        node.budget.rate = node.budget.burst = node.budget.left = 0
+        net.kill('n001')
+        net.run(20)
+        self.assertEqual(State.DEAD, node.view.find('n001').state)
+        self.assertEqual(0, len(node.rumors))
+
     def test_a_node_held_dead_comes_back_by_itself(self):
         net = Machines()
         net.fill(24)
