--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -246,6 +246,7 @@
 
     def _use_bias(self, bias: float) -> None:
         self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
+        self._level.bias = bias
         self._level.utilisation = HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias
 
     def _observe(self, now: float) -> None:
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -18,8 +18,10 @@
 FEW_LEVELS = 4
 KNOWN_MEMORY = 2.0  #: seconds over which the demand of open levels is remembered
 SHUT_MEMORY = 5.0  #: seconds for which the demand of shut levels is remembered
-CERTAIN = 4.0  #: standard errors that are no chance
-FALLEN = 0.6
+MOST_CERTAIN = 4.0  #: standard errors that are no chance, at recovery_bias 0
+LEAST_CERTAIN = 2.5  #: the same at recovery_bias 1
+MOST_FALLEN = 0.6  #: share of demand that is a fall of it, at recovery_bias 0
+LEAST_FALLEN = 0.8  #: the same at recovery_bias 1
 RISEN = 1.4
 LEARN_GAIN = 0.25
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
@@ -37,8 +39,9 @@
     level opens by as much as the spare capacity can take and no further.
     """
 
-    def __init__(self, utilisation: float = 1.0) -> None:
+    def __init__(self, utilisation: float = 1.0, bias: float = 0.5) -> None:
         self.utilisation = utilisation
+        self.bias = bias  #: 0 takes a fall of demand for chance longer, 1 opens sooner
         self.level = float(LOWEST_LEVEL)
         self.demand = 0.0  #: calls a second, over all levels
         self._memory = SHORTEST_MEMORY
@@ -105,10 +108,12 @@
         changed in the shut ones too. Without this the memory of a surge delays recovery.
         """
         now, known = sum(self._counts[:end]), sum(self._known[:end])
-        if abs(now - known) <= CERTAIN * max(known, 1.0) ** 0.5 or not known:
+        certain = MOST_CERTAIN + (LEAST_CERTAIN - MOST_CERTAIN) * self.bias
+        if abs(now - known) <= certain * max(known, 1.0) ** 0.5 or not known:
             return 1.0
+        fallen = MOST_FALLEN + (LEAST_FALLEN - MOST_FALLEN) * self.bias
         ratio = now / known
-        return 1.0 if FALLEN < ratio < RISEN else ratio
+        return 1.0 if fallen < ratio < RISEN else ratio
 
     def _density(self, end: int) -> float:
         """Give the mean demand of the open levels next to the shut ones, in their rank."""
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -195,7 +195,9 @@
             if self.target.deaths == life:
                 self.crash()
                 self.fleet.died(self)
-        computed: bool = yield from self.target.compute(self._give_up(attempt))
+        computed: bool = self.target.deaths == life
+        if computed:
+            computed = yield from self.target.compute(self._give_up(attempt))
         own_time = loop.now - began
         answer = Answer()
         if computed and call.calls:
