--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -5,6 +5,7 @@
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import Member, MemberView, State
@@ -39,13 +40,19 @@
         self.executor = executor
         self.stats = stats
         self.quarantine = quarantine
+        self.once: OnceGate | None = None
 
     async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
         """Give a call to one target after another until one answer is final.
 
         ``parent_rule`` is the rule that the local target works on and makes this call for.
         """
-        failure = self._early_refusal(work, parent_rule)
+        if parent_rule:
+            now = asyncio.get_running_loop().time()
+            self.executor.levels.called(now, parent_rule, work.ctx.service, work.ctx.rule)
+        if self.once is not None and not work.ctx.idempotent:
+            return await self._enter_once(self.once, work)
+        failure = self._early_refusal(work.ctx)
         if failure is not None:
             self.stats.shed[failure.kind.value] += 1
             early = refusal(failure)
@@ -72,12 +79,20 @@
         last.unspent = work.allowance.tokens
         return _truthful(last) if may_have_run else last
 
-    def _early_refusal(self, work: Work, parent_rule: str) -> Failure | None:
-        ctx, levels = work.ctx, self.executor.levels
+    async def _enter_once(self, once: OnceGate, work: Work) -> Reply:
+        """Take the way of calls that must run at most once; it has no early refusal.
+
+        A key that is sent again may have run before. Only its owner knows, so nobody else
+        may say of it that it was not run.
+        """
+        reply = await once.enter(work)
+        self._learn(asyncio.get_running_loop().time(), work, reply)
+        self._after(work, reply)
+        return reply
+
+    def _early_refusal(self, ctx: CallContext) -> Failure | None:
         now = asyncio.get_running_loop().time()
-        if parent_rule:
-            levels.called(now, parent_rule, ctx.service, ctx.rule)
-        failure = levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
+        failure = self.executor.levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
         if failure is not None and self.executor.observes(ctx.service):
             self.stats.observed_refusals[failure.kind.value] += 1
             return None
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -32,17 +32,23 @@
     """The target beside this node, as it announced itself."""
 
     def __init__(self) -> None:
-        self.on_announce: Callable[[], None] = lambda: None
+        self.on_start: Callable[[], None] = lambda: None
         self.service = ''
         self.address: Address | None = None
         self.draining = False
 
     def announce(self, service: str, address: Address) -> None:
-        """Take an announcement; a new one ends a drain."""
+        """Take an announcement; a new one ends a drain.
+
+        Targets repeat theirs every two seconds; only one that changes something is the
+        start of a target.
+        """
+        started = self.draining or (self.service, self.address) != (service, address)
         self.service = service
         self.address = address
         self.draining = False
-        self.on_announce()
+        if started:
+            self.on_start()
 
 
 class Executor:
@@ -70,6 +76,7 @@
         self.on_death = on_death
         self.levels = levels or ChainLevels()
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
+        self._waiting_tickets: dict[int, Ticket] = {}
         self._tickets = 0
         self._shadows: set[int] = set()
         self._suspect_lock = asyncio.Lock()
@@ -142,13 +149,19 @@
                     self._settle(evicted, Failure(ErrorKind.OVERLOADED, retry_after=COME_BACK))
         fut: asyncio.Future[Failure | None] = loop.create_future()
         self._waiting[ticket.call_id] = fut
+        self._waiting_tickets[ticket.call_id] = ticket
+        # A target that stands still releases nobody: the wait must end without it.
+        late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
+        timer = loop.call_at(ticket.deadline, self._overdue, ticket, late)
         try:
             refused = await fut
         except asyncio.CancelledError:
             self._leave(ticket, fut)
             raise
         finally:
+            timer.cancel()
             self._waiting.pop(ticket.call_id, None)
+            del self._waiting_tickets[ticket.call_id]
         self.stats.queued += 1
         self.stats.queue_time += loop.time() - ticket.arrived
         return refused
@@ -178,6 +191,16 @@
         else:
             self.admission.abandon(ticket)
 
+    def refuse_waiting(self) -> None:
+        """Refuse what still waits at a target that leaves: it did not run, and can elsewhere."""
+        for ticket in list(self._waiting_tickets.values()):
+            self._overdue(ticket, Failure(ErrorKind.DRAINING, retry_after=COME_BACK))
+
+    def _overdue(self, ticket: Ticket, failure: Failure) -> None:
+        if ticket.call_id in self._waiting:
+            self.admission.abandon(ticket)
+            self._settle(ticket, failure)
+
     def _settle(self, ticket: Ticket, failure: Failure | None) -> None:
         self._shadows.discard(ticket.call_id)
         fut = self._waiting.pop(ticket.call_id, None)
@@ -194,6 +217,9 @@
             completed = reply.kind == ''
             if completed and work.ctx.deaths:
                 self.quarantine.completed(loop.time(), work.ctx.fingerprint)
+        except asyncio.CancelledError:
+            self.stats.wasted += 1
+            raise
         finally:
             now = loop.time()
             self.running.end(running)
@@ -229,7 +255,8 @@
             (b'dunlinsaddle-request', work.ctx.request_id.encode()),
         ]
         req = HttpRequest(work.method, work.path, headers, work.body, '')
-        match await self.client.send(self.target.address, req, budget):
+        again = partial(self._may_repeat, work) if work.ctx.idempotent else None
+        match await self.client.send(self.target.address, req, budget, may_repeat=again):
             case Answered(response):
                 headers = forwarded_headers(response.headers)
                 return Reply(0, response.status, headers, response.body, Outcome.DONE)
@@ -248,6 +275,10 @@
         assert self.target.address is not None
         return await self.client.reaches(self.target.address)
 
+    def _may_repeat(self, work: Work) -> bool:
+        # A target that leaves is given nothing new, a call it already has included.
+        return not self.target.draining and work.allowance.spend()
+
     def _finish(self, ticket: Ticket, sample: Sample, now: float) -> None:
         if ticket.call_id in self._shadows:
             self._shadows.discard(ticket.call_id)
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -1,14 +1,30 @@
 """What nodes say to each other about calls, as MessagePack frames (msgspec)."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome, problem_of
 from dunlinsaddle.policy.admission import Load
+from dunlinsaddle.policy.context import MAX_HOPS, SLOTS_PER_RANK
+from dunlinsaddle.records.models import Rank, RecordEntry
+from dunlinsaddle.records.schema import MAX_RETRY_BOUND
+
+MAX_BUDGET = 86_400.0
 
 Headers = list[tuple[bytes, bytes]]
 
+# The decoder refuses what is out of range, NaN included: a peer with a fault must not hand
+# out retries without bound, or a deadline that never comes.
+RankNumber = Annotated[int, Meta(ge=0, lt=len(Rank))]
+SlotNumber = Annotated[int, Meta(ge=0, lt=SLOTS_PER_RANK)]
+Seconds = Annotated[float, Meta(ge=0, le=MAX_BUDGET)]
+Tokens = Annotated[int, Meta(ge=0, le=MAX_RETRY_BOUND)]
+Hops = Annotated[int, Meta(ge=0, le=MAX_HOPS)]
+StatusCode = Annotated[int, Meta(ge=200, le=599)]
+
 
 class Challenge(msgspec.Struct, tag='h', array_like=True):
     """First frame of the listening side: a nonce that the other side must sign."""
@@ -21,6 +37,13 @@
 
     instance: str
     proof: bytes
+    nonce: bytes = b''
+
+
+class Welcome(msgspec.Struct, tag='w', array_like=True):
+    """Answers a Hello: the listening side holds the key too."""
+
+    proof: bytes
 
 
 class Call(msgspec.Struct, tag='c', array_like=True):
@@ -38,28 +61,30 @@
     request_id: str
     caller: str
     rule: str
-    rank: int
-    slot: int
-    budget: float
-    allowance: int
-    hop: int
+    rank: RankNumber
+    slot: SlotNumber
+    budget: Seconds
+    allowance: Tokens
+    hop: Hops
     idempotent: bool
     key: str = ''
     fingerprint: int = 0
     deaths: int = 0
+    asked: Hops = 0  #: nodes that were asked before for who owns the key
+    owned: bool = False  #: the key's owner has decided that the call may run
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
     """The answer to one call, whole, with what is known of the work behind it."""
 
     id: int
-    status: int
+    status: StatusCode
     headers: Headers
     body: bytes
     outcome: Outcome
     kind: str = ''  #: the value of an ErrorKind, empty when the target itself answered
-    retry_after: float = 0.0
-    unspent: int = 0
+    retry_after: Seconds = 0.0
+    unspent: Tokens = 0
     load: Load | None = None
     deaths: int = 0
 
@@ -82,9 +107,6 @@
     number: int
 
 
-Frame = Challenge | Hello | Call | Reply | Cancel | Ping | Pong
-
-
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """The call never left this node: it did not run."""
@@ -113,3 +135,60 @@
         retry_after=failure.retry_after if failure.rule.retry_after else 0.0,
         load=load,
     )
+
+
+class RecordsAsk(msgspec.Struct, tag='ra', array_like=True):
+    """Asks for records newer than ``since``, up to which the asker knows all changes."""
+
+    id: int
+    since: int
+
+
+class RecordsAnswer(msgspec.Struct, tag='rr', array_like=True):
+    """All changes after what was asked for and up to ``upto``; more may follow after that.
+
+    ``age`` in seconds since the answering side last knew itself up to date.
+    """
+
+    id: int
+    upto: int
+    age: float
+    more: bool
+    entries: list[RecordEntry]
+
+
+class RecordsPush(msgspec.Struct, tag='rp', array_like=True):
+    """All changes after ``since`` and up to ``upto``, sent unasked by a node of ``domain``.
+
+    ``root`` is the instance whose tree over that domain it goes down, empty for none.
+    """
+
+    since: int
+    upto: int
+    domain: str
+    root: str
+    entries: list[RecordEntry]
+
+
+class Deaths(msgspec.Struct, tag='d', array_like=True):
+    """Targets died while they ran the request with this fingerprint, so many of them."""
+
+    fingerprint: int
+    deaths: int
+
+
+RecordFrame = RecordsAsk | RecordsPush
+Frame = (
+    Challenge
+    | Hello
+    | Welcome
+    | Call
+    | Reply
+    | Cancel
+    | Ping
+    | Pong
+    | RecordsAsk
+    | RecordsAnswer
+    | RecordsPush
+    | Deaths
+)
--- a/dunlinsaddle/cli/queries/nodes.py
+++ b/dunlinsaddle/cli/queries/nodes.py
@@ -1,6 +1,8 @@
-"""``status`` and ``targets``: what a node knows of itself and of the fleet."""
+"""``status``, ``rollout``, ``targets``, ``metrics`` and ``explain``: what a node knows."""
 
-from dunlinsaddle.cli.definition import NodeCommand, table
+from cleo.helpers import argument
+
+from dunlinsaddle.cli.definition import NodeCommand, flat, table
 from dunlinsaddle.status import ExitStatus
 
 
@@ -8,12 +10,29 @@
     """Shows the state of one node."""
 
     name = 'status'
-    description = 'Show the state of a node.'
+    description = 'Show the state of a node, e.g. status --node 127.0.0.1:7404.'
 
     def work(self) -> ExitStatus:
         """Show each figure on a line."""
         status = self.node().get('/v1/status')
-        self.show(status, table([[key, str(value)] for key, value in status.items()]))
+        self.show(status, table(flat(status)))
+        return ExitStatus.OK
+
+
+class RolloutCommand(NodeCommand):
+    """Shows how far changes have come."""
+
+    name = 'rollout'
+    description = 'Ask members of each failure domain which changes are in force there.'
+
+    def work(self) -> ExitStatus:
+        """Show one failure domain a line."""
+        rows = self.node().get('/v1/rollout')
+        lines = [
+            [r['domain'], f'{r["answered"]} of {r["asked"]}', str(r['revision'] or '-')]
+            for r in rows
+        ]
+        self.show(rows, table([['DOMAIN', 'ANSWERED', 'IN FORCE UP TO'], *lines]))
         return ExitStatus.OK
 
 
@@ -21,7 +40,7 @@
     """Lists the targets that a node knows of."""
 
     name = 'targets'
-    description = 'List the targets that a node knows of.'
+    description = 'List the targets that a node knows of, e.g. targets --json.'
 
     def work(self) -> ExitStatus:
         """Show one target a line."""
@@ -29,3 +48,40 @@
         rows = [[t['service'] or '-', t['instance'], t['domain'], t['state']] for t in targets]
         self.show(targets, table([['SERVICE', 'INSTANCE', 'DOMAIN', 'STATE'], *rows]))
         return ExitStatus.OK
+
+
+class MetricsCommand(NodeCommand):
+    """Shows the metrics of one node."""
+
+    name = 'metrics'
+    description = 'Show the metrics of a node, e.g. metrics --json.'
+
+    def work(self) -> ExitStatus:
+        """Show one value a line, with its attributes."""
+        metrics = self.node().get('/v1/metrics')
+        rows = [
+            [name, str(point.pop('value')), ' '.join(f'{k}={v}' for k, v in point.items())]
+            for name, points in metrics.items()
+            for point in map(dict, points)
+        ]
+        self.show(metrics, table(rows))
+        return ExitStatus.OK
+
+
+class ExplainCommand(NodeCommand):
+    """Shows how a request would be treated."""
+
+    name = 'explain'
+    description = 'Show how a node would treat a request, e.g. explain cut-orders GET /orders/1.'
+    arguments = [
+        argument('service', 'Name of the service.'),
+        argument('method', 'Method of the request.'),
+        argument('path', "Path below the service's prefix."),
+    ]
+
+    def work(self) -> ExitStatus:
+        """Show each part of the answer on a line."""
+        body = {name: self.argument(name) for name in ('service', 'method', 'path')}
+        answer = self.node().post('/v1/explain', body)
+        self.show(answer, table(flat(answer)))
+        return ExitStatus.OK
--- a/dunlinsaddle/platform/store.py
+++ b/dunlinsaddle/platform/store.py
@@ -43,11 +43,14 @@
 
 
 StoreError = Conflict | Unavailable
+WATCH_GRACE = 2.0
 ABSENT = 0  #: as an expected version: the object must not exist
 
 
 class ObjectStore(Protocol):
-    """What the system asks of the platform."""
+    """What the system asks of the platform; ``calls`` counts what it asked so far."""
+
+    calls: int
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         """Read one object; None where there never was one."""
@@ -63,5 +66,10 @@
     async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
         """Delete on the condition that the version is ``expected``."""
 
-    async def watch(self, kind: str, since: int, timeout: float) -> Result[Listing, Unavailable]:
-        """Wait until something of a kind is newer than ``since``; empty after ``timeout`` s."""
+    async def watch(
+        self, kind: str, since: int, timeout: float, grace: float = WATCH_GRACE
+    ) -> Result[Listing, Unavailable]:
+        """Wait until something of a kind is newer than ``since``; empty after ``timeout`` s.
+
+        ``grace`` is how many seconds the answer itself may take.
+        """
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -293,7 +293,7 @@
         failure = self.guard.check(
             now,
             attempt.caller,
-            attempt.fingerprint,
+            str(attempt.fingerprint),
             rank=attempt.priority.rank,
             ratio=record.resend_ratio,
         )
@@ -302,10 +302,10 @@
         answer: Answer = yield from self.dispatch(attempt, call, allowance)
         now = self.fleet.loop.now
         if answer.failure is None:
-            self.guard.answered(attempt.caller, attempt.fingerprint)
+            self.guard.answered(attempt.caller, str(attempt.fingerprint))
         elif answer.failure.retry_after > 0:
             wait = answer.failure.retry_after
-            self.guard.refused(now, attempt.caller, attempt.fingerprint, wait)
+            self.guard.refused(now, attempt.caller, str(attempt.fingerprint), wait)
         return answer
 
     def _bar(self, attempt: Attempt) -> Failure | None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data: each gives something valid, changed where the test says so."""
 
+import asyncio
 import io
 import json
 import logging
@@ -7,15 +8,19 @@
 from random import Random
 from typing import Any
 
+from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.environment import Environment
+from dunlinsaddle.errors import Outcome
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.policy.context import CallContext, Priority
 from dunlinsaddle.policy.limit import AdaptiveLimit
 from dunlinsaddle.policy.retry import Allowance
+from dunlinsaddle.records.changes import Change
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
 from dunlinsaddle.settings import Address, Settings, read_settings
+from tests.fakes.network import open_in_memory
 
 PEER_KEY = 'a-key-for-tests'
 OPERATOR_TOKEN = 'a-token-for-tests'
@@ -28,6 +33,7 @@
         'stdin': io.StringIO(),
         'environ': {},
         'rng': Random(7),
+        'open_gossip': open_in_memory,
         **changes,
     }
     return Environment(**values)
@@ -77,6 +83,19 @@
     }
 
 
+def build_change(change_id: str = 'change-1', **changes: Any) -> Change:
+    base = Change(
+        id=change_id,
+        service='cut-orders',
+        doc=build_document(),
+        expected=0,
+        who='ann',
+        why='trial',
+        when=1_700_000_000.0,
+    )
+    return base._replace(**changes)
+
+
 def build_member(instance: str = 'bangor-1', **changes: Any) -> Member:
     port = 1000 + sum(instance.encode()) % 1000
     base = Member(
@@ -151,3 +170,43 @@
         end = begin + self.service_time * (0.5 + 0.5 * self.rng.expovariate(1.0))
         heappush(self._free, end)
         heappush(self._ends, (end, self.now, limit.started(self.inflight)))
+
+
+def build_call(call_id: int = 1, **changes: Any) -> Call:
+    values: dict[str, Any] = {
+        'id': call_id,
+        'service': 'cut-orders',
+        'method': 'GET',
+        'path': '/orders/1',
+        'headers': [],
+        'body': b'',
+        'request_id': 'r-1',
+        'caller': '127.0.0.1',
+        'rule': 'read',
+        'rank': 2,
+        'slot': 5,
+        'budget': 10.0,
+        'allowance': 0,
+        'hop': 0,
+        'idempotent': True,
+        **changes,
+    }
+    return Call(**values)
+
+
+def build_reply(body: bytes = b'', **changes: Any) -> Reply:
+    values: dict[str, Any] = {'id': 0, 'status': 200, 'headers': [], 'outcome': Outcome.DONE}
+    return Reply(**{**values, 'body': body, **changes})
+
+
+def build_release(key: str = '', **changes: Any) -> Work:
+    """Build a call that must run at most once; where a loop runs, for its deadline."""
+    work = build_work(
+        2,
+        rule='release',
+        idempotent=False,
+        key=key,
+        **{'deadline': asyncio.get_running_loop().time() + 10.0, **changes},
+    )
+    headers = [(b'idempotency-key', key.encode())] if key else []
+    return work._replace(method='POST', path='/orders/1/release', headers=headers)
