--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -47,16 +47,17 @@
 
         ``parent_rule`` is the rule that the local target works on and makes this call for.
         """
-        failure = self._early_refusal(work, parent_rule)
-        if failure is not None and not _keyed(work.ctx):
+        if parent_rule:
+            now = asyncio.get_running_loop().time()
+            self.executor.levels.called(now, parent_rule, work.ctx.service, work.ctx.rule)
+        if self.once is not None and not work.ctx.idempotent:
+            return await self._enter_once(self.once, work)
+        failure = self._early_refusal(work.ctx)
+        if failure is not None:
             self.stats.shed[failure.kind.value] += 1
             early = refusal(failure)
             early.unspent = work.allowance.tokens
             return early
-        if self.once is not None and not work.ctx.idempotent:
-            reply = await self.once.enter(work)
-            self._after(work, reply)
-            return reply
         tried: set[str] = set()
         last: Reply | None = None
         may_have_run = False
@@ -78,12 +79,20 @@
         last.unspent = work.allowance.tokens
         return _truthful(last) if may_have_run else last
 
-    def _early_refusal(self, work: Work, parent_rule: str) -> Failure | None:
-        ctx, levels = work.ctx, self.executor.levels
+    async def _enter_once(self, once: OnceGate, work: Work) -> Reply:
+        """Take the way of calls that must run at most once; it has no early refusal.
+
+        A key that is sent again may have run before. Only its owner knows, so nobody else
+        may say of it that it was not run.
+        """
+        reply = await once.enter(work)
+        self._learn(asyncio.get_running_loop().time(), work, reply)
+        self._after(work, reply)
+        return reply
+
+    def _early_refusal(self, ctx: CallContext) -> Failure | None:
         now = asyncio.get_running_loop().time()
-        if parent_rule:
-            levels.called(now, parent_rule, ctx.service, ctx.rule)
-        failure = levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
+        failure = self.executor.levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
         if failure is not None and self.executor.observes(ctx.service):
             self.stats.observed_refusals[failure.kind.value] += 1
             return None
@@ -160,15 +169,6 @@
         return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
 
 
-def _keyed(ctx: CallContext) -> bool:
-    """Say whether an earlier send of the same request may have run.
-
-    "Not run" is said of the key, and only its owner knows that: an early refusal here would
-    be false of a key whose first answer was lost.
-    """
-    return bool(ctx.key) and not ctx.idempotent
-
-
 def _truthful(reply: Reply) -> Reply:
     """Keep a refusal from saying "not run" when an earlier try of the same call may have run."""
     if reply.outcome is not Outcome.NOT_RUN:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -90,7 +90,7 @@
             self._observes,
             self._tell_deaths,
         )
-        self.target.on_announce = self._announced
+        self.target.on_start = self._target_started
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
             settings.instance,
@@ -315,7 +315,7 @@
         now = asyncio.get_running_loop().time()
         self.quarantine.hear(now, frame.fingerprint, frame.deaths)
 
-    def _announced(self) -> None:
+    def _target_started(self) -> None:
         self._configure()
         self.admission.restarted(asyncio.get_running_loop().time())
 
@@ -356,6 +356,7 @@
                 self.target_watch.heard(loop.time())
             elif await self._target_gone(loop.time()):
                 self.target.withdraw()
+            self._configure()
             self.agent.announce(self.me())
 
     async def _target_gone(self, now: float) -> bool:
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -12,7 +12,7 @@
         super().setUp()
         self.target = LocalTarget()
         self.starts = 0
-        self.target.on_announce = self.count
+        self.target.on_start = self.count
         self.target.announce('cut-orders', HERE)
 
     def count(self) -> None:
