Refuse early at the entry only, and open levels at once

Cause: levels opened seconds after a surge, since the demand of shut levels was remembered and targets deep down still worked off what was on its way; and each hop of a deep chain refused by a level that had moved since the entry, which threw away the work of the hops before.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -92,7 +92,8 @@
 
     def _early_refusal(self, ctx: CallContext) -> Failure | None:
         now = asyncio.get_running_loop().time()
-        failure = self.executor.levels.check(now, ctx.service, ctx.rule, ctx.priority.level)
+        levels, level = self.executor.levels, ctx.priority.level
+        failure = levels.check(now, ctx.service, ctx.rule, level, ctx.hop)
         if failure is not None and self.executor.observes(ctx.service):
             self.stats.observed_refusals[failure.kind.value] += 1
             return None
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -151,7 +151,7 @@
         self._tickets += 1
         now = asyncio.get_running_loop().time()
         level = ctx.priority.level
-        return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller)
+        return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller, ctx.hop)
 
     async def _admit(self, ticket: Ticket, service: str) -> Failure | None:
         loop = asyncio.get_running_loop()
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -7,7 +7,7 @@
 
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.capacity import ObservedCapacity
-from dunlinsaddle.policy.context import LOWEST_LEVEL
+from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
 from dunlinsaddle.policy.level import AdmittedLevel
 from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
 from dunlinsaddle.policy.retry_after import retry_after
@@ -15,8 +15,9 @@
 
 LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
 SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
-HIGHEST_USE = 1.06  #: demand admitted as a share of capacity, at recovery_bias 0
+HIGHEST_USE = 1.05  #: demand admitted as a share of capacity, at recovery_bias 0
 LOWEST_USE = 1.0  #: the same at recovery_bias 1
+DEEP_QUEUE = 1.0  #: calls that wait for each that runs, when work has been done for them
 TIME_GAIN = 0.1
 
 
@@ -29,6 +30,7 @@
     deadline: float
     rule: str = 'default'
     caller: str = ''
+    hop: int = 0  #: 0 at the entry; above, work has been done for the request already
 
 
 class Load(NamedTuple):
@@ -113,6 +115,8 @@
 class Admission:
     """An adaptive limit, a short queue in order of priority, and the admitted level.
 
+    Calls that work has been done for wait in a longer queue, and are not refused by level.
+
     ``bias`` trades goodput (0: a longer queue keeps all slots busy) against recovery
     (1: little waits when the overload ends).
     """
@@ -164,15 +168,16 @@
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
         self._level.arrived(ticket.level)
-        self._level.update(now, self._capacity(now))
+        self._level.update(now, self._capacity(now), self._observed.idle(now))
         if self._free() and not self.queue:
             self._start(now, ticket)
             return Run()
-        if ticket.level > self._level.level + 1:
+        if ticket.level > self._level.level + 1 and not ticket.hop:
             return Refuse(self._failure(now, ErrorKind.OVERLOADED, ticket))
         if self._too_late(now, ticket):
             return Refuse(self._failure(now, ErrorKind.TOO_LATE_TO_START, ticket))
-        if len(self.queue) < max(self.limit * self._queue_share, 1):
+        share = DEEP_QUEUE if ticket.hop else self._queue_share
+        if len(self.queue) < max(self.limit * share, 1):
             self.queue.add(ticket)
             return Wait()
         worst: Ticket = self.queue[-1]
@@ -234,7 +239,7 @@
 
     def load(self, now: float) -> Load:
         """Give the load to report."""
-        self._level.update(now, self._capacity(now))
+        self._level.update(now, self._capacity(now), self._observed.idle(now))
         return Load(self._active(), len(self.queue), self.limit, self._level.level)
 
     def _start(self, now: float, ticket: Ticket) -> None:
@@ -246,7 +251,6 @@
 
     def _use_bias(self, bias: float) -> None:
         self._queue_share = LONGEST_QUEUE + (SHORTEST_QUEUE - LONGEST_QUEUE) * bias
-        self._level.bias = bias
         self._level.utilisation = HIGHEST_USE + (LOWEST_USE - HIGHEST_USE) * bias
 
     def _observe(self, now: float) -> None:
@@ -282,8 +286,10 @@
         return Failure(kind, retry_after=retry_after(excess, ticket.call_id))
 
 
-def _order(ticket: Ticket) -> tuple[int, float, int]:
-    return ticket.level, ticket.arrived, ticket.call_id
+def _order(ticket: Ticket) -> tuple[int, int, int, float, int]:
+    """Order by rank, then the deepest first: to drop it would waste the most work."""
+    rank = ticket.level // SLOTS_PER_RANK
+    return rank, -ticket.hop, ticket.level, ticket.arrived, ticket.call_id
 
 
 def _averaged(mean: float, value: float) -> float:
--- a/dunlinsaddle/policy/capacity.py
+++ b/dunlinsaddle/policy/capacity.py
@@ -40,6 +40,10 @@
             self._calls *= 0.5
             self._time *= 0.5
 
+    def idle(self, now: float) -> float:
+        """Give for how many seconds places have been free."""
+        return 0.0 if self._saturated else now - self._free_since
+
     def estimate(self, now: float, ceiling: float) -> float:
         """Give calls a second; ``ceiling`` is what the limit lets through by Little's law."""
         if self._calls < FIRST_CALLS or not self._time:
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -1,11 +1,13 @@
 """Which priority levels are admitted: at one target, and along the chain below a call."""
 
+from collections import deque
 from itertools import accumulate
 from math import exp
 from typing import NamedTuple
 
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
+from dunlinsaddle.policy.trend import DemandTrend
 
 SHORTEST_MEMORY = 0.2  #: seconds over which demand is averaged, as ENOUGH_CALLS take
 LONGEST_MEMORY = 0.5
@@ -14,15 +16,10 @@
 GAIN = 0.5  #: share of the way to the wanted level in one tick
 FAR_OVER = 1.5  #: demand over capacity from which the level falls at once
 MOST_RELAX = 64  #: levels that are opened in one tick at most
-NEARBY = 32  #: open levels whose demand tells that of the shut ones
 FEW_LEVELS = 4
-KNOWN_MEMORY = 2.0  #: seconds over which the demand of open levels is remembered
-SHUT_MEMORY = 5.0  #: seconds for which the demand of shut levels is remembered
-MOST_CERTAIN = 4.0  #: standard errors that are no chance, at recovery_bias 0
-LEAST_CERTAIN = 2.5  #: the same at recovery_bias 1
-MOST_FALLEN = 0.6  #: share of demand that is a fall of it, at recovery_bias 0
-LEAST_FALLEN = 0.8  #: the same at recovery_bias 1
-RISEN = 1.4
+OPEN_AFTER = 0.05  #: seconds of spare capacity that are no chance
+SETTLED = 0.8  #: seconds after which the demand of an opened level is seen in full
+SHUT_MEMORY = 1.0  #: seconds for which the demand of shut levels is remembered
 LEARN_GAIN = 0.25
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
 REOPEN_RATE = 256.0  #: levels a second
@@ -35,34 +32,42 @@
 
     All targets of a chain order requests alike, so this one number, told upstream, lets
     each hop refuse the same requests that this target would refuse. What is refused
-    upstream is not seen here any more; its demand is remembered for a while, so that the
-    level opens by as much as the spare capacity can take and no further.
+    upstream is not seen here any more; its demand is worked out from that of the open
+    levels, so that the level opens by as much as the spare capacity can take.
     """
 
-    def __init__(self, utilisation: float = 1.0, bias: float = 0.5) -> None:
+    def __init__(self, utilisation: float = 1.0) -> None:
         self.utilisation = utilisation
-        self.bias = bias  #: 0 takes a fall of demand for chance longer, 1 opens sooner
         self.level = float(LOWEST_LEVEL)
         self.demand = 0.0  #: calls a second, over all levels
         self._memory = SHORTEST_MEMORY
         self._counts = [0.0] * (LOWEST_LEVEL + 1)
         self._known = [0.0] * (LOWEST_LEVEL + 1)
         self._ticked = 0.0
+        self._lowest = RecentLowest(SETTLED)
 
     def arrived(self, level: int) -> None:
         """Count a call that asks to run."""
         self._counts[level] += 1
 
-    def update(self, now: float, capacity: float) -> None:
-        """Decide anew if a tick has passed; capacity in calls a second, 0 if unknown."""
+    def update(self, now: float, capacity: float, idle: float = 0.0) -> None:
+        """Decide anew if a tick has passed.
+
+        ``capacity`` is in calls a second, 0 if unknown; ``idle`` says for how many seconds
+        the target has had free places and nothing has waited.
+        """
         elapsed = now - self._ticked
         if elapsed < TICK:
             return
         self._ticked = now
         self.demand = sum(self._counts) / self._memory
         self._remember(elapsed)
-        if capacity > 0:
+        if idle > OPEN_AFTER:
+            # Whatever was estimated was too much; the queue takes what comes too many.
+            self.level = float(LOWEST_LEVEL)
+        elif capacity > 0:
             self._decide(capacity * self.utilisation * self._memory)
+        if capacity > 0:
             self._resize(capacity)
         decay = exp(-elapsed / self._memory)
         self._counts = [count * decay for count in self._counts]
@@ -79,48 +84,27 @@
         self._known = [count * scale for count in self._known]
 
     def _remember(self, elapsed: float) -> None:
-        """Follow the demand of open levels; keep that of shut ones, which is not seen.
+        """Take the demand of shut levels for that of the open ones of their rank.
 
-        A level that was just opened shows no demand until the hops above have heard of it.
-        Taking that for spare room would open all levels, and flood the target a moment
-        later; so the memory outlasts the way up and down the chain.
+        What is refused upstream is not seen here. The hash spreads the demand of a rank
+        evenly over its levels, so those that have long been open tell that of the others,
+        without a memory that would be slow to forget a surge. A rank that is shut as a
+        whole shows nothing: what was seen of it last is remembered for a while.
         """
         end = int(self.level) + 1
-        shift = self._shift(end)
-        gain = min(elapsed / KNOWN_MEMORY, 1.0)
-        floor = self._density(end)
-        rank_end = (end // SLOTS_PER_RANK + 1) * SLOTS_PER_RANK
+        steady = int(min(self._lowest.update(self._ticked, self.level), self.level)) + 1
+        start = steady // SLOTS_PER_RANK * SLOTS_PER_RANK
+        rank_end = start + SLOTS_PER_RANK
         decay = exp(-elapsed / SHUT_MEMORY)
-        known = [k * shift for k in self._known]
-        for level, count in enumerate(self._counts):
-            if level < end:
-                known[level] += gain * (count - known[level])
-            elif level < rank_end:
-                known[level] = max(known[level] * decay, floor)
-            else:
-                known[level] *= decay
-        self._known = known
-
-    def _shift(self, end: int) -> float:
-        """Give the factor by which demand has risen or fallen, 1 if it may be chance.
-
-        The hash spreads each rank's demand evenly: what changed in the open levels has
-        changed in the shut ones too. Without this the memory of a surge delays recovery.
-        """
-        now, known = sum(self._counts[:end]), sum(self._known[:end])
-        certain = MOST_CERTAIN + (LEAST_CERTAIN - MOST_CERTAIN) * self.bias
-        if abs(now - known) <= certain * max(known, 1.0) ** 0.5 or not known:
-            return 1.0
-        fallen = MOST_FALLEN + (LEAST_FALLEN - MOST_FALLEN) * self.bias
-        ratio = now / known
-        return 1.0 if fallen < ratio < RISEN else ratio
-
-    def _density(self, end: int) -> float:
-        """Give the mean demand of the open levels next to the shut ones, in their rank."""
-        start = max(end // SLOTS_PER_RANK * SLOTS_PER_RANK, end - NEARBY)
-        if end - start < FEW_LEVELS:
-            return 0.0
-        return sum(self._known[start:end]) / (end - start)
+        faded = [max(c, k * decay) for c, k in zip(self._counts, self._known, strict=True)]
+        self._known = self._counts[:end] + faded[end:]
+        if steady - start < FEW_LEVELS:
+            self._known[steady:end] = faded[steady:end]
+            return
+        density = sum(self._counts[start:steady]) / (steady - start)
+        self._known[steady:rank_end] = [density] * (rank_end - steady)
+        if end > rank_end:
+            self._known[rank_end:end] = faded[rank_end:end]
 
     def _decide(self, room: float) -> None:
         """Take the room in calls that the counts stand for."""
@@ -141,6 +125,23 @@
     return float(LOWEST_LEVEL)
 
 
+class RecentLowest:
+    """The lowest value of the last seconds: levels below it have been open all that time."""
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self._values: deque[tuple[float, float]] = deque()
+
+    def update(self, now: float, value: float) -> float:
+        """Add a value; gives the lowest one that is not too old."""
+        while self._values and self._values[-1][1] >= value:
+            self._values.pop()
+        self._values.append((now, value))
+        while self._values[0][0] < now - self.seconds:
+            self._values.popleft()
+        return self._values[0][1]
+
+
 class Heard(NamedTuple):
     """A level, and for how many seconds its target has not confirmed it."""
 
@@ -169,6 +170,7 @@
         self._learned: dict[tuple[str, str], _Learned] = {}
         self._edges: dict[str, dict[tuple[str, str], float]] = {}
         self._share = 0.0
+        self._trend = DemandTrend()
 
     def learn(self, now: float, service: str, rule: str, heard: Heard) -> None:
         """Take the level that came with an answer; answers of all targets are averaged."""
@@ -205,9 +207,19 @@
         known = self._learned.get((service, rule))
         return LOWEST_LEVEL if known is None else _aged(known, now)
 
-    def check(self, now: float, service: str, rule: str, level: int) -> Failure | None:
-        """Give the refusal for a call that would be refused further down; None if it may go."""
-        admitted = self.admitted(now, service, rule)
+    def check(
+        self, now: float, service: str, rule: str, level: int, hop: int = 0
+    ) -> Failure | None:
+        """Give the refusal for a request that would be refused further down; None if it may go.
+
+        Only the entry refuses early. A level moves while a request is on its way; refusing
+        by it at a later hop would throw away the work of all hops before, and a chain of
+        eleven would lose a little at each.
+        """
+        if hop:
+            return None
+        self._trend.arrived(now)
+        admitted = _opened(self.admitted(now, service, rule), self._trend.fallen(now))
         if level <= admitted or self._marginal(level - admitted):
             return None
         excess = level / max(admitted, 1.0)
@@ -224,6 +236,14 @@
         return True
 
 
+def _opened(level: float, fallen: float) -> float:
+    """Give the level that admits as many calls now as ``level`` did before demand fell."""
+    if fallen >= 1 or level < 0:
+        return level
+    start = int(level) // SLOTS_PER_RANK * SLOTS_PER_RANK
+    return min(start + (level - start + 1) / fallen - 1, start + SLOTS_PER_RANK - 1)
+
+
 def _aged(known: _Learned, now: float) -> float:
     stale = max(now - known.confirmed - STALE_AFTER, 0.0)
     return min(known.level + stale * REOPEN_RATE, LOWEST_LEVEL)
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.admission import (
     Admission,
     AdmissionPolicy,
@@ -14,13 +14,13 @@
     Wait,
 )
 from dunlinsaddle.policy.callers import ResendGuard
-from dunlinsaddle.policy.context import Priority
 from dunlinsaddle.policy.level import ChainLevels, Heard
 from dunlinsaddle.policy.naive import RETRIES_PER_HOP
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Barred, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.records.models import ServiceRecord
+from dunlinsaddle.replay.attempt import ENTRY, Answer, Attempt, Parent, refused
 from dunlinsaddle.replay.events import EventLoop, Process, Waiter
 from dunlinsaddle.replay.fakes import FakeTarget, Network
 from dunlinsaddle.replay.trace import Call
@@ -29,76 +29,6 @@
 VIEW_LAG = 0.5  #: seconds until all nodes have heard that a target has gone or come
 
 
-class Attempt:
-    """One sending of a request by its caller, and the target calls it has cost."""
-
-    __slots__ = (
-        'caller',
-        'calls',
-        'deadline',
-        'deaths',
-        'failed',
-        'fingerprint',
-        'kills',
-        'priority',
-        'resent',
-        'wasted',
-    )
-
-    def __init__(
-        self,
-        caller: str,
-        priority: Priority,
-        deadline: float,
-        *,
-        fingerprint: int = 0,
-        kills: bool = False,
-    ) -> None:
-        self.caller = caller
-        self.priority = priority
-        self.deadline = deadline
-        self.fingerprint = fingerprint
-        self.kills = kills
-        self.deaths = 0
-        self.calls = 0
-        self.wasted = 0
-        self.resent = 0
-        self.failed = False
-
-    def spend(self) -> None:
-        """Count a call that a target began to run."""
-        self.calls += 1
-        if self.failed:
-            self.wasted += 1
-
-    def end(self, *, whole: bool) -> None:
-        """Note how the request ended; if it failed, all its calls were wasted."""
-        self.failed = not whole
-        self.wasted = 0 if whole else self.calls
-
-
-class Answer(NamedTuple):
-    """What comes back to a hop. ``failure`` is None for a whole answer."""
-
-    failure: Failure | None = None
-    load: Load | None = None
-
-    @property
-    def kind(self) -> ErrorKind | None:
-        """The kind of the failure."""
-        return self.failure.kind if self.failure else None
-
-    @property
-    def outcome(self) -> Outcome:
-        """What is known of the work."""
-        return self.failure.outcome if self.failure else Outcome.DONE
-
-
-def refused(kind: ErrorKind, load: Load | None = None) -> Answer:
-    """Give the answer for a failure."""
-    return Answer(Failure(kind, retry_after=1.0), load)
-
-
 class Fleet(NamedTuple):
     """What all nodes share."""
 
@@ -135,7 +65,7 @@
         return (yield from self.dispatch(attempt, call, allowance))
 
     def dispatch(
-        self, attempt: Attempt, call: Call, allowance: Allowance, parent: str = ''
+        self, attempt: Attempt, call: Call, allowance: Allowance, parent: Parent = ENTRY
     ) -> Process:
         """Send a call to targets of its service until one answer is final."""
         raise NotImplementedError
@@ -147,7 +77,7 @@
     def _mourn(self, attempt: Attempt) -> None:
         """Note that the target died while it ran a request."""
 
-    def execute(self, attempt: Attempt, call: Call, allowance: Allowance) -> Process:
+    def execute(self, attempt: Attempt, call: Call, allowance: Allowance, hop: int = 0) -> Process:
         """Run a call at the local target, or refuse it."""
         loop = self.fleet.loop
         if not self.target.up:
@@ -157,7 +87,15 @@
             return Answer(barred)
         self._tickets += 1
         level = attempt.priority.level
-        ticket = Ticket(self._tickets, level, loop.now, attempt.deadline, call.rule, attempt.caller)
+        ticket = Ticket(
+            self._tickets,
+            level,
+            loop.now,
+            attempt.deadline,
+            call.rule,
+            attempt.caller,
+            hop,
+        )
         match self.admission.arrive(loop.now, ticket):
             case Refuse(failure):
                 return Answer(failure, self._load(call))
@@ -203,7 +141,8 @@
         if computed and call.calls:
             self.admission.leave(loop.now, ticket)
             self._release()
-            answer = yield from self._call_others(attempt, call, allowance)
+            parent = Parent(call.rule, ticket.hop + 1)
+            answer = yield from self._call_others(attempt, call, allowance, parent)
         if self.target.deaths == life:
             self.target.open -= 1
         elif answer.failure is None:
@@ -218,9 +157,11 @@
         self._finish(ticket, Sample(call.rule, own_time, done))
         return answer._replace(load=self._load(call))
 
-    def _call_others(self, attempt: Attempt, call: Call, allowance: Allowance) -> Process:
+    def _call_others(
+        self, attempt: Attempt, call: Call, allowance: Allowance, parent: Parent
+    ) -> Process:
         for child in call.calls:
-            answer: Answer = yield from self.dispatch(attempt, child, allowance, call.rule)
+            answer: Answer = yield from self.dispatch(attempt, child, allowance, parent)
             if answer.failure is not None:
                 # The target passes a failure on as its own: the work has partly run here.
                 return Answer(answer.failure)
@@ -252,16 +193,23 @@
         """Give the time at which the target stops work on a call."""
         return attempt.deadline
 
-    def _send(self, other: 'FakeNode', attempt: Attempt, call: Call, handed: Allowance) -> Process:
+    def _send(
+        self,
+        other: 'FakeNode',
+        attempt: Attempt,
+        call: Call,
+        handed: Allowance,
+        hop: int,
+    ) -> Process:
         """Hand a call to another node and bring its answer back; lost when cut off."""
         network = self.fleet.network
         if other is self:
-            return (yield from self.execute(attempt, call, handed))
+            return (yield from self.execute(attempt, call, handed, hop))
         if not network.reaches(self.instance.domain, other.instance.domain):
             yield SILENT_AFTER
             return refused(ErrorKind.PEER_LOST)
         yield network.between
-        answer: Answer = yield from other.execute(attempt, call, handed)
+        answer: Answer = yield from other.execute(attempt, call, handed, hop)
         yield network.between
         if not network.reaches(self.instance.domain, other.instance.domain):
             yield SILENT_AFTER
@@ -327,7 +275,7 @@
                     node.quarantine.hear(self.fleet.loop.now, fingerprint, deaths)
 
     def dispatch(
-        self, attempt: Attempt, call: Call, allowance: Allowance, parent: str = ''
+        self, attempt: Attempt, call: Call, allowance: Allowance, parent: Parent = ENTRY
     ) -> Process:
         """Refuse early what deeper hops would refuse, else send with the shared allowance."""
         loop = self.fleet.loop
@@ -347,32 +295,42 @@
             if answer is not None:
                 attempt.resent += 1
             tried.add(chosen.instance)
-            answer = yield from self._try(attempt, call, allowance, listed[chosen.instance])
+            answer = yield from self._try(
+                attempt, call, allowance, listed[chosen.instance], parent.hop
+            )
             if attempt.deaths >= DEATHS_MOST:
                 return answer
             idempotent = self.fleet.idempotent(call.service, call.rule)
             if not may_resend(answer.kind, answer.outcome, idempotent=idempotent):
                 return answer
 
-    def _early_refusal(self, attempt: Attempt, call: Call, parent: str) -> Failure | None:
+    def _early_refusal(self, attempt: Attempt, call: Call, parent: Parent) -> Failure | None:
         now, levels = self.fleet.loop.now, self.levels
         if levels is None:
             return None
-        if parent:
-            levels.called(now, parent, call.service, call.rule)
-        return levels.check(now, call.service, call.rule, attempt.priority.level)
+        if parent.hop:
+            levels.called(now, parent.rule, call.service, call.rule)
+        level = attempt.priority.level
+        return levels.check(now, call.service, call.rule, level, parent.hop)
 
     def _nobody(self, call: Call) -> Answer:
         if self.levels is not None:
             self.levels.unavailable(self.fleet.loop.now, call.service, call.rule)
         return refused(ErrorKind.NO_TARGET)
 
-    def _try(self, attempt: Attempt, call: Call, allowance: Allowance, node: FakeNode) -> Process:
+    def _try(
+        self,
+        attempt: Attempt,
+        call: Call,
+        allowance: Allowance,
+        node: FakeNode,
+        hop: int,
+    ) -> Process:
         name = node.instance.instance
         handed = allowance.hand_down()
         held = Allowance(handed)
         self.router.sent(name)
-        answer: Answer = yield from self._send(node, attempt, call, held)
+        answer: Answer = yield from self._send(node, attempt, call, held, hop)
         if answer.kind in (ErrorKind.PEER_LOST, ErrorKind.NO_TARGET):
             self.router.failed(self.fleet.loop.now, name)
         else:
@@ -396,7 +354,7 @@
     """A node that tries each call four times at each hop, with a timer of its own."""
 
     def dispatch(
-        self, attempt: Attempt, call: Call, allowance: Allowance, parent: str = ''
+        self, attempt: Attempt, call: Call, allowance: Allowance, parent: Parent = ENTRY
     ) -> Process:
         """Try up to three more targets, whatever the failure was."""
         loop = self.fleet.loop
@@ -409,14 +367,18 @@
             waiter = Waiter(loop)
             timeout = self.fleet.records[call.service].deadline
             loop.call_at(loop.now + timeout, waiter.resolve, refused(ErrorKind.DEADLINE_EXCEEDED))
-            loop.spawn(self._answer(waiter, self.router.rng.choice(listed), attempt, call))
+            loop.spawn(
+                self._answer(waiter, self.router.rng.choice(listed), attempt, call, parent.hop)
+            )
             answer = yield waiter
             if answer.failure is None:
                 return answer
         return answer
 
-    def _answer(self, waiter: Waiter, node: FakeNode, attempt: Attempt, call: Call) -> Process:
-        answer = yield from self._send(node, attempt, call, Allowance(0))
+    def _answer(
+        self, waiter: Waiter, node: FakeNode, attempt: Attempt, call: Call, hop: int
+    ) -> Process:
+        answer = yield from self._send(node, attempt, call, Allowance(0), hop)
         waiter.resolve(answer)
 
     def _give_up(self, attempt: Attempt) -> float:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,6 +17,18 @@
         verdict = admission.arrive(0.0, build_ticket(3, level=5))
         self.assertEqual(Wait(evicted=build_ticket(2, level=300)), verdict)
 
+    def test_call_with_work_done_goes_before_others_of_its_rank(self):
+        # Callers lose requests that are almost done: the last hop of a chain sheds by level
+        # alone, and drops what ten hops have worked for to take in what nobody has.
+        admission = Admission(limit=1)
+        admission.arrive(0.0, build_ticket(1))
+        admission.arrive(0.0, build_ticket(2, level=130))
+        almost_done = build_ticket(3, level=250, hop=9)
+        verdict = admission.arrive(0.0, almost_done)
+        self.assertEqual(Wait(evicted=build_ticket(2, level=130)), verdict)
+        critical = build_ticket(4, level=5)
+        self.assertEqual(Wait(evicted=almost_done), admission.arrive(0.0, critical))
+
     def test_call_that_cannot_finish_in_time_is_refused_at_once(self):
         admission = Admission(limit=1)
         self.finish_one(admission, 1, seconds=2.0)
--- a/tests/test_level.py
+++ b/tests/test_level.py
@@ -35,6 +35,15 @@
             level.update(5.0 + i / 100, capacity=100.0)
         self.assertGreaterEqual(level.level, 383)
 
+    def test_level_opens_at_once_with_spare_capacity(self):
+        # Callers are refused though the target has free places and nothing waits: what it
+        # remembers of the demand at shut levels is taken for demand of now.
+        level = AdmittedLevel()
+        self.offer(level, range(256, 384), 0.0, 5.0, rate=1000)
+        self.assertLess(level.level, 300)
+        level.update(5.2, capacity=100.0, idle=0.1)
+        self.assertEqual(LOWEST_LEVEL, level.level)
+
 
 class ChainLevelsTest(TestCase):
     def test_entry_refuses_what_a_deeper_hop_would_refuse(self):
@@ -45,6 +54,28 @@
         self.assertGreaterEqual(failure.retry_after, 1.0)
         self.assertIsNone(levels.check(0.1, 'schedules', 'cuts', 290))
 
+    def test_only_the_entry_refuses_early(self):
+        # Callers lose requests that are almost done. The level falls a little while they are
+        # on their way, and the tenth hop refuses what the first has let in.
+        levels = ChainLevels()
+        levels.learn(0.0, 'schedules', 'cuts', Heard(300.0))
+        self.assertIsNone(levels.check(0.1, 'schedules', 'cuts', 320, hop=10))
+
+    def test_entry_opens_at_once_when_its_demand_falls(self):
+        # The surge has ended, and callers are refused for seconds more. The target down the
+        # chain works off what is on its way, so its level stays low, while the entry can see
+        # that a tenth of the demand is left.
+        levels = ChainLevels()
+        levels.learn(0.0, 'schedules', 'cuts', Heard(268.0))
+        for i in range(1500):
+            levels.check(i / 500, 'schedules', 'cuts', 256 + i * 37 % 128)
+            levels.learn(i / 500, 'schedules', 'cuts', Heard(268.0))
+        self.assertIsNotNone(levels.check(3.0, 'schedules', 'cuts', 300))
+        for i in range(50):
+            levels.check(3.0 + i / 50, 'schedules', 'cuts', 256 + i * 37 % 128)
+            levels.learn(3.0 + i / 50, 'schedules', 'cuts', Heard(268.0))
+        self.assertIsNone(levels.check(4.0, 'schedules', 'cuts', 300))
+
     def test_middle_hop_reports_the_worst_of_its_chain(self):
         levels = ChainLevels()
         levels.called(0.0, 'stock', 'schedules', 'cuts')
