--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,9 +79,13 @@
 
 
 class Fleet:
-    """A platform and any number of targets with their nodes; a context manager."""
+    """A platform and any number of targets with their nodes; a context manager.
 
-    def __init__(self) -> None:
+    With ``profiles``, a folder, each node runs under cProfile and leaves its figures there.
+    """
+
+    def __init__(self, profiles: str = '') -> None:
+        self.profiles = profiles
         self.processes: list[Process] = []
         self.platform = ''
         self.placed: dict[str, Placed] = {}
@@ -110,7 +114,9 @@
             'DUNLINSADDLE_OPERATOR_TOKEN': OPERATOR_TOKEN,
             **{f'DUNLINSADDLE_{key.upper()}': value for key, value in settings.items()},
         }
-        node = self._start([sys.executable, '-m', 'dunlinsaddle.daemon'], environ)
+        profiler = ['-m', 'cProfile', '-o', f'{self.profiles}/{name}.prof']
+        argv = [sys.executable, *(profiler if self.profiles else []), '-m', 'dunlinsaddle.daemon']
+        node = self._start(argv, environ)
         line = node.err.get(timeout=START_SECONDS)
         return node, json.loads(line)['faces']
 
--- a/standins/latency.py
+++ b/standins/latency.py
@@ -125,8 +125,9 @@
     parser.add_argument('--rate', default=300.0, type=float, help='calls a second')
     parser.add_argument('--rounds', default=10, type=int)
     parser.add_argument('--count', default=300, type=int, help='calls of a way in a round')
+    parser.add_argument('--profile', default='', help='folder for a cProfile file of each node')
     args = parser.parse_args()
-    with Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
+    with Fleet(args.profile) as fleet, tempfile.TemporaryDirectory() as folder:
         target = fleet.place('bangor-1', TargetSpec('templates', 'bangor-hall', 140, 0.0))
         # A node with a target of another service: its calls all go to the one above.
         entry = fleet.place('menai-1', TargetSpec('slab-stock', 'menai-hall', 140, 0.0))
