--- /dev/null
+++ b/standins/stages.py
@@ -0,0 +1,227 @@
+"""What the stages of a call cost in processor time: ``python -m standins.stages``.
+
+Everything runs in one process, and the least of several turns counts: others on the machine
+only ever add to a turn. The caches are warm here, as they are not in a node that waits
+between its calls, so the figures serve to compare two versions of the code.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import io
+import logging
+import socket
+import time
+from collections.abc import Callable
+from random import Random
+
+import h11
+
+from dunlinsaddle.calls.frames import _decoder, _encoder
+from dunlinsaddle.calls.http import HttpFace, HttpLimits, message_events
+from dunlinsaddle.calls.messages import Call
+from dunlinsaddle.environment import Environment
+from dunlinsaddle.node import Node
+from dunlinsaddle.policy.admission import Admission, Sample, Ticket
+from dunlinsaddle.policy.level import AdmittedLevel
+from dunlinsaddle.policy.route import Candidate, Router
+from dunlinsaddle.records.models import ServiceRecord, VersionedRecord
+from dunlinsaddle.settings import Address, read_settings
+from standins.caller import Caller
+from standins.demo import say
+from standins.target import Target
+
+TURNS = 12
+LOOPS = 300
+CALL_TURNS = 60
+CALLS = 40
+LOOPBACK = Address('127.0.0.1', 0)
+HEADERS = [(b'host', b'127.0.0.1:8080'), (b'content-length', b'0'), (b'accept', b'*/*')]
+LINES = b''.join(b'%s: %s\r\n' % header for header in HEADERS)
+REQUEST = b'GET /templates/oak/1 HTTP/1.1\r\n' + LINES + b'\r\n'
+ANSWER = b'HTTP/1.1 200 \r\ncontent-type: text/plain\r\ncontent-length: 40\r\n\r\n' + b'x' * 40
+
+Stage = Callable[[], object]
+
+
+def cost(stage: Stage) -> float:
+    """Give the processor time of one run in microseconds, the least of all turns."""
+    best = float('inf')
+    for _ in range(TURNS):
+        began = time.process_time()
+        for _ in range(LOOPS):
+            stage()
+        best = min(best, time.process_time() - began)
+    return best / LOOPS * 1e6
+
+
+def h11_stages() -> dict[str, Stage]:
+    """Parse and write one small message as server and as client, on kept connections."""
+    server, client = h11.Connection(h11.SERVER), h11.Connection(h11.CLIENT)
+
+    def serve() -> None:
+        server.receive_data(REQUEST)
+        while not isinstance(server.next_event(), h11.EndOfMessage):
+            pass
+        headers = [(b'content-type', b'text/plain'), (b'content-length', b'40')]
+        for event in message_events(h11.Response(status_code=200, headers=headers), b'x' * 40):
+            server.send(event)
+        server.start_next_cycle()
+
+    def ask() -> None:
+        for event in message_events(h11.Request(method='GET', target='/', headers=HEADERS), b''):
+            client.send(event)
+        client.receive_data(ANSWER)
+        while not isinstance(client.next_event(), h11.EndOfMessage):
+            pass
+        client.start_next_cycle()
+
+    return {'parse, write: h11 as server': serve, 'write, parse: h11 as client': ask}
+
+
+def link_stages() -> dict[str, Stage]:
+    """Write and read one frame."""
+    call = Call(
+        1, 'templates', 'GET', '/oak/1', HEADERS, b'', 'id', '::1', 'r', 2, 5, 1.0, 1, 0, True
+    )
+    frame = _encoder.encode(call)
+    return {
+        'forward: encode one Call': lambda: _encoder.encode(call),
+        'forward: decode one Call': lambda: _decoder.decode(frame),
+    }
+
+
+def policy_stages() -> dict[str, Stage]:
+    """Decide on one call, and once a tick."""
+    admission, level, router = Admission(), AdmittedLevel(), Router('bangor-hall', Random(1))
+    candidates = [Candidate(f'bangor-{n}', 'bangor-hall') for n in range(3)]
+    now = 0.0
+    number = 0
+
+    def admit() -> None:
+        nonlocal now, number
+        number += 1
+        now += 0.0001
+        ticket = Ticket(number, 200, now, now + 5)
+        admission.arrive(now, ticket)
+        admission.finish(now, ticket, Sample('default', 0.0001, completed=True))
+        admission.release(now)
+        admission.load(now)
+
+    def tick() -> None:
+        nonlocal now
+        now += 0.11
+        for slot in range(25):
+            level.arrived(260 + slot)
+        level.update(now, 200.0)
+
+    def route() -> None:
+        chosen = router.choose(now, candidates)
+        assert chosen is not None
+        router.sent(chosen.instance)
+        router.answered(chosen.instance, None)
+
+    return {
+        'decide: admit, finish, load': admit,
+        'decide: one tick of the level (10 a second)': tick,
+        'decide: route among three': route,
+    }
+
+
+def loop_stages(loop: asyncio.AbstractEventLoop) -> dict[str, Stage]:
+    """Call the system and the loop as each message does."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    near = socket.create_connection(listener.getsockname())
+    far, _ = listener.accept()
+
+    def exchange() -> None:
+        near.send(ANSWER)
+        far.recv(65536)
+
+    return {
+        'system: one send and recv over TCP': exchange,
+        'loop: a timer set and cancelled': lambda: loop.call_later(10.0, print).cancel(),
+        'loop: one task, two turns': lambda: loop.run_until_complete(asyncio.sleep(0)),
+    }
+
+
+def build_node(name: str) -> Node:
+    """Build a node without a platform."""
+    faces = dict.fromkeys(('callers', 'local', 'peers', 'operators', 'gossip'), str(LOOPBACK))
+    flags = {
+        'instance': name,
+        'domain': 'bangor-hall',
+        'platform': '127.0.0.1:9',
+        'peer-key': 'a-key-for-trials',
+        'operator-token': 'a-token-for-trials',
+        **faces,
+    }
+    settings = read_settings(flags, {}).unwrap()
+    silent = io.StringIO()
+    env = Environment(stdout=silent, stderr=silent)
+    node = Node(settings, env, logging.getLogger('standins.stages'))
+    node.book.take(VersionedRecord('templates', 1, ServiceRecord('templates', 2)))
+    return node
+
+
+async def spend(caller: Caller, address: Address, path: str) -> float:
+    """Give the processor time of one call in microseconds, in one turn."""
+    began = time.process_time()
+    for _ in range(CALLS):
+        response = await caller.call(address, 'GET', path)
+        assert response is not None and response.status == 200, response
+    return (time.process_time() - began) / CALLS * 1e6
+
+
+async def whole_calls(profiler: cProfile.Profile | None) -> dict[str, float]:
+    """Send calls one after another straight to a target, through one node, through two."""
+    beside, entry = build_node('bangor-1'), build_node('menai-1')
+    await beside.start()
+    await entry.start()
+    target = Target('bangor-1', 'templates', beside.faces.local, 140, 0.0, [])
+    face = HttpFace(target.handle, HttpLimits())
+    address = await face.listen(LOOPBACK)
+    announcing = asyncio.create_task(target.announce(address))
+    await asyncio.sleep(0.5)
+    entry.view.take(beside.me())
+    caller = Caller()
+    ways = {
+        'direct': (address, '/oak/1'),
+        'one node': (beside.faces.callers, '/templates/oak/1'),
+        'two nodes': (entry.faces.callers, '/templates/oak/1'),
+    }
+    best = dict.fromkeys(ways, float('inf'))
+    if profiler is not None:
+        profiler.enable()
+    for _ in range(CALL_TURNS):
+        for name, way in ways.items():
+            best[name] = min(best[name], await spend(caller, *way))
+    if profiler is not None:
+        profiler.disable()
+    announcing.cancel()
+    caller.close()
+    face.close()
+    for node in (entry, beside):
+        await node.stop()
+    return {f'{name}, added': best[name] - best['direct'] for name in ('one node', 'two nodes')}
+
+
+def main() -> None:
+    """Run all stages, then whole calls."""
+    parser = argparse.ArgumentParser(description='Measures the stages of a call.')
+    parser.add_argument('--profile', default='', help='file for a cProfile of the whole calls')
+    args = parser.parse_args()
+    with asyncio.Runner() as runner:
+        loop = runner.get_loop()
+        stages = {**h11_stages(), **link_stages(), **policy_stages(), **loop_stages(loop)}
+        for name, stage in stages.items():
+            say(f'{name:<46}{cost(stage):>8.1f} us')
+        profiler = cProfile.Profile() if args.profile else None
+        for name, micros in runner.run(whole_calls(profiler)).items():
+            say(f'{name:<46}{micros:>8.1f} us')
+        if profiler is not None:
+            profiler.dump_stats(args.profile)
+
+
+if __name__ == '__main__':
+    main()
