Admitted level: slices and a bisection in a tick

Cause: a tick walks 512 levels several times, on the path of the call that finds it due. Ruled out: a running factor in place of the decay, which changes the sums' last digits and with them the replays.

--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -1,5 +1,6 @@
 """Which priority levels are admitted: at one target, and along the chain below a call."""
 
+from bisect import bisect_right
 from itertools import accumulate
 from math import exp
 from typing import NamedTuple
@@ -88,15 +89,13 @@
         floor = self._density(end)
         rank_end = (end // SLOTS_PER_RANK + 1) * SLOTS_PER_RANK
         decay = exp(-elapsed / SHUT_MEMORY)
-        known = [k * shift for k in self._known]
-        for level, count in enumerate(self._counts):
-            if level < end:
-                known[level] += gain * (count - known[level])
-            elif level < rank_end:
-                known[level] = max(known[level] * decay, floor)
-            else:
-                known[level] *= decay
-        self._known = known
+        known = self._known if shift == 1.0 else [k * shift for k in self._known]
+        # Slices, as a tick holds up the calls that come meanwhile.
+        self._known = [
+            *[k + gain * (count - k) for k, count in zip(known[:end], self._counts, strict=False)],
+            *[max(k * decay, floor) for k in known[end:rank_end]],
+            *[k * decay for k in known[rank_end:]],
+        ]
 
     def _shift(self, end: int) -> float:
         """Give the factor by which demand has risen or fallen, 1 if it may be chance.
@@ -128,12 +127,12 @@
 
 def _fill(counts: list[float], room: float) -> float:
     """Give the level, with its fraction, up to which the counts fill the room."""
-    before = 0.0
-    for level, total in enumerate(accumulate(counts)):
-        if total > room:
-            return level - 1 + (room - before) / (total - before)
-        before = total
-    return float(LOWEST_LEVEL)
+    totals = list(accumulate(counts))
+    level = bisect_right(totals, room)
+    if level == len(totals):
+        return float(LOWEST_LEVEL)
+    before = totals[level - 1] if level else 0.0
+    return level - 1 + (room - before) / (totals[level] - before)
 
 
 class Heard(NamedTuple):
