--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -20,12 +20,13 @@
     Wait,
 )
 from dunlinsaddle.policy.context import CallContext
-from dunlinsaddle.policy.level import ChainLevels
+from dunlinsaddle.policy.level import TICK, ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
 
 COME_BACK = 1.0
+TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
 class LocalTarget:
@@ -100,6 +101,8 @@
         self._tickets = 0
         self._shadows: set[int] = set()
         self._suspect_lock = asyncio.Lock()
+        self._ticked = 0  #: tickets given out at the last tick
+        self._ticking = False
 
     async def execute(self, work: Work) -> Reply:
         """Run one call at the local target, or refuse it.
@@ -149,10 +152,26 @@
 
     def _ticket(self, ctx: CallContext) -> Ticket:
         self._tickets += 1
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if not self._ticking:
+            self._ticking = True
+            loop.call_later(TICK_SECONDS, self._tick)
         level = ctx.priority.level
         return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller)
 
+    def _tick(self) -> None:
+        """Let admission decide between calls: a call that finds it due waits for it.
+
+        Without calls there is nothing to decide, and an idle node is not woken.
+        """
+        loop = asyncio.get_running_loop()
+        self.admission.load(loop.time())
+        self._ticking = self._tickets != self._ticked
+        self._ticked = self._tickets
+        if self._ticking:
+            loop.call_later(TICK_SECONDS, self._tick)
+
     async def _admit(self, ticket: Ticket, service: str) -> Failure | None:
         loop = asyncio.get_running_loop()
         verdict = self.admission.arrive(loop.time(), ticket)
