Dispatch and client: candidates kept per view, one timer an exchange

Cause: each call built a dict and a Candidate for every target of its service, and the client set two timers for a call that meets neither. Change: candidates are built when the view gives another list; the deadline's timer of an exchange that may be repeated is set only once the overdue one has fired. Ruled out: one timer for all exchanges, a heap of our own beside the loop's.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -53,6 +53,7 @@
         self.heard = False
         self.closed = False
         self.answers = 0
+        self.timer: asyncio.TimerHandle | None = None
         self.repeat: asyncio.Task[None] | None = None
         self.answered_at = 0.0
 
@@ -283,10 +284,12 @@
     ) -> Exchange:
         loop = conn.loop
         sent_at = loop.time()
-        timers = [loop.call_at(sending.deadline, self._expire, pool, conn)]
-        if sending.may_repeat is not None and conn.answers:
-            at = pool.overdue_at(sent_at)
-            timers.append(loop.call_at(at, self._check_overdue, conn, sending, pool, sent_at))
+        overdue = pool.overdue_at(sent_at)
+        if sending.may_repeat is not None and conn.answers and overdue < sending.deadline:
+            # One timer at a time: nearly all calls end before either.
+            conn.timer = loop.call_at(overdue, self._check_overdue, conn, sending, pool, sent_at)
+        else:
+            conn.timer = loop.call_at(sending.deadline, self._expire, pool, conn)
         try:
             exchange = await fut
         except asyncio.CancelledError:
@@ -294,8 +297,7 @@
             conn.transport.abort()
             raise
         finally:
-            for timer in timers:
-                timer.cancel()
+            conn.timer.cancel()
             if conn.repeat is not None:
                 conn.repeat.cancel()
         if isinstance(exchange, Answered):
@@ -328,6 +330,7 @@
         # is lost, and nothing seen from here tells which. Both get an answer if it is sent
         # once more over a new connection while the old one is still listened to.
         assert sending.may_repeat is not None
+        conn.timer = conn.loop.call_at(sending.deadline, self._expire, pool, conn)
         if pool.answered_at > sent_at and sending.may_repeat():
             pool.drop_idle()
             conn.repeat = conn.loop.create_task(self._repeat(conn, sending, pool))
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -1,6 +1,7 @@
 """Sends a call to a target of its service, again elsewhere where that is safe."""
 
 import asyncio
+from typing import NamedTuple
 
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.link import PeerLinks
@@ -20,6 +21,22 @@
 FIRST_ERROR_STATUS = 500
 
 
+class _Choices(NamedTuple):
+    """What the router is given for one service, as long as the view gives the same list."""
+
+    serving: list[Member]
+    members: dict[str, Member]
+    candidates: list[Candidate]
+
+
+def _choices(serving: list[Member]) -> _Choices:
+    members = {m.instance: m for m in serving}
+    candidates = [
+        Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members.values()
+    ]
+    return _Choices(serving, members, candidates)
+
+
 class Dispatcher:
     """Chooses a target, hands the call over, and spends the retry allowance."""
 
@@ -41,6 +58,7 @@
         self.stats = stats
         self.quarantine = quarantine
         self.once: OnceGate | None = None
+        self._choices: dict[str, _Choices] = {}
 
     async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
         """Give a call to one target after another until one answer is final.
@@ -91,13 +109,13 @@
 
     def choose(self, service: str, tried: set[str]) -> Member | None:
         """Give the member to send a call to, or None when all were tried."""
-        members = {m.instance: m for m in self.view.serving(service)}
-        candidates = [
-            Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members.values()
-        ]
+        serving = self.view.serving(service)
+        known = self._choices.get(service)
+        if known is None or known.serving is not serving:
+            known = self._choices[service] = _choices(serving)
         now = asyncio.get_running_loop().time()
-        chosen = self.router.choose(now, candidates, frozenset(tried))
-        return members[chosen.instance] if chosen else None
+        chosen = self.router.choose(now, known.candidates, frozenset(tried))
+        return known.members[chosen.instance] if chosen else None
 
     async def _try(self, work: Work, member: Member) -> Reply:
         loop = asyncio.get_running_loop()
