HTTP: take the headers out of the parser's type once

Cause: a face walked h11's Headers three times a request and the client twice an answer, and each walk builds every pair anew.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -7,9 +7,16 @@
 
 import h11
 
-from dunlinsaddle.calls.http import BODILESS, HOP_BY_HOP, HttpRequest, HttpResponse, message_events
+from dunlinsaddle.calls.http import (
+    BODILESS,
+    FRAMING,
+    HOP_BY_HOP,
+    HttpRequest,
+    HttpResponse,
+    message_events,
+)
 from dunlinsaddle.calls.keepalive import watch_connection
-from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.messages import Headers, Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.settings import Address
 
@@ -47,6 +54,7 @@
         self.transport: asyncio.Transport
         self.fut: asyncio.Future[Exchange] | None = None
         self.head: h11.Response | None = None
+        self.headers: Headers = []
         self.chunks: list[bytes] = []
         self.size = 0
         self.method = ''
@@ -134,9 +142,10 @@
 
     def _begin(self, head: h11.Response) -> None:
         self.head = head
+        self.headers = list(head.headers)
         if self.method == 'HEAD' or head.status_code in BODILESS:
             return
-        framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
+        framing = {n: v for n, v in self.headers if n in FRAMING}
         if not framing:
             # A body that ends with the connection looks the same whole or cut.
             self.drop(Lost('the answer has no length', ErrorKind.OUTCOME_UNKNOWN))
@@ -150,8 +159,7 @@
 
     def _complete(self) -> None:
         assert self.head is not None
-        headers = [(bytes(n), bytes(v)) for n, v in self.head.headers]
-        response = HttpResponse(self.head.status_code, headers, b''.join(self.chunks))
+        response = HttpResponse(self.head.status_code, self.headers, b''.join(self.chunks))
         self.chunks = []
         ended = self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
         # Bytes behind the answer, as of a doubled one, would be read as the next answer.
--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -29,6 +29,7 @@
     }
 )
 OWN_PREFIX = b'dunlinsaddle-'
+FRAMING = frozenset({b'content-length', b'transfer-encoding'})
 BODILESS = frozenset({204, 304})
 
 
@@ -122,6 +123,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.expires_at = math.inf
         self.head: h11.Request | None = None
+        self.headers: Headers = []
         self.chunks: list[bytes] = []
         self.size = 0
         self.ahead = 0  #: bytes read while a request is being answered
@@ -256,16 +258,18 @@
 
     def _begin(self, head: h11.Request) -> Failure | None:
         self.head = head
+        # Taken out once: each walk over the parser's own type builds all pairs anew.
+        self.headers = list(head.headers)
         self.started = True
         self._set_timer(self.face.limits.header_timeout)
         if len(head.target) > MAX_TARGET_BYTES:
             return Failure(ErrorKind.TARGET_TOO_LONG)
         # The parser bounds only what is not yet whole: a large head in one piece passes it.
-        if sum(len(n) + len(v) + 4 for n, v in head.headers) > self.face.limits.header_bytes:
+        if sum([len(n) + len(v) + 4 for n, v in self.headers]) > self.face.limits.header_bytes:
             return Failure(ErrorKind.HEADERS_TOO_LARGE)
         if head.method == b'CONNECT':
             return Failure(ErrorKind.METHOD_NOT_ALLOWED, 'CONNECT')
-        framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
+        framing = {n: v for n, v in self.headers if n in FRAMING}
         if len(framing) > 1:
             # Two parties that pick different ones would cut the stream at different places,
             # and a caller could slip a request in as part of a body (RFC 9112, 6.1).
@@ -282,7 +286,7 @@
         req = HttpRequest(
             self.head.method.decode('ascii'),
             self.head.target.decode('latin-1'),
-            [(bytes(n), bytes(v)) for n, v in self.head.headers],
+            self.headers,
             b''.join(self.chunks),
             self.remote,
         )
