--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -330,7 +330,8 @@
         self._set_timer(limits.header_timeout if self.started else limits.idle_timeout)
         self.face.note_idle()
         # One answer at a time is in memory: the next request waits until this one is sent.
-        if not self.unsent:
+        # Mostly there is none, and the parser need not be asked.
+        if self.started and not self.unsent:
             self._advance()
 
     def _refuse(self, failure: Failure) -> None:
