Links: no kernel probe a second on idle ones

Cause: each end had the kernel probe after 1 s of silence. Two nodes with a link either way and nothing to say sent 4.0 segments a second each, 208 B/s with 52 bytes a segment; with links both ways to 959 others that is 200 KB/s, against 5 KB/s for all control. Ruled out: our own Ping, which runs only while a call is on the link. Change: 60 s on links, where a link with calls pings and an idle one is asked before it is used. Connections to targets, callers and the platform keep 1 s. The test failed first: [1, 1] in place of [60, 60].

--- a/dunlinsaddle/calls/frames.py
+++ b/dunlinsaddle/calls/frames.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from dunlinsaddle.calls.keepalive import watch_connection
+from dunlinsaddle.calls.keepalive import LINK_IDLE_SECONDS, watch_connection
 from dunlinsaddle.calls.messages import Frame
 
 LENGTH_BYTES = 4
@@ -74,7 +74,9 @@
         """Watch over the new connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        watch_connection(transport)
+        # A link that carries calls pings, and an idle one is asked before it is used again. A
+        # probe a second on each of a thousand idle links would take ten times the budget.
+        watch_connection(transport, LINK_IDLE_SECONDS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note the end of the connection."""
--- a/dunlinsaddle/calls/keepalive.py
+++ b/dunlinsaddle/calls/keepalive.py
@@ -4,29 +4,31 @@
 import socket
 
 IDLE_SECONDS = 1
+LINK_IDLE_SECONDS = 60
 INTERVAL_SECONDS = 1
 PROBES = 2
 UNACKED_MILLISECONDS = 3000
 
 _TCP_OPTIONS = (
     (socket.TCP_NODELAY, 1),
-    (socket.TCP_KEEPIDLE, IDLE_SECONDS),
     (socket.TCP_KEEPINTVL, INTERVAL_SECONDS),
     (socket.TCP_KEEPCNT, PROBES),
     (socket.TCP_USER_TIMEOUT, UNACKED_MILLISECONDS),
 )
 
 
-def watch_connection(transport: asyncio.BaseTransport) -> None:
+def watch_connection(transport: asyncio.BaseTransport, idle: int = IDLE_SECONDS) -> None:
     """Have the kernel probe a connection, and end it about 3 s after the far end is lost.
 
     Without it a connection that a middle box has forgotten waits for its whole deadline: a
     request that takes seconds looks the same. The probes do not depend on how long a request
-    takes, so a slow target is never taken for a lost one.
+    takes, so a slow target is never taken for a lost one. They begin after ``idle`` seconds
+    without a packet.
     """
     sock = transport.get_extra_info('socket')
     if sock is None or not isinstance(sock.fileno(), int):
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle)
     for option, value in _TCP_OPTIONS:
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 import msgspec
 
@@ -297,3 +298,29 @@
         kinds = [type(e) for e in exchanges]
         self.assertGreater(kinds.count(NotSent), 40)
         self.assertEqual(50, kinds.count(NotSent) + kinds.count(Lost))
+
+    def test_an_idle_link_sends_nothing(self):
+        # A thousand idle links, each with a probe a second from either end, by a frame or by
+        # the kernel, would spend ten times what a node may send for control.
+        async def use(links, peer):
+            await links.call(PEER, build_call(path='0'))
+            await asyncio.sleep(2 * LIMITS.probe_every)
+            ends = [*links._links.values(), *peer.server.links]
+            heard = [end.heard_at for end in ends]
+            await asyncio.sleep(50)
+            return len(ends), [end.heard_at for end in ends] == heard
+
+        self.assertEqual((2, True), self.with_peer(use))
+
+        async def kernel():
+            peer, links = Peer(), PeerLinks(PEER_KEY, 'menai-1', LIMITS)
+            address = await peer.server.listen(Address('127.0.0.1', 0))
+            await links.call(address, build_call(path='0'))
+            ends = [*links._links.values(), *peer.server.links]
+            socks = [end.transport.get_extra_info('socket') for end in ends]
+            idle = [s.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) for s in socks]
+            links.close()
+            peer.server.close()
+            return idle
+
+        self.assertEqual([60, 60], asyncio.run(kernel()))
