--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -127,6 +127,28 @@
         keyed, plain = self.run_paused(scenario())
         self.assertEqual((ErrorKind.REFUSED_EARLY.value, Outcome.DONE), (plain.kind, keyed.outcome))
 
+    def test_caller_that_goes_away_leaves_no_call_outstanding(self):
+        # Callers give up while a target is slow. Were their calls still counted as on their
+        # way to it, it would look ever more loaded and be given less and less work.
+        class SlowLinks:
+            async def call(self, address, call):
+                await asyncio.sleep(60)
+
+        async def scenario() -> tuple[int, int]:
+            view, known = MemberView(), Quarantine()
+            view.take(build_member('bangor-1'))
+            router = Router('bangor-hall', Random(1))
+            executor = build_executor(LiveTarget(), known)
+            parts = (view, router, SlowLinks(), executor, Stats(), known)
+            task = asyncio.create_task(Dispatcher('entry', *parts).dispatch(build_work()))
+            await asyncio.sleep(0.1)
+            during = router.report(0.1, 'bangor-1', '')['outstanding']
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return during, router.report(0.1, 'bangor-1', '')['outstanding']
+
+        self.assertEqual((1, 0), self.run_paused(scenario()))
+
     def test_tries_end_with_the_allowance(self):
         links = FakeLinks(*[NotSent('refused')] * 10)
         self.dispatch(links, tokens=1)
