Stats: added time, answered calls and a histogram of queue time

Cause: added_time and answered were named in the metrics and never counted; wasted and observed_refusals are. A call carries the time that it waited for a peer, a slot or the target; the rest of its time here, without HTTP parsing and writing, was added. Calls that run once at most are left out, as their wait for the owner of the key is not known here. test_metrics no longer adds to queue_time itself: it goes through the two methods and also compares the buckets, the number queued, added_time and answered.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -143,8 +143,12 @@
     async def _hand_over(self, work: Work, member: Member, handed: int) -> Reply | NotSent | Lost:
         if member.instance == self.instance:
             return await self.executor.execute(work._replace(allowance=Allowance(handed)))
-        now = asyncio.get_running_loop().time()
-        return await self.links.call(member.peers, call_of(work, now, handed))
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        exchange = await self.links.call(member.peers, call_of(work, now, handed))
+        if work.waits is not None:
+            work.waits.seconds += loop.time() - now
+        return exchange
 
     def _heard(self, now: float, member: Member, reply: Reply) -> None:
         error = not reply.kind and reply.status >= FIRST_ERROR_STATUS
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -138,6 +138,8 @@
     async def _admit_and_run(self, work: Work) -> Reply:
         ticket = self._ticket(work.ctx)
         failure = await self._admit(ticket, work.ctx.service)
+        if work.waits is not None:
+            work.waits.seconds += asyncio.get_running_loop().time() - ticket.arrived
         if failure is not None:
             return self._refused(failure, work)
         return await self._run(work, ticket)
@@ -201,8 +203,7 @@
             timer.cancel()
             self._waiting.pop(ticket.call_id, None)
             del self._waiting_tickets[ticket.call_id]
-        self.stats.queued += 1
-        self.stats.queue_time += loop.time() - ticket.arrived
+        self.stats.waited(loop.time() - ticket.arrived)
         return refused
 
     def _observe(self, ticket: Ticket, verdict: Verdict) -> None:
@@ -298,7 +299,12 @@
         ]
         req = HttpRequest(work.method, work.path, headers, work.body, '')
         again = partial(self._may_repeat, work) if work.ctx.idempotent else None
-        match await self.client.send(address, req, budget, may_repeat=again):
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        exchange = await self.client.send(address, req, budget, may_repeat=again)
+        if work.waits is not None:
+            work.waits.seconds += loop.time() - sent_at
+        match exchange:
             case Answered(response):
                 headers = forwarded_headers(response.headers)
                 return Reply(0, response.status, headers, response.body, Outcome.DONE)
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -18,7 +18,7 @@
     response_of,
 )
 from dunlinsaddle.calls.messages import Reply, refusal
-from dunlinsaddle.calls.work import Running, RunningCalls, Work
+from dunlinsaddle.calls.work import Running, RunningCalls, Waits, Work, count_added
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.callers import ResendGuard
 from dunlinsaddle.policy.classify import classify
@@ -86,6 +86,8 @@
         if record is None:
             return failure_response(_no_record(req, path['service']))
         rule = classify(record, req.method, path['rest'])
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         work = self._work(req, record, rule, path['rest'])
         name = req.header(b'idempotency-key') or req.header(b'request-id')
         failure = self._over_rate(work, record, name)
@@ -93,6 +95,7 @@
         self._note_refusal(work, reply, name)
         label = CallLabel(record.service, rule.rank.name.lower(), reply.outcome.value, reply.kind)
         self.stats.count(label)
+        count_added(self.stats, work, reply, loop.time() - began)
         return self._response(reply, work)
 
     async def _mint_key(self, req: HttpRequest) -> HttpResponse:
@@ -154,7 +157,8 @@
             fingerprint=fingerprint(req, record.service),
         )
         headers = forwarded_headers(req.headers)
-        return Work(ctx, req.method, rest, headers, req.body, Allowance(record.retry_bound))
+        allowance = Allowance(record.retry_bound)
+        return Work(ctx, req.method, rest, headers, req.body, allowance, Waits())
 
     def _response(self, reply: Reply, work: Work) -> HttpResponse:
         response = response_of(reply)
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -5,10 +5,21 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from dunlinsaddle.calls.messages import Call, Headers
+from dunlinsaddle.calls.messages import Call, Headers, Reply
+from dunlinsaddle.errors import Outcome
 from dunlinsaddle.policy.context import CallContext, Priority
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.models import Rank
+from dunlinsaddle.stats import Stats
+
+
+class Waits:
+    """How long one call waited for a peer, a slot or the target, in seconds."""
+
+    __slots__ = ('seconds',)
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
 
 
 class Work(NamedTuple):
@@ -20,6 +31,7 @@
     headers: Headers
     body: bytes
     allowance: Allowance
+    waits: Waits | None = None  #: None where nobody asks
 
 
 def call_of(work: Work, now: float, handed: int) -> Call:
@@ -63,7 +75,18 @@
         fingerprint=call.fingerprint,
         deaths=call.deaths,
     )
-    return Work(ctx, call.method, call.path, call.headers, call.body, Allowance(call.allowance))
+    allowance = Allowance(call.allowance)
+    return Work(ctx, call.method, call.path, call.headers, call.body, allowance, Waits())
+
+
+def count_added(stats: Stats, work: Work, reply: Reply, took: float) -> None:
+    """Count what this node added to an answered call that was here for ``took`` seconds.
+
+    Calls that run once at most also wait for the owner of their key, which is not known here,
+    so they are left out.
+    """
+    if work.waits is not None and work.ctx.idempotent and reply.outcome is Outcome.DONE:
+        stats.added(max(took - work.waits.seconds, 0.0))
 
 
 class Running:
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
+from itertools import accumulate
 from typing import Any
 
 from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
@@ -16,7 +17,7 @@
 
 from dunlinsaddle import __version__
 from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.stats import Stats
+from dunlinsaddle.stats import QUEUE_BOUNDS, Stats
 
 EXPORT_SECONDS = 10.0
 EXPORT_TIMEOUT = 5
@@ -95,6 +96,12 @@
         'Calls that enforcing would have refused, by service.',
         lambda: [(count, {'service': name}) for name, count in stats.observed_refusals.items()],
     )
+    metrics.counter(
+        'dunlinsaddle.queue_time_bucket',
+        '{call}',
+        'Calls that waited for a slot at most so many seconds, cumulative.',
+        lambda: _cumulative(stats),
+    )
     sums = (
         ('retries', '{call}', 'Resends that were spent.'),
         ('wasted', '{call}', 'Work done for calls that failed later.'),
@@ -124,6 +131,12 @@
     )
 
 
+def _cumulative(stats: Stats) -> Values:
+    bounds = [*map(str, QUEUE_BOUNDS), '+Inf']
+    totals = accumulate(stats.queue_buckets)
+    return [(total, {'le': bound}) for bound, total in zip(bounds, totals, strict=True)]
+
+
 def _field(stats: Stats, name: str) -> Callable[[], Values]:
     return lambda: [(getattr(stats, name), {})]
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -18,7 +18,7 @@
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
-from dunlinsaddle.calls.work import RunningCalls, work_of
+from dunlinsaddle.calls.work import RunningCalls, count_added, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.explain import Explanation, Question, explain
 from dunlinsaddle.membership.agent import GossipAgent
@@ -341,7 +341,12 @@
     async def _serve_peer(self, call: Call) -> Reply:
         if not call.idempotent and not call.owned:
             return await self.once.serve(call)
-        return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        work = work_of(call, began)
+        reply = await self.executor.execute(work)
+        count_added(self.stats, work, reply, loop.time() - began)
+        return reply
 
     async def _announce_loop(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,6 +7,8 @@
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import CallLabel, Stats
 
+LE = ('0.002', '0.005', '0.2', '0.5', '+Inf')
+
 
 class MetricsTest(TestCase):
     def test_instruments_show_what_was_counted_since(self):
@@ -18,11 +20,19 @@
         stats.count(label)
         stats.count(label)
         stats.shed['overloaded'] += 3
-        stats.queue_time += 0.5
+        stats.waited(0.005)
+        stats.waited(0.3)
+        stats.waited(60)
+        stats.added(0.25)
         found = metrics.read()
         self.assertEqual([{'value': 2, **label._asdict()}], found['dunlinsaddle.calls'])
         self.assertEqual([{'value': 3, 'reason': 'overloaded'}], found['dunlinsaddle.shed'])
-        self.assertEqual(0.5, found['dunlinsaddle.queue_time'][0]['value'])
+        self.assertEqual(60.305, found['dunlinsaddle.queue_time'][0]['value'])
+        self.assertEqual(3, found['dunlinsaddle.queued'][0]['value'])
+        buckets = {b['le']: b['value'] for b in found['dunlinsaddle.queue_time_bucket']}
+        self.assertEqual((0, 1, 1, 2, 3), tuple(buckets[le] for le in LE))
+        self.assertEqual(0.25, found['dunlinsaddle.added_time'][0]['value'])
+        self.assertEqual(1, found['dunlinsaddle.answered'][0]['value'])
         metrics.close()
 
     def test_collector_gets_what_the_face_shows(self):
--- a/tests/test_node_paused.py
+++ b/tests/test_node_paused.py
@@ -6,6 +6,7 @@
 from dunlinsaddle.records.changes import RECORDS
 from tests.builders import build_document, build_environment, build_logger, build_settings
 from tests.clock import PausedClockTest
+from tests.fakes.pair import Pair, SleepingTarget
 from tests.fakes.store import FakeStore
 
 
@@ -39,3 +40,22 @@
         self.assertEqual(b'not-run', headers[b'dunlinsaddle-outcome'])
         self.assertEqual(b'1', headers[b'retry-after'])
         self.assertLess(elapsed, 0.1)
+
+    def test_added_time_leaves_out_what_a_call_waits_for(self):
+        # Two calls at a target that takes one: the second waits in the queue. On a paused
+        # clock the nodes themselves take no time, so what is left is what was left out wrongly.
+        async def scenario():
+            pair = await Pair(SleepingTarget()).start()
+            pair.beside.admission.most = 1
+            await asyncio.gather(*(pair.call(pair.entry, n, sleep='0.3') for n in range(2)))
+            await pair.call(pair.beside, 3)
+            found = [(n.stats.answered, n.stats.added_time) for n in (pair.entry, pair.beside)]
+            queued = pair.beside.stats.queue_buckets
+            await pair.stop()
+            return found, sum(queued), queued[8]
+
+        found, queued, at_half_a_second = self.run_paused(scenario())
+        self.assertEqual([2, 3], [answered for answered, _ in found])
+        for _, added in found:
+            self.assertLess(added, 0.01)
+        self.assertEqual((1, 1), (queued, at_half_a_second))
