--- a/dunlinsaddle/membership/view.py
+++ b/dunlinsaddle/membership/view.py
@@ -1,6 +1,6 @@
 """The instances that a node knows of, merged from what it hears in any order."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -44,10 +44,14 @@
         return self.state in (State.DEAD, State.LEFT)
 
 
+OnChange = Callable[[Member | None, Member], None]  #: the word before, if any, and the new one
+
+
 class MemberView:
     """The newest word on each instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_change: OnChange = lambda before, now: None) -> None:
+        self._on_change = on_change
         self._members: dict[str, Member] = {}
         self._serving: dict[str, list[Member]] = {}
 
@@ -58,6 +62,7 @@
             return False
         self._members[member.instance] = member
         self._serving.clear()
+        self._on_change(held, member)
         return True
 
     def find(self, instance: str) -> Member | None:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -67,7 +67,7 @@
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
         self.book = RecordBook(wall_clock=env.wall_clock)
-        self.view = MemberView()
+        self.view = MemberView(self._member_changed)
         self.target = LocalTarget()
         self.running = RunningCalls()
         self.client = HttpClient(settings.max_body_bytes)
@@ -293,6 +293,14 @@
         members = self.view.serving(record.service)
         return explain(question, record, members, self.dispatcher.router, now)
 
+    def _member_changed(self, before: Member | None, member: Member) -> None:
+        """Log what operators look for after an incident: who was thought lost, and when."""
+        if before is None or before.state is member.state:
+            return
+        level = logging.WARNING if member.state is State.DEAD else logging.INFO
+        extra = {'member': member.instance, 'state': member.state.name.lower()}
+        self.logger.log(level, 'member changed', extra=extra)
+
     def _observes(self, service: str) -> bool:
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
@@ -303,6 +311,8 @@
         Its caller sends it again at once, by any entry: only the nodes beside the other
         targets of this service stand between the request and a further death.
         """
+        extra = {'fingerprint': f'{fingerprint:016x}', 'deaths': deaths}
+        self.logger.warning('target died while it ran a request', extra=extra)
         frame = Deaths(fingerprint, deaths)
         for member in self.view.serving(self.target.service):
             if member.instance != self.settings.instance:
@@ -316,6 +326,8 @@
         self.quarantine.hear(now, frame.fingerprint, frame.deaths)
 
     def _target_started(self) -> None:
+        extra = {'service': self.target.service, 'address': str(self.target.address)}
+        self.logger.info('target announced', extra=extra)
         self._configure()
         self.admission.restarted(asyncio.get_running_loop().time())
 
@@ -355,6 +367,7 @@
                 self.local.changed.clear()
                 self.target_watch.heard(loop.time())
             elif await self._target_gone(loop.time()):
+                self.logger.warning('target gone', extra={'service': self.target.service})
                 self.target.withdraw()
             self._configure()
             self.agent.announce(self.me())
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -73,3 +73,14 @@
             return accepts, refuses
 
         self.assertEqual((False, True), self.run_paused(scenario()))
+
+
+class ViewChangeTest(TestCase):
+    def test_only_newer_words_are_told(self):
+        told = []
+        view = MemberView(lambda before, now: told.append((before, now)))
+        first = build_member()
+        suspect = first._replace(state=State.SUSPECT)
+        for word in (first, suspect, first):
+            view.take(word)
+        self.assertEqual([(None, first), (first, suspect)], told)
