--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -92,8 +92,8 @@
     metrics.counter(
         'dunlinsaddle.observed_refusals',
         '{call}',
-        'Calls that enforcing would have refused, by service.',
-        lambda: [(count, {'service': name}) for name, count in stats.observed_refusals.items()],
+        'Calls that enforcing would have refused, by reason.',
+        lambda: [(count, {'reason': name}) for name, count in stats.observed_refusals.items()],
     )
     sums = (
         ('retries', '{call}', 'Resends that were spent.'),
