--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -33,7 +33,7 @@
     """The target beside this node, as it announced itself."""
 
     def __init__(self) -> None:
-        self.on_announce: Callable[[], None] = lambda: None
+        self.on_start: Callable[[], None] = lambda: None
         self.service = ''
         self.address: Address | None = None
         self.leaving = False  #: the node itself stops, whatever the target says
@@ -57,7 +57,7 @@
         self.service = service
         self.address = address
         self._drains = self._refused = False
-        self.on_announce()
+        self.on_start()
 
     def drain(self) -> None:
         """Give it nothing new."""
