--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -29,6 +29,7 @@
     }
 )
 OWN_PREFIX = b'dunlinsaddle-'
+FRAMING = frozenset({b'content-length', b'transfer-encoding'})
 BODILESS = frozenset({204, 304})
 
 
@@ -120,7 +121,9 @@
         self.transport: asyncio.Transport
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.expires_at = math.inf
         self.head: h11.Request | None = None
+        self.headers: Headers = []
         self.chunks: list[bytes] = []
         self.size = 0
         self.ahead = 0  #: bytes read while a request is being answered
@@ -145,6 +148,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.face.connections.discard(self)
         self._stop_timer()
+        if self.timer is not None:
+            self.timer.cancel()
         if self.task is not None:
             self.task.cancel()
         self.face.note_idle()
@@ -189,13 +194,24 @@
             self.transport.pause_reading()
 
     def _set_timer(self, timeout: float) -> None:
-        self._stop_timer()
-        self.timer = self.loop.call_later(timeout, self._expired)
-
-    def _stop_timer(self) -> None:
+        # Several times a request the bound moves, mostly outwards. A timer that fires early
+        # and is set again costs less than one cancelled each time.
+        self.expires_at = self.loop.time() + timeout
         if self.timer is not None:
+            if self.timer.when() <= self.expires_at:
+                return
             self.timer.cancel()
-            self.timer = None
+        self.timer = self.loop.call_at(self.expires_at, self._check_expired)
+
+    def _stop_timer(self) -> None:
+        self.expires_at = math.inf
+
+    def _check_expired(self) -> None:
+        self.timer = None
+        if self.expires_at <= self.loop.time():
+            self._expired()
+        elif self.expires_at < math.inf:
+            self.timer = self.loop.call_at(self.expires_at, self._check_expired)
 
     def _expired(self) -> None:
         if self.unsent or self.transport.is_closing():
@@ -242,16 +258,18 @@
 
     def _begin(self, head: h11.Request) -> Failure | None:
         self.head = head
+        # Taken out once: each walk over the parser's own type builds all pairs anew.
+        self.headers = list(head.headers)
         self.started = True
         self._set_timer(self.face.limits.header_timeout)
         if len(head.target) > MAX_TARGET_BYTES:
             return Failure(ErrorKind.TARGET_TOO_LONG)
         # The parser bounds only what is not yet whole: a large head in one piece passes it.
-        if sum(len(n) + len(v) + 4 for n, v in head.headers) > self.face.limits.header_bytes:
+        if sum([len(n) + len(v) + 4 for n, v in self.headers]) > self.face.limits.header_bytes:
             return Failure(ErrorKind.HEADERS_TOO_LARGE)
         if head.method == b'CONNECT':
             return Failure(ErrorKind.METHOD_NOT_ALLOWED, 'CONNECT')
-        framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
+        framing = {n: v for n, v in self.headers if n in FRAMING}
         if len(framing) > 1:
             # Two parties that pick different ones would cut the stream at different places,
             # and a caller could slip a request in as part of a body (RFC 9112, 6.1).
@@ -268,7 +286,7 @@
         req = HttpRequest(
             self.head.method.decode('ascii'),
             self.head.target.decode('latin-1'),
-            [(bytes(n), bytes(v)) for n, v in self.head.headers],
+            self.headers,
             b''.join(self.chunks),
             self.remote,
         )
@@ -312,7 +330,8 @@
         self._set_timer(limits.header_timeout if self.started else limits.idle_timeout)
         self.face.note_idle()
         # One answer at a time is in memory: the next request waits until this one is sent.
-        if not self.unsent:
+        # Mostly there is none, and the parser need not be asked.
+        if self.started and not self.unsent:
             self._advance()
 
     def _refuse(self, failure: Failure) -> None:
