Shed releases last also when they are made deep in a chain or come in a burst

Cause: a call made on behalf of a low-ranked request took over its rank, also when it was a release itself; and a queue of a third of the limit is one or two calls at a cold target, so the third release of a burst was refused while lookups had the slots. Ruled out: evicting running calls (cut answers); a longer queue for all (recovery). Change: a call of the most valued rank keeps that rank; such calls may wait up to twice the limit, at least 8, when all that waits is of their rank. Deadlines still bound the wait.

--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -22,7 +22,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.callers import ResendGuard
 from dunlinsaddle.policy.classify import classify
-from dunlinsaddle.policy.context import MAX_HOPS, CallContext, priority_of
+from dunlinsaddle.policy.context import MAX_HOPS, CallContext, inherited, priority_of
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.models import Mode, RequestRule, ServiceRecord
@@ -254,7 +254,9 @@
             caller=root.caller if root else 'local',
             service=record.service,
             rule=rule.name,
-            priority=root.priority if root else priority_of(rule.rank, request_id),
+            priority=inherited(root.priority, rule.rank)
+            if root
+            else priority_of(rule.rank, request_id),
             deadline=min(root.deadline, deadline) if root else deadline,
             allowance=allowance.tokens,
             hop=root.hop + 1 if root else 0,
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -7,7 +7,7 @@
 
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.capacity import ObservedCapacity
-from dunlinsaddle.policy.context import LOWEST_LEVEL
+from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
 from dunlinsaddle.policy.level import AdmittedLevel
 from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
 from dunlinsaddle.policy.retry_after import retry_after
@@ -15,6 +15,8 @@
 
 LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
 SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
+CRITICAL_QUEUE = 2.0  #: calls of the most valued rank that wait for each that runs
+FEWEST_CRITICAL = 8  #: the least of them that may wait
 HIGHEST_USE = 1.06  #: demand admitted as a share of capacity, at recovery_bias 0
 LOWEST_USE = 1.0  #: the same at recovery_bias 1
 TIME_GAIN = 0.1
@@ -172,7 +174,7 @@
             return Refuse(self._failure(now, ErrorKind.OVERLOADED, ticket))
         if self._too_late(now, ticket):
             return Refuse(self._failure(now, ErrorKind.TOO_LATE_TO_START, ticket))
-        if len(self.queue) < max(self.limit * self._queue_share, 1):
+        if self._has_room(ticket):
             self.queue.add(ticket)
             return Wait()
         worst: Ticket = self.queue[-1]
@@ -258,6 +260,20 @@
     def _free(self) -> bool:
         return self._active() < self.limit and self.inflight < self.most
 
+    def _has_room(self, ticket: Ticket) -> bool:
+        """Say whether the call may wait without taking the place of another.
+
+        The queue is short, so that little is in it when an overload ends. When all of it is of
+        the most valued rank, a few such calls at once would be refused while lookups still
+        have the slots; these may wait for longer, as far as their deadlines allow.
+        """
+        waiting = len(self.queue)
+        if waiting < max(self.limit * self._queue_share, 1):
+            return True
+        if max(ticket.level, self.queue[-1].level) >= SLOTS_PER_RANK:
+            return False
+        return bool(waiting < max(self.limit * CRITICAL_QUEUE, FEWEST_CRITICAL))
+
     def _work_done(self, ticket: Ticket) -> None:
         """Count a call once: when it first leaves for another service, or ends."""
         if ticket.call_id in self._working:
--- a/dunlinsaddle/policy/context.py
+++ b/dunlinsaddle/policy/context.py
@@ -32,6 +32,15 @@
     return Priority(rank, xxhash.xxh32_intdigest(request_id.encode()) % SLOTS_PER_RANK)
 
 
+def inherited(root: Priority, own: Rank) -> Priority:
+    """Give the priority of a call that is made on behalf of a root request.
+
+    It is the root's, so that all hops shed the same requests. A call of the most valued rank
+    keeps that rank: a release is the last to be shed, whoever asked for it.
+    """
+    return root._replace(rank=Rank.CRITICAL) if own is Rank.CRITICAL else root
+
+
 class CallContext(NamedTuple):
     """One call on its way. ``deadline`` is a time of the local loop's clock, in seconds."""
 
