Neither bar nor delay suspects of a service that is only observed

Cause: the quarantine was carried out whatever the record's mode, so beside the older system a request was refused for good after two deaths, and suspects waited for one another. Change: in observe mode a bar is counted under dunlinsaddle.observed_refusals and the call runs; suspects run side by side. Before: 422 and 3 s for three calls of 1 s; after: 200 and 1 s.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -114,9 +114,11 @@
         now = asyncio.get_running_loop().time()
         self.quarantine.hear(now, ctx.fingerprint, ctx.deaths)
         match self.quarantine.standing(now, ctx.fingerprint):
+            case Barred(failure) if self.observes(ctx.service):
+                self.stats.observed_refusals[failure.kind.value] += 1
             case Barred(failure):
                 return self._refused(failure, work)
-            case Alone():
+            case Alone() if not self.observes(ctx.service):
                 return await self._run_alone(work)
         return await self._admit_and_run(work)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -64,6 +64,12 @@
     return Executor(target, Admission(), client, RunningCalls(), Stats(), quarantine, **changes)
 
 
+class SlowTarget(LiveTarget):
+    async def send(self, *args, **kwargs):
+        await asyncio.sleep(1)
+        return await super().send(*args, **kwargs)
+
+
 class DispatchTest(PausedClockTest):
     def dispatch(self, links: FakeLinks, quarantine: Quarantine | None = None, **work) -> Reply:
         async def scenario() -> Reply:
@@ -171,6 +177,21 @@
         self.assertEqual(ErrorKind.QUARANTINED.value, reply.kind)
         self.assertEqual(0, reply.retry_after)
 
+    def test_observed_service_neither_bars_nor_delays_a_suspect(self):
+        # Two targets died of one request, one of the other. Beside the older system neither is
+        # refused or made to wait for the other; what enforcing would refuse is counted.
+        async def scenario() -> tuple[list[int], float, int]:
+            executor = build_executor(SlowTarget(), Quarantine(), observes=lambda service: True)
+            works = [build_work(fingerprint=n, deaths=d) for n, d in ((1, 2), (2, 1), (3, 1))]
+            replies = await asyncio.gather(*map(executor.execute, works))
+            refused = executor.stats.observed_refusals[ErrorKind.QUARANTINED.value]
+            return [r.status for r in replies], asyncio.get_running_loop().time(), refused
+
+        statuses, elapsed, refused = self.run_paused(scenario())
+        self.assertEqual([200] * 3, statuses)
+        self.assertAlmostEqual(1.0, elapsed, delta=0.01)
+        self.assertEqual(1, refused)
+
     def test_observed_service_counts_refusals_and_runs_the_call(self):
         # The older system still protects the service. This one would refuse the call, and
         # must only count that: two systems that both refuse would starve the targets.
