Let a fresh node without a map of ranges ask others who owns a new key

Cause: a node that started while the platform was out had no map of key ranges, and refused each release without a key as not run, although its peers knew the owners.

--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -175,9 +175,7 @@
         if interval.owner == self.me:
             return await self._own_born(work, key)
         reply = await self._ask(work, interval.owner, way)
-        if way.fresh and reply.kind == ErrorKind.OWNER_UNREACHABLE.value:
-            # Each node that was asked turned the key down, and it was new: nobody has run it.
-            reply = _refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+        reply = _new_key_turned_down(reply) if way.fresh else reply
         if reply.kind not in UNREACHED or way.reread or not await self.keeper.refresh(service):
             return reply
         newer = self.keeper.find(service, key)
@@ -210,12 +208,15 @@
             return _refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
         if way.reread and key.birth > self.keeper.clock() + HORIZON:
             return _refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
-        if way.reread or way.fresh:
+        # Without any map, as after a start in an outage of the platform, others may know more.
+        if way.reread or (way.fresh and held is not None):
             return _refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
         others = [m for m in self.view.serving(work.ctx.service) if m.instance != self.me.instance]
         if not others or way.asked >= MAX_ASKED:
-            return _refuse(ErrorKind.OWNER_UNREACHABLE, 'no node here knows the owner')
-        return await self._send(work, self.rng.choice(others), way)
+            kind = ErrorKind.OWNER_UNAVAILABLE if way.fresh else ErrorKind.OWNER_UNREACHABLE
+            return _refuse(kind, 'no node here knows the owner')
+        reply = await self._send(work, self.rng.choice(others), way)
+        return _new_key_turned_down(reply) if way.fresh else reply
 
     async def _ask(self, work: Work, owner: Owner, way: Way) -> Reply:
         member = self.view.find(owner.instance)
@@ -349,6 +350,13 @@
     return refusal(Failure(kind, detail, COME_BACK))
 
 
+def _new_key_turned_down(reply: Reply) -> Reply:
+    """Say "not run" of a key that was made for this call, if each node asked turned it down."""
+    if reply.kind != ErrorKind.OWNER_UNREACHABLE.value:
+        return reply
+    return _refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+
+
 def _size(reply: Reply) -> int:
     return len(reply.body) + sum(len(name) + len(value) for name, value in reply.headers)
 
--- /dev/null
+++ b/tests/test_fleet_faults.py
@@ -0,0 +1,122 @@
+import asyncio
+import itertools
+import signal
+from typing import NamedTuple
+
+import msgspec
+from testtools import TestCase
+
+from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.messages import NotSent
+from dunlinsaddle.settings import read_address
+from standins.demo import operate
+from standins.fleet import Fleet, TargetSpec
+from tests import test_whole_path
+
+DOMAINS = {'bangor-1': 'bangor-hall', 'caernarfon-1': 'caernarfon-hall', 'menai-1': 'menai-hall'}
+VICTIM = 'bangor-1'
+CALLERS = 6  #: at each entry
+RUN_SECONDS = 0.2
+
+
+class End(NamedTuple):
+    """How one call ended; status 0 where the port was closed."""
+
+    entry: str
+    number: int
+    status: int
+    mine: bool
+
+
+class FleetFaultsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        for name, domain in DOMAINS.items():
+            self.fleet.place(name, TargetSpec('cut-orders', domain, 50, RUN_SECONDS))
+        record = test_whole_path.WholePathTest.write_record(self, 'cut-orders')
+        operate(self.fleet.placed[VICTIM].faces['operators'], 'apply', record)
+        for placed in self.fleet.placed.values():
+            test_whole_path.WholePathTest.answered(self, placed)
+
+    call = test_whole_path.WholePathTest.call
+
+    def under_load(self, fault, seconds=8.0):
+        """Let callers press all entries while a fault happens; give how each call ended."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            client, numbers, ends = HttpClient(), itertools.count(), []
+            end = loop.time() + seconds
+
+            async def press(entry):
+                address = read_address(self.fleet.placed[entry].faces['callers'])
+                while loop.time() < end:
+                    number = next(numbers)
+                    path = f'/cut-orders/orders/{number}'
+                    req = HttpRequest('GET', path, [(b'idempotency-key', b'%d' % number)], b'', '')
+                    exchange = await client.send(address, req, 20)
+                    ends.append(end_of(entry, number, exchange))
+                    await asyncio.sleep(0.05)
+
+            callers = [press(entry) for entry in DOMAINS for _ in range(CALLERS)]
+            found, *_ = await asyncio.gather(fault(), *callers)
+            client.close()
+            return found, ends
+
+        return asyncio.run(scenario())
+
+    async def runs(self):
+        """Give the numbers of the calls that the victim's target has been given."""
+        address = read_address(self.fleet.placed[VICTIM].listening)
+        exchange = await HttpClient().send(address, HttpRequest('GET', '/-/runs', [], b'', ''), 5)
+        return set(msgspec.json.decode(exchange.response.body))
+
+    def test_a_node_frozen_under_load_costs_nobody_elsewhere_an_answer(self):
+        # The node beside one target stops for five seconds and goes on. Callers of the other
+        # entries are answered by other targets after their links to it went silent; its own
+        # callers wait for it. Each gets an answer, and only the answer to its own call.
+        async def freeze():
+            await asyncio.sleep(2)
+            node = self.fleet.placed[VICTIM].node
+            node.kill(signal.SIGSTOP)
+            await asyncio.sleep(5)
+            node.kill(signal.SIGCONT)
+
+        _, ends = self.under_load(freeze, 12.0)
+        elsewhere = [e.status for e in ends if e.entry != VICTIM]
+        self.assertEqual([], [e for e in ends if not e.mine])
+        self.assertEqual({200}, set(elsewhere))
+        self.assertGreater(len(elsewhere), 200)
+        self.assertEqual(200, [e.status for e in ends if e.entry == VICTIM][-1])
+
+    def test_a_stopped_node_cuts_nothing_and_gets_nothing_new_after_two_seconds(self):
+        # SIGTERM reaches a node under load. What its target has been given is answered whole;
+        # callers of the other entries see no error; after two seconds nothing new is started.
+        async def stop():
+            await asyncio.sleep(2)
+            self.fleet.placed[VICTIM].node.kill(signal.SIGTERM)
+            await asyncio.sleep(2)
+            early = await self.runs()
+            await asyncio.sleep(3)
+            return await self.runs() - early
+
+        late, ends = self.under_load(stop)
+        self.assertEqual(set(), late)
+        self.assertEqual([], [e for e in ends if not e.mine])
+        self.assertEqual({200}, {e.status for e in ends if e.entry != VICTIM})
+        self.assertEqual(set(), {e.status for e in ends if e.entry == VICTIM} - {0, 200, 503})
+
+
+def end_of(entry, number, exchange):
+    if isinstance(exchange, NotSent):
+        return End(entry, number, 0, mine=True)
+    assert isinstance(exchange, Answered), (entry, exchange)
+    response = exchange.response
+    if response.status != 200:
+        return End(entry, number, response.status, mine=True)
+    path = msgspec.json.decode(response.body)['path']
+    return End(entry, number, 200, path == f'/orders/{number}')
