--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-FIRST_LIMIT = 16.0
+FIRST_LIMIT = 8.0
 FIRST_SAMPLES = 4  #: of a rule in one cohort, whose mean is its first baseline
 FEWEST = 32  #: calls in a cohort, at least
 MOST = 96
@@ -115,7 +115,8 @@
         for the effect of its cut; so up to the limit of before there are none.
         """
         self._return_to = max(self.value, self._return_to) if self._baselines else 0.0
-        self.value = max(min(self.value, self.first) * COLD_SHARE, 1.0)
+        cold = min(self.value, self.first) * COLD_SHARE
+        self.value = max(cold, min(self.first, FIRST_LIMIT))
         self._slow_start = True
         self._trial = None
         self._open(now)
