--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -22,6 +22,16 @@
 CALL_HEADER = b'dunlinsaddle-call'
 
 
+async def seconds_until(look: Callable[[], Any], good: Callable[[Any], bool]) -> float:
+    """Look again and again until what is seen is good; gives how long it took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while not good(await look()):
+        assert loop.time() - began < 60, 'not within a minute'
+        await asyncio.sleep(0.1)
+    return loop.time() - began
+
+
 class Target:
     """Has slots, takes its time, and then calls the services below on behalf of its caller."""
 
