Give a leaving owner's keys to the next owners

Ruled out: keeping answers in the platform (a write for each call); a heir that runs keys which it was not told of (fails in the model test: a killed owner tells nobody).

Change: a draining owner stops accepting, waits for its runs, and gives its table to the owners of what comes next in each range, in pieces of 256 KiB, each taken before the next is sent. A key of an ended run is asked of the next owner in its range that has not ended. A newer epoch of an instance counts as the end of its older one, when somebody has to be asked.

--- /dev/null
+++ b/dunlinsaddle/calls/handover.py
@@ -0,0 +1,130 @@
+"""Gives what a leaving owner knows of its keys to who owns their ranges next.
+
+A caller that resends after a graceful restart gets the stored answer, in place of "unknown" for
+ever. The next owner only remembers: it never runs a key of an interval that is not its own.
+"""
+
+import asyncio
+import logging
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from result import Ok
+
+from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.messages import EndedKey, KeysPush, Reply
+from dunlinsaddle.membership.view import Member, MemberView
+from dunlinsaddle.once.keeper import RangeKeeper
+from dunlinsaddle.policy.keys import BornKey, parse_key
+from dunlinsaddle.policy.once_table import Ended, KeyTable
+from dunlinsaddle.policy.ownership import Owner
+
+PIECE_BYTES = 1 << 18
+KEY_BYTES = 256  #: more than a key takes without its answer
+PIECE_SECONDS = 2.0
+
+Tables = dict[str, KeyTable[Reply]]
+
+
+class Handed(NamedTuple):
+    """How many keys the next owners took, and how many nobody did."""
+
+    taken: int
+    left: int
+
+
+def has_ended(keeper: RangeKeeper, view: MemberView, service: str, owner: Owner) -> bool:
+    """Say whether a run is held to have ended: enough to ask others, never to run its keys."""
+    if owner == keeper.me:
+        return False
+    held, member = keeper.map_of(service), view.find(owner.instance)
+    superseded = held is not None and held.superseded(owner)
+    return (
+        superseded or owner.instance == keeper.me.instance or (member is not None and member.gone)
+    )
+
+
+def heir_of(
+    keeper: RangeKeeper, view: MemberView, service: str, key: BornKey, *, leaving: bool = False
+) -> Owner | None:
+    """Give who was told of a key when its owner left: the next owner that has not ended.
+
+    One that is ``leaving`` itself looks for another one.
+    """
+    for interval in keeper.later(service, key):
+        owner = interval.owner
+        if leaving and owner == keeper.me:
+            continue
+        if not has_ended(keeper, view, service, owner):
+            return owner
+    return None
+
+
+async def hand_over(
+    tables: Tables, keeper: RangeKeeper, view: MemberView, links: PeerLinks
+) -> Handed:
+    """Give all tables away, piece by piece; only after this node has stopped accepting keys."""
+    plans: dict[tuple[str, str], list[Ended[Reply]]] = {}
+    left = 0
+    for service, table in tables.items():
+        for known in table.ended():
+            heir = _heir_of_text(keeper, view, service, known.key)
+            if heir is None:
+                left += 1
+            else:
+                plans.setdefault((service, heir.instance), []).append(known)
+    gifts = [
+        _give(links, view.find(name), service, known) for (service, name), known in plans.items()
+    ]
+    taken = sum(await asyncio.gather(*gifts))
+    return Handed(taken, left + sum(map(len, plans.values())) - taken)
+
+
+def take_over(tables: Tables, push: KeysPush) -> None:
+    """Remember what a leaving owner has told."""
+    table = tables.setdefault(push.service, KeyTable())
+    for given in push.keys:
+        match parse_key(given.key):
+            case Ok(BornKey(text, birth)):
+                size = given.reply.size if given.reply else 0
+                done = given.done
+                table.learn(Ended(text, birth, given.fingerprint, done, given.reply, size))
+
+
+def log_handed(logger: logging.Logger, handed: Handed) -> None:
+    """Tell operators how many resends will be answered by the next owners."""
+    logger.info('keys handed over', extra={'taken': handed.taken, 'left': handed.left})
+
+
+def _heir_of_text(keeper: RangeKeeper, view: MemberView, service: str, text: str) -> Owner | None:
+    match parse_key(text):
+        case Ok(BornKey() as key):
+            return heir_of(keeper, view, service, key, leaving=True)
+    return None
+
+
+async def _give(
+    links: PeerLinks, member: Member | None, service: str, known: list[Ended[Reply]]
+) -> int:
+    taken = 0
+    for piece in _pieces(known):
+        keys = [EndedKey(k.key, k.fingerprint, k.done, k.answer) for k in piece]
+        push = KeysPush(0, service, keys)
+        if member is None or not await links.give_keys(member.peers, push, PIECE_SECONDS):
+            break
+        taken += len(piece)
+    return taken
+
+
+def _pieces(known: list[Ended[Reply]]) -> Iterator[list[Ended[Reply]]]:
+    piece: list[Ended[Reply]] = []
+    room = PIECE_BYTES
+    for entry in known:
+        size = KEY_BYTES + entry.size
+        if piece and size > room:
+            yield piece
+            piece, room = [], PIECE_BYTES
+        piece.append(entry)
+        room -= size
+    if piece:
+        yield piece
--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -21,6 +21,8 @@
     Deaths,
     Frame,
     Hello,
+    KeysPush,
+    KeysTaken,
     Lost,
     NotSent,
     Ping,
@@ -74,7 +76,7 @@
                 self.send(Hello(self.instance, proof, self.nonce))
             case Welcome() if self.greeted and not self.ready.done():
                 self._check(frame)
-            case Reply() | RecordsAnswer() if self.ready.done():
+            case Reply() | RecordsAnswer() | KeysTaken() if self.ready.done():
                 # A reply whose call is over is late: it belongs to nobody.
                 fut = self.waiting.pop(frame.id, None)
                 if fut is not None and not fut.done():
@@ -118,7 +120,7 @@
         if not self.waiting:
             self.transport.abort()
 
-    def call(self, call: Call | RecordsAsk) -> 'asyncio.Future[Any]':
+    def call(self, call: Call | RecordsAsk | KeysPush) -> 'asyncio.Future[Any]':
         self.numbers += 1
         call.id = self.numbers
         fut: asyncio.Future[Any] = self.loop.create_future()
@@ -196,17 +198,13 @@
         self, address: Address, ask: RecordsAsk, timeout: float
     ) -> RecordsAnswer | None:
         """Ask a peer for records; None when no answer comes within ``timeout`` seconds."""
-        try:
-            async with asyncio.timeout(timeout):
-                link = await self._link(address)
-                try:
-                    answer = await link.call(ask)
-                finally:
-                    link.waiting.pop(ask.id, None)
-        except (OSError, TimeoutError):
-            return None
+        answer = await self._ask(address, ask, timeout)
         return answer if isinstance(answer, RecordsAnswer) else None
 
+    async def give_keys(self, address: Address, push: KeysPush, timeout: float) -> bool:
+        """Give a peer keys; say whether it took them within ``timeout`` seconds."""
+        return isinstance(await self._ask(address, push, timeout), KeysTaken)
+
     async def tell(self, address: Address, frame: RecordsPush | Deaths) -> bool:
         """Send a peer what wants no answer; say whether there is a link to it."""
         try:
@@ -223,6 +221,17 @@
             link.transport.abort()
         self._links.clear()
 
+    async def _ask(self, address: Address, ask: RecordsAsk | KeysPush, timeout: float) -> Any:
+        try:
+            async with asyncio.timeout(timeout):
+                link = await self._link(address)
+                try:
+                    return await link.call(ask)
+                finally:
+                    link.waiting.pop(ask.id, None)
+        except (OSError, TimeoutError):
+            return None
+
     async def _link(self, address: Address) -> _Dialling:
         link = self._links.get(address)
         if link is not None and link.open and (link.fresh or await link.prove()):
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -88,6 +88,11 @@
     load: Load | None = None
     deaths: int = 0
 
+    @property
+    def size(self) -> int:
+        """Bytes of the body and headers."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
 
 class Cancel(msgspec.Struct, tag='x', array_like=True):
     """The caller of this call has gone."""
@@ -177,6 +182,29 @@
     deaths: int
 
 
+class EndedKey(msgspec.Struct, array_like=True):
+    """A key that the sender owned: ``done`` unless nobody can tell, ``reply`` while it is held."""
+
+    key: str
+    fingerprint: int
+    done: bool
+    reply: Reply | None
+
+
+class KeysPush(msgspec.Struct, tag='kp', array_like=True):
+    """Part of what an owner that leaves knows of its keys, for who owns their ranges next."""
+
+    id: int
+    service: str
+    keys: list[EndedKey]
+
+
+class KeysTaken(msgspec.Struct, tag='kt', array_like=True):
+    """Answers a KeysPush, so that the next part is sent only when this one is read."""
+
+    id: int
+
+
 RecordFrame = RecordsAsk | RecordsPush
 Frame = (
     Challenge
@@ -191,4 +219,6 @@
     | RecordsAnswer
     | RecordsPush
     | Deaths
+    | KeysPush
+    | KeysTaken
 )
--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from dunlinsaddle.calls.execute import Executor
+from dunlinsaddle.calls.handover import has_ended, heir_of
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.work import Work, call_of, work_of
@@ -165,7 +166,7 @@
     async def _route_born(self, work: Work, key: BornKey, way: Way) -> Reply:
         service = work.ctx.service
         interval = self.keeper.find(service, key)
-        if not way.reread and self._doubtful(interval, way):
+        if not way.reread and self._doubtful(service, interval, way):
             way = way._replace(reread=await self.keeper.refresh(service))
             interval = self.keeper.find(service, key)
         elif self.keeper.stale(service):
@@ -174,7 +175,7 @@
             return await self._route_unowned(work, key, way)
         if interval.owner == self.me:
             return await self._own_born(work, key)
-        reply = await self._ask(work, interval.owner, way)
+        reply = await self._ask(work, self._witness(service, key, interval.owner, way), way)
         if way.fresh and reply.kind == ErrorKind.OWNER_UNREACHABLE.value:
             # Each node that was asked turned the key down, and it was new: nobody has run it.
             reply = _refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
@@ -185,18 +186,24 @@
             return reply
         return await self._route_born(work, key, way._replace(reread=True))
 
-    def _doubtful(self, interval: Interval | None, way: Way) -> bool:
+    def _doubtful(self, service: str, interval: Interval | None, way: Way) -> bool:
         """Say whether a newer map may name another owner than this interval does."""
         if interval is None:
             return True
         if interval.owner == self.me:
             return False
         # Whoever asked takes this node for the owner, by a map that may be newer than ours.
-        return way.asked > 0 or self._ended(interval.owner)
+        return way.asked > 0 or self._ended(service, interval.owner)
 
-    def _ended(self, owner: Owner) -> bool:
-        member = self.view.find(owner.instance)
-        return owner.instance == self.me.instance or (member is not None and member.gone)
+    def _ended(self, service: str, owner: Owner) -> bool:
+        return has_ended(self.keeper, self.view, service, owner)
+
+    def _witness(self, service: str, key: BornKey, owner: Owner, way: Way) -> Owner:
+        """Give who can answer for a key: its owner, or who that one told of it when it left."""
+        if way.fresh or not self._ended(service, owner):
+            return owner
+        heir = heir_of(self.keeper, self.view, service, key)
+        return owner if heir is None or heir == self.me else heir
 
     async def _own_born(self, work: Work, key: BornKey) -> Reply:
         if self.keeper.accept(work.ctx.service, key):
@@ -219,7 +226,7 @@
 
     async def _ask(self, work: Work, owner: Owner, way: Way) -> Reply:
         member = self.view.find(owner.instance)
-        ended = self._ended(owner)
+        ended = self._ended(work.ctx.service, owner)
         if way.fresh and (member is None or ended):
             return _refuse(ErrorKind.OWNER_UNAVAILABLE, f'{owner.instance} is not there')
         if ended:
@@ -295,7 +302,7 @@
             elif reply.outcome is Outcome.NOT_RUN:
                 table.not_run(key)
             else:
-                table.done(key, reply, _size(reply))
+                table.done(key, reply, reply.size)
         return reply
 
     async def _run_somewhere(self, work: Work) -> Reply:
@@ -349,10 +356,6 @@
     return refusal(Failure(kind, detail, COME_BACK))
 
 
-def _size(reply: Reply) -> int:
-    return len(reply.body) + sum(len(name) + len(value) for name, value in reply.headers)
-
-
 def _copy(reply: Reply) -> Reply:
     # A reply is given its number on each link that it leaves by.
     return msgspec.structs.replace(reply, unspent=0, load=None)
--- a/dunlinsaddle/calls/peer_server.py
+++ b/dunlinsaddle/calls/peer_server.py
@@ -19,6 +19,8 @@
     Deaths,
     Frame,
     Hello,
+    KeysPush,
+    KeysTaken,
     Ping,
     Pong,
     RecordFrame,
@@ -95,6 +97,9 @@
                     self.send(answer)
             case Deaths() if self.instance:
                 self.server.on_deaths(frame)
+            case KeysPush() if self.instance:
+                self.server.on_keys(frame)
+                self.send(KeysTaken(frame.id))
             case _:
                 self.transport.abort()
 
@@ -166,6 +171,7 @@
         self.refused = 0
         self.on_records: RecordsHandler = lambda frame: None
         self.on_deaths: Callable[[Deaths], None] = lambda frame: None
+        self.on_keys: Callable[[KeysPush], None] = lambda frame: None
         self._server: asyncio.Server | None = None
         self._idle = asyncio.Event()
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import secrets
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -13,6 +14,7 @@
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
 from dunlinsaddle.calls.frames import LinkLimits
+from dunlinsaddle.calls.handover import hand_over, log_handed, take_over
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
@@ -158,6 +160,7 @@
         sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
         self.peer_server.on_records = sync.take
         self.peer_server.on_deaths = self._hear_deaths
+        self.peer_server.on_keys = partial(take_over, self.once.tables)
         return sync
 
     def _build_instruments(self) -> Metrics:
@@ -233,6 +236,10 @@
                 await self.running.wait_idle()
                 await self.once.wait_idle()
                 await handing_over
+                self.keeper.close()
+                await self.once.wait_idle()
+                handed = await hand_over(self.once.tables, self.keeper, self.view, self.links)
+                log_handed(self.logger, handed)
                 await self.local_http.wait_idle()
 
     async def stop(self) -> None:
--- a/dunlinsaddle/once/keeper.py
+++ b/dunlinsaddle/once/keeper.py
@@ -111,6 +111,11 @@
         held = self._held.get(service)
         return held.map.find(range_of(service, key), key.birth) if held else None
 
+    def later(self, service: str, key: BornKey) -> Sequence[Interval]:
+        """Give the intervals that follow the one that a key is in, by the map held."""
+        held = self._held.get(service)
+        return held.map.later(range_of(service, key), key.birth) if held else ()
+
     def accept(self, service: str, key: BornKey) -> bool:
         """Say whether this node may run a key; from a yes on, the range reaches behind it."""
         interval = self.find(service, key)
--- a/dunlinsaddle/policy/once_table.py
+++ b/dunlinsaddle/policy/once_table.py
@@ -9,7 +9,7 @@
 import heapq
 from dataclasses import dataclass
 from enum import Enum
-from typing import Generic, TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 from dunlinsaddle.errors import ErrorKind
 
@@ -48,6 +48,21 @@
     kind: ErrorKind
 
 
+class Ended(NamedTuple, Generic[Answer]):
+    """What another owner knew of a key at its end.
+
+    ``done`` is false where the end of the run is not known; ``answer`` is None then, and where
+    it is no longer held. ``size`` is that of the answer in bytes.
+    """
+
+    key: str
+    birth: int
+    fingerprint: int
+    done: bool
+    answer: Answer | None
+    size: int
+
+
 class _Entry(Generic[Answer]):
     __slots__ = ('answer', 'birth', 'fingerprint', 'size', 'state')
 
@@ -127,6 +142,31 @@
         """Forget a key on the proof that it did not run: it may be sent again."""
         self._entries.pop(key, None)
 
+    def ended(self) -> list[Ended[Answer]]:
+        """Give all that is known, for the next owners; a key that still runs counts as unknown."""
+        return [
+            Ended(key, e.birth, e.fingerprint, e.state is KeyState.DONE, e.answer, e.size)
+            for key, e in self._entries.items()
+        ]
+
+    def learn(self, known: Ended[Answer]) -> None:
+        """Remember what a former owner knew, in at most half of the table's room.
+
+        Beyond that it is left out and stays unknown: room for it must not raise the floor, for
+        that would expire keys which this node owns itself.
+        """
+        full = len(self._births) >= self.max_keys // 2
+        if full or known.key in self._entries or known.birth < self.floor:
+            return
+        self._entries[known.key] = _Entry(known.birth, known.fingerprint)
+        heapq.heappush(self._births, (known.birth, known.key))
+        if not known.done:
+            self.unknown(known.key)
+        elif known.answer is None or self.answer_bytes + known.size > self.max_bytes // 2:
+            self._entries[known.key].state = KeyState.DONE
+        else:
+            self.done(known.key, known.answer, known.size)
+
     def raise_floor(self, floor: int) -> None:
         """Drop all keys born before ``floor``; none of them is ever run any more."""
         self.floor = max(self.floor, floor)
--- a/dunlinsaddle/policy/ownership.py
+++ b/dunlinsaddle/policy/ownership.py
@@ -71,6 +71,14 @@
         """Give the interval of a range that a key's birth falls in."""
         return find_interval(self.ranges[number], birth)
 
+    def superseded(self, owner: Owner) -> bool:
+        """Say whether a newer run of the same instance has entered itself."""
+        return self.present.get(owner.instance, owner.epoch) != owner.epoch
+
+    def later(self, number: int, birth: int) -> tuple[Interval, ...]:
+        """Give the intervals of a range that follow the one that a birth falls in."""
+        return tuple(i for i in self.ranges[number] if i.start > birth)
+
     def forgot(self, number: int, birth: int) -> bool:
         """Say whether the interval of a birth may have been listed once and is no more."""
         intervals = self.ranges[number]
--- a/tests/once_cluster.py
+++ b/tests/once_cluster.py
@@ -6,13 +6,15 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 from result import Err
 
-from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.handover import hand_over, take_over
+from dunlinsaddle.calls.messages import Call, KeysPush, Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import Work, work_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
-from dunlinsaddle.membership.view import MemberView
+from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.platform.store import StoredObject, Unavailable
 from dunlinsaddle.policy.keys import mint_key, parse_key, range_of
@@ -66,8 +68,9 @@
         self.seconds = 0.0
         self.leaving = False
         for other in NAMES:
-            self.view.take(build_member(other, peers=Address(other, 1)))
-        links: Any = SimpleNamespace(call=self.call)
+            self.view.take(cluster.member(other))
+        links: Any = SimpleNamespace(call=self.call, give_keys=self.give_keys)
+        self.links = links
         executor: Any = SimpleNamespace(execute=self.execute)
         self.gate = OnceGate(
             self.keeper,
@@ -94,6 +97,24 @@
             return Lost('the link ended')
         return reply
 
+    async def give_keys(self, address: Address, push: KeysPush, timeout: float) -> bool:
+        peer = self.cluster.nodes.get(address.host)
+        reached = frozenset((self.name, address.host)) not in self.cluster.cuts
+        if peer is None or not reached or address.host in self.cluster.frozen:
+            return False
+        take_over(peer.gate.tables, msgspec.convert(msgspec.to_builtins(push), KeysPush))
+        return True
+
+    async def leave(self) -> None:
+        """Drain: close the ranges, accept no key any more, tell the heirs, and go."""
+        self.leaving = True
+        await self.tick()
+        self.keeper.close()
+        await self.gate.wait_idle()
+        await hand_over(self.gate.tables, self.keeper, self.view, self.links)
+        for node in self.cluster.nodes.values():
+            node.view.take(self.cluster.member(self.name)._replace(state=State.LEFT))
+
     async def execute(self, work: Work) -> Reply:
         reply = await self.run_target(work.ctx.key)
         reply.unspent = work.allowance.tokens
@@ -150,6 +171,7 @@
         self.lose_replies = 0
         self.epochs = 0
         self.moves: Counter[str] = Counter()
+        self.starts: Counter[str] = Counter()
         self.failed: set[str] = set()  #: keys whose runs' ends no node saw
         self.rng = Random(11)
 
@@ -160,9 +182,17 @@
         """
         self.epochs += 1
         self.moves[name] += moved
+        self.starts[name] += 1
+        for node in self.nodes.values():
+            node.view.take(self.member(name))
         self.nodes[name] = self.process(self, name, f'e{self.epochs}', skew)
         return self.nodes[name]
 
+    def member(self, name: str) -> Member:
+        """Give the word that the present run of a node spreads."""
+        incarnation = max(self.starts[name], 1)
+        return build_member(name, incarnation=incarnation, peers=Address(name, 1))
+
     async def settle(self, rounds: int = 12) -> None:
         """Let all nodes that run keep their ranges for a while."""
         for _ in range(rounds):
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -271,6 +271,28 @@
 
         self.run_cluster(scenario)
 
+    def test_a_rolling_restart_forgets_no_answer(self):
+        # Each node in turn drains, goes, and comes back with an empty memory. A caller resends
+        # every key by each entry after each restart: the next owners know the answers.
+        async def scenario(cluster: Cluster) -> None:
+            keys: list[str] = []
+            for name in NAMES:
+                await cluster.send_to('menai-1', 40, keys)
+                await cluster.nodes[name].leave()
+                gone = cluster.nodes.pop(name)
+                await asyncio.sleep(20.1)  # its clock may be as fast as that
+                for entry in cluster.nodes:
+                    await cluster.send_to(entry, 10, keys)
+                    for key in keys:
+                        self.assertEqual(
+                            Outcome.DONE, (await cluster.nodes[entry].send(key)).outcome
+                        )
+                cluster.start(gone.name)
+                await cluster.settle(3)
+            self.assertEqual({1}, {cluster.runs[key] for key in keys})
+
+        self.run_cluster(scenario)
+
     def test_a_duplicate_of_a_call_that_was_handed_over(self):
         # The owner's target is full, so another node's target runs the key. The owner still
         # answers for it: "in progress" at once, then the answer.
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -5,12 +5,14 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection
+from functools import partial
 from itertools import pairwise
 from pathlib import Path
 from random import Random
 
 import msgspec
 from testtools import TestCase
+from testtools.content import text_content
 
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.policy.keys import RANGES, mint_key
@@ -200,6 +202,42 @@
 
         self.run_scenario(scenario)
 
+    def test_rolling_restart_under_calls(self):
+        # Each node drains, ends and comes back at its addresses while calls go on. At the end
+        # the caller sends each key again by another entry: it gets the answer of the one run.
+        async def scenario() -> None:
+            sent: dict[str, asyncio.Task[HttpResponse | None]] = {}
+            load = asyncio.create_task(self.send_new_keys(sent))
+            for name in DOMAINS:
+                await self.restart(name)
+                await asyncio.sleep(2)
+            load.cancel()
+            await asyncio.gather(*sent.values())
+            again = {key: self.outcome(await self.send('menai-1', key)) for key in sent}
+            runs = await self.runs()
+            counts = f'{Counter(again.values())} of {len(sent)}, {len(runs)} ran'
+            self.addDetail('outcomes', text_content(counts))
+            self.assertEqual({1}, set(runs.values()))
+            self.assertGreater(len(sent), 100)
+            self.assertEqual(set(runs), {key for key in sent if again[key] == 'done'})
+
+        self.run_scenario(scenario)
+
+    async def send_new_keys(self, sent: 'dict[str, asyncio.Task[HttpResponse | None]]') -> None:
+        while True:
+            key = mint_key(int(time.time() * 1000), self.rng, 'cut-orders').text
+            entry = self.rng.choice(list(DOMAINS))
+            sent[key] = asyncio.create_task(self.send(entry, key))
+            await asyncio.sleep(0.06)
+
+    async def restart(self, name: str) -> None:
+        placed = self.fleet.placed[name]
+        placed.node.kill(signal.SIGTERM)
+        await asyncio.to_thread(placed.node.popen.wait)
+        start = partial(self.fleet.start_node, name, DOMAINS[name], **placed.faces)
+        node, faces = await asyncio.to_thread(start)
+        self.fleet.placed[name] = placed._replace(node=node, faces=faces)
+
     def test_target_killed_while_it_runs_a_call_without_a_key(self):
         # No key came, so no resend can be told from a new call; but the system's own retries
         # must not run it twice. The answer is "unknown", although other targets are idle.
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -150,6 +150,22 @@
         self.assertLessEqual(len(table), 10)
         self.assertEqual(Denied(ErrorKind.KEY_EXPIRED), table.begin('k', NOW, 1, NOW))
 
+    def test_what_a_former_owner_knew_takes_half_the_room(self):
+        # A key that still ran at its end counts as unknown. Keys beyond the room are left out:
+        # were the floor to rise for them, the heir's own keys would expire.
+        former = self.build()
+        for number in range(9):
+            former.begin(f'k{number}', NOW, 1, NOW)
+            former.done(f'k{number}', 'answer', 30)
+        heir: KeyTable[str] = KeyTable(max_keys=10, max_bytes=60)
+        for known in [*former.ended(), *former.ended()]:
+            heir.learn(known)
+        self.assertEqual((5, 0), (len(heir), heir.floor))
+        self.assertEqual(Denied(ErrorKind.OUTCOME_UNKNOWN), heir.look('k', 1))
+        self.assertEqual(Known('answer'), heir.look('k0', 1))
+        self.assertEqual(Denied(ErrorKind.ANSWER_GONE), heir.look('k1', 1))
+        self.assertEqual(Denied(ErrorKind.KEY_REUSED), heir.look('k1', 2))
+
     def test_answers_are_bounded_and_what_is_dropped_still_counts_as_done(self):
         table = self.build(max_bytes=100)
         table.done('k', 'first', 60)
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -91,6 +91,17 @@
                 self.run(former.send(key))
         self.resend()
 
+    @rule(name=names)
+    def leave(self, name):
+        """Drain a node under calls that still run, ask the heirs, and start it afresh."""
+        node = self.cluster.nodes[name]
+        self.run(self.cluster.send_to(name, SENDS // 2, self.keys))
+        self.run(node.leave())
+        self.run(self.cluster.refresh())
+        self.resend()
+        self.restart(name, 0.0, False)
+        self.resend()
+
     @rule(name=names, leaving=st.booleans())
     def drain(self, name, leaving):
         self.cluster.nodes[name].leaving = leaving
