Callers' table of answers equals the code's

Cause: the page called key-expired "not-run" (it is unknown), put it with answers that may be given up on, and left out answer-gone, owner-unreachable and platform-unavailable; nothing held the page against errors.py. A caller that took key-expired for "not run" and sent a new key could run a cut order twice.

Ruled out: generating the page, for its last column is advice that the code does not hold.

A test holds the rows against ANSWERS, and allows "new key" only where the outcome is not-run.

--- /dev/null
+++ b/tests/test_callers_page.py
@@ -0,0 +1,33 @@
+import re
+from pathlib import Path
+
+from testtools import TestCase
+
+from dunlinsaddle.errors import ANSWERS, Outcome
+
+PAGE = (Path(__file__).parent.parent / 'docs' / 'CALLERS.md').read_text()
+ROW = re.compile(
+    r'^\| (\d{3}) \| ([a-z-]+) \| ([a-z-]+) \| (yes|no) \| (yes|no) \| (.+) \|$', re.MULTILINE
+)
+
+
+class CallersPageTest(TestCase):
+    def test_the_table_of_answers_is_that_of_the_code(self):
+        told = {row[:5] for row in ROW.findall(PAGE)}
+        answers = {
+            (
+                str(rule.status),
+                kind.value,
+                rule.outcome.value,
+                'yes' if rule.retry_after else 'no',
+                'yes' if rule.resend else 'no',
+            )
+            for kind, rule in ANSWERS.items()
+        }
+        self.assertEqual(answers, told)
+        self.assertEqual(len(ANSWERS), len(ROW.findall(PAGE)))
+
+    def test_a_new_key_is_advised_only_where_the_old_one_did_not_run(self):
+        for _, kind, outcome, _, _, advice in ROW.findall(PAGE):
+            if 'new key' in advice and 'once you know' not in advice:
+                self.assertEqual(Outcome.NOT_RUN.value, outcome, kind)
