--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import secrets
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -13,6 +14,7 @@
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
 from dunlinsaddle.calls.frames import LinkLimits
+from dunlinsaddle.calls.handover import hand_over, log_handed, take_over
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
@@ -28,10 +30,11 @@
 from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.once.local import LocalRanges, Served
+from dunlinsaddle.once.place import host_of
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
-from dunlinsaddle.policy.ownership import Owner
+from dunlinsaddle.policy.ownership import Owner, Place
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
@@ -112,7 +115,9 @@
         me = Owner(self.settings.instance, secrets.token_hex(6))
         clock = SteadyClock(self.env.wall_clock)
         rng = Random(self.env.rng.random())
-        self.keeper = RangeKeeper(self.store, me, clock.now, rng)
+        horizon = int(self.settings.range_horizon * 1000)
+        self.clock = clock
+        self.keeper = RangeKeeper(self.store, me, clock.now, rng, horizon)
         self.once = OnceGate(
             self.keeper,
             self.view,
@@ -155,6 +160,7 @@
         sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
         self.peer_server.on_records = sync.take
         self.peer_server.on_deaths = self._hear_deaths
+        self.peer_server.on_keys = partial(take_over, self.once.tables)
         return sync
 
     def _build_instruments(self) -> Metrics:
@@ -197,6 +203,9 @@
             await self.operators_http.listen(cfg.operators),
             await self.agent.listen(self.env.open_gossip, cfg.gossip),
         )
+        host = host_of(cfg.peers)
+        if host:
+            self.keeper.place = Place(host, self.clock.zero())
         self.agent.start(self.me())
         roster = Roster(self.store, cfg.domain)
         bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
@@ -227,6 +236,10 @@
                 await self.running.wait_idle()
                 await self.once.wait_idle()
                 await handing_over
+                self.keeper.close()
+                await self.once.wait_idle()
+                handed = await hand_over(self.once.tables, self.keeper, self.view, self.links)
+                log_handed(self.logger, handed)
                 await self.local_http.wait_idle()
 
     async def stop(self) -> None:
@@ -237,6 +250,7 @@
         for face in (self.callers_http, self.local_http, self.operators_http):
             face.close()
         self.agent.leave()
+        self.keeper.close()
         self.peer_server.close()
         self.links.close()
         self.instruments.close()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,8 +9,10 @@
     CLAIM_BELOW,
     EXTEND_BELOW,
     HORIZON,
+    TAKEOVER_MARGIN,
     Interval,
     Owner,
+    Place,
     Plan,
     RangeMap,
     Situation,
@@ -20,6 +22,7 @@
 )
 
 NOW = 1_000_000_000
+DUE = int(EXTEND_BELOW * HORIZON)
 A, B = Owner('bangor-1', 'a1'), Owner('caernarfon-1', 'b1')
 BOTH = (A.instance, B.instance)
 
@@ -48,9 +51,9 @@
         self.assertIsNone(plan(second.map, A))
 
     def test_an_owner_extends_only_when_it_is_due(self):
-        long = held(Interval(A, 0, NOW + EXTEND_BELOW))
+        long = held(Interval(A, 0, NOW + DUE))
         self.assertIsNone(plan(long, A, (A.instance,)))
-        due = plan(held(Interval(A, 0, NOW + EXTEND_BELOW - 1)), A, (A.instance,))
+        due = plan(held(Interval(A, 0, NOW + DUE - 1)), A, (A.instance,))
         self.assertEqual({NOW + HORIZON}, {row[-1].until for row in due.map.ranges})
 
     def test_a_successor_starts_where_the_silent_owner_ends(self):
@@ -84,6 +87,22 @@
         self.assertEqual({(again, until)}, {(r[-1].owner, r[-1].start) for r in claimed.map.ranges})
         self.assertEqual('a2', claimed.map.present[A.instance])
 
+    def test_a_killed_owner_is_followed_early_by_its_successor_at_the_same_place(self):
+        # The owner's clock was 20 s ahead of its successor's, so it may have run keys born up
+        # to 50 s from now. The cut lies behind those; elsewhere the range waits for its end.
+        again, zero = Owner(A.instance, 'a2'), 5_000_000
+        former = held(Interval(A, 0, NOW + HORIZON))
+        former = former._replace(places={A.epoch: Place('here', zero + 20_000)})
+        taken = plan(former, again, (A.instance,), place=Place('here', zero)).map
+        cut = NOW + 20_000 + TAKEOVER_MARGIN
+        wanted = (Interval(A, 0, cut), Interval(again, cut, cut + HORIZON))
+        self.assertEqual({wanted}, set(taken.ranges))
+        self.assertEqual({again.epoch: Place('here', zero)}, taken.places)
+        self.assertEqual(taken, decode_map(encode_map(taken)))
+        for place in (None, Place('there', zero)):
+            waits = plan(former, again, (A.instance,), place=place)
+            self.assertEqual(former.ranges, waits.map.ranges)
+
     def test_the_stored_form_reads_back_and_stays_small(self):
         ranges = plan(RangeMap(), A).map
         self.assertEqual(ranges, decode_map(encode_map(ranges)))
@@ -131,6 +150,22 @@
         self.assertLessEqual(len(table), 10)
         self.assertEqual(Denied(ErrorKind.KEY_EXPIRED), table.begin('k', NOW, 1, NOW))
 
+    def test_what_a_former_owner_knew_takes_half_the_room(self):
+        # A key that still ran at its end counts as unknown. Keys beyond the room are left out:
+        # were the floor to rise for them, the heir's own keys would expire.
+        former = self.build()
+        for number in range(9):
+            former.begin(f'k{number}', NOW, 1, NOW)
+            former.done(f'k{number}', 'answer', 30)
+        heir: KeyTable[str] = KeyTable(max_keys=10, max_bytes=60)
+        for known in [*former.ended(), *former.ended()]:
+            heir.learn(known)
+        self.assertEqual((5, 0), (len(heir), heir.floor))
+        self.assertEqual(Denied(ErrorKind.OUTCOME_UNKNOWN), heir.look('k', 1))
+        self.assertEqual(Known('answer'), heir.look('k0', 1))
+        self.assertEqual(Denied(ErrorKind.ANSWER_GONE), heir.look('k1', 1))
+        self.assertEqual(Denied(ErrorKind.KEY_REUSED), heir.look('k1', 2))
+
     def test_answers_are_bounded_and_what_is_dropped_still_counts_as_done(self):
         table = self.build(max_bytes=100)
         table.done('k', 'first', 60)
