--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: install demo test codestyle format types bench latency control-cost clean
+.PHONY: install demo test codestyle format types bench latency press control-cost clean
 
 install: $(VENV)/installed
 
@@ -35,6 +35,9 @@
 latency: install
 	$(BIN)/python -m standins.latency
 
+press: install
+	$(BIN)/python -m standins.press
+
 control-cost: install
 	$(BIN)/python -m standins.scale
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
     slots: int
     seconds: float
     calls: tuple[str, ...] = ()
+    options: tuple[str, ...] = ()  #: further flags of the target
 
 
 class Process:
@@ -122,6 +123,7 @@
         argv += ['--slots', str(spec.slots), '--seconds', str(spec.seconds)]
         for path in spec.calls:
             argv += ['--call', path]
+        argv += spec.options
         target = self._start(argv)
         listening = target.out.get(timeout=START_SECONDS)
         self.placed[name] = Placed(name, node, target, faces, listening)
--- a/standins/target.py
+++ b/standins/target.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import signal
+from http import HTTPStatus
 
 import msgspec
 
@@ -19,7 +20,16 @@
     """Answers calls after a service time, at most ``slots`` of them at once."""
 
     def __init__(
-        self, name: str, service: str, node: Address, slots: int, seconds: float, calls: list[str]
+        self,
+        name: str,
+        service: str,
+        node: Address,
+        slots: int,
+        seconds: float,
+        calls: list[str],
+        *,
+        frees_slots: bool = False,
+        retries: int = 0,
     ) -> None:
         self.name = name
         self.service = service
@@ -27,23 +37,41 @@
         self.slots = asyncio.Semaphore(slots)
         self.seconds = seconds
         self.calls = calls
+        self.frees_slots = frees_slots  #: a slot is held only for the target's own work
+        self.retries = retries  #: of each failed call down, as a target without nodes would do
         self.client = HttpClient()
+        self.begun = 0
         self.runs: dict[str, int] = {}
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one call."""
         if req.path == '/-/runs':
             return json_response(self.runs)
+        if req.path == '/-/begun':
+            return json_response(self.begun)
         key = req.header(b'idempotency-key')
         if key:
             self.runs[key] = self.runs.get(key, 0) + 1
         async with self.slots:
+            self.begun += 1
             await asyncio.sleep(self.seconds)
-            below = [await self._call(path, req) for path in self.calls]
+            below = [] if self.frees_slots else await self._call_all(req)
+        if self.frees_slots:
+            below = await self._call_all(req)
         status = 200 if all(status == 200 for status in below) else 502
         return json_response({'target': self.name, 'path': req.path, 'below': below}, status)
 
+    async def _call_all(self, req: HttpRequest) -> list[int]:
+        return [await self._call(path, req) for path in self.calls]
+
     async def _call(self, path: str, req: HttpRequest) -> int:
+        for _ in range(self.retries):
+            status = await self._call_once(path, req)
+            if status == HTTPStatus.OK:
+                return status
+        return await self._call_once(path, req)
+
+    async def _call_once(self, path: str, req: HttpRequest) -> int:
         headers = [(b'dunlinsaddle-call', req.header(b'dunlinsaddle-call').encode())]
         down = HttpRequest('GET', path, headers, b'', '')
         exchange = await self.client.send(self.node, down, CALL_TIMEOUT)
@@ -83,8 +111,19 @@
     parser.add_argument('--slots', default=10, type=int)
     parser.add_argument('--seconds', default=0.01, type=float)
     parser.add_argument('--call', action='append', default=[], help='/service/path called down')
+    parser.add_argument('--frees-slots', action='store_true', help='while it waits for others')
+    parser.add_argument('--retries', default=0, type=int, help='of each failed call down')
     args = parser.parse_args()
-    target = Target(args.name, args.service, args.node, args.slots, args.seconds, args.call)
+    target = Target(
+        args.name,
+        args.service,
+        args.node,
+        args.slots,
+        args.seconds,
+        args.call,
+        frees_slots=args.frees_slots,
+        retries=args.retries,
+    )
     asyncio.run(serve(target, args.listen))
 
 
