Keep the priority of a request over its resends in the replay

Cause: press and replay differed in recovery, 9 s against 6.0 s for the same shape. All hops derive the priority from the request's id, and a caller keeps that id when it sends again; the replay drew a new priority for each sending, so a refused caller won by asking again. Ruled out: the senders (they kept pace) and the processors of the nodes (1.44 cores for six).

--- a/dunlinsaddle/replay/run.py
+++ b/dunlinsaddle/replay/run.py
@@ -133,8 +133,9 @@
         deadline = self.loop.now + self.trace.records[chain.service].deadline
         callers = self.trace.callers
         call = Call(chain.service, chain.rule, chain.calls)
+        # Resends keep the request's id, and with it the priority that all hops derive from it.
+        priority = Priority(rank, self.rng.randrange(SLOTS_PER_RANK))
         while True:
-            priority = Priority(rank, self.rng.randrange(SLOTS_PER_RANK))
             attempt = Attempt(caller, priority, deadline, fingerprint=number, kills=kills)
             req.attempts.append(attempt)
             failure = yield from self._send(attempt, call)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -42,6 +42,19 @@
         runs = [replay(read_trace(build_trace_lines(load=2.0)), 'current') for _ in range(2)]
         self.assertEqual(*([r.ended for r in run.requests] for run in runs))
 
+    def test_resends_keep_the_priority_of_their_request(self):
+        """A caller refused at 4x sends again, with the same request id, and is refused again.
+
+        All hops derive the priority from that id. A replay that drew a new one for each resend
+        let a caller win by asking again, and showed a faster recovery than processes have.
+        """
+        callers = '{"kind":"callers","count":5,"resends":2,"pause":"retry-after"}'
+        run = replay(read_trace([*build_trace_lines(load=4.0), callers]), 'current')
+        resent = [req for req in run.requests if len(req.attempts) > 1]
+        self.assertNotEqual([], resent)
+        for req in resent:
+            self.assertEqual(1, len({attempt.priority for attempt in req.attempts}))
+
     def run_tool(self, lines: list[str], *flags: str):
         path = self.write_trace(lines)
         env = build_environment()
