--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -84,12 +84,12 @@
         self.heard = True
         self._feed(data)
 
-    def send(self, req: HttpRequest, host: str) -> 'asyncio.Future[Exchange]':
+    def send(self, req: HttpRequest, host: bytes) -> 'asyncio.Future[Exchange]':
         """Write a request.
 
         Raises h11.LocalProtocolError or UnicodeError, before any byte is written.
         """
-        headers = [(b'host', host.encode())]
+        headers = [(b'host', host)]
         headers += [(n, v) for n, v in req.headers if n not in HOP_BY_HOP]
         headers.append((b'content-length', str(len(req.body)).encode()))
         head = h11.Request(method=req.method, target=req.path, headers=headers)
@@ -175,7 +175,8 @@
 class _Pool:
     """The kept connections to one address, and how long its answers take."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: Address) -> None:
+        self.host = str(address).encode()
         self.idle: list[_Connection] = []
         self.timer: asyncio.TimerHandle | None = None
         self.slowest = 0.0
@@ -258,7 +259,9 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout
         sending = _Sending(address, req, deadline, may_repeat)
-        pool = self._pools.setdefault(address, _Pool())
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = _Pool(address)
         conn = pool.take(REUSE_SECONDS if may_repeat else REUSE_ONCE_SECONDS)
         if conn is None:
             return await self._send_anew(sending, pool)
@@ -281,7 +284,7 @@
             conn.transport.abort()
             return NotSent('the deadline passed before it was sent')
         try:
-            fut = conn.send(sending.req, str(sending.address))
+            fut = conn.send(sending.req, pool.host)
         except (h11.LocalProtocolError, UnicodeError) as exc:
             conn.transport.abort()
             return NotSent(f'it cannot be written as HTTP: {exc}')
--- a/standins/latency.py
+++ b/standins/latency.py
@@ -53,6 +53,12 @@
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
+def resident_megabytes(pid: int) -> float:
+    """Give the memory that a process holds."""
+    pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / 1e6
+
+
 def used(way: Way) -> float:
     """Give the processor time that all nodes of a way have used."""
     return sum(processor_seconds(placed.node.popen.pid) for placed in way.nodes)
@@ -142,7 +148,11 @@
             Way('two nodes', nodes['menai-1'], PATH, (entry, target)),
         ]
         say(f'{args.rate:g} calls a second, {args.rounds} rounds in turn')
+        began = os.getloadavg()[0]
         report(asyncio.run(measure(ways, args.rate, args.rounds, args.count)))
+        for name, placed in (('beside', target), ('entry', entry)):
+            say(f'node {name}: {resident_megabytes(placed.node.popen.pid):.1f} MB resident')
+        say(f'load of the machine: {began:.1f} before, {os.getloadavg()[0]:.1f} after')
 
 
 if __name__ == '__main__':
