--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -15,8 +15,7 @@
 
 LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
 SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
-CRITICAL_QUEUE = 2.0  #: calls of the most valued rank that wait for each that runs
-FEWEST_CRITICAL = 8  #: the least of them that may wait
+CRITICAL_QUEUE = 8  #: calls of the most valued rank that may wait, however low the limit
 HIGHEST_USE = 1.06  #: demand admitted as a share of capacity, at recovery_bias 0
 LOWEST_USE = 1.0  #: the same at recovery_bias 1
 TIME_GAIN = 0.1
@@ -264,16 +263,15 @@
     def _has_room(self, ticket: Ticket) -> bool:
         """Say whether the call may wait without taking the place of another.
 
-        The queue is short, so that little is in it when an overload ends. When all of it is of
-        the most valued rank, a few such calls at once would be refused while lookups still
-        have the slots; these may wait for longer, as far as their deadlines allow.
+        At a cold target the queue holds one or two calls. When those are of the most valued
+        rank, the next of that rank would be refused while lookups still have the slots.
         """
         waiting = len(self.queue)
         if waiting < max(self.limit * self._queue_share, 1):
             return True
         if max(ticket.level, self.queue[-1].level) >= SLOTS_PER_RANK:
             return False
-        return bool(waiting < max(self.limit * CRITICAL_QUEUE, FEWEST_CRITICAL))
+        return waiting < CRITICAL_QUEUE
 
     def _work_done(self, ticket: Ticket) -> None:
         """Count a call once: when it first leaves for another service, or ends."""
