--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
     slots: int
     seconds: float
     calls: tuple[str, ...] = ()
+    options: tuple[str, ...] = ()  #: further flags of the target
 
 
 class Process:
@@ -79,9 +80,13 @@
 
 
 class Fleet:
-    """A platform and any number of targets with their nodes; a context manager."""
+    """A platform and any number of targets with their nodes; a context manager.
 
-    def __init__(self) -> None:
+    With ``profiles``, a folder, each node runs under cProfile and leaves its figures there.
+    """
+
+    def __init__(self, profiles: str = '') -> None:
+        self.profiles = profiles
         self.processes: list[Process] = []
         self.platform = ''
         self.placed: dict[str, Placed] = {}
@@ -110,7 +115,9 @@
             'DUNLINSADDLE_OPERATOR_TOKEN': OPERATOR_TOKEN,
             **{f'DUNLINSADDLE_{key.upper()}': value for key, value in settings.items()},
         }
-        node = self._start([sys.executable, '-m', 'dunlinsaddle.daemon'], environ)
+        profiler = ['-m', 'cProfile', '-o', f'{self.profiles}/{name}.prof']
+        argv = [sys.executable, *(profiler if self.profiles else []), '-m', 'dunlinsaddle.daemon']
+        node = self._start(argv, environ)
         line = node.err.get(timeout=START_SECONDS)
         return node, json.loads(line)['faces']
 
@@ -122,6 +129,7 @@
         argv += ['--slots', str(spec.slots), '--seconds', str(spec.seconds)]
         for path in spec.calls:
             argv += ['--call', path]
+        argv += spec.options
         target = self._start(argv)
         listening = target.out.get(timeout=START_SECONDS)
         self.placed[name] = Placed(name, node, target, faces, listening)
