Accept few connections in one go, so that a flooded node stays known

Cause: a node given 30 to 40 times what its target can do was suspected, at 40x held for dead, by a node that was idle. asyncio accepts up to its backlog of connections, 1024 here, in one event; gossip, peers and the target's answers wait meanwhile. Ruled out: the senders (latest sending 0.11 s late) and a full processor alone (0.80 cores of two nodes at that moment).

--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import math
+import os
+import socket
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -14,6 +16,8 @@
 from dunlinsaddle.settings import Address
 
 MAX_TARGET_BYTES = 8192
+ACCEPTED_AT_ONCE = 16  #: connections taken between two other events
+BACKLOG = 1024  #: connections that wait in the kernel
 HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -331,6 +335,14 @@
         return b''.join(self.parser.send(event) or b'' for event in events)
 
 
+def _lengthen_queue(fileno: object) -> None:
+    if not isinstance(fileno, int):
+        # A loop whose connections are in memory has no queue in a kernel.
+        return
+    with socket.socket(fileno=os.dup(fileno)) as sock:
+        sock.listen(BACKLOG)
+
+
 class HttpFace:
     """A listener that hands whole requests to ``handler``, one at a time per connection."""
 
@@ -352,8 +364,13 @@
         """Start to listen; gives the address in use. Raises OSError when it is taken."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), address.host, address.port, backlog=1024
+            lambda: _Connection(self), address.host, address.port, backlog=ACCEPTED_AT_ONCE
         )
+        # The loop takes up to its backlog of connections in one go, and nothing else meanwhile.
+        # With a long one a flood of new connections kept it from the gossip for so long that
+        # other nodes held this one for dead. The queue in the kernel may be as long as before.
+        for sock in self._server.sockets:
+            _lengthen_queue(sock.fileno())
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
