--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -7,9 +7,16 @@
 
 import h11
 
-from dunlinsaddle.calls.http import BODILESS, HOP_BY_HOP, HttpRequest, HttpResponse, message_events
+from dunlinsaddle.calls.http import (
+    BODILESS,
+    FRAMING,
+    HOP_BY_HOP,
+    HttpRequest,
+    HttpResponse,
+    message_events,
+)
 from dunlinsaddle.calls.keepalive import watch_connection
-from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.messages import Headers, Lost, NotSent
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.settings import Address
 
@@ -47,12 +54,14 @@
         self.transport: asyncio.Transport
         self.fut: asyncio.Future[Exchange] | None = None
         self.head: h11.Response | None = None
+        self.headers: Headers = []
         self.chunks: list[bytes] = []
         self.size = 0
         self.method = ''
         self.heard = False
         self.closed = False
         self.answers = 0
+        self.timer: asyncio.TimerHandle | None = None
         self.repeat: asyncio.Task[None] | None = None
         self.answered_at = 0.0
 
@@ -133,9 +142,10 @@
 
     def _begin(self, head: h11.Response) -> None:
         self.head = head
+        self.headers = list(head.headers)
         if self.method == 'HEAD' or head.status_code in BODILESS:
             return
-        framing = {n: v for n, v in head.headers if n in (b'content-length', b'transfer-encoding')}
+        framing = {n: v for n, v in self.headers if n in FRAMING}
         if not framing:
             # A body that ends with the connection looks the same whole or cut.
             self.drop(Lost('the answer has no length', ErrorKind.OUTCOME_UNKNOWN))
@@ -149,8 +159,7 @@
 
     def _complete(self) -> None:
         assert self.head is not None
-        headers = [(bytes(n), bytes(v)) for n, v in self.head.headers]
-        response = HttpResponse(self.head.status_code, headers, b''.join(self.chunks))
+        response = HttpResponse(self.head.status_code, self.headers, b''.join(self.chunks))
         self.chunks = []
         ended = self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
         # Bytes behind the answer, as of a doubled one, would be read as the next answer.
@@ -283,10 +292,12 @@
     ) -> Exchange:
         loop = conn.loop
         sent_at = loop.time()
-        timers = [loop.call_at(sending.deadline, self._expire, pool, conn)]
-        if sending.may_repeat is not None and conn.answers:
-            at = pool.overdue_at(sent_at)
-            timers.append(loop.call_at(at, self._check_overdue, conn, sending, pool, sent_at))
+        overdue = pool.overdue_at(sent_at)
+        if sending.may_repeat is not None and conn.answers and overdue < sending.deadline:
+            # One timer at a time: nearly all calls end before either.
+            conn.timer = loop.call_at(overdue, self._check_overdue, conn, sending, pool, sent_at)
+        else:
+            conn.timer = loop.call_at(sending.deadline, self._expire, pool, conn)
         try:
             exchange = await fut
         except asyncio.CancelledError:
@@ -294,8 +305,7 @@
             conn.transport.abort()
             raise
         finally:
-            for timer in timers:
-                timer.cancel()
+            conn.timer.cancel()
             if conn.repeat is not None:
                 conn.repeat.cancel()
         if isinstance(exchange, Answered):
@@ -328,6 +338,7 @@
         # is lost, and nothing seen from here tells which. Both get an answer if it is sent
         # once more over a new connection while the old one is still listened to.
         assert sending.may_repeat is not None
+        conn.timer = conn.loop.call_at(sending.deadline, self._expire, pool, conn)
         if pool.answered_at > sent_at and sending.may_repeat():
             pool.drop_idle()
             conn.repeat = conn.loop.create_task(self._repeat(conn, sending, pool))
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -20,12 +20,13 @@
     Wait,
 )
 from dunlinsaddle.policy.context import CallContext
-from dunlinsaddle.policy.level import ChainLevels
+from dunlinsaddle.policy.level import TICK, ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
 
 COME_BACK = 1.0
+TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
 class LocalTarget:
@@ -100,6 +101,8 @@
         self._tickets = 0
         self._shadows: set[int] = set()
         self._suspect_lock = asyncio.Lock()
+        self._ticked = 0  #: tickets given out at the last tick
+        self._ticking = False
 
     async def execute(self, work: Work) -> Reply:
         """Run one call at the local target, or refuse it.
@@ -114,9 +117,11 @@
         now = asyncio.get_running_loop().time()
         self.quarantine.hear(now, ctx.fingerprint, ctx.deaths)
         match self.quarantine.standing(now, ctx.fingerprint):
+            case Barred(failure) if self.observes(ctx.service):
+                self.stats.observed_refusals[failure.kind.value] += 1
             case Barred(failure):
                 return self._refused(failure, work)
-            case Alone():
+            case Alone() if not self.observes(ctx.service):
                 return await self._run_alone(work)
         return await self._admit_and_run(work)
 
@@ -135,6 +140,8 @@
     async def _admit_and_run(self, work: Work) -> Reply:
         ticket = self._ticket(work.ctx)
         failure = await self._admit(ticket, work.ctx.service)
+        if work.waits is not None:
+            work.waits.seconds += asyncio.get_running_loop().time() - ticket.arrived
         if failure is not None:
             return self._refused(failure, work)
         return await self._run(work, ticket)
@@ -149,10 +156,26 @@
 
     def _ticket(self, ctx: CallContext) -> Ticket:
         self._tickets += 1
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if not self._ticking:
+            self._ticking = True
+            loop.call_later(TICK_SECONDS, self._tick)
         level = ctx.priority.level
         return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller)
 
+    def _tick(self) -> None:
+        """Let admission decide between calls: a call that finds it due waits for it.
+
+        Without calls there is nothing to decide, and an idle node is not woken.
+        """
+        loop = asyncio.get_running_loop()
+        self.admission.load(loop.time())
+        self._ticking = self._tickets != self._ticked
+        self._ticked = self._tickets
+        if self._ticking:
+            loop.call_later(TICK_SECONDS, self._tick)
+
     async def _admit(self, ticket: Ticket, service: str) -> Failure | None:
         loop = asyncio.get_running_loop()
         verdict = self.admission.arrive(loop.time(), ticket)
@@ -182,8 +205,7 @@
             timer.cancel()
             self._waiting.pop(ticket.call_id, None)
             del self._waiting_tickets[ticket.call_id]
-        self.stats.queued += 1
-        self.stats.queue_time += loop.time() - ticket.arrived
+        self.stats.waited(loop.time() - ticket.arrived)
         return refused
 
     def _observe(self, ticket: Ticket, verdict: Verdict) -> None:
@@ -279,7 +301,12 @@
         ]
         req = HttpRequest(work.method, work.path, headers, work.body, '')
         again = partial(self._may_repeat, work) if work.ctx.idempotent else None
-        match await self.client.send(address, req, budget, may_repeat=again):
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        exchange = await self.client.send(address, req, budget, may_repeat=again)
+        if work.waits is not None:
+            work.waits.seconds += loop.time() - sent_at
+        match exchange:
             case Answered(response):
                 headers = forwarded_headers(response.headers)
                 return Reply(0, response.status, headers, response.body, Outcome.DONE)
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import secrets
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -13,12 +14,13 @@
 from dunlinsaddle.calls.execute import Executor, LocalTarget
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
 from dunlinsaddle.calls.frames import LinkLimits
+from dunlinsaddle.calls.handover import hand_over, log_handed, take_over
 from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
-from dunlinsaddle.calls.work import RunningCalls, work_of
+from dunlinsaddle.calls.work import RunningCalls, count_added, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.explain import Explanation, Question, explain
 from dunlinsaddle.membership.agent import GossipAgent
@@ -28,10 +30,11 @@
 from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.once.local import LocalRanges, Served
+from dunlinsaddle.once.place import host_of
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
-from dunlinsaddle.policy.ownership import Owner
+from dunlinsaddle.policy.ownership import Owner, Place
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.records.book import RecordBook
@@ -67,7 +70,7 @@
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
         self.book = RecordBook(wall_clock=env.wall_clock)
-        self.view = MemberView()
+        self.view = MemberView(self._member_changed)
         self.target = LocalTarget()
         self.running = RunningCalls()
         self.client = HttpClient(settings.max_body_bytes)
@@ -112,7 +115,9 @@
         me = Owner(self.settings.instance, secrets.token_hex(6))
         clock = SteadyClock(self.env.wall_clock)
         rng = Random(self.env.rng.random())
-        self.keeper = RangeKeeper(self.store, me, clock.now, rng)
+        horizon = int(self.settings.range_horizon * 1000)
+        self.clock = clock
+        self.keeper = RangeKeeper(self.store, me, clock.now, rng, horizon)
         self.once = OnceGate(
             self.keeper,
             self.view,
@@ -155,6 +160,7 @@
         sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
         self.peer_server.on_records = sync.take
         self.peer_server.on_deaths = self._hear_deaths
+        self.peer_server.on_keys = partial(take_over, self.once.tables)
         return sync
 
     def _build_instruments(self) -> Metrics:
@@ -197,6 +203,9 @@
             await self.operators_http.listen(cfg.operators),
             await self.agent.listen(self.env.open_gossip, cfg.gossip),
         )
+        host = host_of(cfg.peers)
+        if host:
+            self.keeper.place = Place(host, self.clock.zero())
         self.agent.start(self.me())
         roster = Roster(self.store, cfg.domain)
         bootstrap = Bootstrap(roster, self.agent.gossip, Random(self.env.rng.random()))
@@ -227,6 +236,10 @@
                 await self.running.wait_idle()
                 await self.once.wait_idle()
                 await handing_over
+                self.keeper.close()
+                await self.once.wait_idle()
+                handed = await hand_over(self.once.tables, self.keeper, self.view, self.links)
+                log_handed(self.logger, handed)
                 await self.local_http.wait_idle()
 
     async def stop(self) -> None:
@@ -237,6 +250,7 @@
         for face in (self.callers_http, self.local_http, self.operators_http):
             face.close()
         self.agent.leave()
+        self.keeper.close()
         self.peer_server.close()
         self.links.close()
         self.instruments.close()
@@ -293,6 +307,14 @@
         members = self.view.serving(record.service)
         return explain(question, record, members, self.dispatcher.router, now)
 
+    def _member_changed(self, before: Member | None, member: Member) -> None:
+        """Log what operators look for after an incident: who was thought lost, and when."""
+        if before is None or before.state is member.state:
+            return
+        level = logging.WARNING if member.state is State.DEAD else logging.INFO
+        extra = {'member': member.instance, 'state': member.state.name.lower()}
+        self.logger.log(level, 'member changed', extra=extra)
+
     def _observes(self, service: str) -> bool:
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
@@ -303,6 +325,8 @@
         Its caller sends it again at once, by any entry: only the nodes beside the other
         targets of this service stand between the request and a further death.
         """
+        extra = {'fingerprint': f'{fingerprint:016x}', 'deaths': deaths}
+        self.logger.warning('target died while it ran a request', extra=extra)
         frame = Deaths(fingerprint, deaths)
         for member in self.view.serving(self.target.service):
             if member.instance != self.settings.instance:
@@ -316,6 +340,8 @@
         self.quarantine.hear(now, frame.fingerprint, frame.deaths)
 
     def _target_started(self) -> None:
+        extra = {'service': self.target.service, 'address': str(self.target.address)}
+        self.logger.info('target announced', extra=extra)
         self._configure()
         self.admission.restarted(asyncio.get_running_loop().time())
 
@@ -341,7 +367,12 @@
     async def _serve_peer(self, call: Call) -> Reply:
         if not call.idempotent and not call.owned:
             return await self.once.serve(call)
-        return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        work = work_of(call, began)
+        reply = await self.executor.execute(work)
+        count_added(self.stats, work, reply, loop.time() - began)
+        return reply
 
     async def _announce_loop(self) -> None:
         loop = asyncio.get_running_loop()
@@ -355,6 +386,7 @@
                 self.local.changed.clear()
                 self.target_watch.heard(loop.time())
             elif await self._target_gone(loop.time()):
+                self.logger.warning('target gone', extra={'service': self.target.service})
                 self.target.withdraw()
             self._configure()
             self.agent.announce(self.me())
