Show operators who owns keys, until when, and what became of them

Cause: status and metrics told nothing of key ranges; an operator could not see an owner lost, nor how much of the horizon an outage had used up.

Conclusion: what is not shown: the ranges of other nodes, and which range a key is in.

--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 from result import Err
@@ -30,6 +30,8 @@
 HANDED_ON = frozenset({ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
 UNREACHED = frozenset({ErrorKind.OWNER_UNAVAILABLE.value, ErrorKind.OWNER_UNREACHABLE.value})
 KEY_HEADER = b'idempotency-key'
+ACCEPTED = 'accepted'
+REPEATED = 'repeated'
 
 
 class Way(NamedTuple):
@@ -106,6 +108,17 @@
             await self.keeper.refresh(service)
         return self._mint(service, set())
 
+    def status(self, service: str) -> dict[str, Any]:
+        """Give what an operator wants to know of the keys here; times in seconds."""
+        holding = self.keeper.holding(service)
+        age = holding.platform_age
+        return {
+            'ranges': holding.ranges,
+            'owned_until': holding.until and holding.until / 1000,
+            'platform_answered_ago': age if age is None else round(age, 1),
+            'held': {name: len(table) for name, table in self.tables.items()},
+        }
+
     async def wait_idle(self) -> None:
         """Wait until no run that this node decided on is in progress, here or elsewhere."""
         while self._runs:
@@ -158,7 +171,7 @@
             self.keeper.store, work.ctx.service, key, self.me, self.keeper.clock
         )
         if claim is None:
-            return _refuse(ErrorKind.PLATFORM_UNAVAILABLE, 'the key cannot be claimed')
+            return self._refuse(ErrorKind.PLATFORM_UNAVAILABLE, 'the key cannot be claimed')
         if claim.owner == self.me:
             return await self._own(work, key, claim.birth)
         return await self._ask(work, claim.owner, way)
@@ -178,7 +191,7 @@
         reply = await self._ask(work, self._witness(service, key, interval.owner, way), way)
         if way.fresh and reply.kind == ErrorKind.OWNER_UNREACHABLE.value:
             # Each node that was asked turned the key down, and it was new: nobody has run it.
-            reply = _refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+            reply = self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
         if reply.kind not in UNREACHED or way.reread or not await self.keeper.refresh(service):
             return reply
         newer = self.keeper.find(service, key)
@@ -209,33 +222,33 @@
         if self.keeper.accept(work.ctx.service, key):
             return await self._own(work, key, key.birth)
         # The range is on its way to another node, and the write that says so is not settled.
-        return _refuse(ErrorKind.OWNER_UNREACHABLE, 'the key is being handed over')
+        return self._refuse(ErrorKind.OWNER_UNREACHABLE, 'the key is being handed over')
 
     async def _route_unowned(self, work: Work, key: BornKey, way: Way) -> Reply:
         held = self.keeper.map_of(work.ctx.service)
         if held is not None and held.forgot(range_of(work.ctx.service, key), key.birth):
-            return _refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
+            return self._refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
         if way.reread and key.birth > self.keeper.clock() + self.keeper.horizon:
-            return _refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
+            return self._refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
         if way.reread or way.fresh:
-            return _refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
+            return self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
         others = [m for m in self.view.serving(work.ctx.service) if m.instance != self.me.instance]
         if not others or way.asked >= MAX_ASKED:
-            return _refuse(ErrorKind.OWNER_UNREACHABLE, 'no node here knows the owner')
+            return self._refuse(ErrorKind.OWNER_UNREACHABLE, 'no node here knows the owner')
         return await self._send(work, self.rng.choice(others), way)
 
     async def _ask(self, work: Work, owner: Owner, way: Way) -> Reply:
         member = self.view.find(owner.instance)
         ended = self._ended(work.ctx.service, owner)
         if way.fresh and (member is None or ended):
-            return _refuse(ErrorKind.OWNER_UNAVAILABLE, f'{owner.instance} is not there')
+            return self._refuse(ErrorKind.OWNER_UNAVAILABLE, f'{owner.instance} is not there')
         if ended:
             detail = f'{owner.instance}, which alone could have run it, has ended'
-            return _refuse(ErrorKind.OUTCOME_UNKNOWN, detail)
+            return self._refuse(ErrorKind.OUTCOME_UNKNOWN, detail)
         if member is None:
-            return _refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} is not known here')
+            return self._refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} is not known here')
         if way.asked >= MAX_ASKED:
-            return _refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} was not asked')
+            return self._refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} was not asked')
         return await self._send(work, member, way)
 
     async def _send(self, work: Work, member: Member, way: Way) -> Reply:
@@ -243,9 +256,9 @@
             case Reply() as reply:
                 return reply
             case NotSent(detail) if way.fresh:
-                return _refuse(ErrorKind.OWNER_UNAVAILABLE, detail)
+                return self._refuse(ErrorKind.OWNER_UNAVAILABLE, detail)
             case NotSent(detail):
-                return _refuse(ErrorKind.OWNER_UNREACHABLE, detail)
+                return self._refuse(ErrorKind.OWNER_UNREACHABLE, detail)
             case Lost(detail, kind):
                 return refusal(Failure(kind, detail))
 
@@ -285,6 +298,7 @@
         begun = table.begin(key.text, birth, work.ctx.fingerprint, now)
         if isinstance(begun, Denied):
             return self._recall(begun)
+        self.stats.keys[ACCEPTED] += 1
         # A caller that goes away must not turn its run into one of unknown end: it will come
         # back with the same key and find the answer. The deadline bounds the run.
         run = asyncio.get_running_loop().create_task(self._run(work, key.text, table))
@@ -338,9 +352,14 @@
     def _recall(self, known: Known[Reply] | Denied) -> Reply:
         match known:
             case Known(answer):
+                self.stats.keys[REPEATED] += 1
                 return _copy(answer)
             case Denied(kind):
-                return _refuse(kind)
+                return self._refuse(kind)
+
+    def _refuse(self, kind: ErrorKind, detail: str = '') -> Reply:
+        self.stats.keys[kind.value] += 1
+        return refusal(Failure(kind, detail, COME_BACK))
 
     def _refresh_later(self, service: str) -> None:
         task = asyncio.get_running_loop().create_task(self.keeper.refresh(service))
@@ -352,10 +371,6 @@
     return reply.outcome is Outcome.NOT_RUN and ErrorKind(reply.kind) in HANDED_ON
 
 
-def _refuse(kind: ErrorKind, detail: str = '') -> Reply:
-    return refusal(Failure(kind, detail, COME_BACK))
-
-
 def _copy(reply: Reply) -> Reply:
     # A reply is given its number on each link that it leaves by.
     return msgspec.structs.replace(reply, unspent=0, load=None)
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -15,6 +15,7 @@
 from opentelemetry.sdk.resources import Resource
 
 from dunlinsaddle import __version__
+from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.stats import Stats
 
@@ -95,6 +96,12 @@
         'Calls that enforcing would have refused, by reason.',
         lambda: [(count, {'reason': name}) for name, count in stats.observed_refusals.items()],
     )
+    metrics.counter(
+        'dunlinsaddle.keys',
+        '{key}',
+        'Idempotency keys that this node answered for: accepted, repeated, or why refused.',
+        lambda: [(count, {'result': result}) for result, count in stats.keys.items()],
+    )
     sums = (
         ('retries', '{call}', 'Resends that were spent.'),
         ('wasted', '{call}', 'Work done for calls that failed later.'),
@@ -124,6 +131,22 @@
     )
 
 
+def observe_keys(metrics: Metrics, gate: OnceGate, service: Callable[[], str]) -> None:
+    """Add the instruments of the key ranges that a node owns and the keys that it remembers."""
+    metrics.gauge(
+        'dunlinsaddle.key_ranges',
+        '{range}',
+        'Key ranges of its service that this node owns.',
+        lambda: [(gate.keeper.holding(service()).ranges, {})],
+    )
+    metrics.gauge(
+        'dunlinsaddle.keys_held',
+        '{key}',
+        'Idempotency keys remembered here, by service.',
+        lambda: [(len(table), {'service': name}) for name, table in gate.tables.items()],
+    )
+
+
 def _field(stats: Stats, name: str) -> Callable[[], Values]:
     return lambda: [(getattr(stats, name), {})]
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -27,7 +27,7 @@
 from dunlinsaddle.membership.liveness import TargetWatch
 from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
 from dunlinsaddle.membership.view import Member, MemberView, State
-from dunlinsaddle.metrics import Metrics, Values, observe_records, observe_stats
+from dunlinsaddle.metrics import Metrics, Values, observe_keys, observe_records, observe_stats
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.once.local import LocalRanges, Served
 from dunlinsaddle.once.place import host_of
@@ -175,6 +175,7 @@
         observe_stats(metrics, self.stats)
         observe_records(metrics, self.book)
         metrics.gauge('dunlinsaddle.load', '{call}', 'Load of the target.', self._load_values)
+        observe_keys(metrics, self.once, lambda: self.target.service)
         metrics.counter(
             'dunlinsaddle.platform_calls',
             '{call}',
@@ -282,6 +283,7 @@
             'faces': {name: str(address) for name, address in self.faces._asdict().items()},
             'load': load._asdict(),
             **self.sync.status(),
+            'keys': self.once.status(self.target.service),
             'members': len(list(self.view.members())),
             'shed': dict(self.stats.shed),
             'retries': self.stats.retries,
--- a/dunlinsaddle/once/keeper.py
+++ b/dunlinsaddle/once/keeper.py
@@ -36,6 +36,18 @@
     read_at: float  #: the loop's clock
 
 
+class Holding(NamedTuple):
+    """What this node owns of a service.
+
+    ``until`` is the earliest end of its ranges, Unix milliseconds; ``platform_age`` the seconds
+    since the platform last answered the keeper. None where there is nothing to tell.
+    """
+
+    ranges: int
+    until: int | None
+    platform_age: float | None
+
+
 class _Fence(NamedTuple):
     """An own interval that a write of uncertain end may have closed at ``cut``."""
 
@@ -106,6 +118,15 @@
         held = self._held.get(service)
         return held.map if held else None
 
+    def holding(self, service: str) -> Holding:
+        """Give what this node owns of a service now, by the map held."""
+        held = self._held.get(service)
+        if held is None:
+            return Holding(0, None, None)
+        rows = [row[-1] for row in held.map.ranges if row and row[-1].owner == self.me]
+        age = asyncio.get_running_loop().time() - held.read_at
+        return Holding(len(rows), min((i.until for i in rows), default=None), age)
+
     def find(self, service: str, key: BornKey) -> Interval | None:
         """Give the interval that a key is in, by the map held."""
         held = self._held.get(service)
--- a/dunlinsaddle/stats.py
+++ b/dunlinsaddle/stats.py
@@ -22,6 +22,7 @@
         self.shed: Counter[str] = Counter()
         self.observed_refusals: Counter[str] = Counter()
         self.observed_waits = 0
+        self.keys: Counter[str] = Counter()
         self.retries = 0
         self.wasted = 0
         self.queue_time = 0.0
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -63,6 +63,24 @@
 
         self.run_cluster(scenario)
 
+    def test_an_owner_counts_its_keys_and_tells_what_it_holds(self):
+        async def scenario(cluster: Cluster) -> None:
+            owner = cluster.nodes['bangor-1']
+            key = cluster.owned_by('bangor-1')
+            for _ in range(3):
+                await owner.send(key)
+            await owner.send(key, fingerprint=8)
+            counts = {'accepted': 1, 'repeated': 2, 'key-reused': 1}
+            self.assertEqual(counts, dict(owner.gate.stats.keys))
+            holdings = [n.keeper.holding(SERVICE) for n in cluster.nodes.values()]
+            self.assertEqual(64, sum(holding.ranges for holding in holdings))
+            await asyncio.sleep(30)
+            holding = owner.keeper.holding(SERVICE)
+            self.assertGreater(holding.platform_age, 30)
+            self.assertLess(holding.until - owner.keeper.clock(), 270_000)
+
+        self.run_cluster(scenario)
+
     def test_a_resend_while_the_first_runs_is_told_so_at_once(self):
         # The caller times out early and sends the key by another entry. The first run goes on,
         # so the second gets "in progress" without waiting, and later the first one's answer.
