Close a range that is given away behind the last key taken, not at the owner's clock

Cause: a leaving owner's interval ended at its own clock. Keys born before that and sent after its end were `unknown`, though nobody had run them; with a clock 20 s fast, all keys of 20 s.

Ruled out: letting the heir run what is not in the table it was given: that needs proof that it got the whole of it. Ending far in the past: a closed interval is listed for an hour from its end.

Change: the end is up to 60 s before the owner's clock, still behind each key that it accepted; the fence goes up before the write, as before.

--- a/dunlinsaddle/policy/ownership.py
+++ b/dunlinsaddle/policy/ownership.py
@@ -25,6 +25,7 @@
 EXTEND_BELOW = 0.8  #: an owner extends when less than this part of its horizon is left
 CLAIM_BELOW = 60_000  #: others claim what comes next when less than this is left, ms
 KEEP_CLOSED = 3_600_000  #: closed intervals are listed for this long, ms
+CUT_BACK = 60_000  #: how far behind the owner's clock a range that it gives away may end, ms
 MOVES_AT_ONCE = 8
 TAKEOVER_MARGIN = FUTURE_MARGIN + 1000  #: from a former run's clock to its last key, ms
 
@@ -228,8 +229,12 @@
 
 
 def _cut(last: Interval, highest: int, now: int) -> int:
-    """Give where an own interval may end: behind each key that was accepted from it."""
-    return min(last.until, max(last.start, now, highest + 1))
+    """Give where an own interval may end: behind each key that was accepted from it.
+
+    Were it to end at the owner's clock, keys born before that and sent after the owner's end
+    would be "unknown", though nobody ran them: by a fast clock, even those of the next seconds.
+    """
+    return min(last.until, max(last.start, now - CUT_BACK, highest + 1))
 
 
 def _close(
