--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -189,9 +189,7 @@
         if interval.owner == self.me:
             return await self._own_born(work, key)
         reply = await self._ask(work, self._witness(service, key, interval.owner, way), way)
-        if way.fresh and reply.kind == ErrorKind.OWNER_UNREACHABLE.value:
-            # Each node that was asked turned the key down, and it was new: nobody has run it.
-            reply = self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+        reply = self._new_key_turned_down(reply) if way.fresh else reply
         if reply.kind not in UNREACHED or way.reread or not await self.keeper.refresh(service):
             return reply
         newer = self.keeper.find(service, key)
@@ -230,12 +228,15 @@
             return self._refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
         if way.reread and key.birth > self.keeper.clock() + self.keeper.horizon:
             return self._refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
-        if way.reread or way.fresh:
+        # Without any map, as after a start in an outage of the platform, others may know more.
+        if way.reread or (way.fresh and held is not None):
             return self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
         others = [m for m in self.view.serving(work.ctx.service) if m.instance != self.me.instance]
         if not others or way.asked >= MAX_ASKED:
-            return self._refuse(ErrorKind.OWNER_UNREACHABLE, 'no node here knows the owner')
-        return await self._send(work, self.rng.choice(others), way)
+            kind = ErrorKind.OWNER_UNAVAILABLE if way.fresh else ErrorKind.OWNER_UNREACHABLE
+            return self._refuse(kind, 'no node here knows the owner')
+        reply = await self._send(work, self.rng.choice(others), way)
+        return self._new_key_turned_down(reply) if way.fresh else reply
 
     async def _ask(self, work: Work, owner: Owner, way: Way) -> Reply:
         member = self.view.find(owner.instance)
@@ -361,6 +362,12 @@
         self.stats.keys[kind.value] += 1
         return refusal(Failure(kind, detail, COME_BACK))
 
+    def _new_key_turned_down(self, reply: Reply) -> Reply:
+        """Say "not run" of a key that was made for this call, if each node asked turned it down."""
+        if reply.kind != ErrorKind.OWNER_UNREACHABLE.value:
+            return reply
+        return self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+
     def _refresh_later(self, service: str) -> None:
         task = asyncio.get_running_loop().create_task(self.keeper.refresh(service))
         self._refreshing.add(task)
