--- /dev/null
+++ b/tests/fleet_case.py
@@ -0,0 +1,87 @@
+"""A test case over real processes: a platform, nodes and targets on loopback."""
+
+import asyncio
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from testtools import TestCase
+
+from dunlinsaddle.calls.http import HttpResponse
+from dunlinsaddle.settings import read_address
+from standins.caller import Caller
+from standins.demo import operate
+from standins.fleet import Fleet, Placed, TargetSpec
+from tests.builders import build_document
+
+DOMAINS = {'bangor-1': 'bangor-hall', 'caernarfon-1': 'caernarfon-hall', 'menai-1': 'menai-hall'}
+PATIENCE = 10.0
+
+
+class FleetCase(TestCase):
+    """Stops at its end whatever it started."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+
+    def place_everywhere(self, slots: int, seconds: float) -> None:
+        """Start a target of cut-orders in each of three failure domains."""
+        for name, domain in DOMAINS.items():
+            self.fleet.place(name, TargetSpec('cut-orders', domain, slots, seconds))
+
+    def operate(self, name: str, *argv: str) -> Any:
+        """Run the command line against one node; gives the JSON it wrote."""
+        return msgspec.json.decode(
+            operate(self.fleet.placed[name].faces['operators'], *argv, '--json')
+        )
+
+    def apply(self, name: str, service: str = 'cut-orders', **changes: Any) -> int:
+        """Write a record through one node; gives its version."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / f'{service}.json'
+            path.write_bytes(msgspec.json.encode(build_document(service, **changes)))
+            return self.operate(name, 'apply', str(path))[0]['version']
+
+    def call(self, placed: Placed, path: str = '/cut-orders/orders/17') -> HttpResponse | None:
+        """Send one call by the caller face of a node."""
+
+        async def once() -> HttpResponse | None:
+            caller = Caller()
+            response = await caller.call(read_address(placed.faces['callers']), 'GET', path)
+            caller.close()
+            return response
+
+        return asyncio.run(once())
+
+    def answered(self, placed: Placed) -> bytes:
+        """Give the body of the first call that is answered by a target."""
+        found: list[bytes] = []
+
+        def look() -> bool:
+            response = self.call(placed)
+            if response is not None and response.status == 200:
+                found.append(response.body)
+            return bool(found)
+
+        self.within(PATIENCE, look)
+        return found[0]
+
+    def within(self, limit: float, holds: Callable[[], bool]) -> float:
+        """Wait until something holds; gives the seconds it took."""
+        began = time.monotonic()
+        while not holds():
+            if time.monotonic() - began > limit:
+                raise AssertionError(f'not within {limit} s: {self.seen()}')
+            time.sleep(0.01)
+        return time.monotonic() - began
+
+    def seen(self, by: str = '', field: str = 'state') -> dict[str, str]:
+        """Give a field of each target as one node sees it."""
+        rows = self.operate(by or next(iter(self.fleet.placed)), 'targets')
+        return {row['instance']: row[field] for row in rows}
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -4,17 +4,13 @@
 from typing import NamedTuple
 
 import msgspec
-from testtools import TestCase
 
 from dunlinsaddle.calls.client import Answered, HttpClient
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import NotSent
 from dunlinsaddle.settings import read_address
-from standins.demo import operate
-from standins.fleet import Fleet, TargetSpec
-from tests import test_whole_path
+from tests.fleet_case import DOMAINS, FleetCase
 
-DOMAINS = {'bangor-1': 'bangor-hall', 'caernarfon-1': 'caernarfon-hall', 'menai-1': 'menai-hall'}
 VICTIM = 'bangor-1'
 CALLERS = 2  #: at each entry
 RUN_SECONDS = 0.2
@@ -30,20 +26,13 @@
     mine: bool
 
 
-class FleetFaultsTest(TestCase):
+class FleetFaultsTest(FleetCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__, None, None, None)
-        for name, domain in DOMAINS.items():
-            self.fleet.place(name, TargetSpec('cut-orders', domain, 50, RUN_SECONDS))
-        record = test_whole_path.WholePathTest.write_record(self, 'cut-orders')
-        operate(self.fleet.placed[VICTIM].faces['operators'], 'apply', record)
+        self.place_everywhere(50, RUN_SECONDS)
+        self.apply(VICTIM)
         for placed in self.fleet.placed.values():
-            test_whole_path.WholePathTest.answered(self, placed)
-
-    call = test_whole_path.WholePathTest.call
+            self.answered(placed)
 
     def under_load(self, fault, seconds=8.0):
         """Let callers press all entries while a fault happens; give how each call ended."""
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -1,39 +1,18 @@
 import signal
-import time
-from collections.abc import Callable
 
-import msgspec
-from testtools import TestCase
+from standins.fleet import TargetSpec
+from tests.fleet_case import DOMAINS, FleetCase
 
-from standins.demo import operate
-from standins.fleet import Fleet, TargetSpec
 
-DOMAINS = ('bangor-hall', 'caernarfon-hall', 'menai-hall')
-
-
-class MembershipProcessesTest(TestCase):
+class MembershipProcessesTest(FleetCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__, None, None, None)
         for i in range(4):
-            self.fleet.place(f'n{i}', TargetSpec('cut-orders', DOMAINS[i % 3], 5, 0.01))
+            self.fleet.place(
+                f'n{i}', TargetSpec('cut-orders', list(DOMAINS.values())[i % 3], 5, 0.01)
+            )
         self.within(10, lambda: self.seen() == {f'n{i}': 'alive' for i in range(4)})
 
-    def seen(self, by: str = 'n0', field: str = 'state') -> dict[str, str]:
-        operators = self.fleet.placed[by].faces['operators']
-        rows = msgspec.json.decode(operate(operators, 'targets', '--json'))
-        return {row['instance']: row[field] for row in rows}
-
-    def within(self, limit: float, holds: Callable[[], bool]) -> float:
-        began = time.monotonic()
-        while not holds():
-            if time.monotonic() - began > limit:
-                raise AssertionError(f'not within {limit} s: {self.seen()}')
-            time.sleep(0.05)
-        return time.monotonic() - began
-
     def test_a_killed_node_is_suspected_within_three_seconds(self):
         self.fleet.placed['n3'].node.kill()
         self.within(3.5, lambda: self.seen()['n3'] == 'suspect')
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -2,35 +2,22 @@
 import signal
 import time
 
-from testtools import TestCase
-
 from dunlinsaddle.settings import read_address
 from dunlinsaddle.status import ExitStatus
 from standins.caller import Caller
-from standins.demo import operate
-from standins.fleet import Fleet, TargetSpec
-from tests import test_whole_path
+from standins.fleet import TargetSpec
+from tests.fleet_case import FleetCase
 
 SECONDS = 2.0
 
 
-class SignalTest(TestCase):
+class SignalTest(FleetCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__, None, None, None)
-        self.placed = self.fleet.place(
-            'bangor-1', TargetSpec('cut-orders', 'bangor-hall', 9, SECONDS)
-        )
-        operate(
-            self.placed.faces['operators'],
-            'apply',
-            test_whole_path.WholePathTest.write_record(self, 'cut-orders'),
-        )
-        test_whole_path.WholePathTest.answered(self, self.placed)
-
-    call = test_whole_path.WholePathTest.call
+        spec = TargetSpec('cut-orders', 'bangor-hall', 9, SECONDS)
+        self.placed = self.fleet.place('bangor-1', spec)
+        self.apply('bangor-1')
+        self.answered(self.placed)
 
     def signalled(self, *signals):
         """Send signals while a call runs; give its status, the exit status and the time."""
