Tell a caller when to come back from an overload further down

Cause: a target whose call was refused below answers 502 of its own; its caller got no Retry-After and asked again at once, and routers counted the overload of the service below as a fault of the target above. Ruled out: the same for what must run once: its answer stands, and coming back would bring the same one. Change: the refusal below is noted with the running call, and its time to come back goes with a 5xx answer that names none. Figures: both tests in test_dispatch fail without the change.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
-from dunlinsaddle.calls.execute import Executor
+from dunlinsaddle.calls.execute import FIRST_ERROR_STATUS, Executor
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.once import OnceGate
@@ -18,7 +18,6 @@
 from dunlinsaddle.stats import Stats
 
 NO_TARGET_COME_BACK = 1.0
-FIRST_ERROR_STATUS = 500
 
 
 class _Choices(NamedTuple):
@@ -160,7 +159,8 @@
         return exchange
 
     def _heard(self, now: float, member: Member, reply: Reply) -> None:
-        error = not reply.kind and reply.status >= FIRST_ERROR_STATUS
+        failed = not reply.kind and reply.status >= FIRST_ERROR_STATUS
+        error = failed and reply.retry_after <= 0
         self.router.answered(member.instance, reply.load, error=error)
         if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
             self.router.avoid(now, member.instance)
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -26,9 +26,23 @@
 from dunlinsaddle.stats import Stats
 
 COME_BACK = 1.0
+FIRST_ERROR_STATUS = 500
 TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
+def _come_back_after(reply: Reply, running: Running) -> float:
+    """Give the seconds after which a call that failed for a refusal below may come again.
+
+    Targets answer a refused call of theirs with a status of their own, mostly 502 and without
+    Retry-After. The caller would ask again at once, and the routers would take the overload of
+    a service below for a fault of this target.
+    """
+    failed = reply.status >= FIRST_ERROR_STATUS and running.work.ctx.idempotent
+    if not failed or any(name == b'retry-after' for name, _ in reply.headers):
+        return 0.0
+    return running.come_back_after
+
+
 class LocalTarget:
     """The target beside this node, as it announced itself."""
 
@@ -309,7 +323,9 @@
         match exchange:
             case Answered(response):
                 headers = forwarded_headers(response.headers)
-                return Reply(0, response.status, headers, response.body, Outcome.DONE)
+                reply = Reply(0, response.status, headers, response.body, Outcome.DONE)
+                reply.retry_after = _come_back_after(reply, running)
+                return reply
             case NotSent(detail):
                 self.target.note_refused()
                 return refusal(Failure(ErrorKind.NO_TARGET, detail, COME_BACK))
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -19,7 +19,7 @@
 )
 from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.calls.work import Running, RunningCalls, Waits, Work, count_added
-from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.callers import ResendGuard
 from dunlinsaddle.policy.classify import classify
 from dunlinsaddle.policy.context import MAX_HOPS, CallContext, inherited, priority_of
@@ -134,9 +134,10 @@
         ctx = work.ctx
         if not name:
             return
-        if not reply.kind:
-            self.guard.answered(ctx.caller, name)
-        elif reply.retry_after > 0:
+        if reply.retry_after <= 0:
+            if not reply.kind:
+                self.guard.answered(ctx.caller, name)
+        else:
             now = asyncio.get_running_loop().time()
             self.guard.refused(now, ctx.caller, name, reply.retry_after)
 
@@ -237,7 +238,10 @@
         parent.children.add(task)
         parent.leave(loop.time())
         try:
-            return response_of(await self.dispatcher.dispatch(work, parent.work.ctx.rule))
+            reply = await self.dispatcher.dispatch(work, parent.work.ctx.rule)
+            if reply.kind and reply.outcome is Outcome.NOT_RUN:
+                parent.come_back_after = max(parent.come_back_after, reply.retry_after)
+            return response_of(reply)
         finally:
             parent.children.discard(task)
             parent.come_back(loop.time())
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -99,6 +99,7 @@
         self.token = secrets.token_hex(8)
         self.started = now
         self.children: set[asyncio.Task[object]] = set()
+        self.come_back_after = 0.0  #: seconds, as a call that was refused below was told
         self._on_wait = on_wait
         self._open = 0
         self._opened_at = 0.0
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -50,6 +50,17 @@
         return False
 
 
+class FailsBelow(HttpClient):
+    """A target whose call to another service is refused, and which answers 502 for that."""
+
+    running: RunningCalls
+
+    async def send(self, address, req, timeout, *, may_repeat=None):
+        call = self.running.find(dict(req.headers)[b'dunlinsaddle-call'].decode())
+        call.come_back_after = 2.0
+        return Answered(HttpResponse(502, [], b''))
+
+
 class LiveTarget(HttpClient):
     """A target that answers every call."""
 
@@ -71,7 +82,13 @@
 
 
 class DispatchTest(PausedClockTest):
-    def dispatch(self, links: FakeLinks, quarantine: Quarantine | None = None, **work) -> Reply:
+    def dispatch(
+        self,
+        links: FakeLinks,
+        quarantine: Quarantine | None = None,
+        router: Router | None = None,
+        **work,
+    ) -> Reply:
         async def scenario() -> Reply:
             view = MemberView()
             for name in ('bangor-1', 'menai-1', 'caernarfon-1'):
@@ -80,7 +97,7 @@
             dispatcher = Dispatcher(
                 'entry',
                 view,
-                Router('bangor-hall', Random(1)),
+                router or Router('bangor-hall', Random(1)),
                 links,
                 build_executor(LiveTarget(), known),
                 Stats(),
@@ -155,6 +172,15 @@
 
         self.assertEqual((1, 0), self.run_paused(scenario()))
 
+    def test_overload_further_down_is_no_fault_of_the_target_above(self):
+        router = Router('bangor-hall', Random(1))
+        for retry_after in (2.0, 0.0):
+            links = FakeLinks(Reply(0, 502, [], b'', Outcome.DONE, retry_after=retry_after))
+            self.dispatch(links, router=router)
+            names = ('bangor-1', 'menai-1', 'caernarfon-1')
+            shares = [router.report(0.0, name, 'bangor-hall')['error_share'] for name in names]
+            self.assertEqual(retry_after == 0, any(shares))
+
     def test_tries_end_with_the_allowance(self):
         links = FakeLinks(*[NotSent('refused')] * 10)
         self.dispatch(links, tokens=1)
@@ -194,6 +220,21 @@
         self.assertEqual((1, Outcome.UNKNOWN), (reply.deaths, reply.outcome))
         self.assertEqual([(5, 1)], heard)
 
+    def test_caller_hears_when_to_come_back_from_an_overload_further_down(self):
+        # A service below is full and refuses the target's call. The target answers 502 of its
+        # own, without Retry-After: its caller would ask again at once. What must run once gets
+        # no such word, for its answer stands.
+        for idempotent, seconds in ((True, 2.0), (False, 0.0)):
+            client = FailsBelow()
+
+            def build(client=client) -> Executor:
+                executor = build_executor(client, Quarantine())
+                client.running = executor.running
+                return executor
+
+            reply = self.execute(build, idempotent=idempotent)
+            self.assertEqual((502, seconds), (reply.status, reply.retry_after))
+
     def test_barred_request_is_refused_for_good(self):
         reply = self.execute(lambda: build_executor(LiveTarget(), Quarantine()), deaths=2)
         self.assertEqual(ErrorKind.QUARANTINED.value, reply.kind)
