Say unknown of what was refused unread

Cause: a face without a free connection, or a request that did not arrive whole, was answered not-run; with a key it may be a resend of one that ran.

--- a/dunlinsaddle/errors.py
+++ b/dunlinsaddle/errors.py
@@ -84,12 +84,13 @@
 
 ANSWERS: dict[ErrorKind, AnswerRule] = {
     _K.MALFORMED_REQUEST: _rule(400, _NOT_RUN, 'The request is not well-formed HTTP.'),
-    _K.REQUEST_TIMEOUT: _rule(408, _NOT_RUN, 'The request did not arrive in time.', resend=True),
+    # Refused before it was read whole: with a key it may be a resend of one that ran.
+    _K.REQUEST_TIMEOUT: _rule(408, _UNKNOWN, 'The request did not arrive in time.', resend=True),
     _K.TARGET_TOO_LONG: _rule(414, _NOT_RUN, 'The request line is too long.'),
     _K.HEADERS_TOO_LARGE: _rule(431, _NOT_RUN, 'The headers are too large.'),
     _K.BODY_TOO_LARGE: _rule(413, _NOT_RUN, 'The body is too large.'),
     _K.TOO_MANY_CONNECTIONS: _rule(
-        503, _NOT_RUN, 'This face has no connection left.', retry_after=True, resend=True
+        503, _UNKNOWN, 'This face has no connection left.', retry_after=True, resend=True
     ),
     _K.UNAUTHORIZED: _rule(401, _NOT_RUN, 'The key or token was refused.'),
     _K.UNKNOWN_SERVICE: _rule(404, _NOT_RUN, 'No record describes this service.'),
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -15,7 +15,9 @@
         }
         # Each of these comes with an idempotency key or a change id, which makes resending safe.
         keyed = {ErrorKind.KEY_IN_PROGRESS, ErrorKind.OWNER_UNREACHABLE}
-        self.assertEqual(keyed | {ErrorKind.PLATFORM_UNAVAILABLE}, unsafe)
+        # These were refused unread: this send did not run, of an earlier one nothing is known.
+        unread = {ErrorKind.REQUEST_TIMEOUT, ErrorKind.TOO_MANY_CONNECTIONS}
+        self.assertEqual(keyed | unread | {ErrorKind.PLATFORM_UNAVAILABLE}, unsafe)
 
     def test_problem_names_kind_outcome_and_detail(self):
         problem = problem_of(Failure(ErrorKind.DRAINING, 'bangor-1 is leaving'))
