--- a/dunlinsaddle/policy/ownership.py
+++ b/dunlinsaddle/policy/ownership.py
@@ -73,8 +73,13 @@
         return find_interval(self.ranges[number], birth)
 
     def superseded(self, owner: Owner) -> bool:
-        """Say whether a newer run of the same instance has entered itself."""
-        return self.present.get(owner.instance, owner.epoch) != owner.epoch
+        """Say whether a newer run of the same instance has entered itself.
+
+        A run that owns nothing here never entered itself: what stands there may be older.
+        """
+        if self.present.get(owner.instance, owner.epoch) == owner.epoch:
+            return False
+        return any(i.owner == owner for row in self.ranges for i in row)
 
     def later(self, number: int, birth: int) -> tuple[Interval, ...]:
         """Give the intervals of a range that follow the one that a birth falls in."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -104,6 +104,13 @@
             waits = plan(former, again, (A.instance,), place=place)
             self.assertEqual(former.ranges, waits.map.ranges)
 
+    def test_a_run_is_superseded_by_a_newer_one_alone(self):
+        # A run that owns nothing here, as an entry that claims an opaque key, is not listed;
+        # the epoch that stands there is that of an older run, and the newer one is alive.
+        ranges = held(Interval(A, 0, NOW), present={A.instance: 'a2', B.instance: 'b0'})
+        self.assertEqual((True, False), (ranges.superseded(A), ranges.superseded(B)))
+        self.assertFalse(held(Interval(A, 0, NOW)).superseded(A))
+
     def test_the_stored_form_reads_back_and_stays_small(self):
         ranges = plan(RangeMap(), A).map
         self.assertEqual(ranges, decode_map(encode_map(ranges)))
