--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -176,7 +176,7 @@
             self._ticking = True
             loop.call_later(TICK_SECONDS, self._tick)
         level = ctx.priority.level
-        return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller)
+        return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller, ctx.hop)
 
     def _tick(self) -> None:
         """Let admission decide between calls: a call that finds it due waits for it.
--- a/dunlinsaddle/policy/retry_after.py
+++ b/dunlinsaddle/policy/retry_after.py
@@ -7,10 +7,14 @@
 
 
 def retry_after(excess: float, ticket: int) -> float:
-    """Give seconds that grow with the excess (demand over capacity), spread by the ticket.
+    """Give seconds that grow with the excess (demand over capacity), spread by the ticket."""
+    return spread(min(SHORTEST * max(excess, 1.0), LONGEST), ticket)
+
+
+def spread(seconds: float, ticket: int) -> float:
+    """Give a time within a quarter of ``seconds``, another one for each ticket.
 
     Callers refused together would come back together. Multiples of the golden ratio spread
     consecutive tickets evenly, so that no randomness is needed.
     """
-    jitter = 1 - SPREAD / 2 + SPREAD * (ticket * _GOLDEN % 1.0)
-    return min(SHORTEST * max(excess, 1.0), LONGEST) * jitter
+    return seconds * (1 - SPREAD / 2 + SPREAD * (ticket * _GOLDEN % 1.0))
