Queries of a node apart from its wiring; a line for each unknown outcome

Change: queries.py, the learned level in explain, a warning per unknown outcome, asyncio.timeout in place of wait_for.

--- a/dunlinsaddle/admin.py
+++ b/dunlinsaddle/admin.py
@@ -18,6 +18,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure, problem_of
 from dunlinsaddle.explain import Question
 from dunlinsaddle.platform.store import Unavailable
+from dunlinsaddle.queries import explain_request, known_targets, node_status
 from dunlinsaddle.records.changes import (
     COME_BACK,
     Change,
@@ -109,13 +110,13 @@
     ) -> HttpResponse:
         match (req.method, *rest):
             case ('GET', 'status'):
-                return json_response(self.node.status())
+                return json_response(node_status(self.node))
             case ('GET', 'rollout'):
                 return json_response(await self._rollout())
             case ('GET', 'targets'):
-                return json_response(self.node.targets())
+                return json_response(known_targets(self.node))
             case ('GET', 'metrics'):
-                return json_response(self.node.metrics())
+                return json_response(self.node.instruments.read())
             case ('GET', 'audit'):
                 return await self._audit(query.get('since', ['0'])[0])
             case ('GET', 'history', service):
@@ -295,7 +296,7 @@
         except (msgspec.MsgspecError, UnicodeError, RecursionError) as exc:
             return failure_response(Failure(ErrorKind.MALFORMED_REQUEST, str(exc)))
         question = Question(service=body.service, method=body.method, path=body.path)
-        explanation = self.node.explain(question)
+        explanation = explain_request(self.node, question)
         return _unknown(body.service) if explanation is None else json_response(explanation)
 
 
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -143,7 +143,9 @@
         """Run a suspect beside no other, so that a second death names the guilty one."""
         left = work.ctx.deadline - asyncio.get_running_loop().time()
         try:
-            await asyncio.wait_for(self._suspect_lock.acquire(), max(left, 0))
+            # Not wait_for: in 3.11 a time out that meets the lock would leave it taken for ever.
+            async with asyncio.timeout(max(left, 0)):
+                await self._suspect_lock.acquire()
         except TimeoutError:
             return self._refused(Failure(ErrorKind.TOO_LATE_TO_START, '', COME_BACK), work)
         try:
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -1,6 +1,7 @@
 """The faces for callers and for the local target."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TypedDict
 
 import msgspec
@@ -71,10 +72,17 @@
 class CallerFace:
     """Any node is an entry: it classifies a request, gives it its budget, and sends it on."""
 
-    def __init__(self, book: RecordBook, dispatcher: Dispatcher, stats: Stats) -> None:
+    def __init__(
+        self,
+        book: RecordBook,
+        dispatcher: Dispatcher,
+        stats: Stats,
+        on_unknown: Callable[[CallContext, str], None] = lambda ctx, kind: None,
+    ) -> None:
         self.book = book
         self.dispatcher = dispatcher
         self.stats = stats
+        self.on_unknown = on_unknown
         self.guard = ResendGuard()
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
@@ -95,6 +103,8 @@
         self._note_refusal(work, reply, name)
         label = CallLabel(record.service, rule.rank.name.lower(), reply.outcome.value, reply.kind)
         self.stats.count(label)
+        if reply.outcome is Outcome.UNKNOWN:
+            self.on_unknown(work.ctx, reply.kind)
         count_added(self.stats, work, reply, loop.time() - began)
         return self._response(reply, work)
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -22,10 +22,9 @@
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.work import RunningCalls, count_added, work_of
 from dunlinsaddle.environment import Environment
-from dunlinsaddle.explain import Explanation, Question, explain
 from dunlinsaddle.membership.agent import GossipAgent
 from dunlinsaddle.membership.liveness import TargetWatch
-from dunlinsaddle.membership.roster import Bootstrap, Roster, entry_of
+from dunlinsaddle.membership.roster import Bootstrap, Roster
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.metrics import Metrics, Values, observe_keys, observe_records, observe_stats
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
@@ -34,6 +33,7 @@
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.policy.context import CallContext
 from dunlinsaddle.policy.ownership import Owner, Place
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.route import Router
@@ -147,7 +147,7 @@
             cfg.header_timeout,
             cfg.idle_timeout,
         )
-        callers = CallerFace(self.book, self.dispatcher, self.stats)
+        callers = CallerFace(self.book, self.dispatcher, self.stats, self._outcome_unknown)
         self.local = LocalFace(self.target, self.running, self.book, self.dispatcher)
         operators = OperatorsFace(self, self.env.wall_clock)
         self.callers_http = HttpFace(callers.handle, limits, self._fault)
@@ -272,43 +272,6 @@
             self.faces.gossip,
         )
 
-    def status(self) -> Any:
-        """Give what an operator wants to know of this node first."""
-        load = self.admission.load(asyncio.get_running_loop().time())
-        return {
-            'instance': self.settings.instance,
-            'domain': self.settings.domain,
-            'service': self.target.service or None,
-            'draining': self.target.draining,
-            'faces': {name: str(address) for name, address in self.faces._asdict().items()},
-            'load': load._asdict(),
-            **self.sync.status(),
-            'keys': self.once.status(self.target.service),
-            'members': len(list(self.view.members())),
-            'shed': dict(self.stats.shed),
-            'retries': self.stats.retries,
-        }
-
-    def metrics(self) -> Any:
-        """Give the value of every instrument."""
-        return self.instruments.read()
-
-    def targets(self) -> Any:
-        """Give all instances known here."""
-        return [
-            {**entry_of(m), 'state': m.state.name.lower()}
-            for m in sorted(self.view.members(), key=lambda m: (m.service, m.instance))
-        ]
-
-    def explain(self, question: Question) -> Explanation | None:
-        """Explain what would happen to a request here; None without a record."""
-        record = self.book.find(question['service'])
-        if record is None:
-            return None
-        now = asyncio.get_running_loop().time()
-        members = self.view.serving(record.service)
-        return explain(question, record, members, self.dispatcher.router, now)
-
     def _member_changed(self, before: Member | None, member: Member) -> None:
         """Log what operators look for after an incident: who was thought lost, and when."""
         if before is None or before.state is member.state:
@@ -362,6 +325,11 @@
         extra = {'path': req.path, 'request_id': req.header(b'request-id')}
         self.logger.exception('fault while answering', extra=extra)
 
+    def _outcome_unknown(self, ctx: CallContext, kind: str) -> None:
+        """Log a call of which nobody can say whether it ran: its caller will ask."""
+        extra = {'request_id': ctx.request_id, 'service': ctx.service, 'rule': ctx.rule}
+        self.logger.warning('outcome unknown', extra={**extra, 'kind': kind, 'key': ctx.key})
+
     def _peer_fault(self, call: Call) -> None:
         self.stats.faults += 1
         self.logger.exception('fault while answering a peer', extra={'service': call.service})
--- /dev/null
+++ b/dunlinsaddle/queries.py
@@ -0,0 +1,49 @@
+"""What operators may ask of a node; nothing here changes it."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from dunlinsaddle.explain import Explanation, Question, explain
+from dunlinsaddle.membership.roster import entry_of
+from dunlinsaddle.policy.classify import classify
+
+if TYPE_CHECKING:
+    from dunlinsaddle.node import Node
+
+
+def node_status(node: 'Node') -> dict[str, Any]:
+    """Give what an operator wants to know of a node first."""
+    load = node.admission.load(asyncio.get_running_loop().time())
+    return {
+        'instance': node.settings.instance,
+        'domain': node.settings.domain,
+        'service': node.target.service or None,
+        'draining': node.target.draining,
+        'faces': {name: str(address) for name, address in node.faces._asdict().items()},
+        'load': load._asdict(),
+        **node.sync.status(),
+        'keys': node.once.status(node.target.service),
+        'members': len(list(node.view.members())),
+        'shed': dict(node.stats.shed),
+        'retries': node.stats.retries,
+    }
+
+
+def known_targets(node: 'Node') -> list[dict[str, Any]]:
+    """Give all instances that a node knows of."""
+    return [
+        {**entry_of(m), 'state': m.state.name.lower()}
+        for m in sorted(node.view.members(), key=lambda m: (m.service, m.instance))
+    ]
+
+
+def explain_request(node: 'Node', question: Question) -> Explanation | None:
+    """Explain what would happen to a request at a node; None without a record."""
+    record = node.book.find(question['service'])
+    if record is None:
+        return None
+    now = asyncio.get_running_loop().time()
+    rule = classify(record, question['method'], question['path'])
+    level = node.executor.levels.admitted(now, record.service, rule.name)
+    members = node.view.serving(record.service)
+    return explain(question, record, members, node.dispatcher.router, now, int(level))
