--- a/dunlinsaddle/admin.py
+++ b/dunlinsaddle/admin.py
@@ -9,12 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from dunlinsaddle.calls.http import (
-    HttpRequest,
-    HttpResponse,
-    failure_response,
-    json_response,
-)
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response, json_response
 from dunlinsaddle.errors import ErrorKind, Failure, problem_of
 from dunlinsaddle.explain import Question
 from dunlinsaddle.platform.store import Unavailable
--- a/tests/fakes/pair.py
+++ b/tests/fakes/pair.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace, HttpLimits
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.changes import RECORDS
--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace, HttpLimits
 from dunlinsaddle.calls.messages import Lost, Reply
 from dunlinsaddle.membership.roster import ROSTERS
 from dunlinsaddle.node import Node
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -5,7 +5,8 @@
 from result import Err, Ok
 
 from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.http import HttpFace, HttpLimits, HttpResponse
+from dunlinsaddle.calls.http import HttpResponse
+from dunlinsaddle.calls.listener import HttpFace, HttpLimits
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import Conflict, Unavailable
