--- a/standins/demo.py
+++ b/standins/demo.py
@@ -6,6 +6,8 @@
 import time
 from pathlib import Path
 
+import uuid6
+
 from dunlinsaddle.cli.core import program
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.settings import Address, read_address
@@ -15,6 +17,7 @@
 RECORDS = Path(__file__).parent.parent / 'examples' / 'llechfaen'
 SETTLE_SECONDS = 10.0
 PRESS_SECONDS = 3.0
+RELEASES = 20
 AT_ONCE = 10
 SURGE_AT_ONCE = 150
 
@@ -62,13 +65,29 @@
 
 
 async def surge(nodes: list[Address], path: str, at_once: int) -> Tally:
-    """Send calls for a few seconds, so many at once."""
+    """Send calls for a few seconds, so many at once, and releases of orders among them."""
     caller = Caller()
-    tally = await caller.press(nodes, 'GET', path, PRESS_SECONDS, at_once)
+    tally, released = await asyncio.gather(
+        caller.press(nodes, 'GET', path, PRESS_SECONDS, at_once), release_orders(caller, nodes)
+    )
     caller.close()
+    tally.statuses[f'released of {RELEASES}'] = released
     return tally
 
 
+async def release_orders(caller: Caller, nodes: list[Address]) -> int:
+    """Release orders one after the other, each with a key of its own; gives how many were."""
+    released = 0
+    for number in range(RELEASES):
+        headers = [(b'idempotency-key', str(uuid6.uuid7()).encode())]
+        node = nodes[number % len(nodes)]
+        path = f'/cut-orders/orders/{number}/release'
+        response = await caller.call(node, 'POST', path, headers)
+        released += response is not None and response.status == 200
+        await asyncio.sleep(PRESS_SECONDS / RELEASES / 2)
+    return released
+
+
 def report(title: str, tally: Tally) -> None:
     """Print who answered, and what was refused."""
     say(title)
