--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -1,17 +1,14 @@
 import asyncio
 import signal
 import socket
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection
 from functools import partial
 from itertools import pairwise
-from pathlib import Path
 from random import Random
 
 import msgspec
-from testtools import TestCase
 from testtools.content import text_content
 
 from dunlinsaddle.calls.http import HttpResponse
@@ -19,29 +16,19 @@
 from dunlinsaddle.policy.ownership import decode_map
 from dunlinsaddle.settings import read_address
 from standins.caller import Caller
-from standins.demo import operate
-from standins.fleet import Fleet, TargetSpec
-from tests.builders import build_document
+from standins.fleet import TargetSpec
+from tests.fleet_case import DOMAINS, FleetCase
 
-DOMAINS = {'bangor-1': 'bangor-hall', 'caernarfon-1': 'caernarfon-hall', 'menai-1': 'menai-hall'}
 RUN_SECONDS = 0.6
 PATIENCE = 15.0
 RELEASE = '/cut-orders/orders/17/release'
 
 
-class OnceProcessesTest(TestCase):
+class OnceProcessesTest(FleetCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__, None, None, None)
-        for name, domain in DOMAINS.items():
-            self.fleet.place(name, TargetSpec('cut-orders', domain, 50, RUN_SECONDS))
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        record = Path(folder.name) / 'cut-orders.json'
-        record.write_bytes(msgspec.json.encode(build_document()))
-        operate(self.fleet.placed['bangor-1'].faces['operators'], 'apply', str(record))
+        self.place_everywhere(50, RUN_SECONDS)
+        self.apply('bangor-1')
         self.caller = Caller()
         self.rng = Random(3)
 
