--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -23,6 +23,15 @@
 CALL_HEADER = b'dunlinsaddle-call'
 
 
+def paused_wall_clock() -> float:
+    """Give Unix time as the paused clock has it.
+
+    With the machine's own, each node would be behind the ones before it by as much as the
+    paused clock had jumped meanwhile, and how much that is would be chance.
+    """
+    return 1_790_000_000.0 + asyncio.get_running_loop().time()
+
+
 async def seconds_until(look: Callable[[], Any], good: Callable[[Any], bool]) -> float:
     """Look again and again until what is seen is good; gives how long it took."""
     loop = asyncio.get_running_loop()
@@ -91,7 +100,8 @@
         names = ('callers', 'local', 'peers', 'operators', 'gossip')
         faces = {face: f'{HOST}:{port + n}' for n, face in enumerate(names)}
         cfg = build_settings(instance=name, domain=domain, **faces, **settings)
-        node = Node(cfg, build_environment(rng=Random(self.rng.random())), build_logger())
+        env = build_environment(rng=Random(self.rng.random()), wall_clock=paused_wall_clock)
+        node = Node(cfg, env, build_logger())
         node.use_store(store or self.store)
         self._break_links(node, domain)
         await node.start()
