One cutter of messages for answers and membership words; a dead function gone

Cause: handover.py and membership/messages.py cut lists into pieces by the same lines; records/changes.py kept a function that nothing calls. Change: pieces.py serves both; behaviour as it was.

--- a/dunlinsaddle/calls/handover.py
+++ b/dunlinsaddle/calls/handover.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from collections.abc import Iterator
 from typing import NamedTuple
 
 from result import Ok
@@ -15,6 +14,7 @@
 from dunlinsaddle.calls.messages import EndedKey, KeysPush, Reply
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.once.keeper import RangeKeeper
+from dunlinsaddle.pieces import cut_pieces
 from dunlinsaddle.policy.keys import BornKey, parse_key
 from dunlinsaddle.policy.once_table import Ended, KeyTable
 from dunlinsaddle.policy.ownership import Owner
@@ -107,24 +107,10 @@
     links: PeerLinks, member: Member | None, service: str, known: list[Ended[Reply]]
 ) -> int:
     taken = 0
-    for piece in _pieces(known):
+    for piece in cut_pieces(known, lambda entry: KEY_BYTES + entry.size, PIECE_BYTES):
         keys = [EndedKey(k.key, k.fingerprint, k.done, k.answer) for k in piece]
         push = KeysPush(0, service, keys)
         if member is None or not await links.give_keys(member.peers, push, PIECE_SECONDS):
             break
         taken += len(piece)
     return taken
-
-
-def _pieces(known: list[Ended[Reply]]) -> Iterator[list[Ended[Reply]]]:
-    piece: list[Ended[Reply]] = []
-    room = PIECE_BYTES
-    for entry in known:
-        size = KEY_BYTES + entry.size
-        if piece and size > room:
-            yield piece
-            piece, room = [], PIECE_BYTES
-        piece.append(entry)
-        room -= size
-    if piece:
-        yield piece
--- a/dunlinsaddle/membership/messages.py
+++ b/dunlinsaddle/membership/messages.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-from collections.abc import Iterable, Iterator
 
 import msgspec
 import xxhash
@@ -121,21 +120,6 @@
     return len(_encoder.encode(word))
 
 
-def pages_of(words: Iterable[Word], limit: int) -> Iterator[list[Word]]:
-    """Cut words into messages of at most ``limit`` bytes of them."""
-    page: list[Word] = []
-    left = limit
-    for word in words:
-        size = size_of(word)
-        if page and size > left:
-            yield page
-            page, left = [], limit
-        page.append(word)
-        left -= size
-    if page:
-        yield page
-
-
 class Sealer:
     """Packs messages behind a checksum that needs the shared key, and opens only such."""
 
--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -21,7 +21,6 @@
     check_of,
     details_of,
     member_of,
-    pages_of,
     size_of,
     word_of,
 )
@@ -30,6 +29,7 @@
 from dunlinsaddle.membership.sync import bucket_of, digests_of
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.pieces import cut_pieces
 from dunlinsaddle.settings import Address
 
 MAX_STEP = 1 << 40  #: how far beyond our own an incarnation may be that we answer by going past it
@@ -374,7 +374,7 @@
         self.rng.shuffle(members)
         members.sort(key=lambda m: places[bucket_of(m.instance)])
         words = (word_of(m, age=now - self.died.get(m.instance, now)) for m in members)
-        pages = islice(pages_of(words, PAGE_BYTES), self.sizes.pages)
+        pages = islice(cut_pieces(words, size_of, PAGE_BYTES), self.sizes.pages)
         paid = takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
         return [self._answer(sync, self._rumor(page)) for page in paid]
 
--- a/dunlinsaddle/records/changes.py
+++ b/dunlinsaddle/records/changes.py
@@ -27,7 +27,7 @@
     readable,
     version_after,
 )
-from dunlinsaddle.records.models import RecordEntry, VersionedRecord
+from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.records.schema import NEWEST_SCHEMA, decode_entry, schema_of
 
 WRITE_TRIES = 3
@@ -83,11 +83,6 @@
     return RecordEntry(held.name, held.version, doc)
 
 
-def versioned(held: StoredObject) -> Result[VersionedRecord, Failure]:
-    """Read a record as it is stored."""
-    return decode_entry(entry_of(held))
-
-
 def check_change(
     change: Change, held: StoredObject | None, newest: int = NEWEST_SCHEMA
 ) -> Failure | None:
