--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -42,13 +42,19 @@
 
 
 Exchange = Answered | NotSent | Lost
+Belongs = Callable[[Headers], bool]  #: whether an answer is one to the request that was sent
+
+
+def _any_answer(headers: Headers) -> bool:
+    return True
 
 
 class _Connection(asyncio.Protocol):
     """One kept connection: a request at a time."""
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, max_body_bytes: int, *, open_ended: bool) -> None:
         self.max_body_bytes = max_body_bytes
+        self.open_ended = open_ended
         self.loop = asyncio.get_running_loop()
         self.parser = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport
@@ -64,6 +70,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.repeat: asyncio.Task[None] | None = None
         self.answered_at = 0.0
+        self.belongs: Belongs = _any_answer
+        self.sent: h11.Request | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -72,7 +80,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        if self.heard:
+        if self.heard and exc is None:
+            # A reset also ends the bytes, but what came before it need not be all.
             self._feed(b'')
         self.settle(Lost('the connection ended before the whole answer', ErrorKind.TARGET_LOST))
 
@@ -84,18 +93,20 @@
         self.heard = True
         self._feed(data)
 
-    def send(self, req: HttpRequest, host: bytes) -> 'asyncio.Future[Exchange]':
-        """Write a request.
+    def send(self, req: HttpRequest, host: bytes, belongs: 'Belongs') -> 'asyncio.Future[Exchange]':
+        """Write a request, with the host that it names or else the address.
 
         Raises h11.LocalProtocolError or UnicodeError, before any byte is written.
         """
-        headers = [(b'host', host)]
+        named = req.header(b'host')
+        headers = [(b'host', named.encode('latin-1') if named else host)]
         headers += [(n, v) for n, v in req.headers if n not in HOP_BY_HOP]
         headers.append((b'content-length', str(len(req.body)).encode()))
         head = h11.Request(method=req.method, target=req.path, headers=headers)
         events = message_events(head, req.body)
         wire = b''.join(self.parser.send(event) or b'' for event in events)
         self.fut = self.loop.create_future()
+        self.belongs, self.sent = belongs, head
         self.method, self.heard = req.method, False
         self.head, self.chunks, self.size = None, [], 0
         self.transport.write(wire)
@@ -146,7 +157,7 @@
         if self.method == 'HEAD' or head.status_code in BODILESS:
             return
         framing = {n: v for n, v in self.headers if n in FRAMING}
-        if not framing:
+        if not framing and not self.open_ended:
             # A body that ends with the connection looks the same whole or cut.
             self.drop(Lost('the answer has no length', ErrorKind.OUTCOME_UNKNOWN))
         elif int(framing.get(b'content-length', b'0')) > self.max_body_bytes:
@@ -159,6 +170,9 @@
 
     def _complete(self) -> None:
         assert self.head is not None
+        if not self.belongs(self.headers):
+            self._skip()
+            return
         response = HttpResponse(self.head.status_code, self.headers, b''.join(self.chunks))
         self.chunks = []
         ended = self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
@@ -171,6 +185,25 @@
             self.transport.abort()
         self.settle(Answered(response))
 
+    def _skip(self) -> None:
+        """Pass over an answer to an earlier request; the right one may follow on its heels.
+
+        The parser allows one answer for each request, so it is told of ours once more.
+        """
+        if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
+            self.drop(Lost('the answer was to another request', ErrorKind.INCOMPLETE_ANSWER))
+            return
+        assert self.sent is not None
+        self.parser.start_next_cycle()
+        self.parser.send(_bodiless(self.sent))
+        self.parser.send(h11.EndOfMessage())
+        self.head, self.chunks, self.size = None, [], 0
+
+
+def _bodiless(head: h11.Request) -> h11.Request:
+    headers = [(n, v) for n, v in head.headers if n not in FRAMING]
+    return h11.Request(method=head.method, target=head.target, headers=headers)
+
 
 class _Pool:
     """The kept connections to one address, and how long its answers take."""
@@ -234,13 +267,19 @@
     req: HttpRequest
     deadline: float
     may_repeat: Callable[[], bool] | None
+    belongs: Belongs
 
 
 class HttpClient:
-    """Sends requests, each over a connection of its own, and keeps those that stay whole."""
+    """Sends requests, each over a connection of its own, and keeps those that stay whole.
+
+    ``open_ended`` accepts answers whose body ends with the connection, for servers that promise
+    to reset a connection whose answer is not whole.
+    """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES, *, open_ended: bool = False) -> None:
         self.max_body_bytes = max_body_bytes
+        self.open_ended = open_ended
         self._pools: dict[Address, _Pool] = {}
 
     async def send(
@@ -250,15 +289,17 @@
         timeout: float,
         *,
         may_repeat: Callable[[], bool] | None = None,
+        belongs: Belongs = _any_answer,
     ) -> Exchange:
         """Send one request and wait at most ``timeout`` seconds for the whole response.
 
         ``may_repeat`` is given for an idempotent request. It is asked when the answer on a
         kept connection is overdue while others come, and says whether the request may go
-        out once more, over a new connection; the first answer counts.
+        out once more, over a new connection; the first answer counts. ``belongs`` looks at an
+        answer's headers: one that is to another request is passed over.
         """
         deadline = asyncio.get_running_loop().time() + timeout
-        sending = _Sending(address, req, deadline, may_repeat)
+        sending = _Sending(address, req, deadline, may_repeat, belongs)
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = _Pool(address)
@@ -273,7 +314,9 @@
         try:
             async with asyncio.timeout_at(min(loop.time() + CONNECT_TIMEOUT, sending.deadline)):
                 _, conn = await loop.create_connection(
-                    lambda: _Connection(self.max_body_bytes), address.host, address.port
+                    lambda: _Connection(self.max_body_bytes, open_ended=self.open_ended),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as exc:
             return NotSent(f'{address}: {exc or "no connection in time"}')
@@ -284,7 +327,7 @@
             conn.transport.abort()
             return NotSent('the deadline passed before it was sent')
         try:
-            fut = conn.send(sending.req, pool.host)
+            fut = conn.send(sending.req, pool.host, sending.belongs)
         except (h11.LocalProtocolError, UnicodeError) as exc:
             conn.transport.abort()
             return NotSent(f'it cannot be written as HTTP: {exc}')
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -1,7 +1,7 @@
 """Sends a call to a target of its service, again elsewhere where that is safe."""
 
 import asyncio
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from dunlinsaddle.calls.execute import FIRST_ERROR_STATUS, Executor
 from dunlinsaddle.calls.link import PeerLinks
@@ -36,6 +36,29 @@
     return _Choices(serving, members, candidates)
 
 
+class ResendPolicy(Protocol):
+    """Which calls may be sent to a further target, and who pays for it."""
+
+    def allows(self, work: Work, reply: Reply) -> bool:
+        """Say whether another target may be given a call that ended so."""
+
+    def spend(self, work: Work, reply: Reply) -> bool:
+        """Pay for sending it; False when there is nothing left to pay with."""
+
+
+class AllowanceResends:
+    """The product's own way: an allowance that travels down the chain with the request."""
+
+    def allows(self, work: Work, reply: Reply) -> bool:
+        """Allow what provably did not run, and what is idempotent and was lost."""
+        kind = ErrorKind(reply.kind) if reply.kind else None
+        return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
+
+    def spend(self, work: Work, reply: Reply) -> bool:
+        """Take a token of the request's allowance."""
+        return work.allowance.spend()
+
+
 class Dispatcher:
     """Chooses a target, hands the call over, and spends the retry allowance."""
 
@@ -57,6 +80,7 @@
         self.stats = stats
         self.quarantine = quarantine
         self.once: OnceGate | None = None
+        self.resends: ResendPolicy = AllowanceResends()
         self._choices: dict[str, _Choices] = {}
 
     async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
@@ -83,7 +107,7 @@
             if member is None:
                 last = last or self._nobody(work.ctx)
                 break
-            if last is not None and not work.allowance.spend():
+            if last is not None and not self.resends.spend(work, last):
                 break
             if last is not None:
                 self.stats.retries += 1
@@ -188,8 +212,7 @@
     def _may_resend(self, work: Work, reply: Reply) -> bool:
         if work.ctx.deaths >= DEATHS_MOST:
             return False
-        kind = ErrorKind(reply.kind) if reply.kind else None
-        return may_resend(kind, reply.outcome, idempotent=work.ctx.idempotent)
+        return self.resends.allows(work, reply)
 
 
 def _truthful(reply: Reply) -> Reply:
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
+from typing import Protocol
 
 from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpRequest, forwarded_headers
-from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
+from dunlinsaddle.calls.messages import Headers, Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.work import Running, RunningCalls, Work
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.admission import (
@@ -43,6 +44,41 @@
     return running.come_back_after
 
 
+class TargetDialect(Protocol):
+    """How a target is spoken to: what goes with a call, and what its answer says."""
+
+    def headers(self, work: Work, running: Running, seconds: float) -> Headers:
+        """Give the headers of a call that the target has ``seconds`` for."""
+
+    def belongs(self, work: Work, headers: Headers) -> bool:
+        """Say whether an answer with these headers is one to this call."""
+
+    def reply(self, response: HttpResponse) -> Reply:
+        """Tell what a whole answer says of the call."""
+
+
+class PlainDialect:
+    """The product's own way: a target passes a token on with the calls that it makes."""
+
+    def headers(self, work: Work, running: Running, seconds: float) -> Headers:
+        """Give the caller's headers, the time left, and the token."""
+        return [
+            *((n, v) for n, v in forwarded_headers(work.headers) if n != b'request-timeout'),
+            (b'request-timeout', f'{seconds:.3f}'.encode()),
+            (b'dunlinsaddle-call', running.token.encode()),
+            (b'dunlinsaddle-request', work.ctx.request_id.encode()),
+        ]
+
+    def belongs(self, work: Work, headers: Headers) -> bool:
+        """Take every answer: these targets do not name the request in them."""
+        return True
+
+    def reply(self, response: HttpResponse) -> Reply:
+        """Take a whole answer for the end of the work."""
+        headers = forwarded_headers(response.headers)
+        return Reply(0, response.status, headers, response.body, Outcome.DONE)
+
+
 class LocalTarget:
     """The target beside this node, as it announced itself."""
 
@@ -50,6 +86,7 @@
         self.on_start: Callable[[], None] = lambda: None
         self.service = ''
         self.address: Address | None = None
+        self.target_id = ''  #: names the incarnation, where targets say so
         self.leaving = False  #: the node itself stops, whatever the target says
         self._drains = False
         self._refused = False
@@ -59,6 +96,11 @@
         """Whether nothing new may be given to it."""
         return self._drains or self.leaving
 
+    @property
+    def refused(self) -> bool:
+        """Whether it took no connection when it was last tried."""
+        return self._refused
+
     def announce(self, service: str, address: Address) -> None:
         """Take an announcement; that of a new target ends the drain of the old one.
 
@@ -73,6 +115,14 @@
         self._drains = self._refused = False
         self.on_start()
 
+    def begin(self, service: str, address: Address, target_id: str) -> None:
+        """Take a new incarnation, which names itself: whatever was held of the old one is over."""
+        self.service = service
+        self.address = address
+        self.target_id = target_id
+        self._drains = self._refused = False
+        self.on_start()
+
     def drain(self) -> None:
         """Give it nothing new."""
         self._drains = True
@@ -100,7 +150,9 @@
         observes: Callable[[str], bool] = lambda service: False,
         on_death: Callable[[int, int], None] = lambda fingerprint, deaths: None,
         levels: ChainLevels | None = None,
+        dialect: TargetDialect | None = None,
     ) -> None:
+        self.dialect = dialect or PlainDialect()
         self.target = target
         self.admission = admission
         self.client = client
@@ -178,7 +230,16 @@
             self._ticking = True
             loop.call_later(TICK_SECONDS, self._tick)
         level = ctx.priority.level
-        return Ticket(self._tickets, level, now, ctx.deadline, ctx.rule, ctx.caller, ctx.hop)
+        return Ticket(
+            self._tickets,
+            level,
+            now,
+            ctx.deadline,
+            ctx.rule,
+            ctx.caller,
+            ctx.hop,
+            ctx.useful_until,
+        )
 
     def _tick(self) -> None:
         """Let admission decide between calls: a call that finds it due waits for it.
@@ -309,24 +370,25 @@
             # It went while the call waited in the queue.
             return refusal(Failure(ErrorKind.NO_TARGET, 'the target has gone', COME_BACK))
         budget = work.ctx.deadline - running.started
-        headers = [
-            *((n, v) for n, v in forwarded_headers(work.headers) if n != b'request-timeout'),
-            (b'request-timeout', f'{budget:.3f}'.encode()),
-            (b'dunlinsaddle-call', running.token.encode()),
-            (b'dunlinsaddle-request', work.ctx.request_id.encode()),
-        ]
+        headers = self.dialect.headers(work, running, budget)
         req = HttpRequest(work.method, work.path, headers, work.body, '')
         again = partial(self._may_repeat, work) if work.ctx.idempotent else None
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        exchange = await self.client.send(address, req, budget, may_repeat=again)
+        exchange = await self.client.send(
+            address,
+            req,
+            budget,
+            may_repeat=again,
+            belongs=partial(self.dialect.belongs, work),
+        )
         if work.waits is not None:
             work.waits.seconds += loop.time() - sent_at
         match exchange:
             case Answered(response):
-                headers = forwarded_headers(response.headers)
-                reply = Reply(0, response.status, headers, response.body, Outcome.DONE)
-                reply.retry_after = _come_back_after(reply, running)
+                reply = self.dialect.reply(response)
+                if not reply.kind:
+                    reply.retry_after = _come_back_after(reply, running)
                 return reply
             case NotSent(detail):
                 self.target.note_refused()
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -72,6 +72,7 @@
     deaths: int = 0
     asked: Hops = 0  #: nodes that were asked before for who owns the key
     owned: bool = False  #: the key's owner has decided that the call may run
+    useful: Seconds = MAX_BUDGET  #: seconds after which an answer is worth less
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from dunlinsaddle.calls.messages import Call, Headers, Reply
+from dunlinsaddle.calls.messages import MAX_BUDGET, Call, Headers, Reply
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.policy.context import CallContext, Priority
 from dunlinsaddle.policy.retry import Allowance
@@ -56,6 +56,7 @@
         key=ctx.key,
         fingerprint=ctx.fingerprint,
         deaths=ctx.deaths,
+        useful=min(max(ctx.useful_until - now, 0.0), MAX_BUDGET),
     )
 
 
@@ -74,6 +75,7 @@
         key=call.key,
         fingerprint=call.fingerprint,
         deaths=call.deaths,
+        useful_until=now + call.useful,
     )
     allowance = Allowance(call.allowance)
     return Work(ctx, call.method, call.path, call.headers, call.body, allowance, Waits())
--- a/dunlinsaddle/daemon.py
+++ b/dunlinsaddle/daemon.py
@@ -16,6 +16,7 @@
 from dunlinsaddle import __version__
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.logs import start_logs
+from dunlinsaddle.mesh import daemon as mesh
 from dunlinsaddle.node import Node
 from dunlinsaddle.settings import OPTIONS, Option, Settings, env_name, read_settings, secret_files
 from dunlinsaddle.status import ExitStatus
@@ -32,6 +33,12 @@
     return f'File that holds the secret, instead of it. Variable: {env_name(name)}.'
 
 
+_NODE_FILE_HELP = (
+    "Settings file of the users' platform, in place of all other settings. "
+    f'Variable: {env_name("node-file")}.'
+)
+
+
 class ServeCommand(Command):
     """All flags of the daemon; each setting is one."""
 
@@ -39,6 +46,7 @@
     description = 'Runs the node beside one target.'
     options = [
         option('check', None, 'Check the settings and exit.'),
+        option('node-file', None, _NODE_FILE_HELP, flag=False),
         option('help', 'h', 'Show this help.'),
         option('version', None, 'Show the version.'),
         *(option(opt.name, None, _describe(opt), flag=False) for opt in OPTIONS),
@@ -57,6 +65,9 @@
         if self.option('version'):
             self.env.stdout.write(f'{__version__}\n')
             return ExitStatus.OK
+        node_file = self.option('node-file') or self.env.environ.get(env_name('node-file'))
+        if node_file:
+            return mesh.run(self.env, node_file, check=bool(self.option('check')))
         names = [*(opt.name for opt in OPTIONS), *secret_files()]
         flags = {name: self.option(name) for name in names}
         given = {name: text for name, text in flags.items() if text is not None}
--- a/dunlinsaddle/errors.py
+++ b/dunlinsaddle/errors.py
@@ -44,9 +44,13 @@
     CALLER_OVER_RATE = 'caller-over-rate'
     DRAINING = 'draining'
     NO_TARGET = 'no-target'
+    NO_ROUTE = 'no-route'
+    NO_CONFIGURATION = 'no-configuration'
+    TIMED_OUT = 'timed-out'
     QUARANTINED = 'quarantined'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
     CANCELLED = 'cancelled'
+    TARGET_REFUSED = 'target-refused'
     TARGET_LOST = 'target-lost'
     PEER_LOST = 'peer-lost'
     INCOMPLETE_ANSWER = 'incomplete-answer'
@@ -125,6 +129,14 @@
     ),
     _K.DRAINING: _rule(503, _NOT_RUN, 'The target is leaving.', retry_after=True, resend=True),
     _K.NO_TARGET: _rule(503, _NOT_RUN, 'No target serves this now.', retry_after=True, resend=True),
+    _K.NO_ROUTE: _rule(404, _NOT_RUN, 'No route matches this host and path.'),
+    _K.NO_CONFIGURATION: _rule(
+        503, _NOT_RUN, 'This node has no configuration yet.', retry_after=True, resend=True
+    ),
+    _K.TARGET_REFUSED: _rule(
+        503, _NOT_RUN, 'The target did not take it.', retry_after=True, resend=True
+    ),
+    _K.TIMED_OUT: _rule(504, _UNKNOWN, "The route's timeout passed while it ran."),
     _K.QUARANTINED: _rule(422, _NOT_RUN, 'Targets died while they ran this request.'),
     _K.DEADLINE_EXCEEDED: _rule(504, _UNKNOWN, 'The deadline passed while it ran.'),
     _K.CANCELLED: _rule(499, _UNKNOWN, 'The caller went away.'),
--- /dev/null
+++ b/dunlinsaddle/mesh/announce.py
@@ -0,0 +1,80 @@
+"""The face on which the target beside the node says that it lives, drains and goes."""
+
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from dunlinsaddle.calls.execute import LocalTarget
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.mesh.beats import Farewell, Heartbeat, TargetLog
+from dunlinsaddle.platform.heartbeats import acknowledgement, read_heartbeat, rejection
+from dunlinsaddle.policy.slots import SlotAdmission
+from dunlinsaddle.settings import Address
+
+
+class AnnounceFace:
+    """Takes heartbeats of the one target that the settings name."""
+
+    def __init__(
+        self,
+        service: str,
+        address: Address,
+        target: LocalTarget,
+        admission: SlotAdmission,
+        on_change: Callable[[], None],
+        logger: logging.Logger,
+    ) -> None:
+        self.service = service
+        self.address = address
+        self.target = target
+        self.admission = admission
+        self.on_change = on_change
+        self.logger = logger
+        self.log = TargetLog()
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one heartbeat or farewell."""
+        match read_heartbeat(req):
+            case Err(why):
+                self.logger.warning('heartbeat unusable', extra={'why': why})
+                return rejection(why)
+            case Ok(Farewell() as farewell):
+                self._farewell(farewell)
+            case Ok(Heartbeat() as beat):
+                if (beat.service, beat.address) != (self.service, self.address):
+                    self.logger.warning('heartbeat of another target', extra=_named(beat))
+                    return rejection('not the target beside this node')
+                self._heartbeat(beat)
+        return acknowledgement()
+
+    def _farewell(self, farewell: Farewell) -> None:
+        if self.log.leave(farewell):
+            self.logger.info('target left', extra={'target': farewell.target_id})
+            self.target.withdraw()
+            self.on_change()
+
+    def _heartbeat(self, beat: Heartbeat) -> None:
+        held = self.log.current
+        if not self.log.take(beat):
+            return
+        self.admission.announce(beat.slots)
+        if held is None or (held.target_id, held.started) != (beat.target_id, beat.started):
+            self.logger.info('target announced', extra=_named(beat))
+            self.target.begin(beat.service, self.address, beat.target_id)
+        elif self.target.refused:
+            self.target.begin(beat.service, self.address, beat.target_id)
+        if beat.draining and not self.target.draining:
+            self.logger.info('target drains', extra=_named(beat))
+            self.target.drain()
+        self.on_change()
+
+
+def _named(beat: Heartbeat) -> dict[str, object]:
+    return {
+        'target': beat.target_id,
+        'started': beat.started,
+        'sequence': beat.sequence,
+        'slots': beat.slots,
+        'draining': beat.draining,
+    }
--- /dev/null
+++ b/dunlinsaddle/mesh/daemon.py
@@ -0,0 +1,69 @@
+"""Runs one node of the platform as a process, from the settings file that it is given."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from dunlinsaddle.environment import Environment
+from dunlinsaddle.logs import start_logs
+from dunlinsaddle.mesh.node import MeshNode
+from dunlinsaddle.mesh.settings import MeshSettings
+from dunlinsaddle.platform.node_file import read_node_file
+from dunlinsaddle.settings import SettingError
+from dunlinsaddle.status import ExitStatus
+
+
+def load(path: str) -> Result[MeshSettings, SettingError]:
+    """Read the settings file."""
+    try:
+        return read_node_file(Path(path).read_bytes())
+    except OSError as exc:
+        return Err(SettingError('node-file', path, f'a readable file ({exc.strerror})'))
+
+
+def run(env: Environment, path: str, *, check: bool = False) -> ExitStatus:
+    """Run a node until it is told to stop; with ``check`` only look at its settings."""
+    match load(path):
+        case Err(error):
+            env.report(str(error))
+            return ExitStatus.USAGE
+        case Ok(settings):
+            return ExitStatus.OK if check else _run(env, path, settings)
+
+
+def _run(env: Environment, path: str, settings: MeshSettings) -> ExitStatus:
+    logger = start_logs(env.stdout, 'info', instance=settings.instance, domain=settings.domain)
+    try:
+        return asyncio.run(_serve(MeshNode(settings, env, logger), path))
+    except OSError as exc:
+        env.report(f'cannot listen: {exc}; give another address or stop what uses it')
+        return ExitStatus.ERROR
+
+
+async def _serve(node: MeshNode, path: str) -> ExitStatus:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    faces = await node.start()
+    addresses = {name: str(address) for name, address in faces._asdict().items()}
+    node.logger.info('listening', extra={'faces': addresses})
+    await stop.wait()
+    node.logger.info('draining')
+    await node.drain()
+    await node.stop()
+    node.logger.info('stopped')
+    return ExitStatus.OK
+
+
+def _reload(node: MeshNode, path: str) -> None:
+    match load(path):
+        case Err(error):
+            # The settings in force stay: a file that is being written is cut short for a moment.
+            node.logger.error('settings unusable', extra={'why': str(error)})
+        case Ok(settings):
+            node.settings = node.settings._replace(bounds=settings.bounds)
+            node.logger.info('settings reloaded')
--- /dev/null
+++ b/dunlinsaddle/mesh/dialect.py
@@ -0,0 +1,26 @@
+"""Speaks to the local target as the platform's targets expect it."""
+
+from dunlinsaddle.calls.execute import LocalTarget
+from dunlinsaddle.calls.http import HttpResponse
+from dunlinsaddle.calls.messages import Headers, Reply
+from dunlinsaddle.calls.work import Running, Work
+from dunlinsaddle.platform.requests import answers, read_answer, target_headers
+
+
+class MeshDialect:
+    """Names the incarnation that may run the call, and checks that the answer is to it."""
+
+    def __init__(self, target: LocalTarget) -> None:
+        self.target = target
+
+    def headers(self, work: Work, running: Running, seconds: float) -> Headers:
+        """Give the caller's headers, the time left, and the incarnation that is meant."""
+        return target_headers(work.headers, seconds, self.target.target_id)
+
+    def belongs(self, work: Work, headers: Headers) -> bool:
+        """Say whether an answer names this request, or none."""
+        return answers(work.ctx.request_id, headers)
+
+    def reply(self, response: HttpResponse) -> Reply:
+        """Tell what a whole answer says of the call."""
+        return read_answer(response)
--- /dev/null
+++ b/dunlinsaddle/mesh/entry.py
@@ -0,0 +1,99 @@
+"""The face for callers and for the target's own calls: routes a request and answers it."""
+
+import asyncio
+import math
+from collections.abc import Callable
+from random import Random
+
+import uuid6
+
+from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.faces import fingerprint
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.messages import Reply, refusal
+from dunlinsaddle.calls.work import Waits, Work
+from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.mesh.resends import Attempts
+from dunlinsaddle.platform.requests import (
+    CallerTerms,
+    caller_response,
+    read_terms,
+    travelling_headers,
+)
+from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.retry_budget import RetryBudget
+from dunlinsaddle.records.models import Rank
+from dunlinsaddle.routes.follow import ConfigFollower
+from dunlinsaddle.routes.models import Route
+from dunlinsaddle.routes.table import choose_service
+
+COMMON_TIME = 10.0  #: seconds for a caller that names no time of its own
+NO_CONFIGURATION_COME_BACK = 0.5  #: seconds; a fresh node mostly has one within a second
+
+
+class Entry:
+    """Any node is an entry: it finds the route, sets the terms, and sends the request on."""
+
+    def __init__(
+        self,
+        follower: ConfigFollower,
+        dispatcher: Dispatcher,
+        budget: RetryBudget,
+        service: str,
+        own_hosts: frozenset[str],
+        rng: Random,
+        on_end: Callable[[Work, Reply, float], None],
+    ) -> None:
+        self.follower = follower
+        self.dispatcher = dispatcher
+        self.budget = budget
+        self.service = service
+        self.own_hosts = own_hosts
+        self.rng = rng
+        self.on_end = on_end
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        terms = read_terms(req)
+        table = self.follower.table
+        if table is None:
+            return _refused(terms, ErrorKind.NO_CONFIGURATION, NO_CONFIGURATION_COME_BACK)
+        route = table.find(req.header(b'host'), req.path)
+        if route is None:
+            return _refused(terms, ErrorKind.NO_ROUTE)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        work = self._work(req, terms, route, began)
+        self.budget.sent(began, work.ctx.service)
+        reply = await self.dispatcher.dispatch(work)
+        self.on_end(work, reply, loop.time() - began)
+        return caller_response(reply, terms.request_id)
+
+    def _work(self, req: HttpRequest, terms: CallerTerms, route: Route, now: float) -> Work:
+        time_left = COMMON_TIME if terms.time_left is None else terms.time_left
+        timeout = math.inf if route.timeout is None else route.timeout
+        service = choose_service(route.shares, self.rng)
+        # The target beside the node sends its own calls from the same machine.
+        inner = req.remote in self.own_hosts
+        ctx = CallContext(
+            request_id=terms.request_id or str(uuid6.uuid7()),
+            caller=req.remote,
+            service=service,
+            rule=route.name,
+            priority=Priority(Rank(min(route.priority, max(Rank))), 0),
+            deadline=now + min(time_left, timeout),
+            allowance=0,
+            hop=1 if inner else 0,
+            idempotent=route.idempotent,
+            key='',
+            fingerprint=fingerprint(req, service),
+            useful_until=math.inf if route.objective is None else now + route.objective,
+        )
+        headers = travelling_headers(req, self.service)
+        return Work(
+            ctx, req.method, req.path, headers, req.body, Attempts(route.attempts - 1), Waits()
+        )
+
+
+def _refused(terms: CallerTerms, kind: ErrorKind, retry_after: float = 0.0) -> HttpResponse:
+    return caller_response(refusal(Failure(kind, '', retry_after)), terms.request_id)
--- /dev/null
+++ b/dunlinsaddle/mesh/node.py
@@ -0,0 +1,297 @@
+"""One node on the platform: wires its parts together and runs their loops."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Coroutine
+from random import Random
+from typing import Any, NamedTuple
+
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.execute import Executor, LocalTarget
+from dunlinsaddle.calls.frames import LinkLimits
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.messages import Call, Deaths, Reply
+from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.work import RunningCalls, Work, work_of
+from dunlinsaddle.environment import Environment
+from dunlinsaddle.membership.agent import GossipAgent
+from dunlinsaddle.membership.roster import Bootstrap, Roster
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.mesh.announce import AnnounceFace
+from dunlinsaddle.mesh.dialect import MeshDialect
+from dunlinsaddle.mesh.entry import Entry
+from dunlinsaddle.mesh.resends import BudgetResends
+from dunlinsaddle.mesh.settings import MeshSettings
+from dunlinsaddle.platform import configuration
+from dunlinsaddle.platform.client import HttpObjectStore
+from dunlinsaddle.platform.store import ObjectStore
+from dunlinsaddle.policy.quarantine import Quarantine
+from dunlinsaddle.policy.retry_budget import RetryBudget
+from dunlinsaddle.policy.route import Router
+from dunlinsaddle.policy.slots import SlotAdmission
+from dunlinsaddle.routes.follow import ConfigFollower
+from dunlinsaddle.routes.models import Configuration
+from dunlinsaddle.settings import Address
+from dunlinsaddle.stats import Stats
+
+#: Bodies of the store and of requests; the operators' limits bound what callers send.
+BODY_BYTES = 1 << 26
+#: Requests of one connection that run at the same time. Callers that send ahead send a few.
+PIPELINE = 16
+#: Seconds for which a stopping node still takes requests: callers are told within two
+#: questions, a second apart, that it is not ready, and those on their way arrive after that.
+CALLERS_LEAVE = 2.5
+#: Seconds before the kill at which a stopping node ends whatever still runs.
+KILL_MARGIN = 0.4
+#: Calls between nodes need no secret on the platform's closed network; the key keeps apart
+#: the fleets that share one.
+KEY_PREFIX = 'fleet-of-'
+
+
+class Faces(NamedTuple):
+    """The addresses that a node listens on."""
+
+    callers: Address
+    announce: Address
+    ready: Address
+    peers: Address
+    gossip: Address
+
+
+class MeshNode:
+    """The process beside one target of the platform."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        env: Environment,
+        logger: logging.Logger,
+        store: ObjectStore | None = None,
+    ) -> None:
+        self.settings = settings
+        self.env = env
+        self.logger = logger
+        self.incarnation = int(env.wall_clock() * 1000)
+        self.stats = Stats()
+        self.leaving = False
+        self.target = LocalTarget()
+        self.running = RunningCalls()
+        self.admission = SlotAdmission()
+        self.quarantine = Quarantine()
+        self.view = MemberView(self._member_changed)
+        self.platform_client = HttpClient(BODY_BYTES)
+        self.store = store or HttpObjectStore(settings.platform, self.platform_client)
+        self._build_membership()
+        self._build_calls()
+        self._build_faces()
+        self.faces: Faces
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _rng(self) -> Random:
+        return Random(self.env.rng.random())
+
+    def _build_membership(self) -> None:
+        cfg = self.settings
+        key = f'{KEY_PREFIX}{cfg.platform}'
+        limits = LinkLimits(body_bytes=BODY_BYTES)
+        self.agent = GossipAgent(self.view, key, self._rng())
+        self.links = PeerLinks(key, cfg.instance, limits)
+        self.peer_server = PeerServer(key, self._serve_peer, limits, self._peer_fault)
+        self.follower = ConfigFollower(
+            self.store,
+            configuration.KIND,
+            configuration.NAME,
+            configuration.read_configuration,
+            self._rng(),
+            self.logger,
+        )
+        self.follower.links = self.links
+        self.follower.peers = self._others
+        self.follower.on_change = self._configured
+        self.peer_server.on_records = self.follower.answer
+        self.peer_server.on_deaths = self._hear_deaths
+
+    def _build_calls(self) -> None:
+        cfg = self.settings
+        self.client = HttpClient(BODY_BYTES, open_ended=True)
+        self.executor = Executor(
+            self.target,
+            self.admission,
+            self.client,
+            self.running,
+            self.stats,
+            self.quarantine,
+            on_death=self._tell_deaths,
+            dialect=MeshDialect(self.target),
+        )
+        self.target.on_start = self._target_started
+        self.router = Router(cfg.domain, self._rng(), cfg.instance)
+        self.dispatcher = Dispatcher(
+            cfg.instance,
+            self.view,
+            self.router,
+            self.links,
+            self.executor,
+            self.stats,
+            self.quarantine,
+        )
+        bounds = cfg.bounds
+        self.budget = RetryBudget(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window)
+        self.dispatcher.resends = BudgetResends(self.budget)
+
+    def _build_faces(self) -> None:
+        cfg = self.settings
+        own_hosts = frozenset({cfg.callers.host, '127.0.0.1'})
+        entry = Entry(
+            self.follower,
+            self.dispatcher,
+            self.budget,
+            cfg.service,
+            own_hosts,
+            self._rng(),
+            self._ended,
+        )
+        announce = AnnounceFace(
+            cfg.service,
+            cfg.target,
+            self.target,
+            self.admission,
+            self._announce_self,
+            self.logger,
+        )
+        limits = HttpLimits(body_bytes=BODY_BYTES)
+        self.callers_http = HttpFace(entry.handle, limits, self._fault, pipeline=PIPELINE)
+        self.announce_http = HttpFace(announce.handle, HttpLimits(), self._fault)
+        self.ready_http = HttpFace(self._answer_ready, HttpLimits(), self._fault)
+
+    async def start(self) -> Faces:
+        """Listen on all faces and start the loops. Raises OSError when an address is taken."""
+        cfg = self.settings
+        self.faces = Faces(
+            await self.callers_http.listen(cfg.callers),
+            await self.announce_http.listen(cfg.announce),
+            await self.ready_http.listen(cfg.ready),
+            await self.peer_server.listen(cfg.peers),
+            await self.agent.listen(self.env.open_gossip, cfg.gossip),
+        )
+        self.agent.start(self.me())
+        roster = Roster(self.store, cfg.domain)
+        bootstrap = Bootstrap(roster, self.agent.gossip, self._rng())
+        self._spawn(self.follower.run())
+        self._spawn(bootstrap.run())
+        self._spawn(self.agent.run())
+        return self.faces
+
+    async def drain(self) -> None:
+        """Take no new work at the target, let callers leave, and end what is in progress."""
+        loop = asyncio.get_running_loop()
+        kill_at = loop.time() + self.settings.bounds.grace - KILL_MARGIN
+        self.leaving = True
+        self.target.leaving = True
+        self._announce_self()
+        self.executor.refuse_waiting()
+        self.callers_http.start_closing()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(kill_at):
+                await asyncio.sleep(CALLERS_LEAVE)
+                self.callers_http.stop_listening()
+                await self.callers_http.wait_idle()
+                await self.peer_server.wait_idle()
+                await self.running.wait_idle()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for face in (self.callers_http, self.announce_http, self.ready_http):
+            face.close()
+        self.agent.leave()
+        self.peer_server.close()
+        self.links.close()
+        self.client.close()
+        self.platform_client.close()
+
+    def me(self) -> Member:
+        """Give the word that this node spreads of itself."""
+        state = State.DRAINING if self.target.draining else State.ALIVE
+        return Member(
+            self.settings.instance,
+            self.incarnation,
+            state,
+            self.settings.domain,
+            self.target.service,
+            self.faces.peers,
+            self.faces.gossip,
+        )
+
+    async def _answer_ready(self, req: HttpRequest) -> HttpResponse:
+        ready = self.follower.version > 0 and not self.leaving
+        return HttpResponse(200 if ready else 503, [], b'')
+
+    def _others(self) -> list[Member]:
+        mine = self.settings.instance
+        return [m for m in self.view.members() if m.instance != mine and not m.gone]
+
+    def _configured(self, found: Configuration) -> None:
+        limits = found.limits
+        self.callers_http.limits = HttpLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            header_timeout=limits.header_timeout,
+            idle_timeout=limits.idle_timeout,
+        )
+
+    def _announce_self(self) -> None:
+        self.agent.announce(self.me())
+
+    def _member_changed(self, before: Member | None, member: Member) -> None:
+        self.budget_nodes_changed()
+        if before is not None and before.state is member.state:
+            return
+        extra = {'member': member.instance, 'state': member.state.name.lower()}
+        self.logger.info('member changed', extra={**extra, 'service': member.service})
+
+    def budget_nodes_changed(self) -> None:
+        """Share the retry budget among all nodes heard of, the dead too while they are held."""
+        if hasattr(self, 'budget'):
+            self.budget.nodes = max(sum(1 for _ in self.view.members()), 1)
+
+    def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
+        extra = {'fingerprint': f'{fingerprint:016x}', 'deaths': deaths}
+        self.logger.warning('target died while it ran a request', extra=extra)
+        for member in self._others():
+            self._spawn(self._tell(member.peers, Deaths(fingerprint, deaths)))
+
+    async def _tell(self, address: Address, frame: Deaths) -> None:
+        await self.links.tell(address, frame)
+
+    def _hear_deaths(self, frame: Deaths) -> None:
+        now = asyncio.get_running_loop().time()
+        self.quarantine.hear(now, frame.fingerprint, frame.deaths)
+
+    def _target_started(self) -> None:
+        self.admission.restarted(asyncio.get_running_loop().time())
+
+    def _ended(self, work: Work, reply: Reply, took: float) -> None:
+        self.stats.answered += 1
+
+    async def _serve_peer(self, call: Call) -> Reply:
+        return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
+
+    def _peer_fault(self, call: Call) -> None:
+        self.stats.faults += 1
+        self.logger.exception('fault while answering a peer', extra={'service': call.service})
+
+    def _fault(self, req: HttpRequest) -> None:
+        self.stats.faults += 1
+        self.logger.exception('fault while answering', extra={'path': req.path})
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/dunlinsaddle/mesh/resends.py
@@ -0,0 +1,58 @@
+"""Which requests go to a further target, and the budget that pays for it."""
+
+import asyncio
+
+from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.calls.work import Work
+from dunlinsaddle.errors import ErrorKind, Outcome
+from dunlinsaddle.policy.retry import LOST_ON_THE_WAY, Allowance
+from dunlinsaddle.policy.retry_budget import RetryBudget
+
+#: Refused by a node, before anything reached its target.
+REFUSED_BY_NODE = frozenset(
+    {ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED, ErrorKind.TOO_LATE_TO_START}
+)
+REFUSALS_MOST = 3  #: nodes in turn that may refuse a request before its caller is told
+
+
+class Attempts(Allowance):
+    """The targets that a request may still be sent to; none of them goes down the chain."""
+
+    refused = 0
+
+    def hand_down(self) -> int:
+        """Hand nothing down: the count is that of one hop alone."""
+        return 0
+
+
+class BudgetResends:
+    """Sends again what provably did not run, and what is idempotent and was lost.
+
+    What a node refused before it reached a target costs nothing but the time. Everything else
+    draws on the budget of the service, which all nodes share.
+    """
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self.budget = budget
+
+    def allows(self, work: Work, reply: Reply) -> bool:
+        """Say whether another target may be given a call that ended so."""
+        if not reply.kind:
+            return False
+        kind = ErrorKind(reply.kind)
+        if reply.outcome is Outcome.NOT_RUN:
+            return kind in REFUSED_BY_NODE or kind is ErrorKind.TARGET_REFUSED
+        return work.ctx.idempotent and kind in LOST_ON_THE_WAY
+
+    def spend(self, work: Work, reply: Reply) -> bool:
+        """Pay for sending it; False when there is nothing left to pay with."""
+        now = asyncio.get_running_loop().time()
+        if reply.outcome is Outcome.NOT_RUN and ErrorKind(reply.kind) in REFUSED_BY_NODE:
+            assert isinstance(work.allowance, Attempts)
+            work.allowance.refused += 1
+            return work.allowance.refused < REFUSALS_MOST
+        return (
+            work.allowance.tokens > 0
+            and self.budget.spend(now, work.ctx.service)
+            and (work.allowance.spend())
+        )
--- /dev/null
+++ b/dunlinsaddle/mesh/settings.py
@@ -0,0 +1,33 @@
+"""What a node on the platform is told at its start. Times in seconds."""
+
+from typing import NamedTuple
+
+from dunlinsaddle.settings import Address
+
+
+class Bounds(NamedTuple):
+    """Promises of the deployment that bind a node."""
+
+    drain: float  #: a target gets no new work later than this after its notice was acknowledged
+    grace: float  #: from the signal to stop to the kill
+    retry_ratio: float  #: arrivals beyond the first of each request, as a share of requests
+    retry_extra: float  #: further such arrivals in each window, over all nodes
+    retry_window: float
+
+
+class MeshSettings(NamedTuple):
+    """Names and addresses of one node and of the target beside it."""
+
+    instance: str
+    domain: str
+    region: str
+    callers: Address  #: where callers on this machine and the target send requests
+    ready: Address
+    announce: Address  #: where the target sends its heartbeats
+    peers: Address
+    gossip: Address
+    metrics: Address
+    target: Address
+    service: str
+    platform: Address
+    bounds: Bounds
--- a/dunlinsaddle/platform/__init__.py
+++ b/dunlinsaddle/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client side of the platform's object API: versions, conditional updates, watches."""
+"""What the platform speaks: names, formats and calls, decoded into the project's own types."""
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -1,14 +1,15 @@
-"""The object API over HTTP."""
+"""The one client of the platform's object store, which speaks its published protocol."""
 
 from typing import Any
+from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
 from dunlinsaddle.calls.client import Answered, HttpClient
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
-from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.platform.store import (
+    ABSENT,
     WATCH_GRACE,
     Conflict,
     JsonValue,
@@ -20,6 +21,8 @@
 from dunlinsaddle.settings import Address
 
 CALL_TIMEOUT = 5.0  #: a slow platform still serves; one that is away fails to connect sooner
+LONGEST_WAIT_MS = 30_000  #: the longest watch that the store allows
+GONE_STATUS = 410  #: of a watch whose start is older than the history that the store keeps
 
 
 class HttpObjectStore:
@@ -33,9 +36,9 @@
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         """Read one object."""
-        match await self._send('GET', f'/objects/{kind}/{name}'):
+        match await self._send('GET', _path(kind, name)):
             case Ok(HttpResponse(status=200) as response):
-                return _object(response)
+                return _object(kind, response)
             case Ok(HttpResponse(status=404)):
                 return Ok(None)
             case other:
@@ -43,55 +46,90 @@
 
     async def list(self, kind: str) -> Result[Listing, Unavailable]:
         """Read all objects of a kind."""
-        return _listing(await self._send('GET', f'/objects/{kind}'))
+        return await self._list(kind, self.timeout)
+
+    async def _list(self, kind: str, timeout: float) -> Result[Listing, Unavailable]:
+        """Read page by page, each within ``timeout`` seconds.
+
+        The revision is that of the first page: what changes while the others are read is
+        news to a watch that starts there.
+        """
+        objects: list[StoredObject] = []
+        revision: int | None = None
+        after = ''
+        while True:
+            query = '?' + urlencode({'after': after}) if after else ''
+            match _page(kind, await self._send('GET', _path(kind) + query, timeout=timeout)):
+                case Err(error):
+                    return Err(error)
+                case Ok(page):
+                    objects += page.objects
+                    revision = page.revision if revision is None else revision
+                    if not page.more or not page.objects:
+                        return Ok(Listing(objects, revision))
+                    after = page.objects[-1].name
 
     async def put(
         self, kind: str, name: str, value: JsonValue, expected: int
     ) -> Result[StoredObject, StoreError]:
         """Write on the condition that the version is ``expected``."""
-        body = msgspec.json.encode(value)
-        return self._changed(await self._send('PUT', f'/objects/{kind}/{name}', body, expected))
+        meta = {'name': name}
+        if expected == ABSENT:
+            body = msgspec.json.encode({'metadata': meta, 'specification': value})
+            return await self._changed(kind, name, 'POST', _path(kind), body)
+        body = msgspec.json.encode(
+            {'metadata': {**meta, 'revision': expected}, 'specification': value}
+        )
+        return await self._changed(kind, name, 'PUT', _path(kind, name), body)
 
     async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
         """Delete on the condition that the version is ``expected``."""
-        path = f'/objects/{kind}/{name}'
-        return self._changed(await self._send('DELETE', path, b'', expected))
+        path = f'{_path(kind, name)}?revision={expected}'
+        match await self._changed(kind, name, 'DELETE', path, b''):
+            case Ok(held):
+                return Ok(held._replace(value=None))
+            case failed:
+                return failed
 
     async def watch(
         self, kind: str, since: int, timeout: float, grace: float = WATCH_GRACE
     ) -> Result[Listing, Unavailable]:
-        """Wait for something newer than ``since``."""
-        path = f'/objects/{kind}?since={since}&timeout={timeout:g}'
-        return _listing(await self._send('GET', path, timeout=timeout + grace))
-
-    def _changed(
-        self, result: Result[HttpResponse, Unavailable]
-    ) -> Result[StoredObject, StoreError]:
+        """Wait for something newer than ``since``; 0 and a forgotten past read all anew."""
+        if since <= 0:
+            return await self._list(kind, timeout + grace)
+        wait_ms = min(int(timeout * 1000), LONGEST_WAIT_MS)
+        path = f'{_path(kind)}?watch={since}&waitMs={wait_ms}'
+        result = await self._send('GET', path, timeout=timeout + grace)
         match result:
             case Ok(HttpResponse(status=200) as response):
-                return _object(response)
-            case Ok(HttpResponse(status=409, body=b'null')):
+                return _decoded(response, _Changes).map(lambda changes: changes.plain(kind))
+            case Ok(HttpResponse(status=status)) if status == GONE_STATUS:
+                return await self._list(kind, timeout + grace)
+            case other:
+                return Err(_unavailable(other))
+
+    async def _changed(
+        self, kind: str, name: str, method: str, path: str, body: bytes
+    ) -> Result[StoredObject, StoreError]:
+        match await self._send(method, path, body):
+            case Ok(HttpResponse(status=200 | 201) as response):
+                return _object(kind, response)
+            case Ok(HttpResponse(status=404)):
                 return Err(Conflict(None))
-            case Ok(HttpResponse(status=409) as response):
-                return _object(response).and_then(lambda current: Err(Conflict(current)))
+            case Ok(HttpResponse(status=409)):
+                # What stands there is read anew: the answer to a create need not hold it.
+                return (await self.get(kind, name)).and_then(lambda current: Err(Conflict(current)))
             case other:
                 return Err(_unavailable(other))
 
     async def _send(
-        self,
-        method: str,
-        path: str,
-        body: bytes = b'',
-        expected: int | None = None,
-        timeout: float | None = None,
+        self, method: str, path: str, body: bytes = b'', timeout: float | None = None
     ) -> Result[HttpResponse, Unavailable]:
         self.calls += 1
-        headers: Headers = []
-        if expected is not None:
-            headers.append((b'if-match', str(expected).encode()))
+        headers = [(b'content-type', b'application/json')] if body else []
         req = HttpRequest(method, path, headers, body, '')
         # A watch waits long on purpose: it must not be taken for overdue.
-        again = _once_more if method == 'GET' and timeout is None else None
+        again = _once_more if method == 'GET' and 'watch=' not in path else None
         exchange = await self.client.send(
             self.address, req, timeout or self.timeout, may_repeat=again
         )
@@ -106,46 +144,87 @@
     return True
 
 
-class _WireObject(msgspec.Struct):
-    kind: str
+def _path(kind: str, name: str = '') -> str:
+    path = f'/objects/{quote(kind, safe="")}'
+    return f'{path}/{quote(name, safe="")}' if name else path
+
+
+class _WireMeta(msgspec.Struct):
     name: str
-    version: int
-    value: Any = None
+    revision: int  #: of the object's last change
 
-    def plain(self) -> StoredObject:
-        return StoredObject(self.kind, self.name, self.version, self.value)
 
+class _WireObject(msgspec.Struct):
+    metadata: _WireMeta
+    specification: Any = None
+
+    def plain(self, kind: str) -> StoredObject:
+        return StoredObject(kind, self.metadata.name, self.metadata.revision, self.specification)
+
+
+class _WirePage(msgspec.Struct, rename='camel'):
+    items: list[msgspec.Raw]
+    at_revision: int  #: of the whole store, not of the newest item
+    more: bool = False
+
+
+class _WireEvent(msgspec.Struct):
+    object: msgspec.Raw
+    removed: bool = False
 
-class _WireListing(msgspec.Struct):
-    objects: list[_WireObject]
+
+class _Changes(msgspec.Struct, rename='camel'):
+    events: list[_WireEvent]
+    at_revision: int
+
+    def plain(self, kind: str) -> Listing:
+        objects = []
+        for event in self.events:
+            for held in _readable(kind, event.object):
+                objects.append(held._replace(value=None) if event.removed else held)
+        return Listing(objects, self.at_revision)
+
+
+class _Page(msgspec.Struct):
+    objects: list[StoredObject]
     revision: int
+    more: bool
+
 
-    def plain(self) -> Listing:
-        return Listing([held.plain() for held in self.objects], self.revision)
+def _readable(kind: str, raw: msgspec.Raw) -> list[StoredObject]:
+    """Give the object, or nothing: one that another writer spoiled must not hide the rest."""
+    try:
+        return [msgspec.json.decode(raw, type=_WireObject).plain(kind)]
+    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+        return []
 
 
-def _object(response: HttpResponse) -> Result[Any, Any]:
-    return _decoded(response, _WireObject)
+def _object(kind: str, response: HttpResponse) -> Result[Any, Any]:
+    return _decoded(response, _WireObject).map(lambda held: held.plain(kind))
 
 
-def _listing(result: Result[HttpResponse, Unavailable]) -> Result[Listing, Unavailable]:
+def _page(kind: str, result: Result[HttpResponse, Unavailable]) -> Result[_Page, Unavailable]:
     match result:
         case Ok(HttpResponse(status=200) as response):
-            return _decoded(response, _WireListing)
+            return _decoded(response, _WirePage).map(
+                lambda page: _Page(
+                    [held for raw in page.items for held in _readable(kind, raw)],
+                    page.at_revision,
+                    page.more,
+                )
+            )
         case other:
             return Err(_unavailable(other))
 
 
-def _decoded(
-    response: HttpResponse, shape: type[_WireObject] | type[_WireListing]
-) -> Result[Any, Unavailable]:
+def _decoded(response: HttpResponse, shape: Any) -> Result[Any, Unavailable]:
     """Read an answer; one that cannot be read counts as no answer at all.
 
     An error page of a proxy or a body cut short must not end the loop that asked, and says
     nothing on whether a write took effect.
     """
     try:
-        return Ok(msgspec.json.decode(response.body, type=shape).plain())
+        return Ok(msgspec.json.decode(response.body, type=shape))
     except (msgspec.MsgspecError, UnicodeError, RecursionError) as exc:
         return Err(Unavailable(f'unreadable answer: {exc}'))
 
--- /dev/null
+++ b/dunlinsaddle/platform/headers.py
@@ -0,0 +1,15 @@
+"""Names of the platform's HTTP headers, in lower case as ``h11`` gives them."""
+
+REQUEST_ID = b'request-id'
+#: Whole milliseconds that the sender will still wait, not a moment in time.
+TIME_LEFT = b'deadline-milliseconds'
+#: Set by targets on every answer of their own; an answer without it was made on the way.
+SIGNATURE = b'server-signature'
+#: The id of the only target incarnation that may run the request.
+EXPECTED_TARGET = b'expected-instance'
+#: The id of the target incarnation that answers; despite its name not an instance of ours.
+TARGET_ID = b'instance'
+NOT_RUN = b'not-executed'
+#: The service of the instance where the request began.
+ORIGIN = b'caller-service'
+RETRY_AFTER = b'retry-after'
--- /dev/null
+++ b/dunlinsaddle/platform/node_file.py
@@ -0,0 +1,73 @@
+"""The settings file that the platform writes for each process."""
+
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from dunlinsaddle.mesh.settings import Bounds, MeshSettings
+from dunlinsaddle.platform.units import read_seconds
+from dunlinsaddle.settings import SettingError, read_address
+
+PEERS_PORT = 0  #: offset into the range of internal ports
+GOSSIP_PORT = 1
+METRICS_PORT = 2
+
+
+class _Listen(msgspec.Struct):
+    outbound: str  #: where callers on this machine and the target itself send requests
+    ready: str
+    control: str  #: where the target beside the node sends its heartbeats
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _NodeFile(msgspec.Struct, rename='camel'):
+    node_name: str
+    ip_address: str
+    zone: str
+    region: str
+    listen: _Listen
+    internal_port_range: tuple[int, int]
+    app_address: str
+    service: str
+    platform: _Store
+    bounds: dict[str, Any]
+
+
+def read_node_file(data: bytes) -> Result[MeshSettings, SettingError]:
+    """Decode the file. Unknown fields are ignored; one that cannot be used is named."""
+    try:
+        found = msgspec.json.decode(data, type=_NodeFile)
+        return Ok(_plain(found))
+    except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as exc:
+        return Err(SettingError('node-file', str(exc), "the platform's settings"))
+
+
+def _plain(found: _NodeFile) -> MeshSettings:
+    first_port = found.internal_port_range[0]
+    host = found.ip_address
+    bounds = found.bounds
+    return MeshSettings(
+        instance=found.node_name,
+        domain=found.zone,
+        region=found.region,
+        callers=read_address(found.listen.outbound),
+        ready=read_address(found.listen.ready),
+        announce=read_address(found.listen.control),
+        peers=read_address(f'{host}:{first_port + PEERS_PORT}'),
+        gossip=read_address(f'{host}:{first_port + GOSSIP_PORT}'),
+        metrics=read_address(f'{host}:{first_port + METRICS_PORT}'),
+        target=read_address(found.app_address),
+        service=found.service,
+        platform=read_address(found.platform.address),
+        bounds=Bounds(
+            drain=read_seconds(bounds['drain']),
+            grace=read_seconds(bounds['grace']),
+            retry_ratio=float(bounds['retryBudgetRatio']),
+            retry_extra=float(bounds['retryBudgetExtra']),
+            retry_window=read_seconds(bounds['budgetWindow']),
+        ),
+    )
--- /dev/null
+++ b/dunlinsaddle/platform/requests.py
@@ -0,0 +1,78 @@
+"""Requests and answers as callers and targets of the platform write them."""
+
+import math
+from typing import NamedTuple
+
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
+from dunlinsaddle.calls.messages import Headers, Reply, refusal
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.platform import headers as names
+
+_SET_HERE = frozenset({names.TIME_LEFT, names.ORIGIN, names.EXPECTED_TARGET})
+WRONG_TARGET = 421
+FIRST_SUCCESS, LAST_SUCCESS = 200, 299
+
+
+class CallerTerms(NamedTuple):
+    """What a caller says of its own request."""
+
+    request_id: str
+    time_left: float | None  #: seconds that the caller will still wait
+
+
+def read_terms(req: HttpRequest) -> CallerTerms:
+    """Read a caller's headers; a time that cannot be read counts as none."""
+    text = req.header(names.TIME_LEFT)
+    time_left = int(text) / 1000 if text.isdecimal() else None
+    return CallerTerms(req.header(names.REQUEST_ID), time_left)
+
+
+def travelling_headers(req: HttpRequest, origin: str) -> Headers:
+    """Give the headers that go on to the target, with the service of the origin."""
+    kept = [(n, v) for n, v in forwarded_headers(req.headers) if n not in _SET_HERE]
+    return [
+        (b'host', req.header(b'host').encode('latin-1')),
+        *kept,
+        (names.ORIGIN, origin.encode()),
+    ]
+
+
+def target_headers(headers: Headers, seconds: float, target_id: str) -> Headers:
+    """Give the headers of one attempt at a target."""
+    left = str(max(math.floor(seconds * 1000), 1)).encode()
+    return [*headers, (names.TIME_LEFT, left), (names.EXPECTED_TARGET, target_id.encode())]
+
+
+def answers(request_id: str, headers: Headers) -> bool:
+    """Say whether an answer belongs to a request; one that names none is taken for it."""
+    for name, value in headers:
+        if name == names.REQUEST_ID:
+            return value == request_id.encode('latin-1')
+    return True
+
+
+def read_answer(response: HttpResponse) -> Reply:
+    """Tell what a target's whole answer says of the work."""
+    found = dict(response.headers)
+    if names.NOT_RUN in found or response.status == WRONG_TARGET:
+        kind = ErrorKind.NO_TARGET if response.status == WRONG_TARGET else ErrorKind.TARGET_REFUSED
+        return refusal(Failure(kind, f'the target answered {response.status}', 1.0))
+    success = FIRST_SUCCESS <= response.status <= LAST_SUCCESS
+    if success and (names.SIGNATURE not in found or names.REQUEST_ID not in found):
+        return refusal(Failure(ErrorKind.INCOMPLETE_ANSWER, 'the answer is not signed'))
+    kept = forwarded_headers(response.headers)
+    return Reply(0, response.status, kept, response.body, Outcome.DONE)
+
+
+def caller_response(reply: Reply, request_id: str) -> HttpResponse:
+    """Give the response that carries a reply to a caller.
+
+    Retry-After goes out with three decimals: callers take fractions, and a whole second is
+    much of the time that they have.
+    """
+    headers = reply.headers
+    if reply.kind:
+        headers = [*headers, (names.REQUEST_ID, request_id.encode('latin-1'))]
+    if reply.retry_after > 0:
+        headers = [*headers, (names.RETRY_AFTER, f'{reply.retry_after:.3f}'.encode())]
+    return HttpResponse(reply.status, headers, reply.body)
--- /dev/null
+++ b/dunlinsaddle/platform/units.py
@@ -0,0 +1,31 @@
+"""Units of the platform's bodies: times as text, configuration versions with a letter."""
+
+
+def read_seconds(text: object) -> float:
+    """Read a time such as ``1500ms`` or ``2.5s``, in seconds. Raises ValueError.
+
+    >>> read_seconds('1500ms')
+    1.5
+    """
+    if not isinstance(text, str):
+        raise ValueError(f'not a time: {text!r}')
+    if text.endswith('ms'):
+        seconds = float(text[:-2]) / 1000
+    elif text.endswith('s'):
+        seconds = float(text[:-1])
+    else:
+        raise ValueError(f'not a time: {text!r}')
+    if not 0 <= seconds < float('inf'):
+        raise ValueError(f'not a time: {text!r}')
+    return seconds
+
+
+def read_version(text: object) -> int:
+    """Read a configuration version such as ``r12``. Raises ValueError.
+
+    >>> read_version('r12')
+    12
+    """
+    if not isinstance(text, str) or text[:1] != 'r' or not text[1:].isdecimal():
+        raise ValueError(f'not a version: {text!r}')
+    return int(text[1:])
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -1,5 +1,6 @@
 """Admission at a target: how many calls run, which wait, which are refused at once."""
 
+import math
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -32,6 +33,7 @@
     rule: str = 'default'
     caller: str = ''
     hop: int = 0  #: 0 at the entry; above, work has been done for the request already
+    useful_until: float = math.inf  #: from then on an answer is worth less
 
 
 class Load(NamedTuple):
--- a/dunlinsaddle/policy/context.py
+++ b/dunlinsaddle/policy/context.py
@@ -1,5 +1,6 @@
 """What every hop knows of the request it works for."""
 
+import math
 from typing import NamedTuple
 
 import xxhash
@@ -56,3 +57,4 @@
     key: str
     fingerprint: int
     deaths: int = 0  #: of targets that were lost while they ran this request
+    useful_until: float = math.inf  #: an answer after this time of the loop is worth less
--- /dev/null
+++ b/dunlinsaddle/routes/follow.py
@@ -0,0 +1,126 @@
+"""Keeps a node's routing configuration up to date: by a watch on the store, else from peers."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from result import Err, Ok, Result
+
+from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk
+from dunlinsaddle.membership.view import Member
+from dunlinsaddle.platform.store import Listing, ObjectStore, StoredObject, Unavailable
+from dunlinsaddle.records.models import RecordEntry
+from dunlinsaddle.routes.models import Configuration
+from dunlinsaddle.routes.table import RouteTable
+
+#: Seconds that one watch waits. A watch counts as one call however long it waits, so it is
+#: long; the client's keep-alive probes end one whose connection went silent within 3 s.
+WATCH_SECONDS = 25.0
+FIRST_BACKOFF = 0.1  #: seconds; a store that refuses a call is mostly back within a second
+MOST_BACKOFF = 1.0  #: half of the two seconds within which a change has to be in force
+PEER_SECONDS = 0.5  #: for a peer's answer; a round trip between failure domains takes 1 ms
+
+Reader = Callable[[Any], Result[Configuration, str]]
+
+
+class ConfigFollower:
+    """The newest configuration that this node has heard of. It never goes back."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        name: str,
+        read: Reader,
+        rng: Random,
+        logger: logging.Logger,
+    ) -> None:
+        self.store = store
+        self.kind = kind
+        self.name = name
+        self.read = read
+        self.rng = rng
+        self.logger = logger
+        self.table: RouteTable | None = None
+        self.on_change: Callable[[Configuration], None] = lambda configuration: None
+        self.links: PeerLinks | None = None
+        self.peers: Callable[[], list[Member]] = list
+        self._revision = 0  #: of the store, up to which this node has heard all
+        self._entry: RecordEntry | None = None
+        self._reachable: bool | None = None
+
+    @property
+    def version(self) -> int:
+        """The version in force here, 0 for none."""
+        return self.table.configuration.version if self.table else 0
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        backoff = FIRST_BACKOFF
+        while True:
+            match await self.store.watch(self.kind, self._revision, WATCH_SECONDS):
+                case Ok(listing):
+                    backoff = FIRST_BACKOFF
+                    self._note_store(reachable=True, why='')
+                    self._take_listing(listing)
+                case Err(Unavailable(detail)):
+                    self._note_store(reachable=False, why=detail)
+                    await self._ask_peer()
+                    await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
+                    backoff = min(backoff * 2, MOST_BACKOFF)
+
+    def answer(self, frame: RecordFrame) -> RecordsAnswer | None:
+        """Answer a peer that cannot reach the store."""
+        if not isinstance(frame, RecordsAsk):
+            return None
+        entry = self._entry
+        entries = [entry] if entry is not None and entry.version > frame.since else []
+        return RecordsAnswer(frame.id, entry.version if entry else 0, 0.0, False, entries)
+
+    async def _ask_peer(self) -> None:
+        """Hear from a peer what the store would say: one that is cut off stays up to date."""
+        peers = self.peers()
+        if self.links is None or not peers:
+            return
+        member = self.rng.choice(peers)
+        since = self._entry.version if self._entry else 0
+        answer = await self.links.ask_records(member.peers, RecordsAsk(0, since), PEER_SECONDS)
+        for entry in answer.entries if answer else []:
+            self._take(entry, source=member.instance)
+
+    def _take_listing(self, listing: Listing) -> None:
+        self._revision = max(listing.revision, self._revision)
+        for held in listing.objects:
+            if held.name == self.name and held.value is not None:
+                self._take(_entry(held), source='store')
+
+    def _take(self, entry: RecordEntry, source: str) -> None:
+        if self._entry is not None and entry.version <= self._entry.version:
+            return
+        match self.read(entry.doc):
+            case Err(why):
+                # The last good one stays in force: no answer is better than a wrong route.
+                self.logger.error('configuration unusable', extra={'why': why, 'source': source})
+            case Ok(configuration) if configuration.version > self.version:
+                self._entry = entry
+                self.table = RouteTable(configuration)
+                extra = {'version': configuration.version, 'source': source}
+                self.logger.info('configuration taken', extra=extra)
+                self.on_change(configuration)
+
+    def _note_store(self, *, reachable: bool, why: str) -> None:
+        if reachable is self._reachable:
+            return
+        first = self._reachable is None
+        self._reachable = reachable
+        if reachable and not first:
+            self.logger.info('store regained')
+        elif not reachable:
+            self.logger.warning('store lost', extra={'why': why})
+
+
+def _entry(held: StoredObject) -> RecordEntry:
+    return RecordEntry(held.name, held.version, held.value)
--- /dev/null
+++ b/dunlinsaddle/routes/table.py
@@ -0,0 +1,40 @@
+"""Finds the route of a request: its host, then the longest prefix of its path."""
+
+from random import Random
+
+from dunlinsaddle.routes.models import Configuration, Route, Share
+
+
+class RouteTable:
+    """The routes of one configuration, indexed for lookups."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._hosts.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Give the route of a request, whose path may carry a query; None without a match.
+
+        Prefixes end with a slash, so only the parts of the path up to a slash can match.
+        The work grows with the slashes of the path, not with the number of routes.
+        """
+        prefixes = self._hosts.get(host.partition(':')[0].lower())
+        if prefixes is None:
+            return None
+        plain = path.partition('?')[0]
+        end = plain.rfind('/')
+        while end >= 0:
+            route = prefixes.get(plain[: end + 1])
+            if route is not None:
+                return route
+            end = plain.rfind('/', 0, end)
+        return None
+
+
+def choose_service(shares: tuple[Share, ...], rng: Random) -> str:
+    """Pick a service by weight; resends of a request stay with the one that was picked."""
+    if len(shares) == 1:
+        return shares[0].service
+    return rng.choices(shares, [share.weight for share in shares])[0].service
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,9 +1,9 @@
-"""The platform's object API in memory, with outages, slowness and lost answers at will."""
+"""The platform's object store in memory, with outages, slowness and lost answers at will."""
 
 import argparse
 import asyncio
 from typing import Any, TypedDict
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
 
@@ -12,26 +12,48 @@
 from dunlinsaddle.settings import Address, read_address
 
 MAX_VALUE_BYTES = 1 << 20
+PAGE_ITEMS = 500
+WRITES = ('POST', 'PUT', 'DELETE')
 
 
 class Faults(TypedDict, total=False):
     """What goes wrong, as ``POST /faults`` sets it."""
 
     down: bool  #: no answer at all
+    busy: bool  #: 503 to everything: nothing was done
+    over_rate: bool  #: 429 to everything
     delay: float  #: seconds before each answer
     lose_answers: int  #: so many writes take effect, and their answers get lost
+    act_late: float  #: seconds after which writes are done, and their answers get lost
+    refused_hosts: list[str]  #: callers that get 503, while others are served
+    page: int  #: items in one page of a listing
+
+
+class Event(TypedDict):
+    """One change, as a watch gives it."""
+
+    object: dict[str, Any]
+    removed: bool
 
 
 class Platform:
-    """Objects by kind and name, with one counter of versions for all of them."""
+    """Objects by kind and name, with one counter of revisions for all of them."""
 
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self.revision = 0
+        self.revision = 1
+        self.events: list[tuple[str, Event]] = []
+        self.oldest = 1  #: revision from which on the history is still held
         self.changed = asyncio.Event()
         self.faults = Faults()
         self.reads = 0
         self.writes = 0
+        self._late: set[asyncio.Task[None]] = set()
+
+    def forget_history(self) -> None:
+        """Drop all changes so far: watches from before get 410."""
+        self.events.clear()
+        self.oldest = self.revision
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -42,67 +64,140 @@
             return json_response({'reads': self.reads, 'writes': self.writes})
         if self.faults.get('down'):
             await asyncio.sleep(3600)
+        if self.faults.get('busy') or req.remote in self.faults.get('refused_hosts', []):
+            return json_response({'error': 'busy'}, 503)
+        if self.faults.get('over_rate'):
+            return json_response({'error': 'over the rate'}, 429)
         await asyncio.sleep(self.faults.get('delay', 0.0))
-        response = await self._answer(req)
-        if req.method in ('PUT', 'DELETE') and self.faults.get('lose_answers', 0) > 0:
-            self.faults['lose_answers'] -= 1
-            await asyncio.sleep(3600)
-        return response
+        if req.method in WRITES:
+            return await self._answer_write(req)
+        return await self._answer_read(req)
 
-    async def _answer(self, req: HttpRequest) -> HttpResponse:
+    async def _answer_read(self, req: HttpRequest) -> HttpResponse:
         url = urlsplit(req.path)
-        parts = url.path.strip('/').split('/')
-        query = parse_qs(url.query)
-        match (req.method, *parts):
-            case ('GET', 'objects', kind) if 'since' in query:
-                self.reads += 1
-                timeout = float(query.get('timeout', ['0'])[0])
-                return await self._watch(kind, int(query['since'][0]), timeout)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.reads += 1
+        match (req.method, *_parts(url.path)):
+            case ('GET', 'objects', kind) if 'watch' in query:
+                wait = int(query.get('waitMs', '0')) / 1000
+                return await self._watch(kind, int(query['watch']), wait)
             case ('GET', 'objects', kind):
-                self.reads += 1
-                return self._list(kind, 0)
+                return self._list(kind, query.get('after', ''))
             case ('GET', 'objects', kind, name):
-                self.reads += 1
                 held = self.objects.get((kind, name))
                 return json_response(held) if held else json_response(None, 404)
-            case ('PUT' | 'DELETE', 'objects', kind, name):
-                self.writes += 1
-                return self._write(req, kind, name)
         return json_response({'error': 'no such path'}, 404)
 
-    def _list(self, kind: str, since: int) -> HttpResponse:
-        objects = [o for (k, _), o in self.objects.items() if k == kind and o['version'] > since]
-        return json_response({'objects': objects, 'revision': self.revision})
+    async def _answer_write(self, req: HttpRequest) -> HttpResponse:
+        self.writes += 1
+        late = self.faults.get('act_late', 0.0)
+        if late:
+            task = asyncio.create_task(self._write_late(req, late))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(3600)
+        response = self._write(req)
+        if self.faults.get('lose_answers', 0) > 0:
+            self.faults['lose_answers'] -= 1
+            await asyncio.sleep(3600)
+        return response
 
-    async def _watch(self, kind: str, since: int, timeout: float) -> HttpResponse:
+    async def _write_late(self, req: HttpRequest, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        self._write(req)
+
+    def _list(self, kind: str, after: str) -> HttpResponse:
+        names = sorted(name for k, name in self.objects if k == kind and name > after)
+        page = names[: self.faults.get('page', PAGE_ITEMS)]
+        items = [self.objects[kind, name] for name in page]
+        more = len(page) < len(names)
+        return json_response({'items': items, 'more': more, 'atRevision': self.revision})
+
+    async def _watch(self, kind: str, since: int, wait: float) -> HttpResponse:
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout
-        while loop.time() < deadline and not self._newer(kind, since):
+        deadline = loop.time() + wait
+        while since >= self.oldest and not self._since(kind, since):
             try:
-                await asyncio.wait_for(self.changed.wait(), deadline - loop.time())
+                async with asyncio.timeout_at(deadline):
+                    await self.changed.wait()
             except TimeoutError:
                 break
-        return self._list(kind, since)
+        if since < self.oldest:
+            return json_response({'error': 'this history is gone'}, 410)
+        events = self._since(kind, since)
+        return json_response({'events': events, 'atRevision': self.revision})
+
+    def _since(self, kind: str, since: int) -> list[Event]:
+        return [
+            event
+            for changed, event in self.events
+            if changed == kind and event['object']['metadata']['revision'] > since
+        ]
+
+    def _write(self, req: HttpRequest) -> HttpResponse:
+        url = urlsplit(req.path)
+        if len(req.body) > MAX_VALUE_BYTES:
+            return json_response({'error': 'value too large'}, 413)
+        body = msgspec.json.decode(req.body) if req.body else {}
+        match (req.method, *_parts(url.path)):
+            case ('POST', 'objects', kind):
+                return self._create(kind, body)
+            case ('PUT', 'objects', kind, name):
+                return self._replace(kind, name, 'specification', body)
+            case ('PUT', 'objects', kind, name, 'status'):
+                return self._replace(kind, name, 'status', body)
+            case ('DELETE', 'objects', kind, name):
+                query = parse_qs(url.query)
+                revision = query.get('revision')
+                return self._delete(kind, name, int(revision[0]) if revision else None)
+        return json_response({'error': 'no such path'}, 404)
 
-    def _newer(self, kind: str, since: int) -> bool:
-        return any(k == kind and o['version'] > since for (k, _), o in self.objects.items())
+    def _create(self, kind: str, body: dict[str, Any]) -> HttpResponse:
+        name = body['metadata']['name']
+        held = self.objects.get((kind, name))
+        if held is not None:
+            return json_response(held, 409)
+        meta = {'name': name, 'created': self.revision + 1, 'finalizers': [], 'deleting': False}
+        fields = {'metadata': meta, 'specification': body.get('specification'), 'status': None}
+        return self._store(kind, fields)
 
-    def _write(self, req: HttpRequest, kind: str, name: str) -> HttpResponse:
+    def _replace(self, kind: str, name: str, field: str, body: dict[str, Any]) -> HttpResponse:
         held = self.objects.get((kind, name))
-        version = held['version'] if held else 0
-        expected = req.header(b'if-match')
-        if expected and int(expected) != version:
+        if held is None:
+            return json_response(None, 404)
+        revision = body.get('metadata', {}).get('revision')
+        if revision is not None and revision != held['metadata']['revision']:
             return json_response(held, 409)
-        if len(req.body) > MAX_VALUE_BYTES:
-            return json_response({'error': 'value too large'}, 413)
+        if held[field] == body.get(field):
+            return json_response(held)
+        return self._store(kind, {**held, field: body.get(field)})
+
+    def _delete(self, kind: str, name: str, revision: int | None) -> HttpResponse:
+        held = self.objects.get((kind, name))
+        if held is None:
+            return json_response(None, 404)
+        if revision is not None and revision != held['metadata']['revision']:
+            return json_response(held, 409)
+        del self.objects[kind, name]
+        return json_response(self._changed(kind, held, removed=True))
+
+    def _store(self, kind: str, fields: dict[str, Any]) -> HttpResponse:
+        held = self._changed(kind, fields, removed=False)
+        self.objects[kind, held['metadata']['name']] = held
+        return json_response(held)
+
+    def _changed(self, kind: str, held: dict[str, Any], *, removed: bool) -> dict[str, Any]:
         self.revision += 1
-        value = msgspec.json.decode(req.body) if req.method == 'PUT' else None
-        stored = {'kind': kind, 'name': name, 'version': self.revision, 'value': value}
-        self.objects[kind, name] = stored
+        held = {**held, 'metadata': {**held['metadata'], 'revision': self.revision}}
+        self.events.append((kind, Event(object=held, removed=removed)))
         # Wakes all that wait now; each of them looks again for what it waits for.
         self.changed.set()
         self.changed = asyncio.Event()
-        return json_response(stored)
+        return held
+
+
+def _parts(path: str) -> list[str]:
+    return [unquote(part) for part in path.strip('/').split('/')]
 
 
 async def serve(address: Address) -> None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -327,7 +327,7 @@
             self.seen = getattr(self, 'seen', 0) + 1
             if self.seen <= 3 or conversation.number > 3:
                 await asyncio.sleep(0.01)
-                conversation.write(ok(b'{"objects": [], "revision": 1}'))
+                conversation.write(ok(b'{"items": [], "atRevision": 1}'))
 
         async def use(client, target):
             store = HttpObjectStore(TARGET, client)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -43,7 +43,7 @@
 class DeadTarget(HttpClient):
     """A target that dies of every call and takes no connection afterwards."""
 
-    async def send(self, address, req, timeout, *, may_repeat=None):
+    async def send(self, address, req, timeout, *, may_repeat=None, belongs=None):
         return Lost('the connection ended', ErrorKind.TARGET_LOST)
 
     async def reaches(self, address):
@@ -55,7 +55,7 @@
 
     running: RunningCalls
 
-    async def send(self, address, req, timeout, *, may_repeat=None):
+    async def send(self, address, req, timeout, *, may_repeat=None, belongs=None):
         call = self.running.find(dict(req.headers)[b'dunlinsaddle-call'].decode())
         call.come_back_after = 2.0
         return Answered(HttpResponse(502, [], b''))
@@ -64,7 +64,7 @@
 class LiveTarget(HttpClient):
     """A target that answers every call."""
 
-    async def send(self, address, req, timeout, *, may_repeat=None):
+    async def send(self, address, req, timeout, *, may_repeat=None, belongs=None):
         await asyncio.sleep(0.01)
         return Answered(HttpResponse(200, [], b'ok'))
 
--- a/tests/test_http_face.py
+++ b/tests/test_http_face.py
@@ -137,7 +137,7 @@
                 writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
             await asyncio.sleep(30)
             unsent = conn.transport.get_write_buffer_size()
-            held = len(conn.parser.trailing_data[0])
+            held = len(conn.held)
             await asyncio.sleep(60)
             return unsent, held, len(self.handled), len(face.connections)
 
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -51,7 +51,7 @@
         stored = await self.fetch(self.fleet.platform, '/objects/ranges/cut-orders')
         if not stored:
             return []
-        return [row[-1].owner.instance for row in decode_map(stored['value']).ranges if row]
+        return [row[-1].owner.instance for row in decode_map(stored['specification']).ranges if row]
 
     async def ranges_shared(self, names: Collection[str]) -> None:
         deadline = time.monotonic() + PATIENCE
@@ -138,7 +138,7 @@
         deadline = time.monotonic() + PATIENCE
         while time.monotonic() < deadline:
             stored = await self.fetch(self.fleet.platform, '/objects/ranges/cut-orders')
-            rows = decode_map(stored['value']).ranges
+            rows = decode_map(stored['specification']).ranges
             epochs = {i.owner.epoch for row in rows for i in row if i.owner.instance == name}
             if len(epochs) == 2:
                 break
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -2,7 +2,7 @@
 from random import Random
 
 import msgspec
-from result import Err, Ok
+from result import Ok
 
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.http import HttpResponse
@@ -36,15 +36,18 @@
 
         return self.run_paused(run())
 
-    def test_writes_are_conditional_and_deletes_leave_a_tombstone(self):
+    def test_writes_are_conditional_and_a_watch_tells_of_deletes(self):
         async def scenario(store, platform):
             made = await store.put('records', 'a', {'n': 1}, 0)
             self.assertIsInstance(made, Ok)
             again = (await store.put('records', 'a', {'n': 2}, 0)).unwrap_err()
             self.assertEqual({'n': 1}, again.current.value)
-            gone = (await store.delete('records', 'a', 1)).unwrap()
-            self.assertEqual((2, None), (gone.version, gone.value))
-            self.assertEqual([gone], (await store.list('records')).unwrap().objects)
+            made = made.unwrap()
+            since = (await store.list('records')).unwrap().revision
+            gone = (await store.delete('records', 'a', made.version)).unwrap()
+            self.assertIsNone(gone.value)
+            self.assertEqual([], (await store.list('records')).unwrap().objects)
+            self.assertEqual([gone], (await store.watch('records', since, 3)).unwrap().objects)
             self.assertEqual(Conflict(None), (await store.put('audit', 'a', 1, 7)).unwrap_err())
             large = await store.put('records', 'b', 'x' * MAX_VALUE_BYTES, 0)
             self.assertEqual(Unavailable('status 413'), large.unwrap_err())
@@ -114,22 +117,24 @@
             task.cancel()
             return version, slow > 6, sync._grace
 
-        self.assertEqual((1, True, 2.0), self.with_platform(scenario))
+        self.assertEqual((2, True, 2.0), self.with_platform(scenario))
 
     def test_garbage_counts_as_no_answer(self):
         # A proxy on the way answers with its own page, a body is cut short, types are wrong:
         # none of it may be taken for a listing, for "there is none" or for a conflict.
-        good = {'kind': 'records', 'name': 'a', 'version': 1, 'value': None}
+        good = {'metadata': {'name': 'a', 'revision': 1}, 'specification': None}
+        wrong = {'metadata': {'name': 'a', 'revision': '1'}, 'specification': None}
         bodies = (
             b'',
             b'<html>busy</html>',
             b'null',
             b'[]',
-            b'{"objects": 7, "revision": 1}',
-            b'{"objects": [], "revision": "1"}',
-            b'{"objects": [{}], "revision": 1}',
+            b'{"items": 7, "atRevision": 1}',
+            b'{"items": [], "atRevision": "1"}',
+            b'{"items": [{}]}',
+            b'{"events": [{}], "atRevision": 1}',
             msgspec.json.encode(good)[:-9],
-            msgspec.json.encode({**good, 'version': '1'}),
+            msgspec.json.encode(wrong),
             b'[' * 100_000,
             b'\xff\xfe',
         )
@@ -141,12 +146,11 @@
                     results = [
                         await store.list('records'),
                         await store.watch('records', 0, 1),
+                        await store.watch('records', 7, 1),
                         await store.put('records', 'a', 1, 0),
                         await store.get('records', 'a'),
                     ]
                     for result in results:
-                        if result == Err(Conflict(None)) and (status, body) == (409, b'null'):
-                            continue
                         self.assertIsInstance(result.unwrap_err(), Unavailable, (status, body))
 
         answer = [200, b'']
