Design note; nodes find each other after an outage and a restart in one; tests of the path

Cause: a node restarted while the store is away knew nobody for ever: peers held it for gone and did not ask it, and its roster pause had grown to 30 s. Ruled out: gossip seeds (none are given). Change: those who know nobody ask the store each second; who is pinged by a stranger asks back; one that said goodbye is asked for a minute. Before: not served 6 s after the restart, nor 2 s after the store's return (tests/test_mesh.py). After: served.

--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -126,6 +126,10 @@
         """Take a message that was opened with the shared key."""
         if message.sender == self.me.instance and message.reply_to == self.me.gossip:
             return []
+        if self.view.find(message.sender) is None:
+            # A node that restarted while the platform is out knows nobody. Its peers still
+            # ping its address: whoever does can tell it of all the others.
+            self.contact(now, [message.reply_to])
         for word in message.words:
             self._hear(now, word)
         match message:
@@ -223,9 +227,17 @@
         return [] if target is None else [self._ping(now, target)]
 
     def _revisit(self, now: float) -> list[Send]:
-        """Ping one of the dead: after a cut this is how the sides find each other again."""
-        dead = [m for m in map(self.view.find, self.died) if m and m.state == State.DEAD]
-        return [self._ping(now, self.rng.choice(dead))] if dead else []
+        """Ping one of the dead: after a cut this is how the sides find each other again.
+
+        One that said goodbye may start again at its address while the platform, which would
+        show it the others, is out; so it is asked for a while, too.
+        """
+        gone = [m for m in map(self.view.find, self.died) if m and self._may_return(now, m)]
+        return [self._ping(now, self.rng.choice(gone))] if gone else []
+
+    def _may_return(self, now: float, member: Member) -> bool:
+        left_for = now - self.died[member.instance]
+        return member.state == State.DEAD or left_for < self.times.left_revisit
 
     def _ping(self, now: float, target: Member) -> Send:
         number = self.rng.getrandbits(48)
--- a/dunlinsaddle/membership/roster.py
+++ b/dunlinsaddle/membership/roster.py
@@ -23,6 +23,9 @@
 MOST = 8
 FIRST_SECONDS = 0.5
 EVERY_SECONDS = 30.0
+#: Seconds between two tries while the platform is out. Nodes that started in the outage know
+#: nobody; half of the two seconds in which they have to find each other once it returns.
+AWAY_SECONDS = 1.0
 
 
 class RosterEntry(TypedDict):
@@ -129,19 +132,35 @@
         """Pass until cancelled, soon at first and seldom later."""
         period = FIRST_SECONDS
         while True:
-            await self.keep()
+            answered = await self.keep()
+            if not answered and self._alone():
+                await asyncio.sleep(AWAY_SECONDS * self.rng.uniform(0.5, 1.0))
+                continue
             await asyncio.sleep(period * self.rng.uniform(0.5, 1.5))
             period = min(2 * period, EVERY_SECONDS)
 
-    async def keep(self) -> None:
-        """Read and mend the roster, if it falls to this node."""
+    def _alone(self) -> bool:
+        # Those who know others can wait; if all asked this often, they would hit a platform
+        # that has just come back as one.
+        view = self.gossip.view
+        return not any(m for m in view.members() if m != self.gossip.me and not m.gone)
+
+    async def keep(self) -> bool:
+        """Read and mend the roster, if it falls to this node; False while the platform is out."""
         view = self.gossip.view
         me = self.gossip.me
         if me not in keepers(view, me.domain)[:KEEPERS]:
-            return
+            return True
         rosters = await self.roster.read()
-        if rosters is None or self._contact(rosters):
-            return
+        if rosters is None:
+            return False
+        if not self._contact(rosters):
+            await self._mend(rosters)
+        return True
+
+    async def _mend(self, rosters: dict[str, HeldRoster]) -> None:
+        view = self.gossip.view
+        me = self.gossip.me
         held = rosters.get(me.domain)
         live = keepers(view, me.domain)[:MOST]
         usable = [m for m in held.members if self._usable(m)] if held else []
--- a/dunlinsaddle/membership/tuning.py
+++ b/dunlinsaddle/membership/tuning.py
@@ -17,6 +17,7 @@
     sync_again: float = 0.5
     young: float = 60.0
     revisit: float = 5.0
+    left_revisit: float = 60.0  #: for so long one that said goodbye is asked as well
     forget: float = 3600.0
     stall: float = 1.0
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -20,6 +20,7 @@
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.agent import GossipAgent
 from dunlinsaddle.membership.roster import Bootstrap, Roster
+from dunlinsaddle.membership.tuning import GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.mesh.announce import AnnounceFace
 from dunlinsaddle.mesh.dialect import MeshDialect
@@ -52,6 +53,12 @@
 KEY_PREFIX = 'fleet-of-'
 
 
+#: A restarted node that the store does not answer is found by the pings of its peers: with
+#: twelve of them, each a second, within a second. A death costs no more than the calls that
+#: are out, since routers leave out suspects, so it is concluded soon.
+TIMES = GossipTimes(revisit=1.0, suspicion=3.0)
+
+
 class Faces(NamedTuple):
     """The addresses that a node listens on."""
 
@@ -98,7 +105,7 @@
         cfg = self.settings
         key = f'{KEY_PREFIX}{cfg.platform}'
         limits = LinkLimits(body_bytes=BODY_BYTES)
-        self.agent = GossipAgent(self.view, key, self._rng())
+        self.agent = GossipAgent(self.view, key, self._rng(), times=TIMES)
         self.links = PeerLinks(key, cfg.instance, limits)
         self.peer_server = PeerServer(key, self._serve_peer, limits, self._peer_fault)
         self.follower = ConfigFollower(
@@ -146,7 +153,7 @@
     def _build_faces(self) -> None:
         cfg = self.settings
         own_hosts = frozenset({cfg.callers.host, '127.0.0.1'})
-        entry = Entry(
+        self.entry = Entry(
             self.follower,
             self.dispatcher,
             self.budget,
@@ -164,7 +171,7 @@
             self.logger,
         )
         limits = HttpLimits(body_bytes=BODY_BYTES)
-        self.callers_http = HttpFace(entry.handle, limits, self._fault, pipeline=PIPELINE)
+        self.callers_http = HttpFace(self.entry.handle, limits, self._fault, pipeline=PIPELINE)
         self.announce_http = HttpFace(announce.handle, HttpLimits(), self._fault)
         self.ready_http = HttpFace(self._answer_ready, HttpLimits(), self._fault)
 
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -70,12 +70,19 @@
         if not self._in_time(now, ticket, ahead):
             return self._refuse(now, ticket)
         self.queue.add(ticket)
-        last: Ticket = self.queue[-1]
-        if last is ticket or self._in_time(now, last, len(self.queue) - 1):
-            return Wait()
-        # It would be refused later anyway: its caller can use the time.
-        self.queue.pop(-1)
-        return Wait(evicted=last)
+        late = self._late_behind(now, ahead)
+        if late is not None:
+            # It would be refused later anyway: its caller can use the time.
+            self.queue.discard(late)
+        return Wait(evicted=late)
+
+    def _late_behind(self, now: float, place: int) -> Ticket | None:
+        """Give the last of those behind a place that will not be answered in time, if any."""
+        for index in range(len(self.queue) - 1, place, -1):
+            ticket: Ticket = self.queue[index]
+            if not self._in_time(now, ticket, index):
+                return ticket
+        return None
 
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -210,3 +210,39 @@
         end = begin + self.service_time * (0.5 + 0.5 * self.rng.expovariate(1.0))
         heappush(self._free, end)
         heappush(self._ends, (end, self.now, limit.started(self.inflight)))
+
+
+def build_route(name: str = 'r', **changes: Any) -> dict[str, Any]:
+    specification = {
+        'host': 'h.example',
+        'pathPrefix': changes.pop('prefix', '/a/'),
+        'kind': 'safe',
+        'timeout': '800ms',
+        'targetLatency': '1500ms',
+        'priority': 2,
+        'service': 'svc',
+        'attempts': 2,
+        **changes,
+    }
+    given = {key: value for key, value in specification.items() if value is not None}
+    return {'resourceKind': 'routes', 'metadata': {'name': name}, 'specification': given}
+
+
+def build_configuration(
+    version: str = 'r7', routes: list[dict[str, Any]] | None = None
+) -> dict[str, Any]:
+    limits = {
+        'maxHeaderBytes': 16384,
+        'maxBodyBytes': 1 << 20,
+        'headerTimeout': '3000ms',
+        'idleTimeout': '15000ms',
+    }
+    service = {'healthPath': '/health', 'maxConnections': 952}
+    return {
+        'version': version,
+        'resources': [
+            *([build_route()] if routes is None else routes),
+            {'resourceKind': 'services', 'metadata': {'name': 'svc'}, 'specification': service},
+            {'resourceKind': 'limits', 'metadata': {}, 'specification': limits},
+        ],
+    }
--- /dev/null
+++ b/tests/fakes/mesh.py
@@ -0,0 +1,159 @@
+"""Whole nodes of the platform with their targets in one loop, over one store."""
+
+import asyncio
+from collections import Counter
+from random import Random
+from typing import Any
+
+import msgspec
+
+from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.mesh.node import MeshNode
+from dunlinsaddle.mesh.settings import Bounds, MeshSettings
+from dunlinsaddle.settings import Address
+from tests.builders import build_configuration, build_environment, build_logger, build_route
+from tests.fakes.site import HOST, paused_wall_clock
+from tests.fakes.store import FakeStore
+
+BOUNDS = Bounds(drain=2.0, grace=6.0, retry_ratio=0.2, retry_extra=55.0, retry_window=10.0)
+BEAT_SECONDS = 1.5
+
+
+class MeshTarget:
+    """A target that announces itself, checks whom a request expects, and signs its answers."""
+
+    def __init__(self, service: str, *, slots: int = 40, seconds: float = 0.01) -> None:
+        self.service = service
+        self.slots = slots
+        self.seconds = seconds
+        self.target_id = f'i-{id(self):x}'
+        self.state = 'ready'
+        self.born = 1
+        self.sequence = 0
+        self.beating = True
+        self.runs: Counter[str] = Counter()
+        self.cancelled = 0
+        self.seen: list[HttpRequest] = []
+        self.script: Any = None  #: answers in place of the target
+        self.node: MeshNode
+        self.face = HttpFace(self.handle, HttpLimits())
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        request_id = req.header(b'request-id')
+        if req.header(b'expected-instance') not in ('', self.target_id):
+            return HttpResponse(421, [], b'')
+        self.runs[request_id] += 1
+        self.seen.append(req)
+        if self.script is not None:
+            return await self.script(req)
+        try:
+            await asyncio.sleep(self.seconds)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return self.signed(req)
+
+    def signed(self, req: HttpRequest, status: int = 200, body: bytes = b'ok') -> HttpResponse:
+        names = [
+            (b'request-id', req.header(b'request-id').encode()),
+            (b'server-signature', self.target_id.encode()),
+        ]
+        return HttpResponse(status, names, body)
+
+    def beat(self, **changes: Any) -> HttpRequest:
+        self.sequence += 1
+        said = {
+            'service': self.service,
+            'address': str(self.node.settings.target),
+            'zone': 'd',
+            'version': 'v1',
+            'slots': self.slots,
+            'state': self.state,
+            'coldRemaining': '0ms',
+            'sequence': self.sequence,
+            'born': self.born,
+            **changes,
+        }
+        return HttpRequest('PUT', f'/instances/{self.target_id}', [], msgspec.json.encode(said), '')
+
+    async def announce(self, client: HttpClient, **changes: Any) -> int:
+        """Send one heartbeat; gives the status of the answer."""
+        exchange = await client.send(self.node.settings.announce, self.beat(**changes), 1)
+        return exchange.response.status if isinstance(exchange, Answered) else 0
+
+    async def keep_beating(self, client: HttpClient) -> None:
+        while True:
+            if self.beating:
+                await self.announce(client)
+            await asyncio.sleep(BEAT_SECONDS)
+
+
+class Mesh:
+    """Nodes by name, each beside a target."""
+
+    def __init__(self, seed: int = 5) -> None:
+        self.store = FakeStore()
+        self.rng = Random(seed)
+        self.client = HttpClient(open_ended=True)
+        self.nodes: dict[str, MeshNode] = {}
+        self.targets: dict[str, MeshTarget] = {}
+        self._beats: list[asyncio.Task[None]] = []
+        self._requests = 0
+
+    async def configure(self, version: str = 'r7', **terms: Any) -> None:
+        """Write a configuration with a route to each service, ``/SERVICE/``."""
+        services = terms.pop('services', ('front', 'deep'))
+        routes = [build_route(s, prefix=f'/{s}/', service=s, **terms) for s in services]
+        held = self.store.objects.get(('config', 'main'))
+        value = build_configuration(version, routes)
+        await self.store.put('config', 'main', value, held.version if held else 0)
+
+    async def place(
+        self, name: str, service: str, domain: str = 'd', port: int = 0, **target: Any
+    ) -> MeshNode:
+        """Start a target and the node beside it."""
+        port = port or 100 * (len(self.nodes) + 1)
+        made = MeshTarget(service, **target)
+        node = self.node(name, service, domain, port)
+        made.node = node
+        self.targets[name] = made
+        await made.face.listen(node.settings.target)
+        await node.start()
+        self._beats.append(asyncio.create_task(made.keep_beating(self.client)))
+        return node
+
+    def node(self, name: str, service: str, domain: str, port: int) -> MeshNode:
+        at = [Address(HOST, port + n) for n in range(7)]
+        cfg = MeshSettings(name, domain, 'r', *at[:6], at[6], service, Address(HOST, 9), BOUNDS)
+        env = build_environment(rng=Random(self.rng.random()), wall_clock=paused_wall_clock)
+        node = MeshNode(cfg, env, build_logger(), self.store)
+        # All nodes of the loop share one host: only marked requests are those of a target.
+        node.entry.own_hosts = frozenset()
+        self.nodes[name] = node
+        return node
+
+    async def call(
+        self, entry: str, path: str, method: str = 'GET', timeout: float = 5.0, **headers: str
+    ) -> HttpResponse:
+        """Send a request; fails where no whole answer came."""
+        self._requests += 1
+        named = {
+            'host': 'h.example',
+            'request-id': f'q-{self._requests}',
+            'deadline-milliseconds': str(int(timeout * 1000)),
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        pairs = [(name.encode(), text.encode()) for name, text in named.items() if text]
+        req = HttpRequest(method, path, pairs, b'', '')
+        exchange = await self.client.send(self.nodes[entry].settings.callers, req, timeout + 1)
+        assert isinstance(exchange, Answered), exchange
+        return exchange.response
+
+    async def stop(self) -> None:
+        for task in self._beats:
+            task.cancel()
+        self.client.close()
+        for node in self.nodes.values():
+            await node.stop()
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,268 @@
+import asyncio
+
+from dunlinsaddle.calls.http import HttpResponse
+from dunlinsaddle.membership.view import State
+from tests.clock import PausedClockTest
+from tests.fakes.mesh import Mesh
+
+SETTLED = 4.0
+
+
+class MeshTest(PausedClockTest):
+    def mesh(self, scenario, *, configure=True, targets=('a:front', 'b:deep'), **terms):
+        async def run():
+            mesh = Mesh()
+            if configure:
+                await mesh.configure(**terms)
+            for name, service in (pair.split(':') for pair in targets):
+                await mesh.place(name, service)
+            await asyncio.sleep(SETTLED)
+            try:
+                return await scenario(mesh)
+            finally:
+                await mesh.stop()
+
+        return self.run_paused(run())
+
+
+class WholePathTest(MeshTest):
+    def test_a_request_is_answered_by_a_target_beside_another_node(self):
+        async def scenario(mesh):
+            response = await mesh.call('a', '/deep/x?y=1', caller_service='forged', colour='red')
+            (seen,) = mesh.targets['b'].seen
+            return response, seen
+
+        response, seen = self.mesh(scenario)
+        self.assertEqual((200, b'ok'), (response.status, response.body))
+        self.assertEqual('/deep/x?y=1', seen.path)
+        self.assertEqual('h.example', seen.header(b'host'))
+        self.assertEqual('front', seen.header(b'caller-service'))
+        self.assertEqual('red', seen.header(b'colour'))
+
+    def test_the_target_gets_the_time_that_is_left_within_the_timeout(self):
+        async def scenario(mesh):
+            await mesh.call('a', '/deep/x')
+            await mesh.call('a', '/deep/x', timeout=0.4)
+            return [int(r.header(b'deadline-milliseconds')) for r in mesh.targets['b'].seen]
+
+        first, second = self.mesh(scenario)
+        self.assertTrue(700 < first <= 800, first)
+        self.assertTrue(300 < second <= 400, second)
+
+    def test_unknown_routes_get_404_and_a_node_without_configuration_503(self):
+        # A node that knows no configuration cannot say that a route is not there: a 404 would
+        # end a request that every configuration allows.
+        async def unknown(mesh):
+            return (await mesh.call('a', '/nowhere/x')).status
+
+        async def fresh(mesh):
+            response = await mesh.call('a', '/deep/x')
+            return response.status, float(dict(response.headers)[b'retry-after']) > 0
+
+        self.assertEqual(404, self.mesh(unknown))
+        self.assertEqual((503, True), self.mesh(fresh, configure=False))
+
+    def test_a_request_is_answered_when_the_timeout_of_its_route_has_passed(self):
+        async def scenario(mesh):
+            mesh.targets['b'].seconds = 3.0
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            response = await mesh.call('a', '/deep/x')
+            await asyncio.sleep(0.1)
+            return response.status, loop.time() - began, mesh.targets['b'].cancelled
+
+        status, took, cancelled = self.mesh(scenario)
+        self.assertEqual((504, 1), (status, cancelled))
+        self.assertLess(took, 1.0)
+
+    def test_readiness_needs_a_configuration(self):
+        async def ready(mesh):
+            response = await mesh.nodes['a']._answer_ready(None)
+            return response.status
+
+        self.assertEqual((503, 200), (self.mesh(ready, configure=False), self.mesh(ready)))
+
+
+class AnnounceTest(MeshTest):
+    def test_a_draining_target_gets_nothing_new(self):
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.state = 'draining'
+            acknowledged = await b.announce(mesh.client)
+            response = await mesh.call('a', '/deep/x')
+            return acknowledged, response.status, len(b.seen)
+
+        self.assertEqual((200, 503, 0), self.mesh(scenario))
+
+    def test_heartbeats_that_name_another_target_or_cannot_be_read_change_nothing(self):
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.beating = False
+            statuses = [
+                await b.announce(mesh.client, **wrong)
+                for wrong in (
+                    {'service': 'other', 'state': 'draining'},
+                    {'address': '127.0.0.1:1', 'state': 'draining'},
+                    {'state': 'asleep'},
+                    {'slots': '40'},
+                    {'sequence': None},
+                )
+            ]
+            return statuses, (await mesh.call('a', '/deep/x')).status
+
+        self.assertEqual(([400] * 5, 200), self.mesh(scenario))
+
+    def test_a_late_heartbeat_of_an_earlier_start_is_not_taken(self):
+        # The target crashed behind a cut and started again under the same id. A heartbeat of
+        # its first start arrives late and says that it drains: the second one must serve on.
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.beating = False
+            b.born, b.sequence = 5000, 0
+            await b.announce(mesh.client)
+            await b.announce(mesh.client, born=1, sequence=900, state='draining')
+            return (await mesh.call('a', '/deep/x')).status
+
+        self.assertEqual(200, self.mesh(scenario))
+
+    def test_a_target_that_started_again_under_its_id_serves_at_once(self):
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.beating = False
+            await b.announce(mesh.client, state='draining')
+            b.born, b.sequence = 9000, 0
+            await b.announce(mesh.client)
+            await asyncio.sleep(1)
+            return (await mesh.call('a', '/deep/x')).status
+
+        self.assertEqual(200, self.mesh(scenario))
+
+
+class FailureTest(MeshTest):
+    def test_an_unsigned_success_never_reaches_the_caller(self):
+        # The target's bytes were spoiled: an idempotent request goes to the other target,
+        # the caller sees a whole answer.
+        async def scenario(mesh):
+            async def spoiled(req):
+                return HttpResponse(200, [], b'spoiled')
+
+            mesh.targets['b'].script = spoiled
+            return {(await mesh.call('a', '/deep/x')).body for _ in range(6)}
+
+        self.assertEqual({b'ok'}, self.mesh(scenario, targets=('a:front', 'b:deep', 'c:deep')))
+
+    def test_a_request_that_is_not_idempotent_goes_to_one_target_only(self):
+        async def scenario(mesh):
+            async def spoiled(req):
+                return HttpResponse(200, [], b'spoiled')
+
+            for name in 'bc':
+                mesh.targets[name].script = spoiled
+            statuses = {(await mesh.call('a', '/deep/x', 'POST')).status for _ in range(10)}
+            runs = mesh.targets['b'].runs + mesh.targets['c'].runs
+            return statuses, max(runs.values())
+
+        targets = ('a:front', 'b:deep', 'c:deep')
+        self.assertEqual(({502}, 1), self.mesh(scenario, targets=targets, kind='unsafe'))
+
+    def test_what_a_target_says_it_did_not_run_is_sent_to_another_one(self):
+        async def scenario(mesh):
+            async def full(req):
+                return HttpResponse(503, [(b'not-executed', b'1')], b'')
+
+            mesh.targets['b'].script = full
+            return {(await mesh.call('a', '/deep/x', 'POST')).status for _ in range(10)}
+
+        targets = ('a:front', 'b:deep', 'c:deep')
+        self.assertEqual({200}, self.mesh(scenario, targets=targets, kind='unsafe'))
+
+    def test_another_incarnation_at_the_address_does_not_run_the_request(self):
+        # The target has gone and another one got its address before the node has heard: it
+        # answers 421, and the caller is told that nothing ran.
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.beating = False
+            b.target_id = 'i-other'
+            response = await mesh.call('a', '/deep/x')
+            return response.status, len(b.seen)
+
+        self.assertEqual((503, 0), self.mesh(scenario))
+
+    def test_the_work_ends_when_the_caller_has_gone(self):
+        async def scenario(mesh):
+            mesh.targets['b'].seconds = 0.7
+            call = asyncio.create_task(mesh.call('a', '/deep/x'))
+            await asyncio.sleep(0.2)
+            call.cancel()
+            await asyncio.sleep(0.1)
+            return mesh.targets['b'].cancelled
+
+        self.assertEqual(1, self.mesh(scenario))
+
+
+class MembershipTest(MeshTest):
+    def test_nodes_find_each_other_when_the_store_returns(self):
+        # The store is away while all start. Two seconds after its return every node serves by
+        # every other one.
+        async def scenario(mesh):
+            mesh.store.down = False
+            await mesh.configure()
+            await asyncio.sleep(2.0)
+            return [(await mesh.call(name, '/deep/x')).status for name in 'abc']
+
+        async def run():
+            mesh = Mesh()
+            mesh.store.down = True
+            for name, service in (('a', 'front'), ('b', 'deep'), ('c', 'front')):
+                await mesh.place(name, service)
+            await asyncio.sleep(20)
+            try:
+                return await scenario(mesh)
+            finally:
+                await mesh.stop()
+
+        self.assertEqual([200] * 3, self.run_paused(run()))
+
+    def test_a_node_restarted_while_the_store_is_away_is_found_by_its_peers(self):
+        # One node is killed and starts again at its address, knowing nothing; the store does
+        # not answer. Its peers ping it, and it gets members and configuration from them.
+        async def scenario(mesh):
+            mesh.store.down = True
+            await mesh.nodes['a'].stop()
+            await asyncio.sleep(0.5)
+            node = mesh.node('a', 'front', 'd', 100)
+            mesh.targets['a'].node = node
+            await node.start()
+            await asyncio.sleep(6.0)
+            return (await mesh.call('a', '/deep/x')).status
+
+        self.assertEqual(200, self.mesh(scenario, targets=('a:front', 'b:deep', 'c:deep')))
+
+
+class StopTest(MeshTest):
+    def test_a_stopping_node_answers_what_it_has_read(self):
+        async def scenario(mesh):
+            mesh.targets['b'].seconds = 0.5
+            calls = [asyncio.create_task(mesh.call('a', '/deep/x')) for _ in range(5)]
+            await asyncio.sleep(0.1)
+            ended = asyncio.create_task(mesh.nodes['a'].drain())
+            await asyncio.sleep(0.1)
+            ready = (await mesh.nodes['a']._answer_ready(None)).status
+            late = await mesh.call('a', '/deep/x')
+            statuses = [(await call).status for call in calls]
+            await ended
+            return ready, late.status, dict(late.headers).get(b'connection'), statuses
+
+        self.assertEqual((503, 200, b'close', [200] * 5), self.mesh(scenario))
+
+    def test_others_stop_choosing_the_target_of_a_stopping_node(self):
+        async def scenario(mesh):
+            ended = asyncio.create_task(mesh.nodes['b'].drain())
+            statuses = [(await mesh.call('a', '/deep/x')).status for _ in range(20)]
+            await asyncio.sleep(0.5)
+            state = mesh.nodes['a'].view.find('b').state
+            await ended
+            return set(statuses), state
+
+        targets = ('a:front', 'b:deep', 'c:deep')
+        self.assertEqual(({200}, State.DRAINING), self.mesh(scenario, targets=targets))
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,39 @@
+from testtools import TestCase
+
+from dunlinsaddle.policy.retry_budget import OWN_SHARE, RetryBudget
+
+
+class RetryBudgetTest(TestCase):
+    def spend_all(self, budget, now):
+        spent = 0
+        while budget.spend(now, 'svc'):
+            spent += 1
+        return spent
+
+    def test_repeats_are_a_share_of_what_this_node_sent_and_of_the_extra(self):
+        budget = RetryBudget(0.2, 40.0, 10.0)
+        budget.nodes = 4
+        for _ in range(400):
+            budget.sent(1.0, 'svc')
+        self.assertEqual(
+            int(400 * 0.2 * OWN_SHARE + 40 * OWN_SHARE / 4), self.spend_all(budget, 1.0)
+        )
+
+    def test_the_bound_holds_in_every_window(self):
+        # A steady stream, spent as soon as it may be: no window of ten seconds holds more.
+        budget = RetryBudget(0.2, 0.0, 10.0)
+        spends = []
+        for step in range(600):
+            now = step * 0.1
+            for _ in range(20):
+                budget.sent(now, 'svc')
+            spends += [now] * self.spend_all(budget, now)
+        for start in range(0, 50):
+            inside = [t for t in spends if start <= t < start + 10]
+            self.assertLessEqual(len(inside), 2200 * 0.2 * OWN_SHARE + 1)
+
+    def test_services_do_not_share(self):
+        budget = RetryBudget(0.2, 0.0, 10.0)
+        for _ in range(100):
+            budget.sent(1.0, 'svc')
+        self.assertFalse(budget.spend(1.0, 'other'))
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,74 @@
+from testtools import TestCase
+
+from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.policy.admission import Refuse, Run, Sample, Wait
+from dunlinsaddle.policy.slots import SlotAdmission
+from tests.builders import build_ticket
+
+
+class SlotAdmissionTest(TestCase):
+    def admission(self, slots=10, seconds=0.1):
+        admission = SlotAdmission()
+        admission.announce(slots)
+        for number in range(3):
+            ticket = build_ticket(-1 - number)
+            admission.arrive(0.0, ticket)
+            admission.finish(0.0, ticket, Sample('default', seconds, True))
+        return admission
+
+    def fill(self, admission, **fields):
+        number = 1000
+        while isinstance(admission.arrive(0.0, build_ticket(number, **fields)), Run):
+            number += 1
+        return number - 1000
+
+    def test_fewer_calls_run_than_the_target_has_slots(self):
+        # A call beyond the slots is rejected, or never answered: it costs a retry either way.
+        self.assertEqual(37, SlotAdmissionTest.fill(self, self.admission(slots=40), hop=1))
+
+    def test_calls_of_running_work_go_before_requests_at_the_entry(self):
+        admission = self.admission()
+        self.fill(admission, hop=1)
+        admission.arrive(0.0, build_ticket(1, level=0))
+        admission.arrive(0.0, build_ticket(2, level=300, hop=1))
+        running = build_ticket(1000, hop=1)
+        admission.finish(0.1, running, Sample('default', 0.1, True))
+        admission.release(0.1)
+        admission.finish(0.1, running, Sample('default', 0.1, True))
+        started = [t.call_id for t in admission.release(0.1).started]
+        self.assertEqual([2], started)
+
+    def test_what_cannot_be_answered_in_time_is_refused_at_once(self):
+        admission = self.admission(seconds=0.4)
+        self.fill(admission, deadline=60.0)
+        verdict = admission.arrive(0.0, build_ticket(1, deadline=0.3))
+        self.assertIsInstance(verdict, Refuse)
+        self.assertEqual(ErrorKind.OVERLOADED, verdict.failure.kind)
+        self.assertGreater(verdict.failure.retry_after, 0.0)
+
+    def test_an_answer_past_its_objective_is_not_waited_for(self):
+        admission = self.admission(seconds=0.4)
+        self.fill(admission, deadline=60.0)
+        late = build_ticket(1, deadline=60.0, useful_until=0.2)
+        self.assertIsInstance(admission.arrive(0.0, late), Refuse)
+
+    def test_the_last_in_the_queue_goes_as_soon_as_it_would_be_late(self):
+        # A wave of calls that go first pushes it back: told at once, its caller has the time
+        # to come again; told at the end of its wait, it has not.
+        admission = self.admission(slots=1, seconds=0.1)
+        self.fill(admission, deadline=60.0)
+        self.assertIsInstance(admission.arrive(0.0, build_ticket(5, deadline=0.35)), Wait)
+        verdicts = [
+            admission.arrive(0.0, build_ticket(10 + n, hop=1, deadline=60.0)) for n in range(3)
+        ]
+        evicted = [v.evicted.call_id for v in verdicts if v.evicted is not None]
+        self.assertEqual([5], evicted)
+
+    def test_come_back_times_differ(self):
+        admission = self.admission(slots=1, seconds=1.0)
+        self.fill(admission, deadline=60.0)
+        times = {
+            admission.arrive(0.0, build_ticket(n, deadline=0.5)).failure.retry_after
+            for n in range(1, 9)
+        }
+        self.assertEqual(8, len(times))
