HTTP by httptools behind one module, and uvloop on the platform

Ruled out: keeping h11 for reading only (its parser alone is half). Change: calls/wire.py is the one place that knows the parser; whole messages in, bytes out. The tests of whole answers, bad requests and fuzzing stand; one of them trickled bytes that llhttp refuses at the second, it now trickles a request that is well-formed so far (as strict).

--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -3,7 +3,6 @@
 import math
 from typing import NamedTuple
 
-import h11
 import msgspec
 
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
@@ -24,8 +23,6 @@
     }
 )
 OWN_PREFIX = b'dunlinsaddle-'
-FRAMING = frozenset({b'content-length', b'transfer-encoding'})
-BODILESS = frozenset({204, 304})
 
 
 class HttpRequest(NamedTuple):
@@ -66,13 +63,6 @@
     return [(n, v) for n, v in headers if n not in dropped and not n.startswith(OWN_PREFIX)]
 
 
-def message_events(head: h11.Request | h11.Response, body: bytes) -> list[h11.Event]:
-    """Give the events of one whole message; an empty body costs no event."""
-    if not body:
-        return [head, h11.EndOfMessage()]
-    return [head, h11.Data(data=body), h11.EndOfMessage()]
-
-
 def json_response(value: object, status: int = 200) -> HttpResponse:
     """Give a JSON response."""
     body = msgspec.json.encode(value)
--- a/dunlinsaddle/daemon.py
+++ b/dunlinsaddle/daemon.py
@@ -1,7 +1,6 @@
 """The daemon: reads its settings, runs one node, and drains on SIGTERM."""
 
 import asyncio
-import gc
 import signal
 import sys
 
@@ -16,13 +15,12 @@
 from dunlinsaddle import __version__
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.logs import start_logs
+from dunlinsaddle.memory import spare_collector
 from dunlinsaddle.mesh import daemon as mesh
 from dunlinsaddle.node import Node
 from dunlinsaddle.settings import OPTIONS, Option, Settings, env_name, read_settings, secret_files
 from dunlinsaddle.status import ExitStatus
 
-YOUNG_OBJECTS = 10_000  #: new objects between two walks of the youngest; 700 by default
-
 
 def _describe(opt: Option) -> str:
     default = '' if opt.default in (None, '') else f' Default: {opt.default}.'
@@ -98,17 +96,6 @@
         return ExitStatus.ERROR
 
 
-def _spare_collector() -> None:
-    """Keep what was built at the start out of the garbage collector's walks.
-
-    A walk of the oldest generation goes over every object of the imported modules, and all
-    calls wait for it.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(YOUNG_OBJECTS)
-
-
 async def _serve(node: Node) -> ExitStatus:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -126,7 +113,7 @@
     loop.add_signal_handler(signal.SIGINT, interrupt)
     faces = await node.start()
     addresses = {name: str(address) for name, address in faces._asdict().items()}
-    _spare_collector()
+    spare_collector()
     node.logger.info('listening', extra={'faces': addresses})
     try:
         await stop.wait()
--- a/dunlinsaddle/mesh/daemon.py
+++ b/dunlinsaddle/mesh/daemon.py
@@ -1,13 +1,19 @@
-"""Runs one node of the platform as a process, from the settings file that it is given."""
+"""Runs one node of the platform as a process, from the settings file that it is given.
+
+The loop is that of ``uvloop``: a call through two nodes took 0.35 ms of processor time with it
+and 0.46 ms with asyncio's own, all four ends of HTTP included.
+"""
 
 import asyncio
 import signal
 from pathlib import Path
 
+import uvloop
 from result import Err, Ok, Result
 
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.logs import start_logs
+from dunlinsaddle.memory import spare_collector
 from dunlinsaddle.mesh.node import MeshNode
 from dunlinsaddle.mesh.settings import MeshSettings
 from dunlinsaddle.platform.node_file import read_node_file
@@ -36,7 +42,8 @@
 def _run(env: Environment, path: str, settings: MeshSettings) -> ExitStatus:
     logger = start_logs(env.stdout, 'info', instance=settings.instance, domain=settings.domain)
     try:
-        return asyncio.run(_serve(MeshNode(settings, env, logger), path))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(_serve(MeshNode(settings, env, logger), path))
     except OSError as exc:
         env.report(f'cannot listen: {exc}; give another address or stop what uses it')
         return ExitStatus.ERROR
@@ -50,6 +57,7 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
     faces = await node.start()
     addresses = {name: str(address) for name, address in faces._asdict().items()}
+    spare_collector()
     node.logger.info('listening', extra={'faces': addresses})
     await stop.wait()
     node.logger.info('draining')
--- a/dunlinsaddle/platform/headers.py
+++ b/dunlinsaddle/platform/headers.py
@@ -1,4 +1,4 @@
-"""Names of the platform's HTTP headers, in lower case as ``h11`` gives them."""
+"""Names of the platform's HTTP headers, in lower case."""
 
 REQUEST_ID = b'request-id'
 #: Whole milliseconds that the sender will still wait, not a moment in time.
--- a/standins/stages.py
+++ b/standins/stages.py
@@ -18,7 +18,6 @@
 import h11
 
 from dunlinsaddle.calls.frames import _decoder, _encoder
-from dunlinsaddle.calls.http import message_events
 from dunlinsaddle.calls.listener import HttpFace, HttpLimits
 from dunlinsaddle.calls.messages import Call
 from dunlinsaddle.environment import Environment
@@ -56,6 +55,13 @@
     return best / LOOPS * 1e6
 
 
+def message_events(head: h11.Request | h11.Response, body: bytes) -> list[h11.Event]:
+    """Give the events of one whole message; an empty body costs no event."""
+    if not body:
+        return [head, h11.EndOfMessage()]
+    return [head, h11.Data(data=body), h11.EndOfMessage()]
+
+
 def h11_stages() -> dict[str, Stage]:
     """Parse and write one small message as server and as client, on kept connections."""
     server, client = h11.Connection(h11.SERVER), h11.Connection(h11.CLIENT)
