Lookups that a target failed by itself go to another one; a changed settings file is seen without a signal

Ruled out: resending calls further down, where each repeat repeats all calls below it. Tests of the wire module and of requests that are sent ahead.

--- a/dunlinsaddle/mesh/daemon.py
+++ b/dunlinsaddle/mesh/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import signal
 from pathlib import Path
 
@@ -20,6 +21,8 @@
 from dunlinsaddle.settings import SettingError
 from dunlinsaddle.status import ExitStatus
 
+LOOK_SECONDS = 1.0  #: between two looks at the settings file; half of what a change may take
+
 
 def load(path: str) -> Result[MeshSettings, SettingError]:
     """Read the settings file."""
@@ -59,7 +62,9 @@
     addresses = {name: str(address) for name, address in faces._asdict().items()}
     spare_collector()
     node.logger.info('listening', extra={'faces': addresses})
+    watching = loop.create_task(_watch_file(node, path))
     await stop.wait()
+    watching.cancel()
     node.logger.info('draining')
     await node.drain()
     await node.stop()
@@ -67,6 +72,25 @@
     return ExitStatus.OK
 
 
+async def _watch_file(node: MeshNode, path: str) -> None:
+    """Take up a changed file that no signal told of."""
+    seen = _changed_at(path)
+    while True:
+        await asyncio.sleep(LOOK_SECONDS)
+        now = _changed_at(path)
+        if now != seen:
+            seen = now
+            _reload(node, path)
+
+
+def _changed_at(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        # It is being replaced: the next look sees the new one.
+        return 0
+
+
 def _reload(node: MeshNode, path: str) -> None:
     match load(path):
         case Err(error):
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -12,6 +12,7 @@
 REFUSED_BY_NODE = frozenset(
     {ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED, ErrorKind.TOO_LATE_TO_START}
 )
+FAILED = 500
 REFUSALS_MOST = 3  #: nodes in turn that may refuse a request before its caller is told
 
 
@@ -38,7 +39,9 @@
     def allows(self, work: Work, reply: Reply) -> bool:
         """Say whether another target may be given a call that ended so."""
         if not reply.kind:
-            return False
+            # A target that fails by itself mostly fails once; another one answers the caller.
+            # Only for requests at the entry: further down each repeat repeats all calls below.
+            return reply.status == FAILED and work.ctx.idempotent and not work.ctx.hop
         kind = ErrorKind(reply.kind)
         if reply.outcome is Outcome.NOT_RUN:
             return kind in REFUSED_BY_NODE or kind is ErrorKind.TARGET_REFUSED
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -180,6 +180,39 @@
         self.assertEqual(1, len(requests))
 
 
+class BelongingTest(ClientTest):
+    def test_a_late_answer_before_the_right_one_is_passed_over(self):
+        # The target answers an earlier request once more, just as ours is sent: the caller
+        # gets the answer with its own id.
+        async def script(conversation, data):
+            conversation.write(b'HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\nold')
+            await asyncio.sleep(0.01)
+            conversation.write(b'HTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 3\r\n\r\nnew')
+
+        async def use(client, target):
+            req = HttpRequest('GET', '/', [], b'', '')
+            return await client.send(
+                TARGET, req, 5, belongs=lambda headers: (b'id', b'2') in headers
+            )
+
+        self.assertEqual(b'new', self.with_target(script, use).response.body)
+
+    def test_an_open_ended_answer_is_whole_only_where_that_is_promised(self):
+        async def script(conversation, data):
+            conversation.write(b'HTTP/1.1 200 OK\r\n\r\nwhole')
+            await asyncio.sleep(0.1)
+            conversation.end()
+
+        async def use(client, target):
+            req = HttpRequest('GET', '/', [], b'', '')
+            trusting = HttpClient(open_ended=True)
+            return await client.send(TARGET, req, 5), await trusting.send(TARGET, req, 5)
+
+        strict, trusting = self.with_target(script, use)
+        self.assert_lost(ErrorKind.OUTCOME_UNKNOWN, strict)
+        self.assertEqual(b'whole', trusting.response.body)
+
+
 class SilentConnectionTest(ClientTest):
     async def forgetful(self, conversation, data):
         """Answer once on the first connection, then swallow; other connections work."""
--- a/tests/test_http_face.py
+++ b/tests/test_http_face.py
@@ -191,3 +191,35 @@
         early, size = self.with_face(use)
         self.assertFalse(early)
         self.assertGreater(size, 400_000)
+
+
+class SentAheadTest(FaceTest):
+    def test_repeatable_requests_run_together_and_are_answered_in_order(self):
+        async def handle(req):
+            self.handled.append(req.path)
+            await asyncio.sleep(float(req.header(b'sleep')))
+            return HttpResponse(200, [], req.path.encode())
+
+        async def scenario():
+            face = HttpFace(handle, LIMITS, pipeline=8)
+            await face.listen(FACE)
+            reader, writer = await asyncio.open_connection(FACE.host, FACE.port)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            for path, seconds in ((b'/1', b'3'), (b'/2', b'1'), (b'/3', b'2')):
+                writer.write(b'GET %s HTTP/1.1\r\nhost: a\r\nsleep: %s\r\n\r\n' % (path, seconds))
+            await asyncio.sleep(3.5)
+            answers = await reader.read(65536)
+            writer.write(b'POST /4 HTTP/1.1\r\nhost: a\r\nsleep: 1\r\ncontent-length: 0\r\n\r\n')
+            writer.write(b'GET /5 HTTP/1.1\r\nhost: a\r\nsleep: 1\r\n\r\n')
+            await asyncio.sleep(0.5)
+            begun = list(self.handled)
+            writer.close()
+            face.close()
+            return answers, begun, loop.time() - began
+
+        answers, begun, _ = self.run_paused(scenario())
+        places = [answers.index(path) for path in (b'/1', b'/2', b'/3')]
+        self.assertEqual(sorted(places), places)
+        # What changes something runs alone: the one behind it has not begun.
+        self.assertEqual(['/1', '/2', '/3', '/4'], begun)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -266,3 +266,20 @@
 
         targets = ('a:front', 'b:deep', 'c:deep')
         self.assertEqual(({200}, State.DRAINING), self.mesh(scenario, targets=targets))
+
+
+class ResendTest(MeshTest):
+    def test_a_target_that_fails_by_itself_is_followed_by_another_one(self):
+        # One run in a hundred ends with 500: the caller of a lookup gets the other target's
+        # answer, and its own second try is spared.
+        async def scenario(mesh):
+            b = mesh.targets['b']
+
+            async def failing(req):
+                return b.signed(req, status=500)
+
+            b.script = failing
+            return {(await mesh.call('a', '/deep/x')).status for _ in range(6)}
+
+        targets = ('a:front', 'b:deep', 'c:deep')
+        self.assertEqual({200}, self.mesh(scenario, targets=targets))
