--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -25,7 +25,7 @@
 from dunlinsaddle.policy.level import TICK, ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.settings import Address
-from dunlinsaddle.stats import Stats
+from dunlinsaddle.stats import Hop, Stats
 
 COME_BACK = 1.0
 FIRST_ERROR_STATUS = 500
@@ -386,8 +386,10 @@
             may_repeat=again,
             belongs=partial(self.dialect.belongs, work),
         )
+        took = loop.time() - sent_at
+        self.stats.took(Hop.TARGET, took)
         if work.waits is not None:
-            work.waits.seconds += loop.time() - sent_at
+            work.waits.seconds += took
         match exchange:
             case Answered(response):
                 reply = self.dialect.reply(response)
--- a/dunlinsaddle/mesh/announce.py
+++ b/dunlinsaddle/mesh/announce.py
@@ -1,6 +1,8 @@
 """The face on which the target beside the node says that it lives, drains and goes."""
 
+import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -32,6 +34,7 @@
         self.on_change = on_change
         self.logger = logger
         self.log = TargetLog()
+        self.heard_at = -math.inf  #: time of the loop of the latest heartbeat that counts
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one heartbeat or farewell."""
@@ -58,6 +61,7 @@
         held = self.log.current
         if not self.log.take(beat):
             return
+        self.heard_at = asyncio.get_running_loop().time()
         self.admission.announce(beat.slots)
         if held is None or (held.target_id, held.started) != (beat.target_id, beat.started):
             self.logger.info('target announced', extra=_named(beat))
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -26,6 +26,7 @@
 from dunlinsaddle.mesh.announce import AnnounceFace
 from dunlinsaddle.mesh.dialect import MeshDialect
 from dunlinsaddle.mesh.entry import Entry
+from dunlinsaddle.mesh.metrics import MeshMetrics
 from dunlinsaddle.mesh.resends import BudgetResends
 from dunlinsaddle.mesh.settings import MeshSettings
 from dunlinsaddle.platform import configuration
@@ -38,7 +39,7 @@
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Configuration
 from dunlinsaddle.settings import Address
-from dunlinsaddle.stats import Stats
+from dunlinsaddle.stats import CallLabel, Hop, Stats
 
 #: Bodies of the store and of requests; the operators' limits bound what callers send.
 BODY_BYTES = 1 << 26
@@ -68,6 +69,7 @@
     ready: Address
     peers: Address
     gossip: Address
+    metrics: Address
 
 
 class MeshNode:
@@ -169,7 +171,7 @@
             self.decisions,
             self._ended,
         )
-        announce = AnnounceFace(
+        self.announce = AnnounceFace(
             cfg.service,
             cfg.target,
             self.target,
@@ -179,8 +181,10 @@
         )
         limits = HttpLimits(body_bytes=BODY_BYTES)
         self.callers_http = HttpFace(self.entry.handle, limits, self._fault, pipeline=PIPELINE)
-        self.announce_http = HttpFace(announce.handle, HttpLimits(), self._fault)
+        self.announce_http = HttpFace(self.announce.handle, HttpLimits(), self._fault)
         self.ready_http = HttpFace(self._answer_ready, HttpLimits(), self._fault)
+        self.metrics = MeshMetrics(self)
+        self.metrics_http = HttpFace(self.metrics.handle, HttpLimits(), self._fault)
 
     async def start(self) -> Faces:
         """Listen on all faces and start the loops. Raises OSError when an address is taken."""
@@ -191,6 +195,7 @@
             await self.ready_http.listen(cfg.ready),
             await self.peer_server.listen(cfg.peers),
             await self.agent.listen(self.env.open_gossip, cfg.gossip),
+            await self.metrics_http.listen(cfg.metrics),
         )
         self.agent.start(self.me())
         roster = Roster(self.store, cfg.domain)
@@ -222,8 +227,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for face in (self.callers_http, self.announce_http, self.ready_http):
+        faces = (self.callers_http, self.announce_http, self.ready_http, self.metrics_http)
+        for face in faces:
             face.close()
+        self.metrics.close()
         self.agent.leave()
         self.peer_server.close()
         self.links.close()
@@ -292,7 +299,9 @@
         self.admission.restarted(asyncio.get_running_loop().time())
 
     def _ended(self, work: Work, reply: Reply, took: float) -> None:
-        self.stats.answered += 1
+        rank = work.ctx.priority.rank.name.lower()
+        self.stats.count(CallLabel(work.ctx.service, rank, reply.outcome.value, reply.kind))
+        self.stats.took(Hop.WHOLE, took)
 
     async def _serve_peer(self, call: Call) -> Reply:
         return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -5,14 +5,14 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from itertools import accumulate
 from typing import Any
 
 from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import InMemoryMetricReader, MetricsData
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader, MetricReader, MetricsData
 from opentelemetry.sdk.resources import Resource
 
 from dunlinsaddle import __version__
@@ -30,12 +30,18 @@
 class Metrics:
     """The instruments of one node."""
 
-    def __init__(self, resource: Labels, endpoint: str = '', every: float = EXPORT_SECONDS) -> None:
+    def __init__(
+        self,
+        resource: Labels,
+        endpoint: str = '',
+        every: float = EXPORT_SECONDS,
+        further: Sequence[MetricReader] = (),
+    ) -> None:
         self.endpoint = endpoint
         self.every = every
         self.reader = InMemoryMetricReader()
         self._provider = MeterProvider(
-            [self.reader], resource=Resource(dict(resource)), shutdown_on_exit=False
+            [self.reader, *further], resource=Resource(dict(resource)), shutdown_on_exit=False
         )
         self._meter = self._provider.get_meter('dunlinsaddle', __version__)
 
@@ -107,7 +113,7 @@
         'dunlinsaddle.queue_time_bucket',
         '{call}',
         'Calls that waited for a slot at most so many seconds, cumulative.',
-        lambda: _cumulative(stats),
+        lambda: cumulative(QUEUE_BOUNDS, stats.queue_buckets),
     )
     sums = (
         ('retries', '{call}', 'Resends that were spent.'),
@@ -154,10 +160,11 @@
     )
 
 
-def _cumulative(stats: Stats) -> Values:
-    bounds = [*map(str, QUEUE_BOUNDS), '+Inf']
-    totals = accumulate(stats.queue_buckets)
-    return [(total, {'le': bound}) for bound, total in zip(bounds, totals, strict=True)]
+def cumulative(bounds: Iterable[float], buckets: Iterable[int], **labels: str) -> Values:
+    """Give buckets as counts of all values up to each bound, which is the label ``le``."""
+    names = [*map(str, bounds), '+Inf']
+    totals = accumulate(buckets)
+    return [(total, {'le': name, **labels}) for name, total in zip(names, totals, strict=True)]
 
 
 def _field(stats: Stats, name: str) -> Callable[[], Values]:
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -1,5 +1,8 @@
 """The one client of the platform's object store, which speaks its published protocol."""
 
+import asyncio
+import math
+from collections import Counter
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -22,6 +25,7 @@
 
 CALL_TIMEOUT = 5.0  #: a slow platform still serves; one that is away fails to connect sooner
 LONGEST_WAIT_MS = 30_000  #: the longest watch that the store allows
+FIRST_REFUSAL = 429  #: from here on a status says that the store did nothing
 GONE_STATUS = 410  #: of a watch whose start is older than the history that the store keeps
 
 
@@ -33,6 +37,8 @@
         self.client = client
         self.timeout = timeout
         self.calls = 0
+        self.failures: Counter[str] = Counter()  #: calls without a usable answer, by why
+        self.answered_at = -math.inf  #: time of the loop of the latest answer
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         """Read one object."""
@@ -135,8 +141,12 @@
         )
         match exchange:
             case Answered(response):
+                self.answered_at = asyncio.get_running_loop().time()
+                if response.status >= FIRST_REFUSAL:
+                    self.failures[str(response.status)] += 1
                 return Ok(response)
             case failed:
+                self.failures['no-answer'] += 1
                 return Err(Unavailable(failed.detail))
 
 
--- a/dunlinsaddle/platform/node_file.py
+++ b/dunlinsaddle/platform/node_file.py
@@ -11,7 +11,9 @@
 
 PEERS_PORT = 0  #: offset into the range of internal ports
 GOSSIP_PORT = 1
-METRICS_PORT = 2
+#: The port that deploy/system.toml names: the file is written before a day's range is known.
+#: 9464 is the usual one of OpenTelemetry's exporter.
+METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct):
@@ -59,7 +61,7 @@
         announce=read_address(found.listen.control),
         peers=read_address(f'{host}:{first_port + PEERS_PORT}'),
         gossip=read_address(f'{host}:{first_port + GOSSIP_PORT}'),
-        metrics=read_address(f'{host}:{first_port + METRICS_PORT}'),
+        metrics=read_address(f'{host}:{METRICS_PORT}'),
         target=read_address(found.app_address),
         service=found.service,
         platform=read_address(found.platform.address),
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -60,6 +60,9 @@
     success = FIRST_SUCCESS <= response.status <= LAST_SUCCESS
     if success and (names.SIGNATURE not in found or names.REQUEST_ID not in found):
         return refusal(Failure(ErrorKind.INCOMPLETE_ANSWER, 'the answer is not signed'))
+    if b'content-encoding' in found:
+        # Callers ask for none: something on the way has changed the body.
+        return refusal(Failure(ErrorKind.INCOMPLETE_ANSWER, 'the body was encoded on the way'))
     kept = forwarded_headers(response.headers)
     return Reply(0, response.status, kept, response.body, Outcome.DONE)
 
--- a/dunlinsaddle/policy/retry_budget.py
+++ b/dunlinsaddle/policy/retry_budget.py
@@ -39,6 +39,13 @@
         """Give the repeats that this node may send in the present window."""
         return self.ratio * self._of(service).sent(now) + self.extra / max(self.nodes, 1)
 
+    def left(self, now: float) -> dict[str, float]:
+        """Give the repeats that may still be sent now, by service."""
+        return {
+            name: max(self.allowed(now, name) - window.repeated(now), 0.0)
+            for name, window in self._services.items()
+        }
+
     def _of(self, service: str) -> '_Window':
         found = self._services.get(service)
         if found is None:
--- a/dunlinsaddle/stats.py
+++ b/dunlinsaddle/stats.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import NamedTuple
 
 
@@ -19,6 +20,18 @@
 QUEUE_BOUNDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
+#: Upper bounds of the buckets of latency, in seconds; the last bucket has none. Objectives of the
+#: users' deployments lie between 0.3 and 1.5 s, and what a node adds below 5 ms.
+LATENCY_BOUNDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0)
+
+
+class Hop(StrEnum):
+    """The parts of a call whose time is counted."""
+
+    WHOLE = 'whole'  #: at the entry, from the request to its answer
+    TARGET = 'target'  #: at the node beside the target, from sending to the answer
+
+
 class Stats:
     """Counts and sums since the start of the node. Times in seconds."""
 
@@ -33,6 +46,7 @@
         self.queue_time = 0.0
         self.queued = 0
         self.queue_buckets = [0] * (len(QUEUE_BOUNDS) + 1)
+        self.latency = {hop: [0] * (len(LATENCY_BOUNDS) + 1) for hop in Hop}
         self.added_time = 0.0
         self.answered = 0
         self.faults = 0
@@ -47,6 +61,10 @@
         self.queue_time += seconds
         self.queue_buckets[bisect_left(QUEUE_BOUNDS, seconds)] += 1
 
+    def took(self, hop: Hop, seconds: float) -> None:
+        """Count how long a part of a call took."""
+        self.latency[hop][bisect_left(LATENCY_BOUNDS, seconds)] += 1
+
     def added(self, seconds: float) -> None:
         """Count an answered call, and the time that this node itself took for it."""
         self.answered += 1
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -246,3 +246,32 @@
             {'resourceKind': 'limits', 'metadata': {}, 'specification': limits},
         ],
     }
+
+
+def build_node_file(**changes: Any) -> dict[str, Any]:
+    """Give the settings file of the platform, as its pages show it."""
+    return {
+        'nodeName': 'sidecar-bangor-hall-1',
+        'ipAddress': '10.1.0.8',
+        'zone': 'bangor-hall',
+        'region': 'gwynedd',
+        'listen': {
+            'inbound': '10.1.0.8:8300',
+            'outbound': '10.1.0.8:8304',
+            'ready': '10.1.0.8:8302',
+            'control': '10.1.0.8:8306',
+        },
+        'internalPortRange': [7620, 7635],
+        'seeds': [],
+        'bounds': {
+            'drain': '2000ms',
+            'grace': '6s',
+            'retryBudgetRatio': 0.2,
+            'retryBudgetExtra': 55,
+            'budgetWindow': '10s',
+        },
+        'appAddress': '10.1.0.8:8301',
+        'service': 'huvo11a',
+        'platform': {'address': '10.200.1.7:8309'},
+        **changes,
+    }
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,8 @@
 import asyncio
 
-from dunlinsaddle.calls.http import HttpResponse
+from prometheus_client.parser import text_string_to_metric_families
+
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.membership.view import State
 from tests.clock import PausedClockTest
 from tests.fakes.mesh import Mesh
@@ -283,3 +285,24 @@
 
         targets = ('a:front', 'b:deep', 'c:deep')
         self.assertEqual({200}, self.mesh(scenario, targets=targets))
+
+
+class MetricsTest(MeshTest):
+    def test_a_client_library_reads_the_metrics(self):
+        async def scenario(mesh):
+            await mesh.call('a', '/deep/x')
+            node = mesh.nodes['a']
+            req = HttpRequest('GET', '/metrics', [], b'', '')
+            exchange = await mesh.client.send(node.settings.metrics, req, 1)
+            return exchange.response.body.decode()
+
+        families = {f.name: f for f in text_string_to_metric_families(self.mesh(scenario))}
+        whole = [
+            sample.value
+            for sample in families['dunlinsaddle_latency_bucket'].samples
+            if sample.labels['hop'] == 'whole' and sample.labels['le'] == '+Inf'
+        ]
+        self.assertEqual([1.0], whole)
+        (version,) = families['dunlinsaddle_configuration_version'].samples
+        self.assertEqual(7.0, version.value)
+        self.assertIn('dunlinsaddle_members', families)
