A closing face ends a connection behind the last request begun on it, not the first

Cause: found in reading: with several requests of a connection in progress, the first answer of a stopping node carried the closing, and the others, already passed on, were dropped. The answer is now encoded when it is sent. Test fails before (one answer of three).

--- a/dunlinsaddle/calls/listener.py
+++ b/dunlinsaddle/calls/listener.py
@@ -51,13 +51,18 @@
 class _Exchange:
     """One request on a connection, from its last byte to its answer."""
 
-    __slots__ = ('keep_alive', 'method', 'task', 'wire')
+    __slots__ = ('keep_alive', 'method', 'response', 'task')
 
     def __init__(self, method: bytes, *, keep_alive: bool) -> None:
         self.method = method
         self.keep_alive = keep_alive
         self.task: asyncio.Task[None] | None = None
-        self.wire: bytes | None = None  #: the answer, once there is one
+        self.response: HttpResponse | None = None  #: the answer, once there is one
+
+    @property
+    def done(self) -> bool:
+        """Whether the answer may be sent."""
+        return self.response is not None
 
 
 class _Connection(asyncio.Protocol):
@@ -241,34 +246,46 @@
     async def _respond(self, exchange: _Exchange, req: HttpRequest) -> None:
         try:
             response = await self.face.handler(req)
-            wire = self._wire(exchange, response)
         except Exception:
             self.face.on_fault(req)
-            exchange.keep_alive = False
-            wire = _failure_wire(Failure(ErrorKind.INTERNAL))
+            response = self._fail(exchange, ErrorKind.INTERNAL)
         exchange.task = None
-        exchange.wire = wire
+        exchange.response = response
         if not self.transport.is_closing():
             self._flush()
             self._advance()
 
+    def _fail(self, exchange: _Exchange, kind: ErrorKind) -> HttpResponse:
+        exchange.keep_alive = False
+        return failure_response(Failure(kind))
+
     def _wire(self, exchange: _Exchange, response: HttpResponse) -> bytes:
         headers = [(n, v) for n, v in response.headers if n not in HOP_BY_HOP]
         bodiless = exchange.method == b'HEAD' or response.status in BODILESS
         if not bodiless:
             headers.append((b'content-length', b'%d' % len(response.body)))
-        if self.face.closing:
-            exchange.keep_alive = False
         if not exchange.keep_alive:
             headers.append((b'connection', b'close'))
         return encode_response(response.status, headers, b'' if bodiless else response.body)
 
+    def _encoded(self, exchange: _Exchange) -> bytes:
+        assert exchange.response is not None
+        if self.face.closing and not self.answering and not self.waiting:
+            # Not before the last: requests behind a closing count as unread, and those in
+            # progress have been passed on.
+            exchange.keep_alive = False
+        try:
+            return self._wire(exchange, exchange.response)
+        except ValueError:
+            self.face.on_fault(HttpRequest(exchange.method.decode(), '', [], b'', self.remote))
+            return self._wire(exchange, self._fail(exchange, ErrorKind.INTERNAL))
+
     def _flush(self) -> None:
         """Send the answers that are due: each only when all before it have been sent."""
         # One answer at a time is in memory: the next waits until this one is sent.
-        while self.answering and self.answering[0].wire is not None and not self.unsent:
+        while self.answering and self.answering[0].done and not self.unsent:
             exchange = self.answering.popleft()
-            self.transport.write(exchange.wire or b'')
+            self.transport.write(self._encoded(exchange))
             if not exchange.keep_alive:
                 self._close()
                 return
@@ -283,19 +300,12 @@
         self._stop_timer()
         self.held = b''
         exchange = _Exchange(b'', keep_alive=False)
-        exchange.wire = _failure_wire(failure)
+        exchange.response = failure_response(failure)
         self.answering.append(exchange)
         self.ending = True
         self._flush()
 
 
-def _failure_wire(failure: Failure) -> bytes:
-    response = failure_response(failure)
-    headers = [*response.headers, (b'connection', b'close')]
-    headers.append((b'content-length', b'%d' % len(response.body)))
-    return encode_response(response.status, headers, response.body)
-
-
 def _lengthen_queue(fileno: object) -> None:
     if not isinstance(fileno, int):
         # A loop whose connections are in memory has no queue in a kernel.
--- a/tests/test_http_face.py
+++ b/tests/test_http_face.py
@@ -223,3 +223,24 @@
         self.assertEqual(sorted(places), places)
         # What changes something runs alone: the one behind it has not begun.
         self.assertEqual(['/1', '/2', '/3', '/4'], begun)
+
+    def test_closing_waits_for_all_that_was_begun(self):
+        # The face begins to close while three requests of one connection run. Each of them
+        # may have been passed on, so each is answered; the last answer tells of the closing.
+        async def scenario():
+            face = HttpFace(self.handle, LIMITS, pipeline=8)
+            await face.listen(FACE)
+            reader, writer = await asyncio.open_connection(FACE.host, FACE.port)
+            for seconds in (b'1', b'2', b'3'):
+                writer.write(b'GET / HTTP/1.1\r\nhost: a\r\nsleep: %s\r\n\r\n' % seconds)
+            await asyncio.sleep(0.5)
+            face.start_closing()
+            answers = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            face.close()
+            return answers
+
+        answers = self.run_paused(scenario())
+        self.assertEqual(3, answers.count(b'HTTP/1.1 200'))
+        self.assertEqual(1, answers.count(b'connection: close'))
+        self.assertEqual(0, self.cancelled)
