--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -50,9 +50,9 @@
 CALLERS_LEAVE = 2.5
 #: Seconds before the kill at which a stopping node ends whatever still runs.
 KILL_MARGIN = 0.4
-#: Calls between nodes need no secret on the platform's closed network; the key keeps apart
-#: the fleets that share one.
-KEY_PREFIX = 'fleet-of-'
+#: The platform gives its processes no secret, and its network is closed: the key keeps out
+#: what speaks to these ports by mistake, no more.
+PEER_KEY = 'dunlinsaddle on the platform'
 
 
 #: A restarted node that the store does not answer is found by the pings of its peers: with
@@ -107,7 +107,7 @@
 
     def _build_membership(self) -> None:
         cfg = self.settings
-        key = f'{KEY_PREFIX}{cfg.platform}'
+        key = PEER_KEY
         limits = LinkLimits(body_bytes=BODY_BYTES)
         self.agent = GossipAgent(self.view, key, self._rng(), times=TIMES)
         self.links = PeerLinks(key, cfg.instance, limits)
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,300 @@
+"""A randomized soak of the platform's nodes: real processes, harmed from outside.
+
+    python -m standins.soak --seeds 1-50 --seconds 8
+
+Each run draws its faults from its seed: signals to nodes and targets, harmed connections to
+targets and to the store, faults of the store, changes of the configuration; in series and
+overlapping. Callers keep their connections. What is checked stands in ``judge``.
+"""
+
+import argparse
+import asyncio
+import json
+import queue
+import signal
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+import uuid6
+
+from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.platform import headers as names
+from standins.mesh import MeshFleet, TargetKind, call_headers
+from standins.proxy import Harm
+
+KINDS = [
+    TargetKind('views', calls=('/deep/x',)),
+    TargetKind('orders', calls=('/deep/x',), kind='unsafe'),
+    TargetKind('deep', slots=40, seconds=0.01),
+]
+COPIES = 2
+WORKERS = 10
+CALL_SECONDS = 3.0
+PAUSE = 0.03  #: between two requests of a worker
+#: Seconds after the last fault within which every service answers at every machine again: a
+#: member wrongly held for dead is asked each second, and a node wants one heartbeat.
+RECOVERY = 10.0
+STORE_FAULTS: list[dict[str, Any]] = [
+    {'down': True},
+    {'busy': True},
+    {'delay': 0.3},
+    {'lose_answers': 3},
+]
+PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+class Sent(NamedTuple):
+    """One request of a caller and what came back: status 0 for no whole answer."""
+
+    request_id: str
+    service: str
+    entry: str
+    status: int
+    sound: bool  #: the answer is the one to this request, and signed
+    seconds: float
+
+
+@dataclass
+class Record:
+    """What a run has seen."""
+
+    sent: list[Sent] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    findings: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, fleet: MeshFleet, seed: int) -> None:
+        self.fleet = fleet
+        self.rng = Random(seed)
+        self.record = Record()
+        self.calling = True
+
+    async def play(self, seconds: float) -> Record:
+        """Start all, harm it for a while, heal it, and judge."""
+        await self.fleet.configure(KINDS)
+        for copy in range(COPIES):
+            for what in KINDS:
+                await self.fleet.place(f'{what.service}-{copy}', f'd{copy}', what)
+        await self._until_served('at the start', 3 * RECOVERY)
+        workers = [asyncio.create_task(self._call_on(number)) for number in range(WORKERS)]
+        await self._harm_for(seconds)
+        await self._until_served('after the last fault', RECOVERY)
+        self.calling = False
+        await asyncio.gather(*workers)
+        await asyncio.sleep(CALL_SECONDS)
+        self.record.findings += judge(self.record.sent, self._all_runs())
+        return self.record
+
+    async def _call_on(self, number: int) -> None:
+        client = HttpClient()
+        rng = Random(self.rng.random())
+        while self.calling:
+            entry = rng.choice(list(self.fleet.machines))
+            service = rng.choice(['views', 'orders'])
+            self.record.sent.append(await self._call(client, entry, service))
+            await asyncio.sleep(PAUSE)
+        client.close()
+
+    async def _call(self, client: HttpClient, entry: str, service: str) -> Sent:
+        request_id = uuid6.uuid7().hex
+        method = 'POST' if service == 'orders' else 'GET'
+        headers = call_headers(request_id, CALL_SECONDS)
+        req = HttpRequest(method, f'/{service}/{request_id}', headers, b'', '')
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        exchange = await client.send(self.fleet.machines[entry].outbound, req, CALL_SECONDS)
+        took = loop.time() - began
+        if not isinstance(exchange, Answered):
+            return Sent(request_id, service, entry, 0, True, took)
+        response = exchange.response
+        sound = response.status != 200 or _sound(response, request_id)
+        return Sent(request_id, service, entry, response.status, sound, took)
+
+    async def _until_served(self, when: str, seconds: float) -> None:
+        """Wait until every machine serves every service; one that does not is a finding."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        client = HttpClient()
+        open_ways = {(entry, s) for entry in self.fleet.machines for s in ('views', 'orders')}
+        while open_ways and loop.time() < until:
+            for entry, service in sorted(open_ways):
+                sent = await self._call(client, entry, service)
+                self.record.sent.append(sent)
+                if sent.status == 200:
+                    open_ways.discard((entry, service))
+            await asyncio.sleep(0.1)
+        client.close()
+        for entry, service in sorted(open_ways):
+            self.record.findings.append(f'{service} by {entry} not served {seconds} s {when}')
+
+    async def _harm_for(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        running: list[asyncio.Task[None]] = []
+        while loop.time() < until:
+            running.append(asyncio.create_task(self._harm()))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.2))
+        await asyncio.gather(*running)
+        for machine in self.fleet.machines.values():
+            machine.target_way.use(Harm.NONE)
+            machine.store_way.use(Harm.NONE)
+        await self.fleet.faults()
+
+    async def _harm(self) -> None:
+        name = self.rng.choice(list(self.fleet.machines))
+        hold = self.rng.uniform(0.2, 2.0)
+        harms = (
+            self._kill_node,
+            self._stop_node,
+            self._freeze_node,
+            self._kill_target,
+            self._replace_target,
+            self._harm_way,
+            self._harm_store,
+            self._reconfigure,
+        )
+        harm = self.rng.choice(harms)
+        self.record.faults.append(f'{harm.__name__[1:]} {name} {hold:.1f}')
+        await harm(name, hold)
+
+    async def _kill_node(self, name: str, hold: float) -> None:
+        await self._end_node(name, signal.SIGKILL)
+        await asyncio.sleep(hold)
+        self._start_ended(name)
+
+    async def _stop_node(self, name: str, hold: float) -> None:
+        await self._end_node(name, signal.SIGTERM)
+        self._start_ended(name)
+
+    async def _freeze_node(self, name: str, hold: float) -> None:
+        node = self.fleet.machines[name].node
+        node.kill(signal.SIGSTOP)
+        await asyncio.sleep(hold)
+        node.kill(signal.SIGCONT)
+
+    async def _kill_target(self, name: str, hold: float) -> None:
+        await _end(self.fleet.machines[name].target.popen, signal.SIGKILL)
+        await asyncio.sleep(hold)
+        self._start_ended(name)
+
+    async def _replace_target(self, name: str, hold: float) -> None:
+        await _end(self.fleet.machines[name].target.popen, signal.SIGTERM)
+        self._start_ended(name)
+
+    async def _harm_way(self, name: str, hold: float) -> None:
+        machine = self.fleet.machines[name]
+        way = self.rng.choice([machine.target_way, machine.store_way])
+        way.use(self.rng.choice([harm for harm in Harm if harm is not Harm.NONE]))
+        await asyncio.sleep(hold)
+        way.use(Harm.NONE)
+
+    async def _harm_store(self, name: str, hold: float) -> None:
+        fault = self.rng.choice(
+            [{'down': True}, {'busy': True}, {'delay': 0.3}, {'lose_answers': 3}]
+        )
+        await self.fleet.faults(**fault)
+        await asyncio.sleep(hold)
+        await self.fleet.faults()
+
+    async def _reconfigure(self, name: str, hold: float) -> None:
+        # Past the proxies, as the operator writes; while the store is down nobody can.
+        try:
+            await self.fleet.configure(KINDS)
+        except AssertionError:
+            self.record.faults.append('the configuration was not written')
+
+    async def _end_node(self, name: str, how: signal.Signals) -> None:
+        node = self.fleet.machines[name].node
+        node.kill(signal.SIGCONT)
+        await _end(node.popen, how)
+
+    def _start_ended(self, name: str) -> None:
+        """Start whatever of a machine has ended; several faults may have met there."""
+        held = self.fleet.machines[name]
+        node, target = held.node.popen.poll(), held.target.popen.poll()
+        self.fleet.restart(name, node=node is not None, target=target is not None)
+
+    def _all_runs(self) -> Counter[str]:
+        """Count the runs of each request, those of targets that were killed included."""
+        runs: Counter[str] = Counter()
+        for proc in self.fleet.processes:
+            while True:
+                try:
+                    word, _, request_id = proc.out.get_nowait().partition(' ')
+                except queue.Empty:
+                    break
+                if word == 'run':
+                    runs[request_id] += 1
+        return runs
+
+
+async def _end(popen: 'subprocess.Popen[str]', how: signal.Signals) -> None:
+    if popen.poll() is None:
+        popen.send_signal(how)
+    await asyncio.to_thread(popen.wait)
+
+
+def _sound(response: HttpResponse, request_id: str) -> bool:
+    found = dict(response.headers)
+    if names.SIGNATURE not in found or found.get(names.REQUEST_ID) != request_id.encode():
+        return False
+    try:
+        return bool(msgspec.json.decode(response.body)['id'] == request_id)
+    except (msgspec.MsgspecError, KeyError):
+        return False
+
+
+def judge(sent: list[Sent], runs: Counter[str]) -> list[str]:
+    """Check the promises of the pages against what callers and targets saw."""
+    findings = []
+    for one in sent:
+        ran = runs[one.request_id]
+        if not one.sound:
+            findings.append(f'{one}: the answer is not that of its own request')
+        if one.service == 'orders' and ran > 1:
+            findings.append(f'{one}: ran {ran} times')
+        if one.service == 'orders' and one.status in PROMISED_NOT_RUN and ran:
+            findings.append(f'{one}: said not to have run, and ran')
+        if 400 <= one.status < 500 and one.status not in PROMISED_NOT_RUN:
+            findings.append(f'{one}: refused though it is proper')
+    if not any(one.status == 200 for one in sent):
+        findings.append('nothing was served')
+    return findings
+
+
+async def run(seed: int, seconds: float) -> Record:
+    """Play one seed."""
+    async with MeshFleet(seed % 240 + 1) as fleet:
+        return await Soak(fleet, seed).play(seconds)
+
+
+def main() -> int:
+    """Play seeds one after another; gives 1 if any of them found something."""
+    parser = argparse.ArgumentParser(description='Randomized soak of nodes as processes.')
+    parser.add_argument('--seeds', default='1-5', help='FIRST-LAST')
+    parser.add_argument('--seconds', type=float, default=8.0, help='Of faults in each run.')
+    args = parser.parse_args()
+    first, _, last = args.seeds.partition('-')
+    found = 0
+    for seed in range(int(first), int(last or first) + 1):
+        record = asyncio.run(run(seed, args.seconds))
+        statuses = Counter(one.status for one in record.sent)
+        line = {'seed': seed, 'statuses': dict(statuses), 'findings': record.findings}
+        if record.findings:
+            found += 1
+            line['faults'] = record.faults
+        print(json.dumps(line), flush=True)  # noqa: T201
+    return 1 if found else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
