--- a/standins/soak.py
+++ b/standins/soak.py
@@ -198,9 +198,7 @@
         way.use(Harm.NONE)
 
     async def _harm_store(self, name: str, hold: float) -> None:
-        fault = self.rng.choice(
-            [{'down': True}, {'busy': True}, {'delay': 0.3}, {'lose_answers': 3}]
-        )
+        fault = self.rng.choice(STORE_FAULTS)
         await self.fleet.faults(**fault)
         await asyncio.sleep(hold)
         await self.fleet.faults()
