--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -148,7 +148,7 @@
     def cancelled(self, ctx: CallContext, seconds: float) -> None:
         """Note that the caller went away while its request was in progress."""
         if self._has_room(Event.CANCELLED):
-            self._write(Event.CANCELLED, ctx, seconds=_rounded(seconds))
+            self._write(Event.CANCELLED, ctx, seconds=_rounded(seconds), inner=bool(ctx.hop))
 
     def _has_room(self, event: Event) -> bool:
         second = int(_now())
--- a/dunlinsaddle/cli/queries/trace.py
+++ b/dunlinsaddle/cli/queries/trace.py
@@ -1,11 +1,13 @@
 """``trace``: the story of one request, from the log lines of any number of nodes."""
 
 from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
 from typing import Any, NamedTuple
 
 import msgspec
 from cleo.helpers import argument, option
 
+from dunlinsaddle.calls.decisions import Event
 from dunlinsaddle.cli.definition import JSON_OPTION, BaseCommand, table
 from dunlinsaddle.cli.exceptions import CommandError
 from dunlinsaddle.status import ExitStatus
@@ -14,22 +16,31 @@
 #: Fields that have a column of their own, or are the same in every line of one request.
 _SHOWN = frozenset({'time', 'instance', 'message', 'level', 'domain', 'request_id'})
 STDIN = '-'
+_UNSERVED = frozenset({Event.FAILED.value, Event.CANCELLED.value})
+CLOCKS_DIFFER = timedelta(milliseconds=50)  #: usual between machines that set theirs by NTP
+CALLS_HEADING = 'Calls of targets that failed meanwhile:'
 
 
 class Story(NamedTuple):
-    """The lines on one request in order of time, and how many lines could not be read."""
+    """The lines on one request in order of time, and how many lines could not be read.
+
+    ``calls`` are calls of targets that failed while one of them ran the request. Targets do not
+    say for which request a call is, so these are what it may have failed of, not a proof.
+    """
 
     lines: list[dict[str, Any]]
+    calls: list[dict[str, Any]]
     unreadable: int
 
 
 def read_story(lines: Iterable[str], request_id: str) -> Story:
-    """Pick the lines that name a request.
+    """Pick the lines that name a request, and the failed calls that may belong to it.
 
     A line may carry text before its JSON, as collectors put a time and a source there. Nodes'
     clocks differ by a little, so lines of two nodes within milliseconds may be out of order.
     """
     found: list[dict[str, Any]] = []
+    failed: list[dict[str, Any]] = []
     unreadable = 0
     for line in lines:
         if not line.strip():
@@ -39,9 +50,53 @@
         except (ValueError, msgspec.MsgspecError, RecursionError):
             unreadable += 1
             continue
-        if isinstance(event, dict) and event.get('request_id') == request_id:
+        if not isinstance(event, dict):
+            unreadable += 1
+        elif event.get('request_id') == request_id:
             found.append(event)
-    return Story(sorted(found, key=lambda event: str(event.get('time', ''))), unreadable)
+        elif event.get('inner') and event.get('message') in _UNSERVED:
+            failed.append(event)
+    found.sort(key=_when)
+    spans = [span for event in found for span in _spans(event)]
+    calls = [event for event in failed if any(span.holds(event) for span in spans)]
+    return Story(found, sorted(calls, key=_when), unreadable)
+
+
+class _Span(NamedTuple):
+    """The time in which one instance had the request."""
+
+    instance: str
+    start: datetime
+    end: datetime
+
+    def holds(self, event: dict[str, Any]) -> bool:
+        moment = _moment(event)
+        if event.get('instance') != self.instance or moment is None:
+            return False
+        return self.start <= moment <= self.end
+
+
+def _spans(event: dict[str, Any]) -> Iterator[_Span]:
+    """Give where the sends of a request were, counted back from the line of its end."""
+    end = _moment(event)
+    attempts = event.get('attempts')
+    if end is None or not isinstance(attempts, list):
+        return
+    for attempt in reversed(attempts):
+        start = end - timedelta(seconds=float(attempt['seconds']))
+        yield _Span(str(attempt['instance']), start - CLOCKS_DIFFER, end + CLOCKS_DIFFER)
+        end = start
+
+
+def _when(event: dict[str, Any]) -> str:
+    return str(event.get('time', ''))
+
+
+def _moment(event: dict[str, Any]) -> datetime | None:
+    try:
+        return datetime.fromisoformat(_when(event))
+    except ValueError:
+        return None
 
 
 def _row(event: dict[str, Any]) -> list[str]:
@@ -81,7 +136,10 @@
         if not story.lines:
             what = f'no line names the request {request_id}; give the logs of all nodes'
             raise CommandError(ExitStatus.NOT_FOUND, what)
-        self.show(story.lines, table([HEADINGS, *map(_row, story.lines)]))
+        shown = table([HEADINGS, *map(_row, story.lines)])
+        if story.calls:
+            shown += ['', CALLS_HEADING, *table([HEADINGS, *map(_row, story.calls)])]
+        self.show({'lines': story.lines, 'calls': story.calls}, shown)
         return ExitStatus.OK
 
     def _lines(self) -> Iterator[str]:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -108,7 +108,7 @@
         self.assertIn('request sent again', result.output)
         self.assertIn('1 lines could not be read', result.error)
         story = run_cli('trace', resent, '--json', stdin=text).json
-        self.assertEqual('request answered', story[-1]['message'])
+        self.assertEqual('request answered', story['lines'][-1]['message'])
 
     def test_trace_without_a_match_says_so(self):
         result = run_cli('trace', 'r-none', stdin='{"message": "x", "request_id": "r-1"}\n')
