--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
 from dunlinsaddle.calls.client import Answered, HttpClient
 from dunlinsaddle.calls.decisions import DecisionLog
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
-from dunlinsaddle.calls.messages import Headers, Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.target import LocalTarget, PlainDialect, TargetDialect
 from dunlinsaddle.calls.work import Running, RunningCalls, Work
-from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.admission import (
     AdmissionPolicy,
     Load,
@@ -24,7 +24,6 @@
 from dunlinsaddle.policy.context import CallContext
 from dunlinsaddle.policy.level import TICK, ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
-from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Hop, Stats
 
 COME_BACK = 1.0
@@ -45,98 +44,6 @@
     return running.come_back_after
 
 
-class TargetDialect(Protocol):
-    """How a target is spoken to: what goes with a call, and what its answer says."""
-
-    def headers(self, work: Work, running: Running, seconds: float) -> Headers:
-        """Give the headers of a call that the target has ``seconds`` for."""
-
-    def belongs(self, work: Work, headers: Headers) -> bool:
-        """Say whether an answer with these headers is one to this call."""
-
-    def reply(self, response: HttpResponse) -> Reply:
-        """Tell what a whole answer says of the call."""
-
-
-class PlainDialect:
-    """The product's own way: a target passes a token on with the calls that it makes."""
-
-    def headers(self, work: Work, running: Running, seconds: float) -> Headers:
-        """Give the caller's headers, the time left, and the token."""
-        return [
-            *((n, v) for n, v in forwarded_headers(work.headers) if n != b'request-timeout'),
-            (b'request-timeout', f'{seconds:.3f}'.encode()),
-            (b'dunlinsaddle-call', running.token.encode()),
-            (b'dunlinsaddle-request', work.ctx.request_id.encode()),
-        ]
-
-    def belongs(self, work: Work, headers: Headers) -> bool:
-        """Take every answer: these targets do not name the request in them."""
-        return True
-
-    def reply(self, response: HttpResponse) -> Reply:
-        """Take a whole answer for the end of the work."""
-        headers = forwarded_headers(response.headers)
-        return Reply(0, response.status, headers, response.body, Outcome.DONE)
-
-
-class LocalTarget:
-    """The target beside this node, as it announced itself."""
-
-    def __init__(self) -> None:
-        self.on_start: Callable[[], None] = lambda: None
-        self.service = ''
-        self.address: Address | None = None
-        self.target_id = ''  #: names the incarnation, where targets say so
-        self.leaving = False  #: the node itself stops, whatever the target says
-        self._drains = False
-        self._refused = False
-
-    @property
-    def draining(self) -> bool:
-        """Whether nothing new may be given to it."""
-        return self._drains or self.leaving
-
-    @property
-    def refused(self) -> bool:
-        """Whether it took no connection when it was last tried."""
-        return self._refused
-
-    def announce(self, service: str, address: Address) -> None:
-        """Take an announcement; that of a new target ends the drain of the old one.
-
-        A target repeats its announcement while it drains, too: taken as new, it would be
-        given work again. It is a new one if it is elsewhere, or if its port was closed.
-        """
-        same = (service, address) == (self.service, self.address)
-        if same and not self._refused:
-            return
-        self.service = service
-        self.address = address
-        self._drains = self._refused = False
-        self.on_start()
-
-    def begin(self, service: str, address: Address, target_id: str) -> None:
-        """Take a new incarnation, which names itself: whatever was held of the old one is over."""
-        self.service = service
-        self.address = address
-        self.target_id = target_id
-        self._drains = self._refused = False
-        self.on_start()
-
-    def drain(self) -> None:
-        """Give it nothing new."""
-        self._drains = True
-
-    def note_refused(self) -> None:
-        """Note that it takes no connections."""
-        self._refused = True
-
-    def withdraw(self) -> None:
-        """Forget it: it has gone."""
-        self.service, self.address = '', None
-
-
 class Executor:
     """Gives calls to the local target, as many at once as admission allows."""
 
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -9,7 +9,6 @@
 import xxhash
 
 from dunlinsaddle.calls.dispatch import Dispatcher
-from dunlinsaddle.calls.execute import LocalTarget
 from dunlinsaddle.calls.http import (
     HttpRequest,
     HttpResponse,
@@ -19,6 +18,7 @@
     response_of,
 )
 from dunlinsaddle.calls.messages import Reply, refusal
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import Running, RunningCalls, Waits, Work, count_added
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.callers import ResendGuard
--- a/dunlinsaddle/mesh/announce.py
+++ b/dunlinsaddle/mesh/announce.py
@@ -7,8 +7,8 @@
 
 from result import Err, Ok
 
-from dunlinsaddle.calls.execute import LocalTarget
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.mesh.beats import Farewell, Heartbeat, TargetLog
 from dunlinsaddle.platform.heartbeats import acknowledgement, read_heartbeat, rejection
 from dunlinsaddle.policy.slots import SlotAdmission
--- a/dunlinsaddle/mesh/dialect.py
+++ b/dunlinsaddle/mesh/dialect.py
@@ -1,8 +1,8 @@
 """Speaks to the local target as the platform's targets expect it."""
 
-from dunlinsaddle.calls.execute import LocalTarget
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Headers, Reply
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import Running, Work
 from dunlinsaddle.platform.requests import answers, read_answer, target_headers
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -10,13 +10,14 @@
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
-from dunlinsaddle.calls.execute import Executor, LocalTarget
+from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.listener import HttpFace, HttpLimits
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import RunningCalls, Work, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.agent import GossipAgent
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -11,7 +11,7 @@
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.dispatch import Dispatcher
-from dunlinsaddle.calls.execute import Executor, LocalTarget
+from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.handover import hand_over, log_handed, take_over
@@ -21,6 +21,7 @@
 from dunlinsaddle.calls.messages import Call, Deaths, Reply
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import RunningCalls, count_added, work_of
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.membership.agent import GossipAgent
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,9 +3,10 @@
 
 from dunlinsaddle.calls.client import Answered, HttpClient
 from dunlinsaddle.calls.dispatch import Dispatcher
-from dunlinsaddle.calls.execute import Executor, LocalTarget
+from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import RunningCalls, Work
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import MemberView
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from dunlinsaddle.calls.execute import LocalTarget
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.settings import Address
 
 HERE = Address('127.0.0.1', 9000)
