The running loop is looked up once by each object on the way of a call

CPython 3.11 asks the kernel for the process id at each look-up of the running loop: 57,500 of 100,000 system calls in 3,000 calls (strace). Ruled out: log lines and timers (few). Change: OnLoop keeps the loop; tokens of running calls are counted, not drawn. Before: 19 getpid and one getrandom a call; after: none.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -16,6 +16,7 @@
     encode_request,
 )
 from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.settings import Address
 
 CONNECT_TIMEOUT = 1.0
@@ -225,7 +226,7 @@
     belongs: Belongs
 
 
-class HttpClient:
+class HttpClient(OnLoop):
     """Sends requests, each over a connection of its own, and keeps those that stay whole.
 
     ``open_ended`` accepts answers whose body ends with the connection, for servers that promise
@@ -253,7 +254,7 @@
         out once more, over a new connection; the first answer counts. ``belongs`` looks at an
         answer's headers: one that is to another request is passed over.
         """
-        deadline = asyncio.get_running_loop().time() + timeout
+        deadline = self.now() + timeout
         sending = _Sending(address, req, deadline, may_repeat, belongs)
         pool = self._pools.get(address)
         if pool is None:
@@ -264,7 +265,7 @@
         return await self._send_on(conn, sending, pool)
 
     async def _send_anew(self, sending: _Sending, pool: _Pool) -> Exchange:
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         address = sending.address
         try:
             async with asyncio.timeout_at(min(loop.time() + CONNECT_TIMEOUT, sending.deadline)):
@@ -315,7 +316,7 @@
 
     async def reaches(self, address: Address) -> bool:
         """Say whether a fresh connection can be opened."""
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 transport, _ = await loop.create_connection(
--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -6,7 +6,6 @@
 left out.
 """
 
-import asyncio
 import logging
 from collections import Counter
 from enum import StrEnum
@@ -14,6 +13,7 @@
 from dunlinsaddle.calls.messages import Reply
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.errors import Failure, Outcome
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.context import CallContext
 
@@ -48,7 +48,7 @@
 }
 
 
-class DecisionLog:
+class DecisionLog(OnLoop):
     """Writes decisions while their budget of the present second lasts, and counts the rest."""
 
     def __init__(self, logger: logging.Logger) -> None:
@@ -65,7 +65,7 @@
                 Event.ROUTED,
                 ctx,
                 version=version,
-                seconds_left=_rounded(ctx.deadline - _now()),
+                seconds_left=_rounded(ctx.deadline - self.now()),
                 priority=int(ctx.priority.rank),
                 inner=bool(ctx.hop),
             )
@@ -124,7 +124,7 @@
                 inflight=load.inflight,
                 waiting=load.waiting,
                 limit=load.limit,
-                seconds_left=_rounded(ctx.deadline - _now()),
+                seconds_left=_rounded(ctx.deadline - self.now()),
             )
 
     def ended(self, work: Work, reply: Reply, seconds: float, version: int) -> None:
@@ -151,7 +151,7 @@
             self._write(Event.CANCELLED, ctx, seconds=_rounded(seconds), inner=bool(ctx.hop))
 
     def _has_room(self, event: Event) -> bool:
-        second = int(_now())
+        second = int(self.now())
         if second != self._second:
             self._second = second
             self._tell_omitted()
@@ -175,9 +175,5 @@
         self.logger.log(level, event.value, extra={**head, **inputs})
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 def _rounded(seconds: float) -> float:
     return round(seconds, 4)
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -10,6 +10,7 @@
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import Attempt, Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.policy.context import CallContext
 from dunlinsaddle.policy.level import Heard
@@ -60,7 +61,7 @@
         return work.allowance.spend()
 
 
-class Dispatcher:
+class Dispatcher(OnLoop):
     """Chooses a target, hands the call over, and spends the retry allowance."""
 
     def __init__(
@@ -92,7 +93,7 @@
         ``parent_rule`` is the rule that the local target works on and makes this call for.
         """
         if parent_rule:
-            now = asyncio.get_running_loop().time()
+            now = self.now()
             self.executor.levels.called(now, parent_rule, work.ctx.service, work.ctx.rule)
         if self.once is not None and not work.ctx.idempotent:
             return await self._enter_once(self.once, work)
@@ -135,14 +136,14 @@
         may say of it that it was not run.
         """
         reply = await once.enter(work)
-        self._learn(asyncio.get_running_loop().time(), work, reply)
+        self._learn(self.now(), work, reply)
         self._after(work, reply)
         return reply
 
     def _early_refusal(self, ctx: CallContext) -> Failure | None:
         if not self.refuses_early:
             return None
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         levels, level = self.executor.levels, ctx.priority.level
         failure = levels.check(now, ctx.service, ctx.rule, level, ctx.hop)
         if failure is not None and self.executor.observes(ctx.service):
@@ -156,12 +157,12 @@
         known = self._choices.get(service)
         if known is None or known.serving is not serving:
             known = self._choices[service] = _choices(serving)
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         chosen = self.router.choose(now, known.candidates, frozenset(tried))
         return known.members[chosen.instance] if chosen else None
 
     async def _try(self, work: Work, member: Member) -> Reply:
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         handed = work.allowance.hand_down()
         if self.decisions is not None:
             known = len(self.view.serving(work.ctx.service))
@@ -184,7 +185,7 @@
         self, work: Work, member: Member, handed: int, exchange: Reply | NotSent | Lost
     ) -> Reply:
         """Learn from how a send ended, and give the reply that it amounts to."""
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         match exchange:
             case Reply():
                 self._heard(now, member, exchange)
@@ -202,7 +203,7 @@
     async def _hand_over(self, work: Work, member: Member, handed: int) -> Reply | NotSent | Lost:
         if member.instance == self.instance:
             return await self.executor.execute(work._replace(allowance=Allowance(handed)))
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         now = loop.time()
         exchange = await self.links.call(member.peers, call_of(work, now, handed))
         if work.waits is not None:
@@ -225,12 +226,12 @@
         """Carry on with the call what its last try taught."""
         if not reply.deaths:
             return work
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         deaths = self.quarantine.hear(now, work.ctx.fingerprint, reply.deaths)
         return work._replace(ctx=work.ctx._replace(deaths=deaths))
 
     def _nobody(self, ctx: CallContext) -> Reply:
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         self.executor.levels.unavailable(now, ctx.service, ctx.rule)
         detail = f'no target of {ctx.service} is known'
         return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_COME_BACK))
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -11,6 +11,7 @@
 from dunlinsaddle.calls.target import LocalTarget, PlainDialect, TargetDialect
 from dunlinsaddle.calls.work import Running, RunningCalls, Work
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.policy.admission import (
     AdmissionPolicy,
     Load,
@@ -44,7 +45,7 @@
     return running.come_back_after
 
 
-class Executor:
+class Executor(OnLoop):
     """Gives calls to the local target, as many at once as admission allows."""
 
     def __init__(
@@ -89,7 +90,7 @@
         if failure is not None:
             return self._refused(failure, work)
         ctx = work.ctx
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         self.quarantine.hear(now, ctx.fingerprint, ctx.deaths)
         match self.quarantine.standing(now, ctx.fingerprint):
             case Barred(failure) if self.observes(ctx.service):
@@ -102,7 +103,7 @@
 
     async def _run_alone(self, work: Work) -> Reply:
         """Run a suspect beside no other, so that a second death names the guilty one."""
-        left = work.ctx.deadline - asyncio.get_running_loop().time()
+        left = work.ctx.deadline - self.now()
         try:
             # Not wait_for: in 3.11 a time out that meets the lock would leave it taken for ever.
             async with asyncio.timeout(max(left, 0)):
@@ -118,7 +119,7 @@
         ticket = self._ticket(work.ctx)
         failure = await self._admit(ticket, work.ctx)
         if work.waits is not None:
-            work.waits.seconds += asyncio.get_running_loop().time() - ticket.arrived
+            work.waits.seconds += self.now() - ticket.arrived
         if failure is not None:
             return self._refused(failure, work)
         return await self._run(work, ticket)
@@ -133,7 +134,7 @@
 
     def _ticket(self, ctx: CallContext) -> Ticket:
         self._tickets += 1
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         now = loop.time()
         if not self._ticking:
             self._ticking = True
@@ -155,7 +156,7 @@
 
         Without calls there is nothing to decide, and an idle node is not woken.
         """
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         self.admission.load(loop.time())
         self._ticking = self._tickets != self._ticked
         self._ticked = self._tickets
@@ -163,7 +164,7 @@
             loop.call_later(TICK_SECONDS, self._tick)
 
     async def _admit(self, ticket: Ticket, ctx: CallContext) -> Failure | None:
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         verdict = self.admission.arrive(loop.time(), ticket)
         if self.observes(ctx.service):
             self._observe(ticket, verdict)
@@ -216,7 +217,7 @@
     def _leave(self, ticket: Ticket, fut: 'asyncio.Future[Failure | None]') -> None:
         """Take a cancelled call out, whether it still waits or was started this moment."""
         if fut.done() and not fut.cancelled() and fut.result() is None:
-            now = asyncio.get_running_loop().time()
+            now = self.now()
             self._finish(ticket, Sample(ticket.rule, 0.0, completed=False), now)
         else:
             self.admission.abandon(ticket)
@@ -238,7 +239,7 @@
             fut.set_result(failure)
 
     async def _run(self, work: Work, ticket: Ticket) -> Reply:
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         running = Running(work, loop.time(), partial(self._waits, ticket))
         self.running.add(running)
         completed = False
@@ -260,7 +261,7 @@
 
     def _load(self, ctx: CallContext) -> Load:
         """Report the worst level of this hop and those below, for the hops above to refuse by."""
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         load = self.admission.load(now)
         worst = self.levels.worst(now, ctx.rule, load.level)
         return load._replace(level=worst.level, age=worst.age)
@@ -284,7 +285,7 @@
         headers = self.dialect.headers(work, running, budget)
         req = HttpRequest(work.method, work.path, headers, work.body, '')
         again = partial(self._may_repeat, work) if work.ctx.idempotent else None
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         sent_at = loop.time()
         exchange = await self.client.send(
             address,
@@ -309,7 +310,7 @@
             case Lost(detail, kind):
                 reply = refusal(Failure(kind, detail))
                 if kind is ErrorKind.TARGET_LOST and not await self._target_lives():
-                    now = asyncio.get_running_loop().time()
+                    now = self.now()
                     reply.deaths = self.quarantine.died(now, work.ctx.fingerprint)
                     self.on_death(work.ctx.fingerprint, reply.deaths)
                 return reply
--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -34,6 +34,7 @@
     Welcome,
 )
 from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.settings import Address
 
 #: A link is used without further ado this long after the last sign of life, in seconds. One
@@ -156,7 +157,7 @@
             self.transport.abort()
 
 
-class PeerLinks:
+class PeerLinks(OnLoop):
     """Links to peers, dialled when first needed and shared by all calls to that peer."""
 
     def __init__(self, key: str, instance: str, limits: LinkLimits) -> None:
@@ -168,7 +169,7 @@
 
     async def call(self, address: Address, call: Call) -> Reply | NotSent | Lost:
         """Send a call and wait for its reply within the call's budget."""
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         deadline = loop.time() + call.budget
         try:
             link = self._links.get(address)
@@ -238,7 +239,7 @@
             return link
         task = self._dialling.get(address)
         if task is None:
-            task = asyncio.get_running_loop().create_task(self._dial(address))
+            task = self.loop.create_task(self._dial(address))
             self._dialling[address] = task
             task.add_done_callback(lambda done: self._dialled(address, done))
         return await asyncio.shield(task)
@@ -253,7 +254,7 @@
         self._links[address] = task.result()
 
     async def _dial(self, address: Address) -> _Dialling:
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         link: _Dialling | None = None
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT):
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -1,6 +1,7 @@
 """One call inside a node, and the calls that the local target is running."""
 
 import asyncio
+import itertools
 import secrets
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,6 +13,10 @@
 from dunlinsaddle.records.models import Rank
 from dunlinsaddle.stats import Stats
 
+#: Tokens are drawn once and counted on: a draw for each call would be a system call more.
+_FIRST = secrets.token_hex(8)
+_numbers = itertools.count()
+
 
 class Waits:
     """How long one call waited for a peer, a slot or the target, in seconds."""
@@ -108,7 +113,7 @@
         self, work: Work, now: float, on_wait: Callable[[float, bool], None] | None = None
     ) -> None:
         self.work = work
-        self.token = secrets.token_hex(8)
+        self.token = f'{_FIRST}{next(_numbers):x}'
         self.started = now
         self.children: set[asyncio.Task[object]] = set()
         self.come_back_after = 0.0  #: seconds, as a call that was refused below was told
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -14,6 +14,7 @@
 from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.calls.work import Waits, Work
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.mesh.resends import Attempts
 from dunlinsaddle.platform.requests import (
     CallerTerms,
@@ -32,7 +33,7 @@
 NO_CONFIGURATION_COME_BACK = 0.5  #: seconds; a fresh node mostly has one within a second
 
 
-class Entry:
+class Entry(OnLoop):
     """Any node is an entry: it finds the route, sets the terms, and sends the request on."""
 
     def __init__(
@@ -67,7 +68,7 @@
             host = req.header(b'host')
             self.decisions.unrouted(terms.request_id, host, req.path, version)
             return _refused(terms, ErrorKind.NO_ROUTE)
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         began = loop.time()
         work = self._work(req, terms, route, began)
         self.budget.sent(began, work.ctx.service)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -20,6 +20,7 @@
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import RunningCalls, Work, work_of
 from dunlinsaddle.environment import Environment
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.agent import GossipAgent
 from dunlinsaddle.membership.roster import Bootstrap, Roster
 from dunlinsaddle.membership.tuning import GossipTimes
@@ -73,7 +74,7 @@
     metrics: Address
 
 
-class MeshNode:
+class MeshNode(OnLoop):
     """The process beside one target of the platform."""
 
     def __init__(
@@ -208,7 +209,7 @@
 
     async def drain(self) -> None:
         """Take no new work at the target, let callers leave, and end what is in progress."""
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         kill_at = loop.time() + self.settings.bounds.grace - KILL_MARGIN
         self.leaving = True
         self.target.leaving = True
@@ -293,11 +294,11 @@
         await self.links.tell(address, frame)
 
     def _hear_deaths(self, frame: Deaths) -> None:
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         self.quarantine.hear(now, frame.fingerprint, frame.deaths)
 
     def _target_started(self) -> None:
-        self.admission.restarted(asyncio.get_running_loop().time())
+        self.admission.restarted(self.now())
 
     def _ended(self, work: Work, reply: Reply, took: float) -> None:
         rank = work.ctx.priority.rank.name.lower()
@@ -305,7 +306,7 @@
         self.stats.took(Hop.WHOLE, took)
 
     async def _serve_peer(self, call: Call) -> Reply:
-        return await self.executor.execute(work_of(call, asyncio.get_running_loop().time()))
+        return await self.executor.execute(work_of(call, self.now()))
 
     def _peer_fault(self, call: Call) -> None:
         self.stats.faults += 1
@@ -316,6 +317,6 @@
         self.logger.exception('fault while answering', extra={'path': req.path})
 
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coro)
+        task = self.loop.create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -1,10 +1,9 @@
 """Which requests go to a further target, and the budget that pays for it."""
 
-import asyncio
-
 from dunlinsaddle.calls.messages import Reply
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.errors import ErrorKind, Outcome
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.policy.retry import LOST_ON_THE_WAY, Allowance
 from dunlinsaddle.policy.retry_budget import RetryBudget
 
@@ -26,7 +25,7 @@
         return 0
 
 
-class BudgetResends:
+class BudgetResends(OnLoop):
     """Sends again what provably did not run, and what is idempotent and was lost.
 
     What a node refused before it reached a target costs nothing but the time. Everything else
@@ -49,7 +48,7 @@
 
     def spend(self, work: Work, reply: Reply) -> bool:
         """Pay for sending it; False when there is nothing left to pay with."""
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         if reply.outcome is Outcome.NOT_RUN and ErrorKind(reply.kind) in REFUSED_BY_NODE:
             assert isinstance(work.allowance, Attempts)
             work.allowance.refused += 1
