A target's call is known by its id, and takes the terms of the request it is made for

Cause: all requests on the platform come from the machine's own address, so that every one was taken for a call of running work: none was resent after a target's own 500, none queued behind calls. Change: an id that extends one which the local target runs now marks a call of that request: rank, deadline, repeated or not. The wait at the entry is reckoned with the slots that such calls leave.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -47,6 +47,9 @@
     def spend(self, work: Work, reply: Reply) -> bool:
         """Pay for sending it; False when there is nothing left to pay with."""
 
+    def repeated(self, work: Work, reply: Reply) -> Work:
+        """Give the call as it is sent once more."""
+
 
 class AllowanceResends:
     """The product's own way: an allowance that travels down the chain with the request."""
@@ -60,6 +63,10 @@
         """Take a token of the request's allowance."""
         return work.allowance.spend()
 
+    def repeated(self, work: Work, reply: Reply) -> Work:
+        """Send it as it was."""
+        return work
+
 
 class Dispatcher(OnLoop):
     """Chooses a target, hands the call over, and spends the retry allowance."""
@@ -115,6 +122,7 @@
                 break
             if last is not None:
                 self._note_resend(work, last, len(tried))
+                work = self.resends.repeated(work, last)
             tried.add(member.instance)
             last = await self._try(work, member)
             work = self._after(work, last)
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -73,6 +73,7 @@
     asked: Hops = 0  #: nodes that were asked before for who owns the key
     owned: bool = False  #: the key's owner has decided that the call may run
     useful: Seconds = MAX_BUDGET  #: seconds after which an answer is worth less
+    repeated: bool = False  #: it, or the request that it is made for, was sent before
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -72,6 +72,7 @@
         fingerprint=ctx.fingerprint,
         deaths=ctx.deaths,
         useful=min(max(ctx.useful_until - now, 0.0), MAX_BUDGET),
+        repeated=ctx.repeated,
     )
 
 
@@ -91,6 +92,7 @@
         fingerprint=call.fingerprint,
         deaths=call.deaths,
         useful_until=now + call.useful,
+        repeated=call.repeated,
     )
     allowance = Allowance(call.allowance)
     return Work(ctx, call.method, call.path, call.headers, call.body, allowance, Waits())
@@ -155,17 +157,22 @@
 
     def __init__(self) -> None:
         self._calls: dict[str, Running] = {}
+        self._by_request: dict[str, Running] = {}
         self._idle = asyncio.Event()
         self._idle.set()
 
     def add(self, running: Running) -> None:
         """Note a call that is about to be given to the target."""
         self._calls[running.token] = running
+        self._by_request[running.work.ctx.request_id] = running
         self._idle.clear()
 
     def end(self, running: Running) -> None:
         """Note its end; calls it still has out are cancelled, for nobody waits for them."""
         self._calls.pop(running.token, None)
+        request_id = running.work.ctx.request_id
+        if self._by_request.get(request_id) is running:
+            del self._by_request[request_id]
         for task in list(running.children):
             task.cancel()
         if not self._calls:
@@ -179,5 +186,17 @@
         """Give the call that a token belongs to."""
         return self._calls.get(token)
 
+    def parent_of(self, request_id: str) -> Running | None:
+        """Give the call that a request is made for, by its id; None if none is known.
+
+        Targets that pass no token derive the ids of their calls from the id that they work for:
+        a separator and a part of its own behind it. Only an id that extends one which the
+        local target is running now says so; every other request counts as one at the entry.
+        """
+        end = len(request_id)
+        while end and request_id[end - 1].isalnum():
+            end -= 1
+        return self._by_request.get(request_id[: end - 1]) if end > 1 else None
+
     def __len__(self) -> int:
         return len(self._calls)
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -12,7 +12,7 @@
 from dunlinsaddle.calls.faces import fingerprint
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Reply, refusal
-from dunlinsaddle.calls.work import Waits, Work
+from dunlinsaddle.calls.work import RunningCalls, Waits, Work
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.mesh.resends import Attempts
@@ -22,7 +22,7 @@
     read_terms,
     travelling_headers,
 )
-from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.context import MAX_HOPS, CallContext, Priority
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.records.models import Rank
 from dunlinsaddle.routes.follow import ConfigFollower
@@ -42,7 +42,7 @@
         dispatcher: Dispatcher,
         budget: RetryBudget,
         service: str,
-        own_hosts: frozenset[str],
+        running: RunningCalls,
         rng: Random,
         decisions: DecisionLog,
         on_end: Callable[[Work, Reply, float], None],
@@ -52,7 +52,7 @@
         self.dispatcher = dispatcher
         self.budget = budget
         self.service = service
-        self.own_hosts = own_hosts
+        self.running = running
         self.rng = rng
         self.on_end = on_end
 
@@ -71,7 +71,10 @@
         loop = self.loop
         began = loop.time()
         work = self._work(req, terms, route, began)
-        self.budget.sent(began, work.ctx.service)
+        if work.ctx.repeated:
+            self.budget.repeated(began, work.ctx.service)
+        else:
+            self.budget.sent(began, work.ctx.service)
         self.decisions.routed(work, version)
         try:
             reply = await self.dispatcher.dispatch(work)
@@ -87,8 +90,7 @@
         time_left = COMMON_TIME if terms.time_left is None else terms.time_left
         timeout = math.inf if route.timeout is None else route.timeout
         service = choose_service(route.shares, self.rng)
-        # The target beside the node sends its own calls from the same machine.
-        inner = req.remote in self.own_hosts
+        parent = self.running.parent_of(terms.request_id)
         ctx = CallContext(
             request_id=terms.request_id or str(uuid6.uuid7()),
             caller=req.remote,
@@ -97,16 +99,28 @@
             priority=Priority(Rank(min(route.priority, max(Rank))), 0),
             deadline=now + min(time_left, timeout),
             allowance=0,
-            hop=1 if inner else 0,
+            hop=0,
             idempotent=route.idempotent,
             key='',
             fingerprint=fingerprint(req, service),
             useful_until=math.inf if route.objective is None else now + route.objective,
         )
+        if parent is not None:
+            ctx = _on_behalf(ctx, parent.work.ctx)
         headers = travelling_headers(req, self.service)
         tokens = Attempts(route.attempts - 1)
         return Work(ctx, req.method, req.path, headers, req.body, tokens, Waits(), [])
 
 
+def _on_behalf(ctx: CallContext, root: CallContext) -> CallContext:
+    """Give a call of the local target the terms of the request that it is made for."""
+    return ctx._replace(
+        priority=min(ctx.priority, root.priority),
+        deadline=min(ctx.deadline, root.deadline),
+        hop=min(root.hop + 1, MAX_HOPS),
+        repeated=root.repeated,
+    )
+
+
 def _refused(terms: CallerTerms, kind: ErrorKind, retry_after: float = 0.0) -> HttpResponse:
     return caller_response(refusal(Failure(kind, '', retry_after)), terms.request_id)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -162,13 +162,12 @@
 
     def _build_faces(self) -> None:
         cfg = self.settings
-        own_hosts = frozenset({cfg.callers.host, '127.0.0.1'})
         self.entry = Entry(
             self.follower,
             self.dispatcher,
             self.budget,
             cfg.service,
-            own_hosts,
+            self.running,
             self._rng(),
             self.decisions,
             self._ended,
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -58,3 +58,9 @@
             and self.budget.spend(now, work.ctx.service)
             and (work.allowance.spend())
         )
+
+    def repeated(self, work: Work, reply: Reply) -> Work:
+        """Mark what may have run before: the calls that its next run makes are repeats, too."""
+        if reply.outcome is Outcome.NOT_RUN:
+            return work
+        return work._replace(ctx=work.ctx._replace(repeated=True))
--- a/dunlinsaddle/policy/retry_budget.py
+++ b/dunlinsaddle/policy/retry_budget.py
@@ -3,17 +3,17 @@
 from collections import deque
 
 BUCKETS = 10  #: parts of the window; a finer window would count more exactly and cost more
-#: Share of the ratio that one node spends itself. Calls that a repeated run makes count as
-#: repeats at the services below, and nothing tells a node which calls these are: a chain of
-#: four hops, each with a quarter of the ratio, stays inside it at its deepest service.
-OWN_SHARE = 0.25
+#: Share of the budget that is spent. The rest covers what a node cannot know: that other nodes'
+#: counts are of a slightly other window, and members that it has not heard of yet.
+OWN_SHARE = 0.6
 
 
 class RetryBudget:
     """Counts first sends and repeats for each service over a sliding window.
 
     Each node spends a share of the ratio of what it has sent itself, and its part of what is
-    allowed on top. So the sum over all nodes holds with no word between them.
+    allowed on top. So the sum over all nodes holds with no word between them. Calls that a
+    repeated run makes are repeats at the service below: they take from the same budget.
     """
 
     def __init__(self, ratio: float, extra: float, window: float) -> None:
@@ -27,6 +27,10 @@
         """Note the first send of a request."""
         self._of(service).add(now, sent=1, repeated=0)
 
+    def repeated(self, now: float, service: str) -> None:
+        """Note a call that a repeated run makes; it is not refused for it."""
+        self._of(service).add(now, sent=0, repeated=1)
+
     def spend(self, now: float, service: str) -> bool:
         """Take one repeat; False when the budget of the window is used up."""
         window = self._of(service)
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -1,5 +1,7 @@
 """Admission at a target that announces its slots: who runs, who waits, who is refused at once."""
 
+from math import exp
+
 from sortedcontainers import SortedKeyList
 
 from dunlinsaddle.errors import ErrorKind, Failure
@@ -26,6 +28,9 @@
 #: are short and come in bursts, and one that fails wastes all that was done before.
 KEPT_FREE = 0.1
 TIME_GAIN = 0.05  #: weight of one call in the mean service time; some twenty calls count
+#: Seconds over which the load of calls of running work is averaged: some thirty service times.
+LOAD_SECONDS = 1.0
+LEAST_LEFT = 0.1  #: share of the limit that calls at the entry are taken to have, at least
 SHORTEST_COME_BACK = 0.4  #: seconds; less would return before the queue has moved
 LONGEST_COME_BACK = 1.6  #: seconds; callers heed a third of a deadline of five seconds at most
 
@@ -42,9 +47,10 @@
         self.inflight = 0
         self.queue: SortedKeyList = SortedKeyList(key=_order)
         self._times: dict[str, float] = {}
-        self._mean = 0.0
+        self._entry = _Kind()
+        self._inner = _Kind()
         self._refusals = 0
-        self._inner_seen = False
+        self._counted_at = 0.0
 
     @property
     def limit(self) -> int:
@@ -58,22 +64,23 @@
     def restarted(self, now: float) -> None:
         """Forget the service times of the incarnation before."""
         self._times.clear()
-        self._mean = 0.0
+        self._entry.mean = self._inner.mean = 0.0
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
-        self._inner_seen = self._inner_seen or bool(ticket.hop)
+        self._count(now)
         if not self.queue and self._free(ticket):
-            self._start()
+            self._start(ticket)
             return Run()
         ahead = self.queue.bisect_left(ticket)
         if not self._in_time(now, ticket, ahead):
-            return self._refuse(now, ticket)
+            return self._refuse(ticket)
         self.queue.add(ticket)
+        self._of(ticket).waiting += 1
         late = self._late_behind(now, ahead)
         if late is not None:
             # It would be refused later anyway: its caller can use the time.
-            self.queue.discard(late)
+            self._take_out(late)
         return Wait(evicted=late)
 
     def _late_behind(self, now: float, place: int) -> Ticket | None:
@@ -86,10 +93,13 @@
 
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
+        self._count(now)
+        kind = self._of(ticket)
         self.inflight -= 1
+        kind.running -= 1
         if not sample.completed:
             return
-        self._mean = _averaged(self._mean, sample.own_time)
+        kind.mean = _averaged(kind.mean, sample.own_time)
         self._times[ticket.rule] = _averaged(self._times.get(ticket.rule, 0.0), sample.own_time)
 
     def leave(self, now: float, ticket: Ticket) -> None:
@@ -100,18 +110,20 @@
 
     def abandon(self, ticket: Ticket) -> None:
         """Take a waiting call out."""
-        self.queue.discard(ticket)
+        if ticket in self.queue:
+            self._take_out(ticket)
 
     def release(self, now: float) -> Released:
         """Say which waiting calls start now and which can no longer be answered in time."""
         started: list[Ticket] = []
         dropped: list[Ticket] = []
         while self.queue and self._free(self.queue[0]):
-            ticket = self.queue.pop(0)
+            ticket: Ticket = self.queue[0]
+            self._take_out(ticket)
             if now + self._time(ticket) > ticket.deadline:
                 dropped.append(ticket)
                 continue
-            self._start()
+            self._start(ticket)
             started.append(ticket)
         return Released(started, dropped)
 
@@ -119,31 +131,72 @@
         """Give the load to report."""
         return Load(self.inflight, len(self.queue), self.limit)
 
-    def _start(self) -> None:
+    def _of(self, ticket: Ticket) -> '_Kind':
+        return self._inner if ticket.hop else self._entry
+
+    def _start(self, ticket: Ticket) -> None:
         self.inflight += 1
+        self._of(ticket).running += 1
+
+    def _take_out(self, ticket: Ticket) -> None:
+        self.queue.remove(ticket)
+        self._of(ticket).waiting -= 1
+
+    def _count(self, now: float) -> None:
+        """Average over time how many slots calls of running work take."""
+        elapsed, self._counted_at = now - self._counted_at, now
+        weight = 1 - exp(-elapsed / LOAD_SECONDS)
+        self._inner.load += weight * (self._inner.running - self._inner.load)
 
     def _free(self, ticket: Ticket) -> bool:
         room = self.limit
-        if self._inner_seen and not ticket.hop:
+        if self._inner.mean and not ticket.hop:
             room = max(int(room * (1 - KEPT_FREE)), 1)
         return self.inflight < room
 
     def _time(self, ticket: Ticket) -> float:
-        return self._times.get(ticket.rule, self._mean)
+        return self._times.get(ticket.rule, self._of(ticket).mean)
+
+    def _wait(self, ticket: Ticket, ahead: int) -> float:
+        """Give the seconds until a call starts with so many ahead of it.
+
+        Calls of running work that come later go first, too: what is left of the slots for
+        calls at the entry is what the former have not taken lately.
+        """
+        inner, entry, limit = self._inner, self._entry, self.limit
+        # Of a kind that has not ended here yet, the other one's time is the best guess.
+        inner_mean = inner.mean or entry.mean
+        if ticket.hop:
+            return (ahead + 1) * inner_mean / limit
+        left = max(limit - inner.load, limit * LEAST_LEFT)
+        before = inner.waiting * inner_mean / limit
+        return before + (ahead - inner.waiting + 1) * (entry.mean or inner_mean) / left
 
     def _in_time(self, now: float, ticket: Ticket, ahead: int) -> bool:
         """Say whether a call would be answered while its answer is still worth something."""
-        wait = (ahead + 1) * self._mean / self.limit
-        return now + wait + self._time(ticket) <= min(ticket.deadline, ticket.useful_until)
+        answered = now + self._wait(ticket, ahead) + self._time(ticket)
+        return answered <= min(ticket.deadline, ticket.useful_until)
 
-    def _refuse(self, now: float, ticket: Ticket) -> Refuse:
+    def _refuse(self, ticket: Ticket) -> Refuse:
         self._refusals += 1
-        backlog = len(self.queue) * self._mean / self.limit
+        backlog = self._wait(ticket, len(self.queue))
         seconds = min(max(2 * backlog, SHORTEST_COME_BACK), LONGEST_COME_BACK)
         failure = Failure(ErrorKind.OVERLOADED, retry_after=spread(seconds, self._refusals))
         return Refuse(failure)
 
 
+class _Kind:
+    """Calls at the entry, or calls of running work: how many, and their mean service time."""
+
+    __slots__ = ('load', 'mean', 'running', 'waiting')
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.waiting = 0
+        self.load = 0.0  #: running, averaged over the last second
+        self.mean = 0.0  #: seconds
+
+
 def _order(ticket: Ticket) -> tuple[int, int, float, int]:
     """Order work in progress first, then by rank, then by arrival.
 
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -129,8 +129,6 @@
         cfg = MeshSettings(name, domain, 'r', *at[:6], at[6], service, Address(HOST, 9), BOUNDS)
         env = build_environment(rng=Random(self.rng.random()), wall_clock=paused_wall_clock)
         node = MeshNode(cfg, env, build_logger(), self.store)
-        # All nodes of the loop share one host: only marked requests are those of a target.
-        node.entry.own_hosts = frozenset()
         self.nodes[name] = node
         return node
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -306,3 +306,54 @@
         (version,) = families['dunlinsaddle_configuration_version'].samples
         self.assertEqual(7.0, version.value)
         self.assertIn('dunlinsaddle_members', families)
+
+
+class ParentTest(MeshTest):
+    def test_a_targets_call_takes_the_terms_of_the_request_it_is_made_for(self):
+        # The target derives the id of its call from the one it runs: the call goes before
+        # requests at the entry, with the rank of its root, and ends with its root's time.
+        async def scenario(mesh):
+            a, seen = mesh.targets['a'], {}
+
+            async def calling(req):
+                request_id = req.header(b'request-id')
+                await asyncio.sleep(0.3)
+                down = await mesh.call('a', '/deep/x', request_id=f'{request_id}.7f')
+                return a.signed(req, status=down.status)
+
+            execute = mesh.nodes['b'].executor.execute
+
+            async def watched(work):
+                seen[work.ctx.request_id] = work.ctx
+                return await execute(work)
+
+            mesh.nodes['b'].executor.execute = watched
+            a.script = calling
+            response = await mesh.call('a', '/front/x', request_id='root', priority='0')
+            alone = await mesh.call('a', '/deep/x', request_id='other.7f')
+            return response.status, alone.status, seen
+
+        first, alone, seen = self.mesh(scenario)
+        self.assertEqual((200, 200), (first, alone))
+        self.assertEqual((1, 0), (seen['root.7f'].hop, seen['other.7f'].hop))
+
+    def test_calls_of_a_repeated_run_count_as_repeats(self):
+        async def scenario(mesh):
+            a = mesh.targets['a']
+
+            async def calling(req):
+                request_id = req.header(b'request-id')
+                await mesh.call('a', '/deep/x', request_id=f'{request_id}.1')
+                return a.signed(req)
+
+            async def failing(req):
+                return a.signed(req, status=500)
+
+            a.script, mesh.targets['c'].script = calling, failing
+            for number in range(20):
+                await mesh.call('c', '/front/x', request_id=f'root{number}')
+            now = asyncio.get_running_loop().time()
+            return mesh.nodes['a'].budget._of('deep').repeated(now)
+
+        targets = ('a:front', 'b:deep', 'c:front')
+        self.assertGreater(self.mesh(scenario, targets=targets), 0)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -72,3 +72,35 @@
             for n in range(1, 9)
         }
         self.assertEqual(8, len(times))
+
+
+class WaitTest(TestCase):
+    def test_calls_of_running_work_lengthen_the_wait_at_the_entry(self):
+        # Calls of running work take most slots all the time. A request at the entry that the
+        # slots as a whole would serve in time waits for what these leave: told at once, its
+        # caller comes again; told after the wait, it has lost the time.
+        admission = SlotAdmission()
+        admission.announce(20)
+        number = 0
+        running = []
+        for step in range(300):
+            now = step * 0.01
+            while admission.inflight < 16:
+                number += 1
+                ticket = build_ticket(number, hop=1, deadline=now + 5, rule='inner')
+                self.assertIsInstance(admission.arrive(now, ticket), Run)
+                running.append(ticket)
+            for ticket in running[:5]:
+                admission.finish(now, ticket, Sample('inner', 0.03, True))
+            running = running[5:]
+        entry = build_ticket(9001, rule='view', deadline=99.0)
+        admission.arrive(3.0, entry)
+        admission.finish(3.0, entry, Sample('view', 0.5, True))
+        verdicts = [
+            admission.arrive(3.0, build_ticket(9100 + n, rule='view', arrived=3.0, deadline=4.5))
+            for n in range(30)
+        ]
+        waits = sum(isinstance(verdict, Wait) for verdict in verdicts)
+        # With 18 slots at 0.5 s the queue would hold 36 for the second that is left.
+        self.assertLess(waits, 18)
+        self.assertIsInstance(verdicts[-1], Refuse)
