What failed for a call of its own comes again later, and a target's failure is not hidden by a refusal

Ruled out: less budget (it held). Change: the node beside a target knows that a call of the run failed, and answers with a time to come back; such answers are not sent again. If no second target answers, the first one's failure goes to the caller.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -110,8 +110,12 @@
             early = refusal(failure)
             early.unspent = work.allowance.tokens
             return early
+        return await self._send_around(work)
+
+    async def _send_around(self, work: Work) -> Reply:
         tried: set[str] = set()
         last: Reply | None = None
+        answered: Reply | None = None
         may_have_run = False
         while True:
             member = self.choose(work.ctx.service, tried)
@@ -127,8 +131,14 @@
             last = await self._try(work, member)
             work = self._after(work, last)
             may_have_run = may_have_run or last.outcome is not Outcome.NOT_RUN
+            if not last.kind:
+                answered = last
             if not self._may_resend(work, last):
                 break
+        if last.kind and answered is not None:
+            # A target has answered, if only with a failure: that tells the caller more than
+            # why nobody else did.
+            last = answered
         last.unspent = work.allowance.tokens
         return _truthful(last) if may_have_run else last
 
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -9,6 +9,7 @@
 
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.execute import FIRST_ERROR_STATUS
 from dunlinsaddle.calls.faces import fingerprint
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Reply, refusal
@@ -30,6 +31,9 @@
 from dunlinsaddle.routes.table import choose_service
 
 COMMON_TIME = 10.0  #: seconds for a caller that names no time of its own
+#: Seconds after which a request comes again that failed for a call without a time of its own: an
+#: objective of the calls' services, within which their queues are served.
+FAILED_BELOW = 0.3
 NO_CONFIGURATION_COME_BACK = 0.5  #: seconds; a fresh node mostly has one within a second
 
 
@@ -81,6 +85,9 @@
         except asyncio.CancelledError:
             self.decisions.cancelled(work.ctx, loop.time() - began)
             raise
+        parent = self.running.parent_of(terms.request_id)
+        if parent is not None and (reply.kind or reply.status >= FIRST_ERROR_STATUS):
+            parent.come_back_after = max(parent.come_back_after, reply.retry_after, FAILED_BELOW)
         took = loop.time() - began
         self.decisions.ended(work, reply, took, version)
         self.on_end(work, reply, took)
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -38,9 +38,7 @@
     def allows(self, work: Work, reply: Reply) -> bool:
         """Say whether another target may be given a call that ended so."""
         if not reply.kind:
-            # A target that fails by itself mostly fails once; another one answers the caller.
-            # Only for requests at the entry: further down each repeat repeats all calls below.
-            return reply.status == FAILED and work.ctx.idempotent and not work.ctx.hop
+            return _failed_alone(reply) and work.ctx.idempotent and not work.ctx.hop
         kind = ErrorKind(reply.kind)
         if reply.outcome is Outcome.NOT_RUN:
             return kind in REFUSED_BY_NODE or kind is ErrorKind.TARGET_REFUSED
@@ -64,3 +62,12 @@
         if reply.outcome is Outcome.NOT_RUN:
             return work
         return work._replace(ctx=work.ctx._replace(repeated=True))
+
+
+def _failed_alone(reply: Reply) -> bool:
+    """Say whether a target failed by itself: mostly it fails once, and another one answers.
+
+    One that failed for a call of its own is told when to come back. Sent again at once, its
+    request would meet the same overload further down, and repeat all calls on the way there.
+    """
+    return reply.status == FAILED and reply.retry_after <= 0
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -357,3 +357,44 @@
 
         targets = ('a:front', 'b:deep', 'c:front')
         self.assertGreater(self.mesh(scenario, targets=targets), 0)
+
+    def test_a_request_that_failed_further_down_is_not_sent_again_at_once(self):
+        # A service further down is refused; the target above answers 500. The caller is told
+        # when to come back, and no second run adds to the overload.
+        async def scenario(mesh):
+            targets = {name: mesh.targets[name] for name in 'ac'}
+            mesh.targets['b'].state = 'draining'
+            await mesh.targets['b'].announce(mesh.client)
+
+            def calling(name):
+                async def script(req):
+                    request_id = f'{req.header(b"request-id")}.1'
+                    down = await mesh.call(name, '/deep/x', request_id=request_id)
+                    return targets[name].signed(req, status=200 if down.status == 200 else 500)
+
+                return script
+
+            for name, target in targets.items():
+                target.script = calling(name)
+            response = await mesh.call('b', '/front/x')
+            return response, sum(sum(target.runs.values()) for target in targets.values())
+
+        response, runs = self.mesh(scenario, targets=('a:front', 'b:deep', 'c:front'))
+        self.assertEqual((500, 1), (response.status, runs))
+        self.assertGreater(float(dict(response.headers)[b'retry-after']), 0)
+
+    def test_a_targets_failure_is_told_when_nobody_else_answers(self):
+        async def scenario(mesh):
+            b = mesh.targets['b']
+
+            async def failing(req):
+                return b.signed(req, status=500, body=b'its own words')
+
+            b.script = failing
+            mesh.targets['c'].state = 'draining'
+            await mesh.targets['c'].announce(mesh.client)
+            return [await mesh.call('a', '/deep/x') for _ in range(6)]
+
+        targets = ('a:front', 'b:deep', 'c:deep')
+        responses = self.mesh(scenario, targets=targets)
+        self.assertEqual({(500, b'its own words')}, {(r.status, r.body) for r in responses})
