--- a/dunlinsaddle/admin.py
+++ b/dunlinsaddle/admin.py
@@ -3,7 +3,7 @@
 import hmac
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
@@ -12,6 +12,7 @@
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response, json_response
 from dunlinsaddle.errors import ErrorKind, Failure, problem_of
 from dunlinsaddle.explain import Question
+from dunlinsaddle.operated import Operated
 from dunlinsaddle.platform.store import Unavailable
 from dunlinsaddle.queries import explain_request, known_targets, node_status
 from dunlinsaddle.records.changes import (
@@ -26,9 +27,6 @@
 from dunlinsaddle.records.history import RECORDS, read_audit, read_history
 from dunlinsaddle.records.schema import encode_record
 
-if TYPE_CHECKING:
-    from dunlinsaddle.node import Node
-
 MAX_CHANGE_BYTES = 65_536
 FACE_HEADER = (b'dunlinsaddle-face', b'operators')  #: tells this face from the other three
 
@@ -55,7 +53,7 @@
 class OperatorsFace:
     """Answers operators who hold the token."""
 
-    def __init__(self, node: 'Node', wall_clock: Callable[[], float] = time.time) -> None:
+    def __init__(self, node: Operated, wall_clock: Callable[[], float] = time.time) -> None:
         self.node = node
         self.wall_clock = wall_clock
 
--- a/dunlinsaddle/mesh/daemon.py
+++ b/dunlinsaddle/mesh/daemon.py
@@ -58,7 +58,7 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, node, path)
     faces = await node.start()
     addresses = {name: str(address) for name, address in faces._asdict().items()}
     spare_collector()
@@ -81,7 +81,7 @@
         now = _changed_at(path)
         if now != seen:
             seen = now
-            _reload(node, path)
+            reload_settings(node, path)
 
 
 def _changed_at(path: str) -> int:
@@ -92,11 +92,12 @@
         return 0
 
 
-def _reload(node: MeshNode, path: str) -> None:
+def reload_settings(node: MeshNode, path: str) -> None:
+    """Take up a changed settings file; one that cannot be used changes nothing."""
     match load(path):
         case Err(error):
             # The settings in force stay: a file that is being written is cut short for a moment.
             node.logger.error('settings unusable', extra={'why': str(error)})
         case Ok(settings):
-            node.settings = node.settings._replace(bounds=settings.bounds)
+            node.take_bounds(settings.bounds)
             node.logger.info('settings reloaded')
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -30,7 +30,7 @@
 from dunlinsaddle.mesh.entry import Entry
 from dunlinsaddle.mesh.metrics import MeshMetrics
 from dunlinsaddle.mesh.resends import BudgetResends
-from dunlinsaddle.mesh.settings import MeshSettings
+from dunlinsaddle.mesh.settings import Bounds, MeshSettings
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
@@ -272,16 +272,17 @@
         self.agent.announce(self.me())
 
     def _member_changed(self, before: Member | None, member: Member) -> None:
-        self.budget_nodes_changed()
+        # The dead count as well while they are held: too many nodes is the safe side.
+        self.budget.nodes = max(sum(1 for _ in self.view.members()), 1)
         if before is not None and before.state is member.state:
             return
         extra = {'member': member.instance, 'state': member.state.name.lower()}
         self.logger.info('member changed', extra={**extra, 'service': member.service})
 
-    def budget_nodes_changed(self) -> None:
-        """Share the retry budget among all nodes heard of, the dead too while they are held."""
-        if hasattr(self, 'budget'):
-            self.budget.nodes = max(sum(1 for _ in self.view.members()), 1)
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Take what the settings say now of the deployment's promises."""
+        self.settings = self.settings._replace(bounds=bounds)
+        self.budget.take(bounds.retry_ratio, bounds.retry_extra)
 
     def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
         extra = {'fingerprint': f'{fingerprint:016x}', 'deaths': deaths}
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -6,7 +6,7 @@
 import secrets
 from functools import partial
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
@@ -32,6 +32,7 @@
 from dunlinsaddle.once.keeper import RangeKeeper, SteadyClock
 from dunlinsaddle.once.local import LocalRanges, Served
 from dunlinsaddle.once.place import host_of
+from dunlinsaddle.operated import Faces
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Admission
@@ -52,16 +53,6 @@
 PLATFORM_BODY_BYTES = 1 << 26
 
 
-class Faces(NamedTuple):
-    """The addresses that a node listens on."""
-
-    callers: Address
-    local: Address
-    peers: Address
-    operators: Address
-    gossip: Address
-
-
 class Node:
     """The process beside one target."""
 
--- /dev/null
+++ b/dunlinsaddle/operated.py
@@ -0,0 +1,46 @@
+"""What operators may ask of a node: the parts that their face and its queries look at."""
+
+import logging
+from typing import NamedTuple, Protocol
+
+from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.execute import Executor
+from dunlinsaddle.calls.once import OnceGate
+from dunlinsaddle.calls.target import LocalTarget
+from dunlinsaddle.membership.view import MemberView
+from dunlinsaddle.metrics import Metrics
+from dunlinsaddle.platform.store import ObjectStore
+from dunlinsaddle.policy.admission import Admission
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.sync import RecordSync
+from dunlinsaddle.settings import Address, Settings
+from dunlinsaddle.stats import Stats
+
+
+class Faces(NamedTuple):
+    """The addresses that a node listens on."""
+
+    callers: Address
+    local: Address
+    peers: Address
+    operators: Address
+    gossip: Address
+
+
+class Operated(Protocol):
+    """A node as its operators' face sees it."""
+
+    settings: Settings
+    logger: logging.Logger
+    faces: Faces
+    store: ObjectStore
+    book: RecordBook
+    sync: RecordSync
+    view: MemberView
+    target: LocalTarget
+    admission: Admission
+    executor: Executor
+    dispatcher: Dispatcher
+    once: OnceGate
+    instruments: Metrics
+    stats: Stats
--- a/dunlinsaddle/policy/retry_budget.py
+++ b/dunlinsaddle/policy/retry_budget.py
@@ -17,12 +17,16 @@
     """
 
     def __init__(self, ratio: float, extra: float, window: float) -> None:
-        self.ratio = ratio * OWN_SHARE
-        self.extra = extra * OWN_SHARE
+        self.take(ratio, extra)
         self.window = window
         self.nodes = 1  #: that share the budget; more than there are is on the safe side
         self._services: dict[str, _Window] = {}
 
+    def take(self, ratio: float, extra: float) -> None:
+        """Take other bounds; what was counted stays."""
+        self.ratio = ratio * OWN_SHARE
+        self.extra = extra * OWN_SHARE
+
     def sent(self, now: float, service: str) -> None:
         """Note the first send of a request."""
         self._of(service).add(now, sent=1, repeated=0)
--- a/dunlinsaddle/queries.py
+++ b/dunlinsaddle/queries.py
@@ -1,17 +1,15 @@
 """What operators may ask of a node; nothing here changes it."""
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from dunlinsaddle.explain import Explanation, Question, explain
 from dunlinsaddle.membership.roster import entry_of
+from dunlinsaddle.operated import Operated
 from dunlinsaddle.policy.classify import classify
 
-if TYPE_CHECKING:
-    from dunlinsaddle.node import Node
 
-
-def node_status(node: 'Node') -> dict[str, Any]:
+def node_status(node: Operated) -> dict[str, Any]:
     """Give what an operator wants to know of a node first."""
     load = node.admission.load(asyncio.get_running_loop().time())
     return {
@@ -29,7 +27,7 @@
     }
 
 
-def known_targets(node: 'Node') -> list[dict[str, Any]]:
+def known_targets(node: Operated) -> list[dict[str, Any]]:
     """Give all instances that a node knows of."""
     return [
         {**entry_of(m), 'state': m.state.name.lower()}
@@ -37,7 +35,7 @@
     ]
 
 
-def explain_request(node: 'Node', question: Question) -> Explanation | None:
+def explain_request(node: Operated, question: Question) -> Explanation | None:
     """Explain what would happen to a request at a node; None without a record."""
     record = node.book.find(question['service'])
     if record is None:
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -9,7 +9,8 @@
 
 from dunlinsaddle.cli.core import program
 from dunlinsaddle.membership.roster import ROSTERS
-from dunlinsaddle.node import Faces, Node
+from dunlinsaddle.node import Node
+from dunlinsaddle.operated import Faces
 from tests.builders import OPERATOR_TOKEN, build_environment, build_logger, build_settings
 from tests.fakes.store import FakeStore
 
