--- a/dunlinsaddle/cli/queries/trace.py
+++ b/dunlinsaddle/cli/queries/trace.py
@@ -13,8 +13,8 @@
 from dunlinsaddle.status import ExitStatus
 
 HEADINGS = ['TIME', 'INSTANCE', 'DECISION', 'INPUTS']
-#: Fields that have a column of their own, or are the same in every line of one request.
-_SHOWN = frozenset({'time', 'instance', 'message', 'level', 'domain', 'request_id'})
+#: Fields that have a column of their own, or say nothing of the request.
+_SHOWN = frozenset({'time', 'instance', 'message', 'level', 'domain'})
 STDIN = '-'
 _UNSERVED = frozenset({Event.FAILED.value, Event.CANCELLED.value})
 CLOCKS_DIFFER = timedelta(milliseconds=50)  #: usual between machines that set theirs by NTP
@@ -24,8 +24,9 @@
 class Story(NamedTuple):
     """The lines on one request in order of time, and how many lines could not be read.
 
-    ``calls`` are calls of targets that failed while one of them ran the request. Targets do not
-    say for which request a call is, so these are what it may have failed of, not a proof.
+    A call that a target makes for the request is known by its id, which extends the request's.
+    ``calls`` are other calls of targets that failed while one of them ran the request: where
+    targets give their calls ids of another kind, it may have failed of these.
     """
 
     lines: list[dict[str, Any]]
@@ -52,7 +53,7 @@
             continue
         if not isinstance(event, dict):
             unreadable += 1
-        elif event.get('request_id') == request_id:
+        elif _belongs(str(event.get('request_id', '')), request_id):
             found.append(event)
         elif event.get('inner') and event.get('message') in _UNSERVED:
             failed.append(event)
@@ -62,6 +63,18 @@
     return Story(found, sorted(calls, key=_when), unreadable)
 
 
+def _belongs(found: str, request_id: str) -> bool:
+    """Say whether an id is that of the request, or of a call made for it.
+
+    >>> [_belongs(found, 'a1') for found in ('a1', 'a1.7f', 'a17f', 'b1')]
+    [True, True, False, False]
+    """
+    if not found.startswith(request_id):
+        return False
+    rest = found[len(request_id) :]
+    return not rest or not rest[0].isalnum()
+
+
 class _Span(NamedTuple):
     """The time in which one instance had the request."""
 
