--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.deaths import DeathNews
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
@@ -15,7 +16,7 @@
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.listener import HttpFace, HttpLimits
-from dunlinsaddle.calls.messages import Call, Deaths, Reply
+from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.calls.work import RunningCalls, Work, work_of
@@ -130,7 +131,8 @@
         self.follower.peers = self._others
         self.follower.on_change = self._configured
         self.peer_server.on_records = self.follower.answer
-        self.peer_server.on_deaths = self._hear_deaths
+        self.deaths = DeathNews(self.links, self.quarantine, self._others, self.logger)
+        self.peer_server.on_deaths = self.deaths.hear
 
     def _build_calls(self) -> None:
         cfg = self.settings
@@ -142,7 +144,7 @@
             self.running,
             self.stats,
             self.quarantine,
-            on_death=self._tell_deaths,
+            on_death=self.deaths.tell,
             dialect=MeshDialect(self.target),
         )
         self.target.on_start = self._target_started
@@ -237,6 +239,7 @@
             face.close()
         self.metrics.close()
         self.agent.leave()
+        self.deaths.close()
         self.peer_server.close()
         self.links.close()
         self.client.close()
@@ -288,19 +291,6 @@
         self.settings = self.settings._replace(bounds=bounds)
         self.budget.take(bounds.retry_ratio, bounds.retry_extra)
 
-    def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
-        extra = {'fingerprint': f'{fingerprint:016x}', 'deaths': deaths}
-        self.logger.warning('target died while it ran a request', extra=extra)
-        for member in self._others():
-            self._spawn(self._tell(member.peers, Deaths(fingerprint, deaths)))
-
-    async def _tell(self, address: Address, frame: Deaths) -> None:
-        await self.links.tell(address, frame)
-
-    def _hear_deaths(self, frame: Deaths) -> None:
-        now = self.now()
-        self.quarantine.hear(now, frame.fingerprint, frame.deaths)
-
     def _target_started(self) -> None:
         self.admission.restarted(self.now())
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -10,6 +10,7 @@
 
 from dunlinsaddle.admin import OperatorsFace
 from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.deaths import DeathNews
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
@@ -18,7 +19,7 @@
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.listener import HttpFace, HttpLimits
-from dunlinsaddle.calls.messages import Call, Deaths, Reply
+from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.target import LocalTarget
@@ -43,7 +44,7 @@
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.models import Mode
 from dunlinsaddle.records.sync import RecordSync
-from dunlinsaddle.settings import Address, Settings
+from dunlinsaddle.settings import Settings
 from dunlinsaddle.stats import Stats
 
 KEY_WINDOW = 900.0
@@ -76,6 +77,7 @@
         self.links = PeerLinks(settings.peer_key, settings.instance, link_limits)
         self.admission = Admission()
         self.quarantine = Quarantine()
+        self.deaths = DeathNews(self.links, self.quarantine, self._warned_of_deaths, logger)
         self.executor = Executor(
             self.target,
             self.admission,
@@ -84,7 +86,7 @@
             self.stats,
             self.quarantine,
             self._observes,
-            self._tell_deaths,
+            self.deaths.tell,
         )
         self.target.on_start = self._target_started
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
@@ -152,7 +154,7 @@
         rng = Random(self.env.rng.random())
         sync = RecordSync(self.book, self.store, self.view, self.links, self.me, rng, self.logger)
         self.peer_server.on_records = sync.take
-        self.peer_server.on_deaths = self._hear_deaths
+        self.peer_server.on_deaths = self.deaths.hear
         self.peer_server.on_keys = partial(take_over, self.once.tables)
         return sync
 
@@ -245,6 +247,7 @@
             face.close()
         self.agent.leave()
         self.keeper.close()
+        self.deaths.close()
         self.peer_server.close()
         self.links.close()
         self.instruments.close()
@@ -277,25 +280,10 @@
         record = self.book.find(service)
         return record is not None and record.mode is Mode.OBSERVE
 
-    def _tell_deaths(self, fingerprint: int, deaths: int) -> None:
-        """Warn the nodes whose targets the same request could reach next.
-
-        Its caller sends it again at once, by any entry: only the nodes beside the other
-        targets of this service stand between the request and a further death.
-        """
-        extra = {'fingerprint': f'{fingerprint:016x}', 'deaths': deaths}
-        self.logger.warning('target died while it ran a request', extra=extra)
-        frame = Deaths(fingerprint, deaths)
-        for member in self.view.serving(self.target.service):
-            if member.instance != self.settings.instance:
-                self._spawn(self._tell(member.peers, frame))
-
-    async def _tell(self, address: Address, frame: Deaths) -> None:
-        await self.links.tell(address, frame)
-
-    def _hear_deaths(self, frame: Deaths) -> None:
-        now = asyncio.get_running_loop().time()
-        self.quarantine.hear(now, frame.fingerprint, frame.deaths)
+    def _warned_of_deaths(self) -> list[Member]:
+        """Give the nodes beside the other targets of this service."""
+        serving = self.view.serving(self.target.service)
+        return [m for m in serving if m.instance != self.settings.instance]
 
     def _target_started(self) -> None:
         extra = {'service': self.target.service, 'address': str(self.target.address)}
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -80,7 +80,7 @@
 class SilentStore(FakeStore):
     """Never answers a watch that came while it was silent."""
 
-    silent_until = 0.0
+    silent_until = 0.5  #: of the paused clock, which starts at 0
 
     async def watch(self, kind, since, timeout, grace=WATCH_GRACE):
         if asyncio.get_running_loop().time() < self.silent_until:
@@ -90,9 +90,10 @@
 
 
 class FollowTest(PausedClockTest):
-    def follow(self, scenario):
+    def follow(self, scenario, store=None):
+        store = store or FakeStore()
+
         async def run():
-            store = FakeStore()
             logger = build_logger('follow')
             follower = ConfigFollower(
                 store, 'config', 'main', read_configuration, Random(1), logger
@@ -138,20 +139,7 @@
             await asyncio.sleep(2.5)
             return follower.version
 
-        async def run():
-            store = SilentStore()
-            store.silent_until = asyncio.get_running_loop().time() + 0.5
-            logger = build_logger('silent')
-            follower = ConfigFollower(
-                store, 'config', 'main', read_configuration, Random(1), logger
-            )
-            task = asyncio.create_task(follower.run())
-            try:
-                return await scenario(store, follower)
-            finally:
-                task.cancel()
-
-        self.assertEqual(4, self.run_paused(run()))
+        self.assertEqual(4, self.follow(scenario, SilentStore()))
 
     def test_a_change_made_in_an_outage_is_in_force_within_two_seconds_of_its_end(self):
         # The store is down for long; a change is made just as it returns. The node must not
