--- a/dunlinsaddle/calls/wire.py
+++ b/dunlinsaddle/calls/wire.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 on the wire: reads whole messages from bytes, and writes messages as bytes.
 
-The one place that knows the parser. A call crosses four ends of HTTP in two nodes, and with
-``h11`` they took two thirds of its processor time (0.75 ms a call; 0.33 ms with ``httptools``),
-more than the busiest nodes of the larger fleets have.
+The one place that knows the parser. A call crosses four ends of HTTP on its way through two
+nodes. With ``h11`` it took 1,434 us of processor time on loopback, the caller's and the target's
+ends included, and with ``httptools`` 456 us: busy fleets had no processor time for the former.
 """
 
 from typing import NamedTuple
@@ -24,6 +24,10 @@
     """A head is larger than allowed."""
 
 
+class BodyTooLarge(Malformed):
+    """A body is larger than allowed."""
+
+
 class RequestMessage(NamedTuple):
     """A whole request as it was read. Header names are in lower case."""
 
@@ -95,10 +99,6 @@
         return chunks[0] if len(chunks) == 1 else b''.join(chunks)
 
 
-class BodyTooLarge(Malformed):
-    """A body is larger than allowed."""
-
-
 class RequestReader(_Reader):
     """Reads requests, several in one piece of bytes if they come so."""
 
