--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -18,6 +18,7 @@
 from tests.clock import PausedClockTest
 
 ADDRESS = Address('127.0.0.1', 9)
+CALLER = '::1'  #: as connections in memory name the other end
 
 
 class StoreClientTest(PausedClockTest):
@@ -119,6 +120,68 @@
 
         self.assertEqual((2, True, 2.0), self.with_platform(scenario))
 
+    def test_a_listing_of_many_pages_is_read_whole(self):
+        async def scenario(store, platform):
+            for number in range(23):
+                await store.put('records', f'r{number:02}', number, 0)
+            platform.faults = {'page': 5}
+            return (await store.list('records')).unwrap()
+
+        listing = self.with_platform(scenario)
+        self.assertEqual(list(range(23)), [held.value for held in listing.objects])
+
+    def test_a_watch_whose_history_is_gone_reads_all_anew(self):
+        # The platform has dropped its history while the node was away: what changed meanwhile
+        # must come all the same, once.
+        async def scenario(store, platform):
+            since = (await store.put('records', 'a', 1, 0)).unwrap().version
+            await store.put('records', 'b', 2, 0)
+            platform.forget_history()
+            return (await store.watch('records', since - 1, 3)).unwrap()
+
+        self.assertEqual([1, 2], [held.value for held in self.with_platform(scenario).objects])
+
+    def test_a_refusal_says_that_nothing_was_done(self):
+        # 503, 429, and a platform that turns this node alone away: all are answers at once.
+        async def scenario(store, platform):
+            results = []
+            for faults in ({'busy': True}, {'over_rate': True}, {'refused_hosts': [CALLER]}):
+                platform.faults = faults
+                results.append(await store.put('records', 'a', 1, 0))
+                results.append(await store.list('records'))
+            platform.faults = {}
+            return results, (await store.get('records', 'a')).unwrap(), store.failures
+
+        results, held, failures = self.with_platform(scenario)
+        self.assertTrue(all(isinstance(r.unwrap_err(), Unavailable) for r in results))
+        self.assertIsNone(held)
+        self.assertEqual({'503': 4, '429': 2}, dict(failures))
+
+    def test_a_write_that_is_done_late_is_told_as_unknown_and_loses_to_a_newer_one(self):
+        # The first write gets no answer and is done seconds later. By then another one has
+        # made the object: its condition does not hold any more.
+        async def scenario(store, platform):
+            platform.faults = {'act_late': 9.0}
+            first = await store.put('records', 'a', 'late', 0)
+            platform.faults = {}
+            second = await store.put('records', 'a', 'in time', 0)
+            await asyncio.sleep(10)
+            return first, second, (await store.get('records', 'a')).unwrap()
+
+        first, second, held = self.with_platform(scenario)
+        self.assertIsInstance(first.unwrap_err(), Unavailable)
+        self.assertTrue(second.is_ok())
+        self.assertEqual('in time', held.value)
+
+    def test_an_object_that_another_writer_spoiled_hides_no_other(self):
+        async def scenario(store, platform):
+            await store.put('records', 'a', 1, 0)
+            platform.objects['records', 'b'] = {'metadata': 7}
+            await store.put('records', 'c', 3, 0)
+            return (await store.list('records')).unwrap()
+
+        self.assertEqual([1, 3], [held.value for held in self.with_platform(scenario).objects])
+
     def test_garbage_counts_as_no_answer(self):
         # A proxy on the way answers with its own page, a body is cut short, types are wrong:
         # none of it may be taken for a listing, for "there is none" or for a conflict.
