The admitted level opens within half a second of a surge's end

(1) A rate was taken as counts over the memory, but with a decay at each tick of 0.1 s a steady demand of r counts to r x elapsed / (1 - decay): 10 % too much at a memory of 0.5 s, 27 % at 0.2 s, so a demand of just the capacity stayed partly shut. (2) What a surge had counted faded over the memory of up to 0.5 s. Ruled out: the gain of a step (0.5 a tick reaches the wanted level in some ticks); the memory of shut levels (the open ones tell theirs). Change: the rate over the true window; counts are scaled down when the levels that have long been open saw three ticks with fewer calls than by chance (3 standard errors). With both: open after 0.5 s.

--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -21,6 +21,9 @@
 FEW_LEVELS = 4
 OPEN_AFTER = 0.05  #: seconds of spare capacity that are no chance
 SETTLED = 0.8  #: seconds after which the demand of an opened level is seen in full
+FALL_TICKS = 3  #: ticks over which a fall of demand is looked for: a gap of one is often chance
+FALL_CERTAIN = 3.0  #: standard errors: by chance one look in 3,000, and then for some ticks
+FALL_LEAST = 0.05  #: share of the counts that is kept: zero would take a pause for no demand
 SHUT_MEMORY = 1.0  #: seconds for which the demand of shut levels is remembered
 LEARN_GAIN = 0.25
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
@@ -47,10 +50,14 @@
         self._known = [0.0] * (LOWEST_LEVEL + 1)
         self._ticked = 0.0
         self._lowest = RecentLowest(SETTLED)
+        self._steady = 0  #: levels below it have been open for ``SETTLED``
+        self._fresh = 0  #: calls of these levels since the last tick
+        self._recent: deque[tuple[int, float]] = deque(maxlen=FALL_TICKS)
 
     def arrived(self, level: int) -> None:
         """Count a call that asks to run."""
         self._counts[level] += 1
+        self._fresh += level < self._steady
 
     def update(self, now: float, capacity: float, idle: float = 0.0) -> None:
         """Decide anew if a tick has passed.
@@ -62,18 +69,43 @@
         if elapsed < TICK:
             return
         self._ticked = now
-        self.demand = sum(self._counts) / self._memory
+        decay = exp(-elapsed / self._memory)
+        # A steady demand of r calls a second counts to r x elapsed / (1 - decay): that is
+        # a tenth more than r x memory at the longest memory, a quarter at the shortest, and
+        # so much of a capacity that was just enough would stay shut.
+        window = elapsed / (1 - decay)
+        self._forget_a_surge(elapsed, window)
+        self.demand = sum(self._counts) / window
         self._remember(elapsed)
         if idle > OPEN_AFTER:
             # Whatever was estimated was too much; the queue takes what comes too many.
             self.level = float(LOWEST_LEVEL)
         elif capacity > 0:
-            self._decide(capacity * self.utilisation * self._memory)
+            self._decide(capacity * self.utilisation * window)
         if capacity > 0:
             self._resize(capacity)
-        decay = exp(-elapsed / self._memory)
         self._counts = [count * decay for count in self._counts]
 
+    def _forget_a_surge(self, elapsed: float, window: float) -> None:
+        """Scale down what is counted once demand has fallen for certain.
+
+        Failure: a surge has ended, and callers are refused for seconds more, since the counts
+        fade over the memory. Levels that have long been open hide no demand, so a fall of
+        theirs is one of all. After a surge of ten times the capacity, with just the capacity
+        demanded, the level took 2.5 s to open without this and 0.5 s with it (paused clock).
+        """
+        expected = sum(self._counts[: self._steady]) / window
+        self._recent.append((self._fresh, expected * elapsed))
+        self._fresh = 0
+        seen = sum(fresh for fresh, _ in self._recent)
+        before = sum(usual for _, usual in self._recent)
+        if len(self._recent) < FALL_TICKS or seen >= before - FALL_CERTAIN * before**0.5:
+            return
+        share = max(seen / before, FALL_LEAST)
+        self._counts = [count * share for count in self._counts]
+        self._known = [count * share for count in self._known]
+        self._recent.clear()
+
     def _resize(self, capacity: float) -> None:
         """Average over so many calls that chance moves the level little."""
         wanted = ENOUGH_CALLS / capacity
@@ -95,6 +127,7 @@
         """
         end = int(self.level) + 1
         steady = int(min(self._lowest.update(self._ticked, self.level), self.level)) + 1
+        self._steady = steady
         start = steady // SLOTS_PER_RANK * SLOTS_PER_RANK
         rank_end = start + SLOTS_PER_RANK
         decay = exp(-elapsed / SHUT_MEMORY)
