--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -17,8 +17,8 @@
 LONGEST_QUEUE = 0.5  #: calls that wait for each that runs, at recovery_bias 0
 SHORTEST_QUEUE = 0.1  #: the same at recovery_bias 1
 CRITICAL_QUEUE = 8  #: calls of the most valued rank that may wait, however low the limit
-HIGHEST_USE = 1.05  #: demand admitted as a share of capacity, at recovery_bias 0
-LOWEST_USE = 1.0  #: the same at recovery_bias 1
+HIGHEST_USE = 0.95  #: demand admitted as a share of capacity, at recovery_bias 0
+LOWEST_USE = 0.9  #: the same at recovery_bias 1
 DEEP_QUEUE = 1.0  #: calls that wait for each that runs, when work has been done for them
 TIME_GAIN = 0.1
 
