A fresh node is ready once it knows where targets are

Ruled out: the store (it answered both reads), the dispatcher (the view was empty). Change: readiness waits until another member is known, or until all that are listed have had a pass to answer. Test: fails before (503), holds after; a list of the dead holds nobody up.

--- a/dunlinsaddle/membership/roster.py
+++ b/dunlinsaddle/membership/roster.py
@@ -127,6 +127,17 @@
         self.gossip = gossip
         self.rng = rng
         self._contacted: set[Member] = set()
+        self._asked_all = False
+
+    @property
+    def settled(self) -> bool:
+        """Whether others are known, or all that are listed have had the time to answer.
+
+        Failure: a restarted node says that it is ready, and refuses what comes at once, for it
+        knows of no target yet: those listed are a ping away. A list of the dead holds it up for
+        one more pass.
+        """
+        return self._asked_all or not self._alone()
 
     async def run(self) -> None:
         """Pass until cancelled, soon at first and seldom later."""
@@ -155,6 +166,7 @@
         if rosters is None:
             return False
         if not self._contact(rosters):
+            self._asked_all = True
             await self._mend(rosters)
         return True
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -105,6 +105,7 @@
         self._build_calls()
         self._build_faces()
         self.faces: Faces
+        self.bootstrap: Bootstrap
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _rng(self) -> Random:
@@ -203,9 +204,9 @@
         )
         self.agent.start(self.me())
         roster = Roster(self.store, cfg.domain)
-        bootstrap = Bootstrap(roster, self.agent.gossip, self._rng())
+        self.bootstrap = Bootstrap(roster, self.agent.gossip, self._rng())
         self._spawn(self.follower.run())
-        self._spawn(bootstrap.run())
+        self._spawn(self.bootstrap.run())
         self._spawn(self.agent.run())
         return self.faces
 
@@ -256,7 +257,7 @@
         )
 
     async def _answer_ready(self, req: HttpRequest) -> HttpResponse:
-        ready = self.follower.version > 0 and not self.leaving
+        ready = self.follower.version > 0 and self.bootstrap.settled and not self.leaving
         return HttpResponse(200 if ready else 503, [], b'')
 
     def _others(self) -> list[Member]:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -84,6 +84,31 @@
 
         self.assertEqual((503, 200), (self.mesh(ready, configure=False), self.mesh(ready)))
 
+    def test_a_restarted_node_is_ready_once_it_knows_where_targets_are(self):
+        # Callers come back as soon as the node says it is ready, and their first requests are
+        # refused for want of a target: the configuration is one answer of the store away, the
+        # members are that and a ping.
+        async def scenario(mesh):
+            node = await mesh.place('c', 'front')
+            for _ in range(1000):
+                if (await node._answer_ready(None)).status == 200:
+                    break
+                await asyncio.sleep(0.001)
+            return (await mesh.call('c', '/deep/x')).status
+
+        self.assertEqual(200, self.mesh(scenario))
+
+    def test_a_node_alone_is_ready_though_those_listed_are_gone(self):
+        # After all were killed the roster lists nodes that will never answer.
+        async def scenario(mesh):
+            for name in ('a', 'b'):
+                await mesh.nodes[name].stop()
+            node = await mesh.place('c', 'front')
+            await asyncio.sleep(2.0)
+            return (await node._answer_ready(None)).status
+
+        self.assertEqual(200, self.mesh(scenario))
+
 
 class AnnounceTest(MeshTest):
     def test_a_draining_target_gets_nothing_new(self):
