--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -7,12 +7,13 @@
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS
 from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.member_calls import candidates_of
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.work import Attempt, Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import OnLoop
-from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.policy.context import CallContext
 from dunlinsaddle.policy.level import Heard
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Quarantine
@@ -35,10 +36,7 @@
 
 def _choices(serving: list[Member]) -> _Choices:
     members = {m.instance: m for m in serving}
-    candidates = [
-        Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members.values()
-    ]
-    return _Choices(serving, members, candidates)
+    return _Choices(serving, members, candidates_of(members.values()))
 
 
 class ResendPolicy(Protocol):
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 from functools import partial
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.decisions import DecisionLog
-from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest
+from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.target import LocalTarget, PlainDialect, TargetDialect
-from dunlinsaddle.calls.work import Running, RunningCalls, Work
+from dunlinsaddle.calls.work import Running, RunningCalls, Work, come_back_after
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.policy.admission import (
@@ -31,19 +32,6 @@
 TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
-def _come_back_after(reply: Reply, running: Running) -> float:
-    """Give the seconds after which a call that failed for a refusal below may come again.
-
-    Targets answer a refused call of theirs with a status of their own, mostly 502 and without
-    Retry-After. The caller would ask again at once, and the routers would take the overload of
-    a service below for a fault of this target.
-    """
-    failed = reply.status >= FIRST_ERROR_STATUS and running.work.ctx.idempotent
-    if not failed or any(name == b'retry-after' for name, _ in reply.headers):
-        return 0.0
-    return running.come_back_after
-
-
 class Executor(OnLoop):
     """Gives calls to the local target, as many at once as admission allows."""
 
@@ -301,7 +289,7 @@
             case Answered(response):
                 reply = self.dialect.reply(response)
                 if not reply.kind:
-                    reply.retry_after = _come_back_after(reply, running)
+                    reply.retry_after = come_back_after(reply, running)
                 return reply
             case NotSent(detail):
                 self.target.note_refused()
--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -81,3 +81,13 @@
 def failure_response(failure: Failure) -> HttpResponse:
     """Give the response that answers a failure."""
     return response_of(refusal(failure))
+
+
+class HttpLimits(NamedTuple):
+    """Bounds of one face. Sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1 << 20
+    connections: int = 4096
+    header_timeout: float = 10.0
+    idle_timeout: float = 75.0
--- /dev/null
+++ b/dunlinsaddle/calls/member_calls.py
@@ -0,0 +1,49 @@
+"""Calls that a node hands to another node, without a choice of its own."""
+
+import asyncio
+from collections.abc import Iterable
+
+from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.messages import Lost, NotSent, Reply
+from dunlinsaddle.calls.work import Work, call_of
+from dunlinsaddle.membership.view import Member, State
+from dunlinsaddle.policy.route import Candidate, Router
+
+
+def candidates_of(members: Iterable[Member]) -> list[Candidate]:
+    """Give the members as the router wants them."""
+    return [Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members]
+
+
+class MemberCalls:
+    """Hands a call to one member, and lets the router learn from how it ended."""
+
+    def __init__(self, router: Router, links: PeerLinks) -> None:
+        self.router = router
+        self.links = links
+
+    async def call(
+        self, work: Work, member: Member, *, asked: int = 0, owned: bool = False
+    ) -> Reply | NotSent | Lost:
+        """Hand it over; ``asked`` and ``owned`` say what the member is taken for."""
+        loop = asyncio.get_running_loop()
+        handed = work.allowance.hand_down()
+        call = call_of(work, loop.time(), handed)
+        call.asked, call.owned = asked, owned
+        self.router.sent(member.instance)
+        try:
+            reply = await self.links.call(member.peers, call)
+        except asyncio.CancelledError:
+            self.router.answered(loop.time(), member.instance, None)
+            raise
+        match reply:
+            case Reply():
+                self.router.answered(loop.time(), member.instance, reply.load)
+                work.allowance.give_back(handed, reply.unspent)
+                reply.unspent = work.allowance.tokens
+            case NotSent():
+                self.router.failed(loop.time(), member.instance)
+                work.allowance.give_back(handed, handed)
+            case Lost():
+                self.router.failed(loop.time(), member.instance)
+        return reply
--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -5,33 +5,28 @@
 from random import Random
 from typing import Any, NamedTuple
 
-import msgspec
 from result import Err
 
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.handover import has_ended, heir_of
 from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.member_calls import MemberCalls, candidates_of
 from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
-from dunlinsaddle.calls.work import Work, call_of, work_of
-from dunlinsaddle.errors import ErrorKind, Failure, Outcome
-from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.calls.owned import OwnedRuns
+from dunlinsaddle.calls.work import Work, work_of
+from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.once.keeper import RangeKeeper
 from dunlinsaddle.once.opaque import claim_key
 from dunlinsaddle.policy.keys import RANGES, BornKey, Key, OpaqueKey, mint_key, parse_key, range_of
-from dunlinsaddle.policy.once_table import Denied, KeyTable, Known
+from dunlinsaddle.policy.once_table import KeyTable
 from dunlinsaddle.policy.ownership import Interval, Owner, RangeMap
-from dunlinsaddle.policy.retry import Allowance
-from dunlinsaddle.policy.route import Candidate, Router
+from dunlinsaddle.policy.route import Router
 from dunlinsaddle.stats import Stats
 
-COME_BACK = 1.0
 MAX_ASKED = 2  #: an entry asks one node, and that one may know a newer owner
-MAX_HANDED_ON = 2
-HANDED_ON = frozenset({ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
 UNREACHED = frozenset({ErrorKind.OWNER_UNAVAILABLE.value, ErrorKind.OWNER_UNREACHABLE.value})
 KEY_HEADER = b'idempotency-key'
-ACCEPTED = 'accepted'
-REPEATED = 'repeated'
 
 
 class Way(NamedTuple):
@@ -69,13 +64,10 @@
         self.keeper = keeper
         self.view = view
         self.router = router
-        self.links = links
-        self.executor = executor
-        self.stats = stats
         self.rng = rng
-        self.window = window
-        self.tables: dict[str, KeyTable[Reply]] = {}
-        self._runs: set[asyncio.Task[Reply]] = set()
+        self.stats = stats
+        self.calls = MemberCalls(router, links)
+        self.owned = OwnedRuns(keeper.me, keeper.clock, view, self.calls, executor, stats, window)
         self._refreshing: set[asyncio.Task[bool]] = set()
 
     @property
@@ -119,10 +111,14 @@
             'held': {name: len(table) for name, table in self.tables.items()},
         }
 
+    @property
+    def tables(self) -> dict[str, KeyTable[Reply]]:
+        """What is remembered of keys, by service."""
+        return self.owned.tables
+
     async def wait_idle(self) -> None:
         """Wait until no run that this node decided on is in progress, here or elsewhere."""
-        while self._runs:
-            await asyncio.wait(self._runs)
+        await self.owned.wait_idle()
 
     async def _enter_without_key(self, work: Work) -> Reply:
         """Mint a key that a reachable node owns; another one if that node was never reached."""
@@ -151,15 +147,15 @@
             if interval is not None:
                 ranges.setdefault(interval.owner.instance, []).append(number)
         members = [m for m in self.view.serving(service) if m.instance in ranges]
-        candidates = [Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members]
+        candidates = candidates_of(members)
         now_loop = asyncio.get_running_loop().time()
         chosen = self.router.choose(now_loop, candidates, frozenset(tried))
         return mint_key(now, self.rng, service, ranges[chosen.instance] if chosen else ())
 
     async def _route(self, work: Work, key: Key, way: Way) -> Reply:
-        known = self._table(work.ctx.service).look(key.text, work.ctx.fingerprint)
+        known = self.owned.look(work, key.text)
         if known is not None:
-            return self._recall(known)
+            return known
         match key:
             case OpaqueKey():
                 return await self._route_opaque(work, key, way)
@@ -171,9 +167,9 @@
             self.keeper.store, work.ctx.service, key, self.me, self.keeper.clock
         )
         if claim is None:
-            return self._refuse(ErrorKind.PLATFORM_UNAVAILABLE, 'the key cannot be claimed')
+            return self.owned.refuse(ErrorKind.PLATFORM_UNAVAILABLE, 'the key cannot be claimed')
         if claim.owner == self.me:
-            return await self._own(work, key, claim.birth)
+            return await self.owned.own(work, key, claim.birth)
         return await self._ask(work, claim.owner, way)
 
     async def _route_born(self, work: Work, key: BornKey, way: Way) -> Reply:
@@ -218,23 +214,23 @@
 
     async def _own_born(self, work: Work, key: BornKey) -> Reply:
         if self.keeper.accept(work.ctx.service, key):
-            return await self._own(work, key, key.birth)
+            return await self.owned.own(work, key, key.birth)
         # The range is on its way to another node, and the write that says so is not settled.
-        return self._refuse(ErrorKind.OWNER_UNREACHABLE, 'the key is being handed over')
+        return self.owned.refuse(ErrorKind.OWNER_UNREACHABLE, 'the key is being handed over')
 
     async def _route_unowned(self, work: Work, key: BornKey, way: Way) -> Reply:
         held = self.keeper.map_of(work.ctx.service)
         if held is not None and held.forgot(range_of(work.ctx.service, key), key.birth):
-            return self._refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
+            return self.owned.refuse(ErrorKind.KEY_EXPIRED, 'older than all that is remembered')
         if way.reread and key.birth > self.keeper.clock() + self.keeper.horizon:
-            return self._refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
+            return self.owned.refuse(ErrorKind.KEY_IN_FUTURE, 'no node owns keys of that time yet')
         # Without any map, as after a start in an outage of the platform, others may know more.
         if way.reread or (way.fresh and held is not None):
-            return self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
+            return self.owned.refuse(ErrorKind.OWNER_UNAVAILABLE, 'no node owns this key now')
         others = [m for m in self.view.serving(work.ctx.service) if m.instance != self.me.instance]
         if not others or way.asked >= MAX_ASKED:
             kind = ErrorKind.OWNER_UNAVAILABLE if way.fresh else ErrorKind.OWNER_UNREACHABLE
-            return self._refuse(kind, 'no node here knows the owner')
+            return self.owned.refuse(kind, 'no node here knows the owner')
         reply = await self._send(work, self.rng.choice(others), way)
         return self._new_key_turned_down(reply) if way.fresh else reply
 
@@ -242,142 +238,36 @@
         member = self.view.find(owner.instance)
         ended = self._ended(work.ctx.service, owner)
         if way.fresh and (member is None or ended):
-            return self._refuse(ErrorKind.OWNER_UNAVAILABLE, f'{owner.instance} is not there')
+            return self.owned.refuse(ErrorKind.OWNER_UNAVAILABLE, f'{owner.instance} is not there')
         if ended:
             detail = f'{owner.instance}, which alone could have run it, has ended'
-            return self._refuse(ErrorKind.OUTCOME_UNKNOWN, detail)
+            return self.owned.refuse(ErrorKind.OUTCOME_UNKNOWN, detail)
         if member is None:
-            return self._refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} is not known here')
+            return self.owned.refuse(
+                ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} is not known here'
+            )
         if way.asked >= MAX_ASKED:
-            return self._refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} was not asked')
+            return self.owned.refuse(ErrorKind.OWNER_UNREACHABLE, f'{owner.instance} was not asked')
         return await self._send(work, member, way)
 
     async def _send(self, work: Work, member: Member, way: Way) -> Reply:
-        match await self._call(work, member, asked=way.asked + 1):
+        match await self.calls.call(work, member, asked=way.asked + 1):
             case Reply() as reply:
                 return reply
             case NotSent(detail) if way.fresh:
-                return self._refuse(ErrorKind.OWNER_UNAVAILABLE, detail)
+                return self.owned.refuse(ErrorKind.OWNER_UNAVAILABLE, detail)
             case NotSent(detail):
-                return self._refuse(ErrorKind.OWNER_UNREACHABLE, detail)
+                return self.owned.refuse(ErrorKind.OWNER_UNREACHABLE, detail)
             case Lost(detail, kind):
                 return refusal(Failure(kind, detail))
 
-    async def _call(
-        self, work: Work, member: Member, *, asked: int = 0, owned: bool = False
-    ) -> Reply | NotSent | Lost:
-        loop = asyncio.get_running_loop()
-        handed = work.allowance.hand_down()
-        call = call_of(work, loop.time(), handed)
-        call.asked, call.owned = asked, owned
-        self.router.sent(member.instance)
-        try:
-            reply = await self.links.call(member.peers, call)
-        except asyncio.CancelledError:
-            self.router.answered(loop.time(), member.instance, None)
-            raise
-        match reply:
-            case Reply():
-                self.router.answered(loop.time(), member.instance, reply.load)
-                work.allowance.give_back(handed, reply.unspent)
-                reply.unspent = work.allowance.tokens
-            case NotSent():
-                self.router.failed(loop.time(), member.instance)
-                work.allowance.give_back(handed, handed)
-            case Lost():
-                self.router.failed(loop.time(), member.instance)
-        return reply
-
-    async def _own(self, work: Work, key: Key, birth: int) -> Reply:
-        service = work.ctx.service
-        table = self._table(service)
-        known = table.look(key.text, work.ctx.fingerprint)
-        if known is not None:
-            return self._recall(known)
-        now = self.keeper.clock()
-        table.raise_floor(now - int(self.window(service) * 1000))
-        begun = table.begin(key.text, birth, work.ctx.fingerprint, now)
-        if isinstance(begun, Denied):
-            return self._recall(begun)
-        self.stats.keys[ACCEPTED] += 1
-        # A caller that goes away must not turn its run into one of unknown end: it will come
-        # back with the same key and find the answer. The deadline bounds the run.
-        run = asyncio.get_running_loop().create_task(self._run(work, key.text, table))
-        self._runs.add(run)
-        run.add_done_callback(self._runs.discard)
-        return await asyncio.shield(run)
-
-    async def _run(self, work: Work, key: str, table: KeyTable[Reply]) -> Reply:
-        reply: Reply | None = None
-        try:
-            reply = await self._run_somewhere(work)
-        finally:
-            if reply is None or reply.outcome is Outcome.UNKNOWN:
-                table.unknown(key)
-            elif reply.outcome is Outcome.NOT_RUN:
-                table.not_run(key)
-            else:
-                table.done(key, reply, reply.size)
-        return reply
-
-    async def _run_somewhere(self, work: Work) -> Reply:
-        """Run a call beside this node, or hand it on as long as it provably did not run."""
-        handed = work.allowance.hand_down()
-        reply = await self.executor.execute(work._replace(allowance=Allowance(handed)))
-        work.allowance.give_back(handed, reply.unspent)
-        tried = {self.me.instance}
-        while _goes_on(reply) and len(tried) <= MAX_HANDED_ON:
-            now = asyncio.get_running_loop().time()
-            members = {m.instance: m for m in self.view.serving(work.ctx.service)}
-            candidates = [
-                Candidate(m.instance, m.domain, m.state is State.SUSPECT) for m in members.values()
-            ]
-            chosen = self.router.choose(now, candidates, frozenset(tried))
-            if chosen is None or not work.allowance.spend():
-                break
-            tried.add(chosen.instance)
-            self.stats.retries += 1
-            match await self._call(work, members[chosen.instance], owned=True):
-                case Reply() as answer:
-                    reply = answer
-                case NotSent(detail):
-                    reply = refusal(Failure(ErrorKind.NO_TARGET, detail, COME_BACK))
-                case Lost(detail, kind):
-                    reply = refusal(Failure(kind, detail))
-        reply.unspent = work.allowance.tokens
-        return reply
-
-    def _table(self, service: str) -> KeyTable[Reply]:
-        return self.tables.setdefault(service, KeyTable())
-
-    def _recall(self, known: Known[Reply] | Denied) -> Reply:
-        match known:
-            case Known(answer):
-                self.stats.keys[REPEATED] += 1
-                return _copy(answer)
-            case Denied(kind):
-                return self._refuse(kind)
-
-    def _refuse(self, kind: ErrorKind, detail: str = '') -> Reply:
-        self.stats.keys[kind.value] += 1
-        return refusal(Failure(kind, detail, COME_BACK))
-
     def _new_key_turned_down(self, reply: Reply) -> Reply:
         """Say "not run" of a key that was made for this call, if each node asked turned it down."""
         if reply.kind != ErrorKind.OWNER_UNREACHABLE.value:
             return reply
-        return self._refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
+        return self.owned.refuse(ErrorKind.OWNER_UNAVAILABLE, 'its owner cannot be reached')
 
     def _refresh_later(self, service: str) -> None:
         task = asyncio.get_running_loop().create_task(self.keeper.refresh(service))
         self._refreshing.add(task)
         task.add_done_callback(self._refreshing.discard)
-
-
-def _goes_on(reply: Reply) -> bool:
-    return reply.outcome is Outcome.NOT_RUN and ErrorKind(reply.kind) in HANDED_ON
-
-
-def _copy(reply: Reply) -> Reply:
-    # A reply is given its number on each link that it leaves by.
-    return msgspec.structs.replace(reply, unspent=0, load=None)
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from dunlinsaddle.calls.http import FIRST_ERROR_STATUS
 from dunlinsaddle.calls.messages import MAX_BUDGET, Call, Headers, Reply
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.policy.context import CallContext, Priority
@@ -200,3 +201,16 @@
 
     def __len__(self) -> int:
         return len(self._calls)
+
+
+def come_back_after(reply: Reply, running: Running) -> float:
+    """Give the seconds after which a call that failed for a refusal below may come again.
+
+    Targets answer a refused call of theirs with a status of their own, mostly 502 and without
+    Retry-After. The caller would ask again at once, and the routers would take the overload of
+    a service below for a fault of this target.
+    """
+    failed = reply.status >= FIRST_ERROR_STATUS and running.work.ctx.idempotent
+    if not failed or any(name == b'retry-after' for name, _ in reply.headers):
+        return 0.0
+    return running.come_back_after
--- a/dunlinsaddle/cli/client.py
+++ b/dunlinsaddle/cli/client.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from dunlinsaddle.admin import FACE_HEADER
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.cli.constants import REQUEST_TIMEOUT
--- a/dunlinsaddle/membership/agent.py
+++ b/dunlinsaddle/membership/agent.py
@@ -37,7 +37,7 @@
         sizes: GossipSizes = GossipSizes(),  # noqa: B008
     ) -> None:
         self.gossip = Gossip(view, rng, times, sizes)
-        self.gossip.seeds.update(seeds)
+        self.gossip.turns.seeds.update(seeds)
         self.counts = GossipCounts()
         self.rng = rng
         self._sealer = Sealer(key)
--- a/dunlinsaddle/membership/messages.py
+++ b/dunlinsaddle/membership/messages.py
@@ -143,3 +143,10 @@
 
     def _mac(self, body: bytes) -> bytes:
         return hashlib.blake2b(body, digest_size=MAC_BYTES, key=self._key, person=PERSON).digest()
+
+
+def stands_for(word: Word, held: Member) -> bool:
+    """Whether the details that a word leaves out are those that are held."""
+    if word.incarnation == held.incarnation or word.state == State.LEFT:
+        return True
+    return word.check == check_of(details_of(held))
--- a/dunlinsaddle/membership/probing.py
+++ b/dunlinsaddle/membership/probing.py
@@ -5,10 +5,12 @@
 
 import xxhash
 
+from dunlinsaddle.membership.tuning import GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.settings import Address
 
 MOST_FIRST = 8
+MOST_RELAYED = 1000  #: probes for others at a time: what they ask must not fill the memory
 
 
 class Outstanding(NamedTuple):
@@ -28,6 +30,61 @@
     since: float
 
 
+class Probes:
+    """The probes that are out, by the numbers that their answers bear."""
+
+    def __init__(self, rng: Random, times: GossipTimes) -> None:
+        self.rng = rng
+        self.times = times
+        self._outstanding: dict[int, Outstanding] = {}
+        self._relayed: dict[int, Relayed] = {}
+
+    def begin(self, now: float, target: Member) -> int:
+        """Note a probe of one's own; gives its number."""
+        number = self.rng.getrandbits(48)
+        self._outstanding[number] = Outstanding(target.instance, target.incarnation, now)
+        return number
+
+    def relay(self, now: float, reply_to: Address, asked: int) -> int | None:
+        """Note a probe for another node; None when there are too many."""
+        if len(self._relayed) > MOST_RELAYED:
+            return None
+        number = self.rng.getrandbits(48)
+        self._relayed[number] = Relayed(reply_to, asked, now)
+        return number
+
+    def answered(self, number: int) -> tuple[Outstanding | None, Relayed | None]:
+        """Take out what a number stands for."""
+        return self._outstanding.pop(number, None), self._relayed.pop(number, None)
+
+    def silent(self, now: float) -> list[Outstanding]:
+        """Take out the probes that nobody has answered, neither directly nor through others."""
+        limit = self.times.direct + self.times.indirect
+        for number, relayed in list(self._relayed.items()):
+            if now - relayed.since > limit:
+                del self._relayed[number]
+        late = {n: p for n, p in self._outstanding.items() if now - p.sent >= limit}
+        for number in late:
+            del self._outstanding[number]
+        return list(late.values())
+
+    def overdue(self, now: float) -> list[tuple[int, Outstanding]]:
+        """Give the probes without a direct answer that others are to be asked about, once."""
+        found = [
+            (number, probe)
+            for number, probe in self._outstanding.items()
+            if now - probe.sent >= self.times.direct and not probe.asked_others
+        ]
+        for number, probe in found:
+            self._outstanding[number] = probe._replace(asked_others=True)
+        return found
+
+    def clear(self) -> None:
+        """Forget all that are out."""
+        self._outstanding.clear()
+        self._relayed.clear()
+
+
 class ProbeOrder:
     """Turns between the next in a ring of hashes and a shuffled round of all.
 
--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -4,11 +4,12 @@
 docs/design/membership.md.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from itertools import islice, takewhile
 from random import Random
 from typing import Any, NamedTuple
 
+from dunlinsaddle.membership.departed import Departed
 from dunlinsaddle.membership.messages import (
     PAGE_BYTES,
     Ack,
@@ -18,15 +19,16 @@
     Rumor,
     Sync,
     Word,
-    check_of,
     details_of,
     member_of,
     size_of,
+    stands_for,
     word_of,
 )
-from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Relayed
+from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Probes
 from dunlinsaddle.membership.rumors import Budget, Rumors
-from dunlinsaddle.membership.sync import bucket_of, digests_of
+from dunlinsaddle.membership.suspects import Suspects
+from dunlinsaddle.membership.sync import SyncTurns, digests_of, pages_order
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.pieces import cut_pieces
@@ -58,19 +60,14 @@
         self.times = times
         self.sizes = sizes
         self.me: Member
-        self.seeds: set[Address] = set()
-        self.contacts: set[Address] = set()
-        self._young_until = 0.0
-        self._joining = False
+        self.turns = SyncTurns(rng, times, sizes)
         self.rumors = Rumors(sizes.extra_sends)
         self.budget = Budget(sizes.bytes_per_second, sizes.burst)
         self.order = ProbeOrder(rng)
-        self.suspected: dict[str, float] = {}
-        self.died: dict[str, float] = {}
-        self.floors: dict[str, tuple[int, float]] = {}
-        self._outstanding: dict[int, Outstanding] = {}
-        self._relayed: dict[int, Relayed] = {}
-        self._probe_at = self._sync_at = self._revisit_at = self._ticked = 0.0
+        self.suspects = Suspects(times)
+        self.departed = Departed(view, times.forget)
+        self.probes = Probes(rng, times)
+        self._probe_at = self._revisit_at = self._ticked = 0.0
 
     def start(self, now: float, me: Member) -> None:
         """Begin with the word on oneself."""
@@ -78,17 +75,14 @@
         self._ticked = now
         self._probe_at = now + self.rng.random() * self.times.probe
         self._revisit_at = now + self.rng.random() * self.times.revisit
-        self._sync_at = now
+        self.turns.at = now
         self.budget.refill(now)
         self.view.take(me)
         self.rumors.add(word_of(me))
 
     def contact(self, now: float, addresses: Iterable[Address]) -> None:
         """Compare views soon with those at these addresses."""
-        self.contacts.update(addresses)
-        self.contacts.discard(self.me.gossip)
-        if self.contacts:
-            self._sync_at = now
+        self.turns.contact(now, {*addresses} - {self.me.gossip})
 
     def announce(self, me: Member) -> None:
         """Spread a changed word on oneself, under a new incarnation."""
@@ -102,8 +96,7 @@
         """Say goodbye to a few, who pass it on."""
         self.announce(self.me._replace(state=State.LEFT))
         peers = self._others(self.sizes.relays + self.sizes.fanout)
-        words = [word_of(self.me)]
-        return [Send(m.gossip, self._rumor(words)) for m in peers]
+        return [Send(m.gossip, self._rumor([word_of(self.me)])) for m in peers]
 
     def tick(self, now: float) -> list[Send]:
         """Do what is due."""
@@ -118,7 +111,7 @@
         if now >= self._revisit_at:
             self._revisit_at = now + self.times.revisit
             sends += self._revisit(now)
-        if now >= self._sync_at:
+        if now >= self.turns.at:
             sends += self._begin_sync(now)
         return sends + self.spread()
 
@@ -144,8 +137,6 @@
             case _:
                 return []
 
-    # -- words ---------------------------------------------------------------------------------
-
     def _hear(self, now: float, word: Word) -> None:
         if word.instance == self.me.instance:
             self._refute(word)
@@ -163,20 +154,13 @@
             self.order.first(word.instance)
             return
         details = word.details
-        if details is None and self._stands_for(word, held):
+        if details is None and stands_for(word, held):
             details = details_of(held)
         if details is not None:
             self._take(now, member_of(word, details), word.age)
 
-    def _stands_for(self, word: Word, held: Member) -> bool:
-        """Whether the details that a word leaves out are those that are held."""
-        if word.incarnation == held.incarnation or word.state == State.LEFT:
-            return True
-        return word.check == check_of(details_of(held))
-
     def _meet(self, now: float, word: Word) -> None:
-        floor = self.floors.get(word.instance)
-        if word.details is None or (floor is not None and word.incarnation <= floor[0]):
+        if word.details is None or self.departed.is_old(word.instance, word.incarnation):
             return
         if word.age >= self.times.forget:
             return
@@ -188,12 +172,12 @@
             return
         if before is not None and before.state == State.DEAD and not member.gone:
             self._call_on(member)
-        self.suspected.pop(member.instance, None)
-        self.died.pop(member.instance, None)
+        self.suspects.drop(member.instance)
+        self.departed.returned(member.instance)
         if member.state == State.SUSPECT:
-            self.suspected[member.instance] = now
+            self.suspects.begin(now, member.instance)
         if member.gone:
-            self.died[member.instance] = now - age
+            self.departed.note(now - age, member.instance)
         if member.state != State.DEAD:
             known = before is not None and details_of(before) == details_of(member)
             self.rumors.add(word_of(member, full=not known))
@@ -220,8 +204,6 @@
         self.view.take(self.me)
         self.rumors.add(word_of(self.me, full=restarted))
 
-    # -- probes --------------------------------------------------------------------------------
-
     def _probe(self, now: float) -> list[Send]:
         target = self.order.next(self.view, self.me)
         return [] if target is None else [self._ping(now, target)]
@@ -232,16 +214,15 @@
         One that said goodbye may start again at its address while the platform, which would
         show it the others, is out; so it is asked for a while, too.
         """
-        gone = [m for m in map(self.view.find, self.died) if m and self._may_return(now, m)]
+        gone = [m for m in self.departed.members() if self._may_return(now, m)]
         return [self._ping(now, self.rng.choice(gone))] if gone else []
 
     def _may_return(self, now: float, member: Member) -> bool:
-        left_for = now - self.died[member.instance]
+        left_for = self.departed.age(now, member.instance)
         return member.state == State.DEAD or left_for < self.times.left_revisit
 
     def _ping(self, now: float, target: Member) -> Send:
-        number = self.rng.getrandbits(48)
-        self._outstanding[number] = Outstanding(target.instance, target.incarnation, now)
+        number = self.probes.begin(now, target)
         words = self._words()
         if target.state in (State.SUSPECT, State.DEAD):
             # The target learns what is said of it, and can deny it.
@@ -249,38 +230,26 @@
         return Send(target.gossip, Ping(**self._head(words), number=number))
 
     def _acked(self, ack: Ack) -> list[Send]:
-        probe = self._outstanding.pop(ack.number, None)
+        probe, relayed = self.probes.answered(ack.number)
         held = self.view.find(probe.instance) if probe else None
         if held is not None and held.state == State.DRAINING:
-            self.suspected.pop(held.instance, None)
-        relayed = self._relayed.pop(ack.number, None)
+            self.suspects.drop(held.instance)
         if relayed is None:
             return []
         return [Send(relayed.reply_to, Ack(**self._head(), number=relayed.number))]
 
     def _relay(self, now: float, req: PingRequest) -> list[Send]:
         target = self.view.find(req.target)
-        if target is None or len(self._relayed) > 1000:
+        number = target and self.probes.relay(now, req.reply_to, req.number)
+        if target is None or number is None:
             return []
-        number = self.rng.getrandbits(48)
-        self._relayed[number] = Relayed(req.reply_to, req.number, now)
         return [Send(target.gossip, Ping(**self._head(), number=number))]
 
     def _time_out(self, now: float) -> list[Send]:
-        sends = []
-        limit = self.times.direct + self.times.indirect
-        for number, probe in list(self._outstanding.items()):
-            waited = now - probe.sent
-            if waited >= limit:
-                del self._outstanding[number]
-                self._suspect(now, probe)
-            elif waited >= self.times.direct and not probe.asked_others:
-                self._outstanding[number] = probe._replace(asked_others=True)
-                sends += self._ask_others(number, probe)
-        for number, relayed in list(self._relayed.items()):
-            if now - relayed.since > limit:
-                del self._relayed[number]
-        return sends
+        for probe in self.probes.silent(now):
+            self._suspect(now, probe)
+        overdue = self.probes.overdue(now)
+        return [send for number, probe in overdue for send in self._ask_others(number, probe)]
 
     def _ask_others(self, number: int, probe: Outstanding) -> list[Send]:
         held = self.view.find(probe.instance)
@@ -299,7 +268,7 @@
         if held.state == State.ALIVE:
             self._take(now, held._replace(state=State.SUSPECT))
         elif held.state == State.DRAINING:
-            self.suspected.setdefault(held.instance, now)
+            self.suspects.begin(now, held.instance)
 
     def _forgive(self, now: float) -> None:
         """Start all waits anew after a pause of our own."""
@@ -307,59 +276,26 @@
         # suspect and then bury the whole fleet.
         if now - self._ticked <= self.times.stall:
             return
-        self._outstanding.clear()
-        self._relayed.clear()
-        self.suspected = dict.fromkeys(self.suspected, now)
+        self.probes.clear()
+        self.suspects.restart(now)
         # Denials that were spread meanwhile will not be sent again: ask what was missed.
-        self._joining = True
-        self._sync_at = now
+        self.turns.join(now)
 
     def _conclude(self, now: float) -> None:
-        # When many are suspected at once it is rather the network that has failed, and their
-        # denials need time to get through the byte budget.
-        patience = self.times.suspicion + len(self.suspected) * self.times.suspicion_each
-        for instance, since in list(self.suspected.items()):
-            if now - since < min(patience, self.times.suspicion_most):
-                continue
-            del self.suspected[instance]
+        for instance in self.suspects.take_out(now):
             # Passed on after a cut has healed, the suspicion would start all over again.
             self.rumors.drop(instance)
             held = self.view.find(instance)
             if held is not None:
                 self._take(now, held._replace(state=State.DEAD))
-        for instance, since in list(self.died.items()):
-            if now - since >= self.times.forget:
-                self._forget(now, instance)
-        for instance, (_, since) in list(self.floors.items()):
-            if now - since >= self.times.forget:
-                del self.floors[instance]
-
-    def _forget(self, now: float, instance: str) -> None:
-        """Drop a member, but remember its number: an old delta must not bring it back."""
-        held = self.view.find(instance)
-        del self.died[instance]
-        if held is not None:
-            self.floors[instance] = (held.incarnation, now)
-            self.view.drop(instance)
-
-    # -- the whole view ------------------------------------------------------------------------
+        self.departed.forget_old(now)
 
     def _begin_sync(self, now: float) -> list[Send]:
-        joining = self._joining
-        self._joining = False
-        others = [m.gossip for m in self._others(self.sizes.join if joining else 1)]
-        period = self.times.sync if others else self.times.probe
-        if not others:
-            self._young_until = now + self.times.young
-            self.contacts |= self.seeds - {self.me.gossip}
-        few = self.rng.sample(sorted(self.contacts), min(len(self.contacts), self.sizes.relays))
-        self.contacts.clear()
-        self._sync_at = now + period * self.rng.uniform(0.8, 1.2)
-        return [Send(to, self._sync()) for to in [*others, *few]]
+        others = [m.gossip for m in self._others(self.turns.count)]
+        return [Send(to, self._sync()) for to in self.turns.take(now, self.me.gossip, others)]
 
     def _sync(self, *, answer: bool = False) -> Sync:
-        words = [word_of(self.me)]
-        return Sync(**self._head(words), digests=digests_of(self.view), answer=answer)
+        return Sync(**self._head([word_of(self.me)]), digests=digests_of(self.view), answer=answer)
 
     def _compare(self, now: float, sync: Sync) -> list[Send]:
         mine = digests_of(self.view)
@@ -368,29 +304,19 @@
         differing = {i for i, digest in enumerate(mine) if digest != sync.digests[i]}
         if not differing:
             return []
-        sends = self._pages(now, sync, differing)
+        pages = self._pages(now, differing)
+        sends = [self._answer(sync, self._rumor(page)) for page in pages]
         if not sync.answer:
             sends.append(self._answer(sync, self._sync(answer=True)))
-        elif now < self._young_until:
-            self._joining = True
-            self._sync_at = min(self._sync_at, now + self.times.sync_again)
+        else:
+            self.turns.again_if_young(now)
         return sends
 
-    def _pages(self, now: float, sync: Sync, differing: set[int]) -> list[Send]:
-        # Whole buckets, in an order of our own: a fresh node that asks several at once hears
-        # few words twice, and asks no more for the buckets that it has in full.
-        order = self.rng.sample(sorted(differing), len(differing))
-        places = {bucket: place for place, bucket in enumerate(order)}
-        members = [m for m in self.view.members() if bucket_of(m.instance) in differing]
-        # The budget may end within a bucket; its rest must not be the same each time.
-        self.rng.shuffle(members)
-        members.sort(key=lambda m: places[bucket_of(m.instance)])
-        words = (word_of(m, age=now - self.died.get(m.instance, now)) for m in members)
+    def _pages(self, now: float, differing: set[int]) -> Iterator[list[Word]]:
+        members = pages_order(self.view, differing, self.rng)
+        words = (word_of(m, age=self.departed.age(now, m.instance)) for m in members)
         pages = islice(cut_pieces(words, size_of, PAGE_BYTES), self.sizes.pages)
-        paid = takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
-        return [self._answer(sync, self._rumor(page)) for page in paid]
-
-    # -- sending -------------------------------------------------------------------------------
+        return takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
 
     def spread(self) -> list[Send]:
         """Pass fresh words on without waiting for the next probe."""
@@ -421,4 +347,4 @@
         return {'sender': self.me.instance, 'reply_to': self.me.gossip, 'words': words}
 
     def _rumor(self, words: list[Word]) -> Rumor:
-        return Rumor(sender=self.me.instance, reply_to=self.me.gossip, words=words)
+        return Rumor(**self._head(words))
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -13,9 +13,9 @@
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.target import LocalTarget
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -16,9 +16,9 @@
 from dunlinsaddle.calls.faces import CallerFace, LocalFace
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.handover import hand_over, log_handed, take_over
-from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.once import OnceGate
 from dunlinsaddle.calls.peer_server import PeerServer
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -9,7 +9,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.platform.store import (
     ABSENT,
--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -10,67 +10,24 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from random import Random
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from result import Err, Ok
 
 from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk, RecordsPush
 from dunlinsaddle.membership.view import Member, MemberView, State
-from dunlinsaddle.platform.store import WATCH_GRACE, Listing, ObjectStore, Unavailable
+from dunlinsaddle.platform.store import Listing, ObjectStore, Unavailable
 from dunlinsaddle.records import topology
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import entry_of
 from dunlinsaddle.records.chunks import cut
 from dunlinsaddle.records.history import RECORDS
 from dunlinsaddle.records.models import RecordEntry
-from dunlinsaddle.settings import Address
+from dunlinsaddle.records.sync_parts import Links, PlatformState, SyncTimes, WatchGrace
 
 REACH = 2  #: members of each other domain that a watcher pushes to
 SEEN = 256
 EXCHANGE_TRIES = 3
-TIMER_SLACK = 0.1
-
-
-class SyncTimes(NamedTuple):
-    """How often a node does what. Seconds."""
-
-    watch: float = 3.0  #: a connection gone silent is noticed within this and the grace
-    grace: float = WATCH_GRACE
-    most_grace: float = 30.0
-    first_backoff: float = 0.2
-    most_backoff: float = 2.0
-    exchange: float = 2.0
-    answer: float = 1.0
-    silent: float = 4.0  #: for so long a peer that gave no answer is not asked again
-    start_spread: float = 0.3
-    stale_after: float = 15.0
-    per_member: float = 2.0  #: keeps slow polls of one domain at one each two seconds
-
-
-class Links(Protocol):
-    """What is asked of the links to peers."""
-
-    async def ask_records(
-        self, address: Address, ask: RecordsAsk, timeout: float
-    ) -> RecordsAnswer | None:
-        """Ask a peer for records; None when no answer comes."""
-
-    async def tell(self, address: Address, push: RecordsPush) -> bool:
-        """Send records to a peer; say whether there is a link to it."""
-
-
-class PlatformState:
-    """Since when the platform answers or does not, as this node's own calls show."""
-
-    def __init__(self) -> None:
-        self.reachable: bool | None = None
-        self.changed_at = 0.0
-
-    def note(self, now: float, reachable: bool) -> None:
-        """Note the end of a call."""
-        if reachable is not self.reachable:
-            self.reachable = reachable
-            self.changed_at = now
 
 
 class _Choices(NamedTuple):
@@ -106,7 +63,7 @@
         self.platform = PlatformState()
         self.fresh_at = float('-inf')  #: up to then every change is known here
         self._failures = 0
-        self._grace = times.grace
+        self._grace = WatchGrace(times)
         self._silent_until: dict[str, float] = {}
         self._seen: dict[tuple[str, int, int], None] = {}
         self._pushes: set[asyncio.Task[None]] = set()
@@ -268,9 +225,9 @@
     async def _watch(self, timeout: float) -> None:
         since = self.book.complete_revision
         began = _now()
-        result = await self.store.watch(RECORDS, since, timeout, self._grace)
+        result = await self.store.watch(RECORDS, since, timeout, self._grace.seconds)
         took = _now() - began
-        self._learn_grace(took - timeout, answered=isinstance(result, Ok))
+        self._grace.learn(took - timeout, answered=isinstance(result, Ok))
         match result:
             case Ok(listing):
                 self._failures = 0
@@ -282,17 +239,6 @@
             case Err(error):
                 await self._back_off(error)
 
-    def _learn_grace(self, late: float, *, answered: bool) -> None:
-        """Wait longer for a platform that is slow, and no longer than needed for a fast one.
-
-        With one short bound a platform that is just slower would never be heard; with one
-        long bound a connection that went silent would hold up a node that has rejoined.
-        """
-        if answered and late >= 0:
-            self._grace = min(max(self.times.grace, late * 3), self.times.most_grace)
-        elif not answered and late >= self._grace - TIMER_SLACK:
-            self._grace = min(self._grace * 2, self.times.most_grace)
-
     def _take_listing(self, since: int, listing: Listing) -> None:
         entries = sorted(map(entry_of, listing.objects), key=lambda e: e.version)
         new = self._take_entries(entries)
--- /dev/null
+++ b/dunlinsaddle/records/sync_parts.py
@@ -0,0 +1,70 @@
+"""What the spreading of records is set by, and what it is given."""
+
+from typing import NamedTuple, Protocol
+
+from dunlinsaddle.calls.messages import RecordsAnswer, RecordsAsk, RecordsPush
+from dunlinsaddle.platform.store import WATCH_GRACE
+from dunlinsaddle.settings import Address
+
+TIMER_SLACK = 0.1  #: seconds by which a timer may fire early against the steady clock
+
+
+class SyncTimes(NamedTuple):
+    """How often a node does what. Seconds."""
+
+    watch: float = 3.0  #: a connection gone silent is noticed within this and the grace
+    grace: float = WATCH_GRACE
+    most_grace: float = 30.0
+    first_backoff: float = 0.2
+    most_backoff: float = 2.0
+    exchange: float = 2.0
+    answer: float = 1.0
+    silent: float = 4.0  #: for so long a peer that gave no answer is not asked again
+    start_spread: float = 0.3
+    stale_after: float = 15.0
+    per_member: float = 2.0  #: keeps slow polls of one domain at one each two seconds
+
+
+class Links(Protocol):
+    """What is asked of the links to peers."""
+
+    async def ask_records(
+        self, address: Address, ask: RecordsAsk, timeout: float
+    ) -> RecordsAnswer | None:
+        """Ask a peer for records; None when no answer comes."""
+
+    async def tell(self, address: Address, push: RecordsPush) -> bool:
+        """Send records to a peer; say whether there is a link to it."""
+
+
+class PlatformState:
+    """Since when the platform answers or does not, as this node's own calls show."""
+
+    def __init__(self) -> None:
+        self.reachable: bool | None = None
+        self.changed_at = 0.0
+
+    def note(self, now: float, reachable: bool) -> None:
+        """Note the end of a call."""
+        if reachable is not self.reachable:
+            self.reachable = reachable
+            self.changed_at = now
+
+
+class WatchGrace:
+    """How much longer than it asked for a watch waits for its answer."""
+
+    def __init__(self, times: SyncTimes) -> None:
+        self.times = times
+        self.seconds = times.grace
+
+    def learn(self, late: float, *, answered: bool) -> None:
+        """Wait longer for a platform that is slow, and no longer than needed for a fast one.
+
+        With one short bound a platform that is just slower would never be heard; with one
+        long bound a connection that went silent would hold up a node that has rejoined.
+        """
+        if answered and late >= 0:
+            self.seconds = min(max(self.times.grace, late * 3), self.times.most_grace)
+        elif not answered and late >= self.seconds - TIMER_SLACK:
+            self.seconds = min(self.seconds * 2, self.times.most_grace)
--- a/dunlinsaddle/replay/run.py
+++ b/dunlinsaddle/replay/run.py
@@ -13,9 +13,11 @@
 from dunlinsaddle.records.models import Rank
 from dunlinsaddle.replay.attempt import Answer, Attempt
 from dunlinsaddle.replay.capacity import full_rate, rank_of
+from dunlinsaddle.replay.current_node import CurrentNode
 from dunlinsaddle.replay.events import EventLoop, Process
 from dunlinsaddle.replay.fakes import FakeTarget, Network
-from dunlinsaddle.replay.nodes import VIEW_LAG, CurrentNode, FakeNode, Fleet, NaiveNode
+from dunlinsaddle.replay.naive_node import NaiveNode
+from dunlinsaddle.replay.nodes import VIEW_LAG, FakeNode, Fleet
 from dunlinsaddle.replay.trace import Arrival, Call, Chain, Demand, Fault, Trace
 
 POLICIES = ('naive', 'current', 'local')
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.settings import Address
--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -9,9 +9,10 @@
 import msgspec
 import uuid6
 
-from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse, json_response
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.platform import headers as names
 from dunlinsaddle.platform.heartbeats import PATH
 from dunlinsaddle.settings import read_address
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse, json_response
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.settings import Address, read_address
 
 MAX_VALUE_BYTES = 1 << 20
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -22,7 +22,8 @@
 import msgspec
 import uuid6
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.platform import headers as names
 from standins.mesh import MeshFleet, TargetKind, call_headers
--- a/standins/stages.py
+++ b/standins/stages.py
@@ -18,7 +18,8 @@
 import h11
 
 from dunlinsaddle.calls.frames import _decoder, _encoder
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.http import HttpLimits
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.calls.messages import Call
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.node import Node
--- a/standins/stories.py
+++ b/standins/stories.py
@@ -13,7 +13,8 @@
 
 import uuid6
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.settings import Address
 from standins.mesh import MeshFleet, TargetKind, call_headers
--- a/standins/target.py
+++ b/standins/target.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse, json_response
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.settings import Address, read_address
 
 ANNOUNCE_EVERY = 2.0
--- a/standins/ways.py
+++ b/standins/ways.py
@@ -16,9 +16,9 @@
 
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.frames import LinkLimits
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.errors import Outcome
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -7,9 +7,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.mesh.node import MeshNode
 from dunlinsaddle.mesh.settings import Bounds, MeshSettings
 from dunlinsaddle.settings import Address
--- a/tests/fakes/pair.py
+++ b/tests/fakes/pair.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import Answered, HttpClient
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.changes import RECORDS
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,7 +4,8 @@
 import msgspec
 
 from dunlinsaddle.admin import MAX_CHANGE_BYTES
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.membership.roster import ROSTERS
 from dunlinsaddle.node import Node
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,7 +1,8 @@
 import asyncio
 from random import Random
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.http import HttpResponse
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import NotSent
 from dunlinsaddle.settings import read_address
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -4,8 +4,8 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.calls.http import HttpResponse
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.http import HttpLimits, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.settings import Address
 
 WAITING = 300
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -14,7 +14,7 @@
         net = Machines()
         net.fill(40)
         fresh = net.add('fresh')
-        fresh.seeds.add(net.nodes['n007'].me.gossip)
+        fresh.turns.seeds.add(net.nodes['n007'].me.gossip)
         took = net.run_until(net.all_alive, 8)
         self.assertLess(took, 5)
 
@@ -131,7 +131,7 @@
         net.run(5)
         net.kill('n005')
         fresh = net.add('n005', incarnation=1)
-        fresh.seeds.add(net.nodes['n001'].me.gossip)
+        fresh.turns.seeds.add(net.nodes['n001'].me.gossip)
         where = fresh.me.gossip
         nodes = net.nodes.values()
         net.run_until(lambda: all(n.view.find('n005').gossip == where for n in nodes), 10)
@@ -262,7 +262,7 @@
         net = Machines()
         net.fill(200)
         net.recording = True
-        net.add('fresh').seeds.add(net.nodes['n001'].me.gossip)
+        net.add('fresh').turns.seeds.add(net.nodes['n001'].me.gossip)
         net.run(5)
         self.assertLessEqual(max(map(len, net.recorded)), MAX_BYTES)
 
--- a/tests/test_http_face.py
+++ b/tests/test_http_face.py
@@ -1,7 +1,7 @@
 import asyncio
 
-from dunlinsaddle.calls.http import HttpResponse, forwarded_headers
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.http import HttpLimits, HttpResponse, forwarded_headers
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.settings import Address
 from tests.clock import PausedClockTest
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.calls.http import HttpResponse
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.http import HttpLimits, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.metrics import Metrics, observe_stats
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import CallLabel, Stats
--- a/tests/test_node_paused.py
+++ b/tests/test_node_paused.py
@@ -1,6 +1,7 @@
 import asyncio
 
-from dunlinsaddle.calls.client import Answered, HttpClient
+from dunlinsaddle.calls.client import HttpClient
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.changes import RECORDS
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -5,8 +5,8 @@
 from result import Ok
 
 from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.http import HttpResponse
-from dunlinsaddle.calls.listener import HttpFace, HttpLimits
+from dunlinsaddle.calls.http import HttpLimits, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import Conflict, Unavailable
@@ -112,11 +112,11 @@
             platform.faults = {'delay': 6.0}
             task = asyncio.create_task(sync.run())
             await asyncio.sleep(60)
-            version, slow = sync.book.version('cut-orders'), sync._grace
+            version, slow = sync.book.version('cut-orders'), sync._grace.seconds
             platform.faults = {}
             await asyncio.sleep(20)
             task.cancel()
-            return version, slow > 6, sync._grace
+            return version, slow > 6, sync._grace.seconds
 
         self.assertEqual((2, True, 2.0), self.with_platform(scenario))
 
