--- a/dunlinsaddle/daemon.py
+++ b/dunlinsaddle/daemon.py
@@ -43,7 +43,8 @@
     name = 'dunlinsaddled'
     description = 'Runs the node beside one target.'
     options = [
-        option('check', None, 'Check the settings and exit.'),
+        option('check-settings', None, 'Check the settings and exit.'),
+        option('check', None, 'The same, shorter.'),
         option('node-file', None, _NODE_FILE_HELP, flag=False),
         option('help', 'h', 'Show this help.'),
         option('version', None, 'Show the version.'),
@@ -65,7 +66,7 @@
             return ExitStatus.OK
         node_file = self.option('node-file') or self.env.environ.get(env_name('node-file'))
         if node_file:
-            return mesh.run(self.env, node_file, check=bool(self.option('check')))
+            return mesh.run(self.env, node_file, check=self._only_checks())
         names = [*(opt.name for opt in OPTIONS), *secret_files()]
         flags = {name: self.option(name) for name in names}
         given = {name: text for name, text in flags.items() if text is not None}
@@ -74,11 +75,14 @@
                 self.env.report(str(error))
                 return ExitStatus.USAGE
             case Ok(settings):
-                return ExitStatus.OK if self.option('check') else run(self.env, settings)
+                return ExitStatus.OK if self._only_checks() else run(self.env, settings)
+
+    def _only_checks(self) -> bool:
+        return bool(self.option('check-settings') or self.option('check'))
 
 
 def _usage() -> str:
-    lines = ['usage: dunlinsaddled [--check] --SETTING VALUE ...', '', 'settings:']
+    lines = ['usage: dunlinsaddled [--check-settings] --SETTING VALUE ...', '', 'settings:']
     lines += [f'  --{opt.name}\n      {_describe(opt)}' for opt in OPTIONS]
     lines += [f'  --{name}\n      {_describe_file(name)}' for name in secret_files()]
     return '\n'.join(lines) + '\n'
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,7 +3,8 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.membership.view import State
 from tests.clock import PausedClockTest
 from tests.fakes.mesh import Mesh
@@ -227,6 +228,62 @@
 
         self.assertEqual(1, self.mesh(scenario))
 
+    def test_a_request_that_kills_its_target_is_stopped_over_all_nodes(self):
+        # Each target that runs it dies, and is back after two seconds. Its caller sends it
+        # again with a new id, by any node. Two deaths are enough for all nodes to know it;
+        # other requests are served all the while by whoever lives.
+        deaths = []
+
+        async def scenario(mesh):
+            def deadly(target):
+                async def run(req):
+                    if not req.path.endswith('kill'):
+                        return target.signed(req)
+                    deaths.append(target)
+                    target.face.close()
+                    await asyncio.sleep(2.0)
+                    target.face = HttpFace(target.handle, HttpLimits())
+                    await target.face.listen(target.node.settings.target)
+                    return target.signed(req)
+
+                return run
+
+            for name in 'bcd':
+                mesh.targets[name].script = deadly(mesh.targets[name])
+            killed, others = [], []
+            for turn in range(24):
+                entry = 'abcd'[turn % 4]
+                killed.append((await mesh.call(entry, '/deep/kill')).status)
+                others.append((await mesh.call(entry, f'/deep/{turn}')).status)
+                await asyncio.sleep(0.5)
+            return killed[-1], others.count(200)
+
+        targets = ('a:front', 'b:deep', 'c:deep', 'd:deep')
+        last, served = self.mesh(scenario, targets=targets, attempts=2)
+        self.assertEqual((422, True), (last, len(deaths) <= 3))
+        self.assertGreaterEqual(served, 22)
+
+    def test_calls_leave_a_frozen_node_within_seconds(self):
+        # A node stands still with its connections open: calls given to it get no answer, and
+        # those that may be repeated would wait for their deadline, one after the other.
+        async def scenario(mesh):
+            async def hang(call):
+                await asyncio.sleep(60)
+
+            frozen = mesh.nodes['b']
+            frozen.peer_server.handler = hang
+            frozen.agent.gossip.receive = lambda now, message: []
+            frozen.agent.gossip.tick = lambda now: []
+            statuses = []
+            for _ in range(50):
+                statuses.append((await mesh.call('a', '/deep/x', timeout=1.0)).status)
+                await asyncio.sleep(0.05)
+            return statuses
+
+        statuses = self.mesh(scenario, targets=('a:front', 'b:deep', 'c:deep', 'd:deep'))
+        self.assertGreaterEqual(statuses.count(200), 47)
+        self.assertEqual({200}, set(statuses[-20:]))
+
 
 class MembershipTest(MeshTest):
     def test_nodes_find_each_other_when_the_store_returns(self):
