--- a/dunlinsaddle/cli/queries/trace.py
+++ b/dunlinsaddle/cli/queries/trace.py
@@ -58,6 +58,9 @@
         elif event.get('inner') and event.get('message') in _UNSERVED:
             failed.append(event)
     found.sort(key=_when)
+    if any(_failed_call_of(event, request_id) for event in found):
+        # What it failed of is in the story: calls that others were made for would hide it.
+        return Story(found, [], unreadable)
     spans = [span for event in found for span in _spans(event)]
     calls = [event for event in failed if any(span.holds(event) for span in spans)]
     return Story(found, sorted(calls, key=_when), unreadable)
@@ -75,6 +78,10 @@
     return not rest or not rest[0].isalnum()
 
 
+def _failed_call_of(event: dict[str, Any], request_id: str) -> bool:
+    return event.get('request_id') != request_id and event.get('message') in _UNSERVED
+
+
 class _Span(NamedTuple):
     """The time in which one instance had the request."""
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -110,6 +110,25 @@
         story = run_cli('trace', resent, '--json', stdin=text).json
         self.assertEqual('request answered', story['lines'][-1]['message'])
 
+    def test_trace_shows_other_failed_calls_only_where_none_of_its_own_is_known(self):
+        # The engineer reads forty lines of requests that failed beside the one in question,
+        # though its own story names the call that it failed of.
+        when = '2026-01-01T00:00:00.{}+00:00'
+
+        def failed(request_id, instance, moment, *, inner):
+            attempts = [{'instance': 'b', 'kind': '', 'status': 500, 'seconds': 0.2}]
+            line = {'time': when.format(moment), 'instance': instance, 'request_id': request_id}
+            line |= {'message': Event.FAILED, 'inner': inner, 'attempts': attempts}
+            return json.dumps(line) + '\n'
+
+        root = failed('r-1', 'a', 300, inner=False)
+        other = failed('r-9.1', 'b', 250, inner=True)
+        own = failed('r-1.1', 'b', 200, inner=True)
+        with_own = run_cli('trace', 'r-1', stdin=root + other + own)
+        without = run_cli('trace', 'r-1', stdin=root + other)
+        self.assertNotIn('r-9.1', with_own.output)
+        self.assertIn('r-9.1', without.output)
+
     def test_trace_without_a_match_says_so(self):
         result = run_cli('trace', 'r-none', stdin='{"message": "x", "request_id": "r-1"}\n')
         self.assertEqual(5, result.status)
