--- a/dunlinsaddle/calls/accepted.py
+++ b/dunlinsaddle/calls/accepted.py
@@ -25,7 +25,7 @@
 )
 from dunlinsaddle.errors import ErrorKind, Failure
 
-MAX_TARGET_BYTES = 8192
+MAX_TARGET_BYTES = 8192  #: of a path with its query; RFC 9110, 4.1 asks for 8,000 at least
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 #: Requests of these methods may run beside others of their connection.
 REPEATABLE_METHODS = frozenset({b'GET', b'HEAD', b'OPTIONS'})
--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -12,7 +12,8 @@
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.settings import Address
 
-CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 1.0  #: seconds; a live target takes a connection within milliseconds
+#: Of an answer where nothing else is said: a bound on memory, by judgement.
 MAX_BODY_BYTES = 1 << 20
 #: The same for a request that must not be sent twice: were it lost, it could not be repeated.
 REUSE_ONCE_SECONDS = 0.25
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -21,7 +21,7 @@
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.stats import Stats
 
-NO_TARGET_COME_BACK = 1.0
+NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
 #: How a call ends that a target was given and has not answered; told by the node beside it.
 LOST = frozenset(kind.value for kind in LOST_ON_THE_WAY)
 
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -28,7 +28,7 @@
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.stats import Hop, Stats
 
-COME_BACK = 1.0
+COME_BACK = 1.0  #: seconds; about the time in which a queue has moved
 TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
--- a/dunlinsaddle/calls/faces.py
+++ b/dunlinsaddle/calls/faces.py
@@ -30,9 +30,9 @@
 from dunlinsaddle.settings import read_address
 from dunlinsaddle.stats import CallLabel, Stats
 
-MAX_ID_LENGTH = 128
+MAX_ID_LENGTH = 128  #: characters; ids in use have 16 to 36
 KEYS_PATH = '/-/keys/'
-NO_RECORD_COME_BACK = 1.0
+NO_RECORD_COME_BACK = 1.0  #: seconds; by judgement
 UNTRACED_RULE = RequestRule('untraced', '*', '/**')
 
 
--- a/dunlinsaddle/calls/frames.py
+++ b/dunlinsaddle/calls/frames.py
@@ -12,13 +12,13 @@
 from dunlinsaddle.calls.keepalive import LINK_IDLE_SECONDS, watch_connection
 from dunlinsaddle.calls.messages import Frame
 
-LENGTH_BYTES = 4
-FRAME_OVERHEAD = 1 << 16
-HANDSHAKE_BYTES = 512
-HANDSHAKE_TIMEOUT = 1.0
-NONCE_BYTES = 16
-PROBE_EVERY = 0.5
-SILENT_AFTER = 1.5
+LENGTH_BYTES = 4  #: of a frame's length
+FRAME_OVERHEAD = 1 << 16  #: bytes of a frame beside the body: headers, and what goes with a call
+HANDSHAKE_BYTES = 512  #: of a greeting: a bound against strangers
+HANDSHAKE_TIMEOUT = 1.0  #: seconds; a live peer greets within milliseconds
+NONCE_BYTES = 16  #: 128 bits do not come twice
+PROBE_EVERY = 0.5  #: seconds between two probes of a link that carries calls
+SILENT_AFTER = 1.5  #: seconds without an answer to three probes
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
--- a/dunlinsaddle/calls/handover.py
+++ b/dunlinsaddle/calls/handover.py
@@ -19,9 +19,9 @@
 from dunlinsaddle.policy.once_table import Ended, KeyTable
 from dunlinsaddle.policy.ownership import Owner
 
-PIECE_BYTES = 1 << 18
+PIECE_BYTES = 1 << 18  #: of one message: a quarter of a second on a link of ten megabits
 KEY_BYTES = 256  #: more than a key takes without its answer
-PIECE_SECONDS = 2.0
+PIECE_SECONDS = 2.0  #: seconds for one message, by judgement: what a leaving node can spare
 
 Tables = dict[str, KeyTable[Reply]]
 
--- a/dunlinsaddle/calls/keepalive.py
+++ b/dunlinsaddle/calls/keepalive.py
@@ -3,11 +3,12 @@
 import asyncio
 import socket
 
-IDLE_SECONDS = 1
+IDLE_SECONDS = 1  #: seconds without a packet before the first probe of a request that is out
+#: The same for a link that may be idle: probes of thousands would cost more than calls.
 LINK_IDLE_SECONDS = 60
-INTERVAL_SECONDS = 1
-PROBES = 2
-UNACKED_MILLISECONDS = 3000
+INTERVAL_SECONDS = 1  #: seconds between two probes
+PROBES = 2  #: unanswered ones that end a connection: 3 s in all with the two above
+UNACKED_MILLISECONDS = 3000  #: the same 3 s for bytes that were written and not acknowledged
 
 _TCP_OPTIONS = (
     (socket.TCP_NODELAY, 1),
--- a/dunlinsaddle/calls/link.py
+++ b/dunlinsaddle/calls/link.py
@@ -40,7 +40,7 @@
 #: A link is used without further ado this long after the last sign of life, in seconds. One
 #: that carries calls hears a Pong more often than that.
 REUSE_SECONDS = 1.0
-PROOF_SECONDS = 0.25
+PROOF_SECONDS = 0.25  #: seconds for a sign of life; a peer answers within milliseconds
 
 
 class _Dialling(FrameProtocol):
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -12,7 +12,7 @@
 from dunlinsaddle.records.models import Rank, RecordEntry
 from dunlinsaddle.records.schema import MAX_RETRY_BOUND
 
-MAX_BUDGET = 86_400.0
+MAX_BUDGET = 86_400.0  #: seconds; a day is a bound against absurd numbers only
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/dunlinsaddle/calls/owned.py
+++ b/dunlinsaddle/calls/owned.py
@@ -17,8 +17,8 @@
 from dunlinsaddle.policy.retry import Allowance
 from dunlinsaddle.stats import Stats
 
-COME_BACK = 1.0
-MAX_HANDED_ON = 2
+COME_BACK = 1.0  #: seconds; within one, a reading of the map of owners is done
+MAX_HANDED_ON = 2  #: nodes that a run is handed on to: two more cover a drain beside a full one
 HANDED_ON = frozenset({ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED})
 ACCEPTED = 'accepted'
 REPEATED = 'repeated'
--- a/dunlinsaddle/calls/pool.py
+++ b/dunlinsaddle/calls/pool.py
@@ -5,14 +5,14 @@
 from dunlinsaddle.calls.connection import ClientConnection
 from dunlinsaddle.settings import Address
 
-MAX_IDLE = 64
+MAX_IDLE = 64  #: connections kept to one address: more would fill the target's places
 #: A kept connection is used again only this long after its last answer, in seconds. Shorter
 #: than the idle timeout of common servers, so that a request seldom meets their closing.
 REUSE_SECONDS = 2.0
-PRUNE_MARGIN = 0.01
-OVERDUE_SECONDS = 1.0
-OVERDUE_FACTOR = 4.0
-SLOWEST_DECAY = 0.98
+PRUNE_MARGIN = 0.01  #: seconds by which the timer comes later, to find the connection expired
+OVERDUE_SECONDS = 1.0  #: seconds; by judgement
+OVERDUE_FACTOR = 4.0  #: times the slowest recent answer from which one is late
+SLOWEST_DECAY = 0.98  #: what one answer leaves of the slowest: half after 34
 
 
 class Pool:
--- a/dunlinsaddle/membership/liveness.py
+++ b/dunlinsaddle/membership/liveness.py
@@ -5,10 +5,10 @@
 
 from dunlinsaddle.settings import Address
 
-LATE_AFTER = 2.2
-GONE_AFTER = 6.0
+LATE_AFTER = 2.2  #: seconds of silence; announcements come each second, and one may be lost
+GONE_AFTER = 6.0  #: seconds of silence after which one that used to repeat itself has gone
 REPEATS = 2  #: announcements in a row that show that a target repeats itself
-CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 1.0  #: seconds; a live target takes a connection within milliseconds
 
 
 class Hearing(Enum):
--- a/dunlinsaddle/membership/messages.py
+++ b/dunlinsaddle/membership/messages.py
@@ -9,7 +9,7 @@
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.settings import Address
 
-MAC_BYTES = 16
+MAC_BYTES = 16  #: 128 bits: enough against a guess
 MAX_BYTES = 1400  #: under the least packet size of usual networks, so nothing is fragmented
 PAGE_BYTES = 1000  #: words in one message of a view's exchange
 PERSON = b'dunlin-gossip'
--- a/dunlinsaddle/membership/probing.py
+++ b/dunlinsaddle/membership/probing.py
@@ -9,7 +9,7 @@
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.settings import Address
 
-MOST_FIRST = 8
+MOST_FIRST = 8  #: instances that are probed out of turn: eight periods of one second
 MOST_RELAYED = 1000  #: probes for others at a time: what they ask must not fill the memory
 
 
--- a/dunlinsaddle/membership/roster.py
+++ b/dunlinsaddle/membership/roster.py
@@ -18,10 +18,11 @@
 from dunlinsaddle.settings import read_address
 
 ROSTERS = 'rosters'
-KEEPERS = 3
-ENOUGH = 3
-MOST = 8
-FIRST_SECONDS = 0.5
+KEEPERS = 3  #: nodes of a domain that look after its roster: one lives, whichever two are lost
+ENOUGH = 3  #: live members that a roster must list, for the same reason
+MOST = 8  #: members that it lists: a fresh node needs one that answers
+FIRST_SECONDS = 0.5  #: seconds between two passes at the start, doubled each time
+#: Seconds between two passes later; 960 nodes in 3 domains read nine times in it.
 EVERY_SECONDS = 30.0
 #: Seconds between two tries while the platform is out. Nodes that started in the outage know
 #: nobody; half of the two seconds in which they have to find each other once it returns.
--- a/dunlinsaddle/membership/sync.py
+++ b/dunlinsaddle/membership/sync.py
@@ -9,7 +9,7 @@
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.settings import Address
 
-BUCKETS = 64
+BUCKETS = 64  #: digests of 4 bytes each, so that a comparison takes one datagram
 
 
 @functools.lru_cache(maxsize=8192)
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -11,7 +11,7 @@
 REFUSED_BY_NODE = frozenset(
     {ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED, ErrorKind.TOO_LATE_TO_START}
 )
-FAILED = 500
+FAILED = 500  #: the status of a target that failed by itself
 REFUSALS_MOST = 3  #: nodes in turn that may refuse a request before its caller is told
 
 
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -20,8 +20,8 @@
 from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.stats import QUEUE_BOUNDS, Stats
 
-EXPORT_SECONDS = 10.0
-EXPORT_TIMEOUT = 5
+EXPORT_SECONDS = 10.0  #: seconds between two exports, by judgement
+EXPORT_TIMEOUT = 5  #: seconds; half of the above, so that exports never overlap
 
 Labels = Mapping[str, str]
 Values = Iterable[tuple[float, Labels]]
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -47,9 +47,9 @@
 from dunlinsaddle.settings import Settings
 from dunlinsaddle.stats import Stats
 
-KEY_WINDOW = 900.0
-WATCH_SECONDS = 0.25
-DRAIN_NOTICE = 1.0
+KEY_WINDOW = 900.0  #: seconds for which keys are remembered where no record says so
+WATCH_SECONDS = 0.25  #: seconds between two looks at the target; an announcement comes each second
+DRAIN_NOTICE = 1.0  #: seconds in which the news of leaving reaches the other nodes
 #: Listings hold many values of up to a megabyte.
 PLATFORM_BODY_BYTES = 1 << 26
 
--- a/dunlinsaddle/once/local.py
+++ b/dunlinsaddle/once/local.py
@@ -7,7 +7,7 @@
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.once.keeper import RangeKeeper
 
-KEEP_SECONDS = 0.5
+KEEP_SECONDS = 0.5  #: seconds between two looks; a target serves another service at a restart only
 
 
 class Served(NamedTuple):
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -20,7 +20,7 @@
 HIGHEST_USE = 0.95  #: demand admitted as a share of capacity, at recovery_bias 0
 LOWEST_USE = 0.9  #: the same at recovery_bias 1
 DEEP_QUEUE = 1.0  #: calls that wait for each that runs, when work has been done for them
-TIME_GAIN = 0.1
+TIME_GAIN = 0.1  #: weight of one call in a mean time: some ten calls count
 
 
 class Ticket(NamedTuple):
--- a/dunlinsaddle/policy/callers.py
+++ b/dunlinsaddle/policy/callers.py
@@ -5,10 +5,10 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.records.models import Rank
 
-BURST = 10.0
-CALLERS_MOST = 10_000
-REFUSALS_MOST = 50_000
-PENALTY_MOST = 60.0
+BURST = 10.0  #: early resends that a caller may make before its ratio counts; by judgement
+CALLERS_MOST = 10_000  #: callers held: a bound on memory
+REFUSALS_MOST = 50_000  #: refusals held until their time has passed: a bound on memory
+PENALTY_MOST = 60.0  #: seconds; the longest that a caller is told to stay away, by judgement
 
 
 class _Caller:
--- a/dunlinsaddle/policy/capacity.py
+++ b/dunlinsaddle/policy/capacity.py
@@ -1,8 +1,8 @@
 """The calls a second that a target can take, observed while its limit is reached."""
 
-ENOUGH_CALLS = 100.0
-ENOUGH_TIME = 1.0
-FIRST_CALLS = 10.0
+ENOUGH_CALLS = 100.0  #: calls of which a rate is known within a tenth
+ENOUGH_TIME = 1.0  #: seconds; with ENOUGH_CALLS, when older ones begin to count half
+FIRST_CALLS = 10.0  #: calls before the rate is believed: known within a third
 PATIENCE = 0.2  #: seconds with free places that are usual even near capacity
 DOUBLING = 0.25  #: seconds with free places in which the estimate doubles
 
--- a/dunlinsaddle/policy/context.py
+++ b/dunlinsaddle/policy/context.py
@@ -7,9 +7,9 @@
 
 from dunlinsaddle.records.models import Rank
 
-SLOTS_PER_RANK = 128
+SLOTS_PER_RANK = 128  #: levels of one rank: a level then is less than a hundredth of its demand
 LOWEST_LEVEL = SLOTS_PER_RANK * len(Rank) - 1
-MAX_HOPS = 32
+MAX_HOPS = 32  #: three times the deepest chain of the users, which has eleven
 
 
 class Priority(NamedTuple):
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -12,20 +12,20 @@
 from dunlinsaddle.policy.trend import DemandTrend
 
 SHORTEST_MEMORY = 0.2  #: seconds over which demand is averaged, as ENOUGH_CALLS take
-LONGEST_MEMORY = 0.5
-ENOUGH_CALLS = 150.0
+LONGEST_MEMORY = 0.5  #: seconds; a surge that has ended is forgotten within one
+ENOUGH_CALLS = 150.0  #: calls, of which a share is known within a tenth
 TICK = 0.1  #: seconds between two decisions
 GAIN = 0.5  #: share of the way to the wanted level in one tick
 FAR_OVER = 1.5  #: demand over capacity from which the level falls at once
 MOST_RELAX = 64  #: levels that are opened in one tick at most
-FEW_LEVELS = 4
+FEW_LEVELS = 4  #: open levels that are too few to tell the demand of the others by
 OPEN_AFTER = 0.05  #: seconds of spare capacity that are no chance
 SETTLED = 0.8  #: seconds after which the demand of an opened level is seen in full
 FALL_TICKS = 3  #: ticks over which a fall of demand is looked for: a gap of one is often chance
 FALL_CERTAIN = 3.0  #: standard errors: by chance one look in 3,000, and then for some ticks
 FALL_LEAST = 0.05  #: share of the counts that is kept: zero would take a pause for no demand
 SHUT_MEMORY = 1.0  #: seconds for which the demand of shut levels is remembered
-LEARN_GAIN = 0.25
+LEARN_GAIN = 0.25  #: weight of one answer in a learned level: some four answers count
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
 REOPEN_RATE = 256.0  #: levels a second
 NOTHING = -1.0  #: the level of a service that admits nothing
--- a/dunlinsaddle/policy/naive.py
+++ b/dunlinsaddle/policy/naive.py
@@ -14,7 +14,7 @@
     Wait,
 )
 
-RETRIES_PER_HOP = 3
+RETRIES_PER_HOP = 3  #: what clients of common frameworks do unless told otherwise
 
 
 class FixedLimit:
--- a/dunlinsaddle/policy/once_table.py
+++ b/dunlinsaddle/policy/once_table.py
@@ -14,9 +14,9 @@
 from dunlinsaddle.errors import ErrorKind
 
 FUTURE_MARGIN = 30_000  #: a key may be this much ahead of the owner's clock, ms
-MAX_KEYS = 50_000
-MAX_ANSWER_BYTES = 16_384
-MAX_ANSWERS_BYTES = 16 << 20
+MAX_KEYS = 50_000  #: keys held: a bound on memory
+MAX_ANSWER_BYTES = 16_384  #: of an answer that is kept: a bound on memory, by judgement
+MAX_ANSWERS_BYTES = 16 << 20  #: of all that are kept: a bound on memory, by judgement
 
 Answer = TypeVar('Answer')
 
--- a/dunlinsaddle/policy/quarantine.py
+++ b/dunlinsaddle/policy/quarantine.py
@@ -6,10 +6,10 @@
 
 from dunlinsaddle.errors import ErrorKind, Failure
 
-DEATHS_MOST = 2
-SUSPECT_SECONDS = 120.0
-REFUSE_SECONDS = 900.0
-FINGERPRINTS_MOST = 10_000
+DEATHS_MOST = 2  #: targets that one request may kill: the first death names no one, the second does
+SUSPECT_SECONDS = 120.0  #: seconds; by judgement, longer than callers go on sending one request
+REFUSE_SECONDS = 900.0  #: seconds; as long as keys are remembered by default
+FINGERPRINTS_MOST = 10_000  #: requests held: a bound on memory
 
 
 class _Record(NamedTuple):
--- a/dunlinsaddle/policy/retry_after.py
+++ b/dunlinsaddle/policy/retry_after.py
@@ -1,8 +1,8 @@
 """When a refused caller should come back."""
 
-SHORTEST = 1.0
-LONGEST = 30.0
-SPREAD = 0.5
+SHORTEST = 1.0  #: seconds; about the time in which a queue has moved
+LONGEST = 30.0  #: seconds; by judgement
+SPREAD = 0.5  #: share of the time over which those refused together come back
 _GOLDEN = 0.6180339887498949
 
 
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -8,15 +8,17 @@
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.pace import FORGET_SECONDS, Paces
 
+#: Calls in a row without an answer; one or two happen at a sound target that restarts.
 EJECT_AFTER = 3
-EJECT_SECONDS = 2.0
+EJECT_SECONDS = 2.0  #: seconds; by judgement: a target that restarts is back after some
+#: Seconds; by judgement, so that a target that is back is found within half a minute.
 EJECT_SECONDS_MOST = 30.0
 EJECT_SHARE = 0.5  #: never leave out a larger share of a service's targets than this
-AVOID_SECONDS = 5.0
-FAR_FACTOR = 1.5
-PEER_FACTOR = 1.1
-ERROR_WEIGHT = 4.0
-ERROR_DECAY = 0.9
+AVOID_SECONDS = 5.0  #: seconds; by then the news that it is leaving has reached every view
+FAR_FACTOR = 1.5  #: cost of another failure domain: a near target is left when it is half fuller
+PEER_FACTOR = 1.1  #: cost of another node's target in the same domain: one hop more
+ERROR_WEIGHT = 4.0  #: a target that fails every call costs five times as much; by judgement
+ERROR_DECAY = 0.9  #: what one call leaves of the share of errors: some ten calls count
 #: Times that a target must take as long as another before that counts, its errors included.
 #: Targets of one service differ in speed by up to 2.3 by nature, and their load shows it well
 #: enough; errors weigh as much from four in ten calls.
--- a/dunlinsaddle/policy/trend.py
+++ b/dunlinsaddle/policy/trend.py
@@ -5,6 +5,7 @@
 SOON = 0.3  #: seconds over which an entry averages its demand of now
 LATE = 2.0  #: the same for that of before
 CERTAIN = 2.5  #: standard errors that are no chance
+#: A demand that has ended counts as so much of before: zero would open without bound.
 LEAST_SHARE = 0.05
 
 
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -24,7 +24,7 @@
 #: must not hold up a node that knows nothing: its peers are asked after the first bound. It is
 #: doubled after each failure, so that a store that is only slow is heard, too.
 FIRST_GRACE = 1.0
-MOST_GRACE = 8.0
+MOST_GRACE = 8.0  #: seconds; a store slower than that counts as away
 FIRST_BACKOFF = 0.1  #: seconds; a store that refuses a call is mostly back within a second
 MOST_BACKOFF = 1.0  #: half of the two seconds within which a change has to be in force
 PEER_SECONDS = 0.5  #: for a peer's answer; a round trip between failure domains takes 1 ms
