Soak: an operator whom the store refuses goes on, and a harm that fails ends the others

A fault of the soak, not of the nodes. Change: NotWritten for no answer, a refusal, or a conflict (an earlier write took effect); harms in a task group.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -60,6 +60,10 @@
     kind: str = 'safe'
 
 
+class NotWritten(Exception):
+    """The store has not said that it took a configuration; it may have taken it all the same."""
+
+
 class MeshFleet:
     """Starts processes, and stops what it started; an asynchronous context manager."""
 
@@ -131,7 +135,11 @@
         self.machines[name] = held
 
     async def configure(self, kinds: list[TargetKind]) -> None:
-        """Write the next configuration: a route ``/SERVICE/`` to each service."""
+        """Write the next configuration: a route ``/SERVICE/`` to each service.
+
+        Raises NotWritten when the store gives no answer, refuses, or shows that an earlier
+        write took effect whose answer was lost; that one's revision is known from then on.
+        """
         self.version += 1
         value = _configuration(self.version, kinds)
         meta: dict[str, Any] = {'name': 'main'}
@@ -141,8 +149,11 @@
             method, path = 'PUT', '/objects/config/main'
         body = msgspec.json.encode({'metadata': meta, 'specification': value})
         answer = await self.ask(self.store, method, path, body)
-        assert answer is not None
+        if answer is None or answer.status not in (200, 409):
+            raise NotWritten(answer and answer.status)
         self._revision = msgspec.json.decode(answer.body)['metadata']['revision']
+        if answer.status == 409:
+            raise NotWritten(409)
 
     async def ask(
         self, address: Address, method: str, path: str, body: bytes = b''
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -26,7 +26,7 @@
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.platform import headers as names
-from standins.mesh import MeshFleet, TargetKind, call_headers
+from standins.mesh import MeshFleet, NotWritten, TargetKind, call_headers
 from standins.proxy import Harm
 
 KINDS = [
@@ -140,11 +140,12 @@
     async def _harm_for(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
-        running: list[asyncio.Task[None]] = []
-        while loop.time() < until:
-            running.append(asyncio.create_task(self._harm()))
-            await asyncio.sleep(self.rng.uniform(0.2, 1.2))
-        await asyncio.gather(*running)
+        # A harm that fails ends the others: one that starts a process after the fleet was ended
+        # would leave it running, and the run would wait for its end.
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < until:
+                group.create_task(self._harm())
+                await asyncio.sleep(self.rng.uniform(0.2, 1.2))
         for machine in self.fleet.machines.values():
             machine.target_way.use(Harm.NONE)
             machine.store_way.use(Harm.NONE)
@@ -208,8 +209,8 @@
         # Past the proxies, as the operator writes; while the store is down nobody can.
         try:
             await self.fleet.configure(KINDS)
-        except AssertionError:
-            self.record.faults.append('the configuration was not written')
+        except NotWritten as exc:
+            self.record.faults.append(f'the configuration was not written: {exc}')
 
     async def _end_node(self, name: str, how: signal.Signals) -> None:
         node = self.fleet.machines[name].node
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,14 @@
 import asyncio
+import json
 from collections import Counter
+from typing import Any
 
 from testtools import TestCase
 
+from dunlinsaddle.calls.http import HttpResponse, json_response
+from standins.mesh import MeshFleet, NotWritten
 from standins.soak import Sent, judge, run
+from tests.clock import PausedClockTest
 
 #: One short run for each change of the code; seeds that ever failed stay here, with the cause.
 #: 10: a node that started while the store took calls and said nothing had no configuration for
@@ -20,6 +25,39 @@
             self.assertEqual([], record.findings, (seed, record.faults))
 
 
+class OperatorTest(PausedClockTest):
+    def configure(self, *answers: HttpResponse | None) -> tuple[list[str], list[Any]]:
+        async def scenario():
+            fleet = MeshFleet(0)
+            told, revisions, left = [], [], list(answers)
+
+            async def ask(address, method, path, body=b''):
+                revisions.append(json.loads(body)['metadata'].get('revision'))
+                return left.pop(0)
+
+            fleet.ask = ask
+            for _ in answers:
+                try:
+                    await fleet.configure([])
+                    told.append('written')
+                except NotWritten as exc:
+                    told.append(str(exc))
+            fleet.folder.cleanup()
+            return told, revisions
+
+        return self.run_paused(scenario())
+
+    def test_an_operator_whom_the_store_refuses_goes_on(self):
+        # Seed 57 of 8 s: the store answered 503 to a configuration, the run broke off, and a
+        # harm that was still out started a node for which it then waited for ever.
+        held = json_response({'metadata': {'name': 'main', 'revision': 7}}, 409)
+        done = json_response({'metadata': {'name': 'main', 'revision': 9}})
+        refused = json_response({'message': 'not now'}, 503)
+        told, revisions = self.configure(refused, None, held, done, done)
+        self.assertEqual(['503', 'None', '409', 'written', 'written'], told)
+        self.assertEqual([None, None, None, 7, 9], revisions)
+
+
 class JudgeTest(TestCase):
     def sent(self, **changes):
         return Sent('q', 'orders', 'a', 200, True, 0.1)._replace(**changes)
