After a failed call to the store the first one does not wait for news

Its watch was cut with the store's history, the next watch (5 s) went out on a connection that fell silent, and ended by the kernel's probes after 3 s. Ruled out: peers (asked twice, over links that were silent too), unusable configurations. Change: after a failure the call has no wait, so a missed change is told at once and silence shows after a second; the bound doubles only after a call that ran into it. Test fails before.

--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -22,7 +22,7 @@
 WATCH_SECONDS = 5.0
 #: Seconds that an answer may take beyond that, at first and at most. A store that does not answer
 #: must not hold up a node that knows nothing: its peers are asked after the first bound. It is
-#: doubled after each failure, so that a store that is only slow is heard, too.
+#: doubled after each call that was not answered in time, so that a slow store is heard, too.
 FIRST_GRACE = 1.0
 MOST_GRACE = 8.0  #: seconds; a store slower than that counts as away
 FIRST_BACKOFF = 0.1  #: seconds; a store that refuses a call is mostly back within a second
@@ -67,7 +67,10 @@
         """Follow the store until cancelled."""
         backoff, grace = FIRST_BACKOFF, FIRST_GRACE
         while True:
-            wait = WATCH_SECONDS if self._revision else 0.0
+            # After a failure first a call that does not wait: connections that were cut may have
+            # hidden a change, and one that goes silent shows only when its answer is overdue.
+            wait = WATCH_SECONDS if self._revision and self._reachable else 0.0
+            began = asyncio.get_running_loop().time()
             match await self.store.watch(self.kind, self._revision, wait, grace):
                 case Ok(listing):
                     backoff, grace = FIRST_BACKOFF, FIRST_GRACE
@@ -75,10 +78,11 @@
                     self._take_listing(listing)
                 case Err(Unavailable(detail)):
                     self._note_store(reachable=False, why=detail)
+                    if asyncio.get_running_loop().time() - began >= wait + grace:
+                        grace = min(grace * 2, MOST_GRACE)
                     await self._ask_peer()
                     await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
                     backoff = min(backoff * 2, MOST_BACKOFF)
-                    grace = min(grace * 2, MOST_GRACE)
 
     def answer(self, frame: RecordFrame) -> RecordsAnswer | None:
         """Answer a peer that cannot reach the store."""
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -89,6 +89,24 @@
         return await super().watch(kind, since, timeout, grace)
 
 
+class CutStore(FakeStore):
+    """Cuts the watch that waits, hides a change from it, and is silent to the next call."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, kind, since, timeout, grace=WATCH_GRACE):
+        self.watches += 1
+        if self.watches == 2:
+            await asyncio.sleep(1.0)
+            return Err(Unavailable('the connection ended'))
+        if self.watches == 3:
+            await asyncio.sleep(timeout + grace)
+            return Err(Unavailable('no answer in time'))
+        return await super().watch(kind, since, timeout, grace)
+
+
 class FollowTest(PausedClockTest):
     def follow(self, scenario, store=None):
         store = store or FakeStore()
@@ -141,6 +159,19 @@
 
         self.assertEqual(4, self.follow(scenario, SilentStore()))
 
+    def test_a_change_missed_by_a_cut_watch_is_in_force_soon_though_the_next_call_is_silent(self):
+        # The store forgets its history: watches hear nothing for a second, while a change is
+        # made, and are cut. The next call goes out on a connection that has gone silent. Were
+        # it a watch as long as usual, the old routes would be in force for five seconds more.
+        async def scenario(store, follower):
+            held = (await store.put('config', 'main', build_configuration('r4'), 0)).unwrap()
+            await asyncio.sleep(0.5)
+            await store.put('config', 'main', build_configuration('r6'), held.version)
+            await asyncio.sleep(3.0)
+            return follower.version
+
+        self.assertEqual(6, self.follow(scenario, CutStore()))
+
     def test_a_change_made_in_an_outage_is_in_force_within_two_seconds_of_its_end(self):
         # The store is down for long; a change is made just as it returns. The node must not
         # wait out a long pause between two tries.
