--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -110,6 +110,27 @@
         story = run_cli('trace', resent, '--json', stdin=text).json
         self.assertEqual('request answered', story['lines'][-1]['message'])
 
+    def test_trace_over_three_nodes_of_which_one_was_killed(self):
+        # A node goes while its target runs the request: its own lines end there, and those of
+        # the entry tell that it was lost, where it went next, and who answered.
+        async def scenario(mesh):
+            for name in 'bc':
+                mesh.targets[name].seconds = 0.3
+            call = asyncio.create_task(mesh.call('a', '/deep/x', request_id='r-1'))
+            await asyncio.sleep(0.1)
+            busy = next(name for name in 'bc' if mesh.targets[name].seen)
+            await mesh.nodes[busy].stop()
+            await call
+
+        text, _ = self.logged(scenario, ('a:front', 'b:deep', 'c:deep'))
+        story = run_cli('trace', 'r-1', '--json', stdin=text).json['lines']
+        told = [line['message'] for line in story]
+        expected = ['request routed', 'request sent', 'request sent again', 'request sent']
+        self.assertEqual([*expected, 'request answered'], told)
+        first, second = story[-1]['attempts']
+        self.assertEqual(('peer-lost', ''), (first['kind'], second['kind']))
+        self.assertNotEqual(first['instance'], second['instance'])
+
     def test_trace_shows_other_failed_calls_only_where_none_of_its_own_is_known(self):
         # The engineer reads forty lines of requests that failed beside the one in question,
         # though its own story names the call that it failed of.
