--- a/tests/fakes/slots_load.py
+++ b/tests/fakes/slots_load.py
@@ -119,16 +119,31 @@
     late_views: float  #: of those that began in the last five seconds
 
 
-class SlotsLoad:
+class Events:
+    """Steps in order of simulated time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._steps: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+
+    def at(self, when: float, step: Callable[[], None]) -> None:
+        heapq.heappush(self._steps, (when, next(self.numbers), step))
+
+    def play(self, until: float) -> None:
+        while self._steps and self._steps[0][0] < until:
+            self.now, _, step = heapq.heappop(self._steps)
+            step()
+
+
+class SlotsLoad(Events):
     """A run of twenty seconds."""
 
     def __init__(self, policy: type[FirstCome] | type[ByNode], pattern: Pattern, seed: int) -> None:
+        super().__init__()
         self.pattern = pattern
         self.rng = Random(seed)
-        self.now = 0.0
         self.target: Target = policy(self._start, self._refuse)
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._asked: dict[int, tuple[Kind, float, int]] = {}
         self.asked: Counter[str] = Counter()
         self.in_time: Counter[str] = Counter()
@@ -136,18 +151,13 @@
     def run(self) -> Served:
         for kind in (VIEWS, CALLS):
             self._next(kind)
-        while self._events and self._events[0][0] < 25.0:
-            self.now, _, step = heapq.heappop(self._events)
-            step()
+        self.play(25.0)
         share = {name: self.in_time[name] / count for name, count in self.asked.items()}
         return Served(share['view'], share['call'], share['late view'])
 
-    def _at(self, when: float, step: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._order), step))
-
     def _next(self, kind: Kind) -> None:
         rate = kind.rate * self.pattern.at(self.now).surge
-        self._at(self.now + self.rng.expovariate(rate), lambda: self._new(kind))
+        self.at(self.now + self.rng.expovariate(rate), lambda: self._new(kind))
 
     def _new(self, kind: Kind) -> None:
         if self.now >= 20:
@@ -161,7 +171,7 @@
         return [kind.name] + ([f'late {kind.name}'] if began >= 15 else [])
 
     def _send(self, kind: Kind, began: float, resent: int) -> None:
-        number = next(self._order)
+        number = next(self.numbers)
         self._asked[number] = kind, began, resent
         ticket = build_ticket(
             number,
@@ -177,7 +187,7 @@
     def _start(self, ticket: Ticket) -> None:
         kind, _, _ = self._asked[ticket.call_id]
         seconds = kind.seconds * self.pattern.at(self.now).slow * self.rng.uniform(0.6, 1.4)
-        self._at(self.now + seconds, lambda: self._end(ticket, seconds))
+        self.at(self.now + seconds, lambda: self._end(ticket, seconds))
 
     def _end(self, ticket: Ticket, seconds: float) -> None:
         kind, began, _ = self._asked.pop(ticket.call_id)
@@ -193,10 +203,10 @@
             return
         wait = 0.01 if hard else retry_after
         if self.now + wait < began + kind.deadline:
-            self._at(self.now + wait, lambda: self._send(kind, began, resent + 1))
+            self.at(self.now + wait, lambda: self._send(kind, began, resent + 1))
 
 
-class Lookups:
+class Lookups(Events):
     """Requests that need four calls, one after the other, of a service that can serve half.
 
     Each of ``roots`` a second makes its next call 5 ms after the last was answered; one that is
@@ -206,40 +216,33 @@
     CALLS = 4
 
     def __init__(self, *, roots: float, seconds: float, seed: int, by_level: bool) -> None:
+        super().__init__()
         self.roots = roots
         self.until = seconds
         self.rng = Random(seed)
         self.by_level = by_level
-        self.now = 0.0
         self.admission = SlotAdmission()
         self.admission.announce(SLOTS)
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._root_of: dict[int, tuple[int, int, float]] = {}
         self.begun = 0
         self.whole = 0
 
     def run(self) -> float:
         """Give the share of requests that were served whole."""
-        self._at(0.0, self._new)
-        while self._events:
-            self.now, _, step = heapq.heappop(self._events)
-            step()
+        self.at(0.0, self._new)
+        self.play(self.until + 25.0)
         return self.whole / self.begun
 
-    def _at(self, when: float, step: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._order), step))
-
     def _new(self) -> None:
         if self.now >= self.until:
             return
-        self._at(self.now + self.rng.expovariate(self.roots), self._new)
+        self.at(self.now + self.rng.expovariate(self.roots), self._new)
         self.begun += 1
         level = 256 + self.rng.randrange(128) if self.by_level else 256
         self._call(level, 0, self.now)
 
     def _call(self, level: int, done: int, began: float) -> None:
-        number = next(self._order)
+        number = next(self.numbers)
         self._root_of[number] = level, done, began
         ticket = build_ticket(
             number,
@@ -258,14 +261,14 @@
 
     def _start(self, ticket: Ticket) -> None:
         seconds = CALLS.seconds * self.rng.uniform(0.6, 1.4)
-        self._at(self.now + seconds, lambda: self._end(ticket, seconds))
+        self.at(self.now + seconds, lambda: self._end(ticket, seconds))
 
     def _end(self, ticket: Ticket, seconds: float) -> None:
         level, done, began = self._root_of.pop(ticket.call_id)
         if done + 1 == self.CALLS:
             self.whole += 1
         else:
-            self._at(self.now + 0.005, lambda: self._call(level, done + 1, began))
+            self.at(self.now + 0.005, lambda: self._call(level, done + 1, began))
         self.admission.finish(self.now, ticket, Sample(ticket.rule, seconds, completed=True))
         for started in self.admission.release(self.now).started:
             self._start(started)
