--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -23,7 +23,7 @@
 
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
 #: How a call ends that a target was given and has not answered; told by the node beside it.
-LOST = frozenset(kind.value for kind in LOST_ON_THE_WAY)
+LOST_KINDS = frozenset(kind.value for kind in LOST_ON_THE_WAY)
 
 
 class _Choices(NamedTuple):
@@ -236,7 +236,7 @@
         return exchange
 
     def _heard(self, now: float, member: Member, reply: Reply) -> None:
-        if reply.kind in LOST:
+        if reply.kind in LOST_KINDS:
             self.router.failed(now, member.instance)
             return
         failed = not reply.kind and reply.status >= FIRST_ERROR_STATUS
--- a/dunlinsaddle/calls/once.py
+++ b/dunlinsaddle/calls/once.py
@@ -65,7 +65,6 @@
         self.view = view
         self.router = router
         self.rng = rng
-        self.stats = stats
         self.calls = MemberCalls(router, links)
         self.owned = OwnedRuns(keeper.me, keeper.clock, view, self.calls, executor, stats, window)
         self._refreshing: set[asyncio.Task[bool]] = set()
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -9,7 +9,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
 from dunlinsaddle.policy.retry_after import spread
-from dunlinsaddle.policy.trend import DemandTrend
+from dunlinsaddle.policy.trend import LEAST_SHARE, DemandTrend
 
 SHORTEST_MEMORY = 0.2  #: seconds over which demand is averaged, as ENOUGH_CALLS take
 LONGEST_MEMORY = 0.5  #: seconds; a surge that has ended is forgotten within one
@@ -23,7 +23,6 @@
 SETTLED = 0.8  #: seconds after which the demand of an opened level is seen in full
 FALL_TICKS = 3  #: ticks over which a fall of demand is looked for: a gap of one is often chance
 FALL_CERTAIN = 3.0  #: standard errors: by chance one look in 3,000, and then for some ticks
-FALL_LEAST = 0.05  #: share of the counts that is kept: zero would take a pause for no demand
 SHUT_MEMORY = 1.0  #: seconds for which the demand of shut levels is remembered
 LEARN_GAIN = 0.25  #: weight of one answer in a learned level: some four answers count
 STALE_AFTER = 0.5  #: seconds without news after which a learned level opens again
@@ -101,7 +100,7 @@
         before = sum(usual for _, usual in self._recent)
         if len(self._recent) < FALL_TICKS or seen >= before - FALL_CERTAIN * before**0.5:
             return
-        share = max(seen / before, FALL_LEAST)
+        share = max(seen / before, LEAST_SHARE)
         self._counts = [count * share for count in self._counts]
         self._known = [count * share for count in self._known]
         self._recent.clear()
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -106,21 +106,20 @@
         if first is second:
             # Drawn twice, a bad one would be compared with nobody. Usual ones may be: what is
             # known of their load is renewed so.
-            best = min(usable, key=lambda c: self._hardship(now, c))
-            second = best if self._much_worse(now, first, best) else first
+            second = min(usable, key=lambda c: self._hardship(now, c))
+            if self._hardship(now, first) <= MUCH_WORSE * self._hardship(now, second):
+                return first
         return self._better(now, first, second)
 
     def _better(self, now: float, first: Candidate, second: Candidate) -> Candidate:
         one, other = self._cost(now, first), self._cost(now, second)
-        if self._much_worse(now, first, second):
+        hard_one, hard_other = self._hardship(now, first), self._hardship(now, second)
+        if hard_one > MUCH_WORSE * hard_other:
             one = max(one, WORSE_COST)
-        elif self._much_worse(now, second, first):
+        elif hard_other > MUCH_WORSE * hard_one:
             other = max(other, WORSE_COST)
         return first if one <= other else second
 
-    def _much_worse(self, now: float, one: Candidate, other: Candidate) -> bool:
-        return self._hardship(now, one) > MUCH_WORSE * self._hardship(now, other)
-
     def sent(self, instance: str) -> None:
         """Note a call on its way."""
         self._of(instance).outstanding += 1
--- a/tests/fakes/slots_load.py
+++ b/tests/fakes/slots_load.py
@@ -223,7 +223,7 @@
         self.by_level = by_level
         self.admission = SlotAdmission()
         self.admission.announce(SLOTS)
-        self._root_of: dict[int, tuple[int, int, float]] = {}
+        self._root_of: dict[int, tuple[int, int]] = {}
         self.begun = 0
         self.whole = 0
 
@@ -239,11 +239,11 @@
         self.at(self.now + self.rng.expovariate(self.roots), self._new)
         self.begun += 1
         level = 256 + self.rng.randrange(128) if self.by_level else 256
-        self._call(level, 0, self.now)
+        self._call(level, 0)
 
-    def _call(self, level: int, done: int, began: float) -> None:
+    def _call(self, level: int, done: int) -> None:
         number = next(self.numbers)
-        self._root_of[number] = level, done, began
+        self._root_of[number] = level, done
         ticket = build_ticket(
             number,
             arrived=self.now,
@@ -264,11 +264,11 @@
         self.at(self.now + seconds, lambda: self._end(ticket, seconds))
 
     def _end(self, ticket: Ticket, seconds: float) -> None:
-        level, done, began = self._root_of.pop(ticket.call_id)
+        level, done = self._root_of.pop(ticket.call_id)
         if done + 1 == self.CALLS:
             self.whole += 1
         else:
-            self.at(self.now + 0.005, lambda: self._call(level, done + 1, began))
+            self.at(self.now + 0.005, lambda: self._call(level, done + 1))
         self.admission.finish(self.now, ticket, Sample(ticket.rule, seconds, completed=True))
         for started in self.admission.release(self.now).started:
             self._start(started)
