Calls leave a target that turns them away

Cause: an answer of a target that says it did not run the call counted as a good one. Such a target has the fewest calls in flight and draws the most; each arrival costs a try of the shared budget. Ruled out: ejection, which needs three calls in a row without any answer. Change: it counts as an error in the choice between targets, as other failures of a target's own.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -241,7 +241,9 @@
             self.router.failed(now, member.instance)
             return
         failed = not reply.kind and reply.status >= FIRST_ERROR_STATUS
-        error = failed and reply.retry_after <= 0
+        # One that turns calls away has the fewest in flight, and would draw ever more of them.
+        turned_away = reply.kind == ErrorKind.TARGET_REFUSED.value
+        error = turned_away or (failed and reply.retry_after <= 0)
         self.router.answered(now, member.instance, reply.load, error=error)
         if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
             self.router.avoid(now, member.instance)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -205,6 +205,24 @@
         targets = ('a:front', 'b:deep', 'c:deep')
         self.assertEqual({200}, self.mesh(scenario, targets=targets, kind='unsafe'))
 
+    def test_calls_leave_a_target_that_turns_them_away(self):
+        # Each call that a target turns away costs a try out of a budget that all nodes share,
+        # and the second one may be lost as well. By its load the target is the idlest of all:
+        # 30 of 60 calls went there first.
+        async def scenario(mesh):
+            async def full(req):
+                return HttpResponse(503, [(b'not-executed', b'1')], b'')
+
+            mesh.targets['b'].script = full
+            for target in mesh.targets.values():
+                target.seconds = 0.05
+            for _ in range(6):
+                await asyncio.gather(*(mesh.call('a', '/deep/x') for _ in range(10)))
+            return len(mesh.targets['b'].seen)
+
+        arrivals = self.mesh(scenario, targets=('a:front', 'b:deep', 'c:deep'))
+        self.assertLess(arrivals, 24)
+
     def test_another_incarnation_at_the_address_does_not_run_the_request(self):
         # The target has gone and another one got its address before the node has heard: it
         # answers 421, and the caller is told that nothing ran.
