--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -23,6 +23,17 @@
 
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
 #: How a call ends that a target was given and has not answered; told by the node beside it.
+#: How a call ends that no target was given.
+NOT_GIVEN = frozenset(
+    kind.value
+    for kind in (
+        ErrorKind.DRAINING,
+        ErrorKind.NO_TARGET,
+        ErrorKind.OVERLOADED,
+        ErrorKind.TOO_LATE_TO_START,
+        ErrorKind.QUARANTINED,
+    )
+)
 LOST_KINDS = frozenset(kind.value for kind in LOST_ON_THE_WAY)
 
 
@@ -51,8 +62,8 @@
     def repeated(self, work: Work, reply: Reply) -> Work:
         """Give the call as it is sent once more."""
 
-    def same_again(self, work: Work, reply: Reply) -> bool:
-        """Say whether it goes to a target that has turned it away, not to a further one."""
+    def only_again(self, work: Work) -> bool:
+        """Say whether it goes to the targets that were given it, and to no further one."""
 
 
 class AllowanceResends:
@@ -71,7 +82,7 @@
         """Send it as it was."""
         return work
 
-    def same_again(self, work: Work, reply: Reply) -> bool:
+    def only_again(self, work: Work) -> bool:
         """Send it to further targets only."""
         return False
 
@@ -122,12 +133,12 @@
 
     async def _send_around(self, work: Work) -> Reply:
         tried: set[str] = set()
-        turned_away: set[str] = set()
+        given: set[str] = set()
         last: Reply | None = None
         answered: Reply | None = None
         may_have_run = False
         while True:
-            member = self._next(work, last, tried, turned_away)
+            member = self._next(work, tried, given)
             if member is None:
                 last = last or self._nobody(work.ctx)
                 break
@@ -142,8 +153,8 @@
             may_have_run = may_have_run or last.outcome is not Outcome.NOT_RUN
             if not last.kind:
                 answered = last
-            if last.kind == ErrorKind.TARGET_REFUSED.value:
-                turned_away.add(member.instance)
+            if last.kind not in NOT_GIVEN:
+                given.add(member.instance)
             if not self._may_resend(work, last):
                 break
         if last.kind and answered is not None:
@@ -153,14 +164,11 @@
         last.unspent = work.allowance.tokens
         return _truthful(last) if may_have_run else last
 
-    def _next(
-        self, work: Work, last: Reply | None, tried: set[str], turned_away: set[str]
-    ) -> Member | None:
+    def _next(self, work: Work, tried: set[str], given: set[str]) -> Member | None:
         service = work.ctx.service
-        if last is None or not self.resends.same_again(work, last):
+        if not given or not self.resends.only_again(work):
             return self.choose(service, tried)
-        others = {m.instance for m in self.view.serving(service)} - turned_away
-        return self.choose(service, others)
+        return self.choose(service, {m.instance for m in self.view.serving(service)} - given)
 
     def _note_resend(self, work: Work, last: Reply, tries: int) -> None:
         self.stats.retries += 1
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -13,16 +13,19 @@
 )
 FAILED = 500  #: the status of a target that failed by itself
 REFUSALS_MOST = 3  #: nodes in turn that may refuse a request before its caller is told
-#: Sends of one request that targets may turn away unrun. Of a service that turns away half of
-#: what arrives, six serve 98 in 100, and a chain of eight calls 88 in 100 (two: 10 in 100).
-SENDS_TURNED_AWAY_MOST = 6
+#: Sends of one request that targets turn away unrun. Of a service that turns away half of what
+#: arrives, six serve 98 in 100, and a chain of eight calls 88 in 100 (two: 10 in 100).
+TURNED_AWAY_MOST = 6
+#: Sends of one request whose answers are lost. Of a service that loses four in ten, four serve 97
+#: in 100 (two: 84); more would leave no time, as a lost answer takes as long as a good one.
+LOST_MOST = 4
 
 
 class Attempts(Allowance):
     """The targets that a request may still be sent to; none of them goes down the chain."""
 
     refused = 0
-    turned_away = 0
+    sends = 1
 
     def hand_down(self) -> int:
         """Hand nothing down: the count is that of one hop alone."""
@@ -55,27 +58,24 @@
             assert isinstance(work.allowance, Attempts)
             work.allowance.refused += 1
             return work.allowance.refused < REFUSALS_MOST
-        if not self._has_try(work.allowance, reply):
+        assert isinstance(work.allowance, Attempts)
+        work.allowance.sends += 1
+        turned_away = reply.kind == ErrorKind.TARGET_REFUSED.value
+        if work.allowance.sends > (TURNED_AWAY_MOST if turned_away else LOST_MOST):
             return False
-        return self.budget.spend(now, work.ctx.service, work.ctx.priority.level)
+        if not self.budget.spend(now, work.ctx.service, work.ctx.priority.level):
+            return False
+        work.allowance.spend()
+        return True
 
-    def same_again(self, work: Work, reply: Reply) -> bool:
-        """Say whether a call goes once more to a target that has turned it away.
+    def only_again(self, work: Work) -> bool:
+        """Say whether a call goes to the targets that were given it, and to no further one.
 
-        Failure: all targets of a service turn away half of what arrives. With two targets for
-        each call a quarter of the calls fails, and nearly all requests that need eight.
+        Failure: all targets of a service turn away half of what arrives. A route allows two
+        targets for each request: a quarter of the calls failed, and nearly all requests that
+        need eight. One more send to a target that was given it is as good as to another.
         """
-        return reply.kind == ErrorKind.TARGET_REFUSED.value and work.allowance.tokens == 0
-
-    def _has_try(self, allowance: Allowance, reply: Reply) -> bool:
-        """Take a try: a further target, or one more at those that turned the call away."""
-        assert isinstance(allowance, Attempts)
-        if reply.kind == ErrorKind.TARGET_REFUSED.value:
-            allowance.turned_away += 1
-            if allowance.turned_away >= SENDS_TURNED_AWAY_MOST:
-                return False
-            return allowance.spend() or True
-        return allowance.spend()
+        return work.allowance.tokens == 0
 
     def repeated(self, work: Work, reply: Reply) -> Work:
         """Mark what may have run before: the calls that its next run makes are repeats, too."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -245,6 +245,28 @@
         self.assertEqual((200, 4), (status, sum(arrivals)))
         self.assertEqual(1, arrivals.count(0))
 
+    def test_a_lookup_whose_answers_are_lost_is_answered_at_the_third_send(self):
+        # Targets run the request and reset the connection, two in ten times one after the
+        # other. Its route allows two targets: the caller of a lookup is failed, though a third
+        # send, to one of the two, is answered.
+        async def scenario(mesh):
+            async def losing(req):
+                target = next(t for t in mesh.targets.values() if req in t.seen)
+                runs = sum(t.runs[req.header(b'request-id')] for t in mesh.targets.values())
+                if runs <= 2:
+                    return HttpResponse(200, [], b'spoiled')
+                return target.signed(req)
+
+            for name in 'bcd':
+                mesh.targets[name].script = losing
+            response = await mesh.call('a', '/deep/x')
+            return response.status, [len(mesh.targets[name].seen) for name in 'bcd']
+
+        targets = ('a:front', 'b:deep', 'c:deep', 'd:deep')
+        status, arrivals = self.mesh(scenario, targets=targets)
+        self.assertEqual((200, 3), (status, sum(arrivals)))
+        self.assertEqual(1, arrivals.count(0))
+
     def test_another_incarnation_at_the_address_does_not_run_the_request(self):
         # The target has gone and another one got its address before the node has heard: it
         # answers 421, and the caller is told that nothing ran.
