A failed request names the call it failed for, and `failures` counts reasons over logs

Cause: the line of a request that failed as a target's own status 500 said nothing of why: the call further down had to be joined by hand. Each reply now carries the deepest cause, and the command counts failed requests by service, rule, reason and, if asked, second.

--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -139,6 +139,7 @@
                 work.ctx,
                 status=reply.status,
                 kind=reply.kind,
+                cause=reply.cause,
                 outcome=reply.outcome.value,
                 seconds=_rounded(seconds),
                 retry_after=_rounded(reply.retry_after),
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -7,7 +7,7 @@
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.decisions import DecisionLog
-from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.target import LocalTarget, PlainDialect, TargetDialect
 from dunlinsaddle.calls.work import Running, RunningCalls, Work, come_back_after
@@ -296,6 +296,8 @@
                 reply = self.dialect.reply(response)
                 if not reply.kind:
                     reply.retry_after = come_back_after(reply, running)
+                if reply.status >= FIRST_ERROR_STATUS:
+                    reply.cause = running.failed_call
                 return reply
             case NotSent(detail):
                 self.target.note_refused()
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -89,6 +89,7 @@
     unspent: Tokens = 0
     load: Load | None = None
     deaths: int = 0
+    cause: str = ''  #: the call that it failed for: its service, and how it ended
 
     @property
     def size(self) -> int:
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -119,6 +119,7 @@
         self.token = f'{_FIRST}{next(_numbers):x}'
         self.started = now
         self.children: set[asyncio.Task[object]] = set()
+        self.failed_call = ''  #: the deepest cause of a call of its that failed
         self.cost_below = 0.0  #: of its calls, in seconds of a whole target of their service
         self.come_back_after = 0.0  #: seconds, as a call that was refused below was told
         self._on_wait = on_wait
--- a/dunlinsaddle/cli/core.py
+++ b/dunlinsaddle/cli/core.py
@@ -12,6 +12,7 @@
 from dunlinsaddle.cli.commands.delete import DeleteCommand
 from dunlinsaddle.cli.definition import DEBUG_FLAG, BaseCommand, table
 from dunlinsaddle.cli.queries.audit import AuditCommand, HistoryCommand
+from dunlinsaddle.cli.queries.failures import FailuresCommand
 from dunlinsaddle.cli.queries.nodes import (
     ExplainCommand,
     MetricsCommand,
@@ -32,6 +33,7 @@
     DeleteCommand,
     DiffCommand,
     ExplainCommand,
+    FailuresCommand,
     GetCommand,
     HistoryCommand,
     ListCommand,
--- a/dunlinsaddle/cli/queries/trace.py
+++ b/dunlinsaddle/cli/queries/trace.py
@@ -46,12 +46,8 @@
     for line in lines:
         if not line.strip():
             continue
-        try:
-            event = msgspec.json.decode(line[line.index('{') :])
-        except (ValueError, msgspec.MsgspecError, RecursionError):
-            unreadable += 1
-            continue
-        if not isinstance(event, dict):
+        event = _event(line)
+        if event is None:
             unreadable += 1
         elif _belongs(str(event.get('request_id', '')), request_id):
             found.append(event)
@@ -66,6 +62,35 @@
     return Story(found, sorted(calls, key=_when), unreadable)
 
 
+def read_events(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Give what the lines say, without those that cannot be read."""
+    for line in lines:
+        event = _event(line)
+        if event is not None:
+            yield event
+
+
+def log_files(paths: list[str], stdin: Iterable[str]) -> Iterator[str]:
+    """Give the lines of files one after the other. Raises CommandError where one cannot be read."""
+    for path in paths or [STDIN]:
+        if path == STDIN:
+            yield from stdin
+            continue
+        try:
+            with open(path, encoding='utf-8', errors='replace') as file:
+                yield from file
+        except OSError as exc:
+            raise CommandError(ExitStatus.USAGE, f'{path}: {exc.strerror}') from exc
+
+
+def _event(line: str) -> dict[str, Any] | None:
+    try:
+        event = msgspec.json.decode(line[line.index('{') :])
+    except (ValueError, msgspec.MsgspecError, RecursionError):
+        return None
+    return event if isinstance(event, dict) else None
+
+
 def _belongs(found: str, request_id: str) -> bool:
     """Say whether an id is that of the request, or of a call made for it.
 
@@ -150,7 +175,7 @@
     def work(self) -> ExitStatus:
         """Show one line a decision, the earliest first."""
         request_id = self.argument('request-id')
-        story = read_story(self._lines(), request_id)
+        story = read_story(log_files(self.argument('files'), self.env.stdin), request_id)
         if story.unreadable:
             self.env.stderr.write(f'{story.unreadable} lines could not be read and were skipped\n')
         if not story.lines:
@@ -161,14 +186,3 @@
             shown += ['', CALLS_HEADING, *table([HEADINGS, *map(_row, story.calls)])]
         self.show({'lines': story.lines, 'calls': story.calls}, shown)
         return ExitStatus.OK
-
-    def _lines(self) -> Iterator[str]:
-        for path in self.argument('files') or [STDIN]:
-            if path == STDIN:
-                yield from self.env.stdin
-                continue
-            try:
-                with open(path, encoding='utf-8', errors='replace') as file:
-                    yield from file
-            except OSError as exc:
-                raise CommandError(ExitStatus.USAGE, f'{path}: {exc.strerror}') from exc
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -92,7 +92,7 @@
         if reply.load is not None and not reply.kind:
             self._learn_cost(work, reply.load, parent)
         if parent is not None and (reply.kind or reply.status >= FIRST_ERROR_STATUS):
-            parent.come_back_after = max(parent.come_back_after, reply.retry_after, FAILED_BELOW)
+            _note_failed(parent, work, reply)
         took = loop.time() - began
         self.decisions.ended(work, reply, took, version)
         self.on_end(work, reply, took)
@@ -134,6 +134,11 @@
         return Work(ctx, req.method, req.path, headers, req.body, tokens, Waits(), [])
 
 
+def _note_failed(parent: Running, work: Work, reply: Reply) -> None:
+    parent.come_back_after = max(parent.come_back_after, reply.retry_after, FAILED_BELOW)
+    parent.failed_call = reply.cause or f'{work.ctx.service} {reply.kind or reply.status}'
+
+
 def _on_behalf(ctx: CallContext, root: CallContext) -> CallContext:
     """Give a call of the local target the terms of the request that it is made for."""
     return ctx._replace(
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -49,8 +49,8 @@
         self.assertEqual(('b', 1), (sent['to'], sent['candidates']))
 
     def test_a_failed_request_carries_every_send_and_what_it_met(self):
-        # Both targets break off. The line of the failure alone names both, with the time each
-        # took, whatever other lines were left out.
+        # Both targets break off at each of four sends. The line of the failure alone names
+        # all, with the time each took, whatever other lines were left out.
         async def scenario(mesh):
             async def broken(req):
                 raise ConnectionError
@@ -64,7 +64,8 @@
         (failed,) = self.of(lines, Event.FAILED)
         self.assertEqual({'b', 'c'}, {attempt['instance'] for attempt in failed['attempts']})
         self.assertEqual((7, 'WARNING'), (failed['version'], failed['level']))
-        self.assertEqual(1, len(self.of(lines, Event.RESENT)))
+        self.assertEqual(4, len(failed['attempts']))
+        self.assertEqual(3, len(self.of(lines, Event.RESENT)))
 
     def test_a_refusal_names_the_load_that_decided_it(self):
         async def scenario(mesh):
@@ -131,6 +132,31 @@
         self.assertEqual(('peer-lost', ''), (first['kind'], second['kind']))
         self.assertNotEqual(first['instance'], second['instance'])
 
+    def test_a_failed_request_names_the_call_that_it_failed_for(self):
+        # A request fails three hops up with a status 500 of its target, which says nothing. The
+        # cause is a call further down that was refused: it stands in the line of the request.
+        async def scenario(mesh):
+            mesh.targets['b'].state = 'draining'
+            await mesh.targets['b'].announce(mesh.client)
+
+            async def calling(req):
+                request_id = f'{req.header(b"request-id")}.1'
+                down = await mesh.call('a', '/deep/x', request_id=request_id)
+                return mesh.targets['a'].signed(req, status=500 if down.status != 200 else 200)
+
+            mesh.targets['a'].script = calling
+            await mesh.call('a', '/front/x', request_id='r-1')
+
+        text, lines = self.logged(scenario)
+        (root,) = (line for line in self.of(lines, Event.FAILED) if not line['inner'])
+        self.assertIn('deep ', root['cause'])
+        counts = run_cli('failures', '--json', stdin=text).json
+        reasons = {(one['of'], one['service'], one['reason']) for one in counts}
+        self.assertIn(('request', 'front', root['cause']), reasons)
+        result = run_cli('failures', '--seconds', stdin=f'not json\n{text}')
+        self.assertEqual(0, result.status)
+        self.assertIn('SECOND', result.output)
+
     def test_trace_shows_other_failed_calls_only_where_none_of_its_own_is_known(self):
         # The engineer reads forty lines of requests that failed beside the one in question,
         # though its own story names the call that it failed of.
