Ablation of admission's mechanisms on the loads of a deep service; ends left over

make ablation plays the patterns of test_deep_load with one mechanism off at a time. The cost of a request is learned from answers that served it only: a failure takes less and would make its rule look cheap. A request without an id has a place of its own in its rank, not one shared by all such. The switch for early refusal is gone: no one turns it off any more.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: install demo test codestyle format types bench latency press soak control-cost clean
+.PHONY: install demo test codestyle format types bench ablation latency press soak control-cost clean
 
 install: $(VENV)/installed
 
@@ -32,6 +32,9 @@
 bench: install
 	$(BIN)/dunlinsaddle bench --out docs
 
+ablation: install
+	$(BIN)/python -m tests.ablation
+
 latency: install
 	$(BIN)/python -m standins.latency
 
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -110,7 +110,6 @@
         self.once: OnceGate | None = None
         self.resends: ResendPolicy = AllowanceResends()
         self.decisions: DecisionLog | None = None
-        self.refuses_early = True
         self._choices: dict[str, _Choices] = {}
 
     async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
@@ -187,8 +186,6 @@
         return reply
 
     def _early_refusal(self, ctx: CallContext) -> Failure | None:
-        if not self.refuses_early:
-            return None
         now = self.now()
         levels, level = self.executor.levels, ctx.priority.level
         useful_for = ctx.useful_until - now
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -89,7 +89,7 @@
         except asyncio.CancelledError:
             self.decisions.cancelled(work.ctx, loop.time() - began)
             raise
-        if reply.load is not None and not reply.kind:
+        if reply.load is not None and not reply.kind and reply.status < FIRST_ERROR_STATUS:
             self._learn_cost(work, reply.load, parent)
         if parent is not None and (reply.kind or reply.status >= FIRST_ERROR_STATUS):
             _note_failed(parent, work, reply)
@@ -112,9 +112,10 @@
         time_left = COMMON_TIME if terms.time_left is None else terms.time_left
         timeout = math.inf if route.timeout is None else route.timeout
         service = choose_service(route.shares, self.rng)
-        priority = priority_of(Rank(min(route.priority, max(Rank))), terms.request_id)
+        request_id = terms.request_id or str(uuid6.uuid7())
+        priority = priority_of(Rank(min(route.priority, max(Rank))), request_id)
         ctx = CallContext(
-            request_id=terms.request_id or str(uuid6.uuid7()),
+            request_id=request_id,
             caller=req.remote,
             service=service,
             rule=route.name,
@@ -140,7 +141,12 @@
 
 
 def _on_behalf(ctx: CallContext, root: CallContext) -> CallContext:
-    """Give a call of the local target the terms of the request that it is made for."""
+    """Give a call of the local target the terms of the request that it is made for.
+
+    Its priority is the root's, whatever its own route says. Failure: calls of a rank of their own
+    are admitted by another level than the one that entries compare requests with, so that a
+    service tells "full from rank 1 on" and all lookups of rank 2 are refused.
+    """
     return ctx._replace(
         priority=root.priority,
         deadline=min(ctx.deadline, root.deadline),
--- /dev/null
+++ b/tests/ablation.py
@@ -0,0 +1,118 @@
+"""What each mechanism of admission and early refusal is worth, on the loads of a deep service.
+
+    python -m tests.ablation [--seeds N] [--jobs N]
+
+Plays the patterns of ``tests/test_deep_load.py`` with one mechanism off at a time. Prints a line
+for each: the share of each kind that was served in time, least and most over the seeds, and the
+share that was begun and lost. No network; a run takes some three seconds of a processor.
+"""
+
+import argparse
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+from dunlinsaddle.policy import level, slots
+from dunlinsaddle.policy.admission import Ticket
+from dunlinsaddle.policy.context import SLOTS_PER_RANK
+from tests.fakes.deep_load import DeepLoad, Kind, Pattern, Share
+from tests.test_deep_load import (
+    ALIKE,
+    ALIKE_SLOTS,
+    ALIKE_SURGE,
+    UNLIKE,
+    UNLIKE_LOST,
+    UNLIKE_SLOTS,
+    UNLIKE_SURGE,
+)
+
+NEVER = 1e9
+
+
+class Load(NamedTuple):
+    """What is played."""
+
+    name: str
+    kinds: tuple[Kind, ...]
+    slots: int
+    pattern: Pattern
+
+
+LOADS = (
+    Load('alike', ALIKE, ALIKE_SLOTS, ALIKE_SURGE),
+    Load('unlike', UNLIKE, UNLIKE_SLOTS, UNLIKE_SURGE),
+    Load('unlike, one lost', UNLIKE, UNLIKE_SLOTS, UNLIKE_LOST),
+    Load('unlike, nearly full', UNLIKE, UNLIKE_SLOTS, Pattern(surge=1.86)),
+)
+
+
+def _by_arrival(ticket: Ticket) -> tuple[float, int]:
+    return ticket.arrived, ticket.call_id
+
+
+def _calls_first(ticket: Ticket) -> tuple[int, int, int, float]:
+    rank = ticket.level // SLOTS_PER_RANK
+    return rank, 0 if ticket.hop else 1, ticket.level, ticket.arrived
+
+
+#: Arguments of the run, and what is replaced while it lasts, for each mechanism that is off.
+WITHOUT: dict[str, tuple[dict[str, bool], list[Callable[[], Any]]]] = {
+    '(nothing off)': ({}, []),
+    'levels upstream': ({'early': False}, []),
+    'places by cost': ({'by_cost': False}, []),
+    'order by level': ({}, [lambda: patch.object(slots, '_order', _by_arrival)]),
+    'one order for calls and others': ({}, [lambda: patch.object(slots, '_order', _calls_first)]),
+    'opening when slots are free': ({}, [lambda: patch.object(level, 'OPEN_AFTER', NEVER)]),
+    'wait for calls to come': ({}, [lambda: patch.object(slots, 'LEAST_LEFT', 1.0)]),
+    '95 % of the slots (94 %)': ({}, [lambda: patch.object(slots, 'USED_SHARE', 0.94)]),
+    'return within the objective': ({}, [lambda: patch.object(level, 'COME_BACK_SHARE', NEVER)]),
+}
+
+
+def play(job: tuple[str, Load, int]) -> dict[str, Share]:
+    """Play one load with one mechanism off."""
+    without, load, seed = job
+    arguments, patches = WITHOUT[without]
+    started = [make() for make in patches]
+    for one in started:
+        one.start()
+    try:
+        run = DeepLoad(load.kinds, load.pattern, seed, slots=load.slots, **arguments)
+        return run.run()
+    finally:
+        for one in started:
+            one.stop()
+
+
+def row(without: str, load: Load, runs: list[dict[str, Share]]) -> str:
+    """Give one line of the table."""
+    cells = [f'{without:32}', f'{load.name:20}']
+    for kind in load.kinds:
+        shares = [run[kind.name] for run in runs]
+        in_time = [share.in_time for share in shares]
+        mean, lost = sum(in_time) / len(runs), sum(share.spoilt for share in shares) / len(runs)
+        spread = f'{min(in_time):.2f}-{max(in_time):.2f}'
+        cells.append(f'{kind.name} {mean:.2f} ({spread}) lost {lost:.2f}')
+    return '  '.join(cells)
+
+
+def main() -> None:
+    """Play all and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=4)
+    parser.add_argument('--jobs', type=int, default=2)
+    args = parser.parse_args()
+    seeds = range(1, args.seeds + 1)
+    jobs = [(name, load, seed) for name in WITHOUT for load in LOADS for seed in seeds]
+    with ProcessPoolExecutor(args.jobs, mp_context=get_context('spawn')) as pool:
+        results = list(pool.map(play, jobs))
+    for start in range(0, len(jobs), args.seeds):
+        name, load, _ = jobs[start]
+        sys.stdout.write(f'{row(name, load, results[start : start + args.seeds])}\n')
+
+
+if __name__ == '__main__':
+    main()
