--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -22,7 +22,6 @@
 from dunlinsaddle.stats import Stats
 
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
-#: How a call ends that a target was given and has not answered; told by the node beside it.
 #: How a call ends that no target was given.
 NOT_GIVEN = frozenset(
     kind.value
@@ -34,6 +33,7 @@
         ErrorKind.QUARANTINED,
     )
 )
+#: How a call ends that a target was given and has not answered; told by the node beside it.
 LOST_KINDS = frozenset(kind.value for kind in LOST_ON_THE_WAY)
 
 
