Read once more: one set of kinds no target was given, a load speaks for its chain in one place

The kinds that a node refuses by stood twice (dispatch, resends) and now stand beside those that are lost on the way. What a load says with the services below it was written in the executor and in the replay's node. The place by cost was worked out also for calls of targets, which take their root's; the work of a queue was added up also where nothing waits behind the new call. An assertion made twice, the setup of two tests, and the ablation's table of what is off are one each.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -15,24 +15,14 @@
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.policy.context import CallContext
-from dunlinsaddle.policy.level import Heard
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Quarantine
-from dunlinsaddle.policy.retry import LOST_ON_THE_WAY, Allowance, may_resend
+from dunlinsaddle.policy.retry import LOST_ON_THE_WAY, REFUSED_BY_NODE, Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.stats import Stats
 
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
 #: How a call ends that no target was given.
-NOT_GIVEN = frozenset(
-    kind.value
-    for kind in (
-        ErrorKind.DRAINING,
-        ErrorKind.NO_TARGET,
-        ErrorKind.OVERLOADED,
-        ErrorKind.TOO_LATE_TO_START,
-        ErrorKind.QUARANTINED,
-    )
-)
+NOT_GIVEN = frozenset(kind.value for kind in REFUSED_BY_NODE)
 #: How a call ends that a target was given and has not answered; told by the node beside it.
 LOST_KINDS = frozenset(kind.value for kind in LOST_ON_THE_WAY)
 
@@ -274,8 +264,7 @@
 
     def _learn(self, now: float, work: Work, reply: Reply) -> None:
         if reply.load is not None:
-            heard = Heard(reply.load.level, reply.load.age, reply.load.limited_by)
-            self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, heard)
+            self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, reply.load.heard)
 
     def _after(self, work: Work, reply: Reply) -> Work:
         """Carry on with the call what its last try taught."""
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -24,7 +24,7 @@
     Wait,
 )
 from dunlinsaddle.policy.context import CallContext
-from dunlinsaddle.policy.level import TICK, ChainLevels, Heard
+from dunlinsaddle.policy.level import TICK, ChainLevels
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.stats import Hop, Stats
 
@@ -254,10 +254,7 @@
     def _load(self, ctx: CallContext) -> Load:
         """Report the worst level of this hop and those below, for the hops above to refuse by."""
         now = self.now()
-        load = self.admission.load(now)
-        own = Heard(load.level, service=ctx.service)
-        worst = self.levels.worst(now, ctx.rule, own)
-        return load._replace(level=worst.level, age=worst.age, limited_by=worst.service)
+        return self.admission.load(now).with_chain(self.levels, now, ctx.service, ctx.rule)
 
     def _waits(self, ticket: Ticket, now: float, waits: bool) -> None:
         """Let another call run while the target waits for a service on behalf of this one."""
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -113,13 +113,20 @@
         timeout = math.inf if route.timeout is None else route.timeout
         service = choose_service(route.shares, self.rng)
         request_id = terms.request_id or str(uuid6.uuid7())
-        priority = priority_of(Rank(min(route.priority, max(Rank))), request_id)
+        if parent is None:
+            priority = priority_of(Rank(min(route.priority, max(Rank))), request_id)
+            priority = self.costs.placed(now, route.name, priority)
+        else:
+            # Failure: calls of a rank of their own are admitted by another level than the one
+            # that entries compare requests with, so that a service tells "full from rank 1 on"
+            # and all lookups of rank 2 are refused.
+            priority = parent.work.ctx.priority
         ctx = CallContext(
             request_id=request_id,
             caller=req.remote,
             service=service,
             rule=route.name,
-            priority=self.costs.placed(now, route.name, priority),
+            priority=priority,
             deadline=now + min(time_left, timeout),
             allowance=0,
             hop=0,
@@ -141,14 +148,8 @@
 
 
 def _on_behalf(ctx: CallContext, root: CallContext) -> CallContext:
-    """Give a call of the local target the terms of the request that it is made for.
-
-    Its priority is the root's, whatever its own route says. Failure: calls of a rank of their own
-    are admitted by another level than the one that entries compare requests with, so that a
-    service tells "full from rank 1 on" and all lookups of rank 2 are refused.
-    """
+    """Give a call of the local target the other terms of the request that it is made for."""
     return ctx._replace(
-        priority=root.priority,
         deadline=min(ctx.deadline, root.deadline),
         hop=min(root.hop + 1, MAX_HOPS),
         repeated=root.repeated,
--- a/dunlinsaddle/mesh/resends.py
+++ b/dunlinsaddle/mesh/resends.py
@@ -4,13 +4,9 @@
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.errors import ErrorKind, Outcome
 from dunlinsaddle.loops import OnLoop
-from dunlinsaddle.policy.retry import LOST_ON_THE_WAY, Allowance
+from dunlinsaddle.policy.retry import LOST_ON_THE_WAY, REFUSED_BY_NODE, Allowance
 from dunlinsaddle.policy.retry_budget import RetryBudget
 
-#: Refused by a node, before anything reached its target.
-REFUSED_BY_NODE = frozenset(
-    {ErrorKind.DRAINING, ErrorKind.NO_TARGET, ErrorKind.OVERLOADED, ErrorKind.TOO_LATE_TO_START}
-)
 FAILED = 500  #: the status of a target that failed by itself
 REFUSALS_MOST = 3  #: nodes in turn that may refuse a request before its caller is told
 #: Sends of one request that targets turn away unrun. Of a service that turns away half of what
@@ -53,19 +49,18 @@
 
     def spend(self, work: Work, reply: Reply) -> bool:
         """Pay for sending it; False when there is nothing left to pay with."""
-        now = self.now()
+        allowance = work.allowance
+        assert isinstance(allowance, Attempts)
         if reply.outcome is Outcome.NOT_RUN and ErrorKind(reply.kind) in REFUSED_BY_NODE:
-            assert isinstance(work.allowance, Attempts)
-            work.allowance.refused += 1
-            return work.allowance.refused < REFUSALS_MOST
-        assert isinstance(work.allowance, Attempts)
-        work.allowance.sends += 1
+            allowance.refused += 1
+            return allowance.refused < REFUSALS_MOST
+        allowance.sends += 1
         turned_away = reply.kind == ErrorKind.TARGET_REFUSED.value
-        if work.allowance.sends > (TURNED_AWAY_MOST if turned_away else LOST_MOST):
+        if allowance.sends > (TURNED_AWAY_MOST if turned_away else LOST_MOST):
             return False
-        if not self.budget.spend(now, work.ctx.service, work.ctx.priority.level):
+        if not self.budget.spend(self.now(), work.ctx.service, work.ctx.priority.level):
             return False
-        work.allowance.spend()
+        allowance.spend()
         return True
 
     def only_again(self, work: Work) -> bool:
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -9,7 +9,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.capacity import ObservedCapacity
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
-from dunlinsaddle.policy.level import AdmittedLevel
+from dunlinsaddle.policy.level import AdmittedLevel, ChainLevels, Heard
 from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
 from dunlinsaddle.policy.retry_after import retry_after
 from dunlinsaddle.records.models import ServiceRecord
@@ -48,6 +48,16 @@
     #: What the call took of the service that limits its chain, in seconds of a whole target.
     cost: float = 0.0
 
+    @property
+    def heard(self) -> Heard:
+        """The level as a node learns it from an answer."""
+        return Heard(self.level, self.age, self.limited_by)
+
+    def with_chain(self, levels: ChainLevels, now: float, service: str, rule: str) -> 'Load':
+        """Give it with the worst level of this service and those that a rule calls."""
+        worst = levels.worst(now, rule, Heard(self.level, service=service))
+        return self._replace(level=worst.level, age=worst.age, limited_by=worst.service)
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
--- a/dunlinsaddle/policy/retry.py
+++ b/dunlinsaddle/policy/retry.py
@@ -33,6 +33,8 @@
 
 
 REFUSED_ELSEWHERE = frozenset({ErrorKind.DRAINING, ErrorKind.NO_TARGET})
+#: Refused by a node, before anything reached its target.
+REFUSED_BY_NODE = REFUSED_ELSEWHERE | {ErrorKind.OVERLOADED, ErrorKind.TOO_LATE_TO_START}
 LOST_ON_THE_WAY = frozenset(
     {ErrorKind.PEER_LOST, ErrorKind.TARGET_LOST, ErrorKind.INCOMPLETE_ANSWER}
 )
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -165,6 +165,8 @@
 
     def _late_behind(self, now: float, place: int) -> Ticket | None:
         """Give the last of those behind a place that will not be answered in time, if any."""
+        if place == len(self.queue) - 1:
+            return None
         work = self._work(len(self.queue))
         for index in range(len(self.queue) - 1, place, -1):
             ticket: Ticket = self.queue[index]
--- a/dunlinsaddle/replay/current_node.py
+++ b/dunlinsaddle/replay/current_node.py
@@ -6,7 +6,7 @@
     Load,
 )
 from dunlinsaddle.policy.callers import ResendGuard
-from dunlinsaddle.policy.level import ChainLevels, Heard
+from dunlinsaddle.policy.level import ChainLevels
 from dunlinsaddle.policy.quarantine import DEATHS_MOST, Barred, Quarantine
 from dunlinsaddle.policy.retry import Allowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
@@ -136,8 +136,7 @@
         else:
             self.router.answered(self.fleet.loop.now, name, answer.load)
             if self.levels is not None and answer.load is not None:
-                heard = Heard(answer.load.level, answer.load.age, answer.load.limited_by)
-                self.levels.learn(self.fleet.loop.now, call.service, call.rule, heard)
+                self.levels.learn(self.fleet.loop.now, call.service, call.rule, answer.load.heard)
         if answer.kind is not ErrorKind.PEER_LOST:
             allowance.give_back(handed, held.tokens)
         return answer
@@ -146,6 +145,4 @@
         load = super()._load(call)
         if self.levels is None:
             return load
-        own = Heard(load.level, service=call.service)
-        worst = self.levels.worst(self.fleet.loop.now, call.rule, own)
-        return load._replace(level=worst.level, age=worst.age, limited_by=worst.service)
+        return load.with_chain(self.levels, self.fleet.loop.now, call.service, call.rule)
--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from contextlib import AbstractContextManager, nullcontext
 from multiprocessing import get_context
 from typing import Any, NamedTuple
 from unittest.mock import patch
@@ -58,33 +59,37 @@
     return rank, 0 if ticket.hop else 1, ticket.level, ticket.arrived
 
 
-#: Arguments of the run, and what is replaced while it lasts, for each mechanism that is off.
-WITHOUT: dict[str, tuple[dict[str, bool], list[Callable[[], Any]]]] = {
-    '(nothing off)': ({}, []),
-    'levels upstream': ({'early': False}, []),
-    'places by cost': ({'by_cost': False}, []),
-    'order by level': ({}, [lambda: patch.object(slots, '_order', _by_arrival)]),
-    'one order for calls and others': ({}, [lambda: patch.object(slots, '_order', _calls_first)]),
-    'opening when slots are free': ({}, [lambda: patch.object(level, 'OPEN_AFTER', NEVER)]),
-    'wait for calls to come': ({}, [lambda: patch.object(slots, 'LEAST_LEFT', 1.0)]),
-    '95 % of the slots (94 %)': ({}, [lambda: patch.object(slots, 'USED_SHARE', 0.94)]),
-    'return within the objective': ({}, [lambda: patch.object(level, 'COME_BACK_SHARE', NEVER)]),
+class Off(NamedTuple):
+    """How a mechanism is switched off: an argument of the run, or a value that is replaced."""
+
+    arguments: dict[str, bool] = {}
+    replaced: Callable[[], AbstractContextManager[Any]] = nullcontext
+
+
+WITHOUT = {
+    '(nothing off)': Off(),
+    'levels upstream': Off({'early': False}),
+    'places by cost': Off({'by_cost': False}),
+    'order by level': Off(replaced=lambda: patch.object(slots, '_order', _by_arrival)),
+    'one order for calls and others': Off(
+        replaced=lambda: patch.object(slots, '_order', _calls_first)
+    ),
+    'opening when slots are free': Off(replaced=lambda: patch.object(level, 'OPEN_AFTER', NEVER)),
+    'wait for calls to come': Off(replaced=lambda: patch.object(slots, 'LEAST_LEFT', 1.0)),
+    '95 % of the slots (94 %)': Off(replaced=lambda: patch.object(slots, 'USED_SHARE', 0.94)),
+    'return within the objective': Off(
+        replaced=lambda: patch.object(level, 'COME_BACK_SHARE', NEVER)
+    ),
 }
 
 
 def play(job: tuple[str, Load, int]) -> dict[str, Share]:
     """Play one load with one mechanism off."""
     without, load, seed = job
-    arguments, patches = WITHOUT[without]
-    started = [make() for make in patches]
-    for one in started:
-        one.start()
-    try:
-        run = DeepLoad(load.kinds, load.pattern, seed, slots=load.slots, **arguments)
+    off = WITHOUT[without]
+    with off.replaced():
+        run = DeepLoad(load.kinds, load.pattern, seed, slots=load.slots, **off.arguments)
         return run.run()
-    finally:
-        for one in started:
-            one.stop()
 
 
 def row(without: str, load: Load, runs: list[dict[str, Share]]) -> str:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -231,25 +231,30 @@
         arrivals = self.mesh(scenario, targets=('a:front', 'b:deep', 'c:deep'))
         self.assertLess(arrivals, 24)
 
-    def test_a_call_that_is_turned_away_unrun_is_tried_again_where_it_was(self):
-        # All targets of a service turn away part of what arrives, while their health checks
-        # are good. Its route allows two targets for each call, and those refuse it: the caller
-        # is failed, though a third send to one of them is as good as the first.
+    def sends_until_answered(self, spoilt: HttpResponse, times: int, **terms):
+        """Let targets answer so often with ``spoilt``; gives the status and the sends to each."""
+
         async def scenario(mesh):
-            async def shedding(req):
+            async def script(req):
                 target = next(t for t in mesh.targets.values() if req in t.seen)
-                arrivals = sum(t.runs[req.header(b'request-id')] for t in mesh.targets.values())
-                if arrivals <= 3:
-                    return HttpResponse(503, [(b'not-executed', b'1')], b'')
-                return target.signed(req)
+                runs = sum(t.runs[req.header(b'request-id')] for t in mesh.targets.values())
+                return spoilt if runs <= times else target.signed(req)
 
             for name in 'bcd':
-                mesh.targets[name].script = shedding
-            response = await mesh.call('a', '/deep/x', 'POST')
+                mesh.targets[name].script = script
+            method = 'POST' if terms.get('kind') == 'unsafe' else 'GET'
+            response = await mesh.call('a', '/deep/x', method)
             return response.status, [len(mesh.targets[name].seen) for name in 'bcd']
 
         targets = ('a:front', 'b:deep', 'c:deep', 'd:deep')
-        status, arrivals = self.mesh(scenario, targets=targets, kind='unsafe')
+        return self.mesh(scenario, targets=targets, **terms)
+
+    def test_a_call_that_is_turned_away_unrun_is_tried_again_where_it_was(self):
+        # All targets of a service turn away part of what arrives, while their health checks
+        # are good. Its route allows two targets for each call, and those refuse it: the caller
+        # is failed, though a third send to one of them is as good as the first.
+        turned_away = HttpResponse(503, [(b'not-executed', b'1')], b'')
+        status, arrivals = self.sends_until_answered(turned_away, 3, kind='unsafe')
         self.assertEqual((200, 4), (status, sum(arrivals)))
         self.assertEqual(1, arrivals.count(0))
 
@@ -257,21 +262,7 @@
         # Targets run the request and reset the connection, two in ten times one after the
         # other. Its route allows two targets: the caller of a lookup is failed, though a third
         # send, to one of the two, is answered.
-        async def scenario(mesh):
-            async def losing(req):
-                target = next(t for t in mesh.targets.values() if req in t.seen)
-                runs = sum(t.runs[req.header(b'request-id')] for t in mesh.targets.values())
-                if runs <= 2:
-                    return HttpResponse(200, [], b'spoiled')
-                return target.signed(req)
-
-            for name in 'bcd':
-                mesh.targets[name].script = losing
-            response = await mesh.call('a', '/deep/x')
-            return response.status, [len(mesh.targets[name].seen) for name in 'bcd']
-
-        targets = ('a:front', 'b:deep', 'c:deep', 'd:deep')
-        status, arrivals = self.mesh(scenario, targets=targets)
+        status, arrivals = self.sends_until_answered(HttpResponse(200, [], b'spoiled'), 2)
         self.assertEqual((200, 3), (status, sum(arrivals)))
         self.assertEqual(1, arrivals.count(0))
 
