Digests of the view are kept as members change

Cause: each exchange of views that comes in was compared with digests worked out anew over all members; young nodes begin two a second. Ruled out: fewer exchanges (they are what a fresh node learns from). Change: the view keeps a number for each bucket and its members; an exchange between equal views hashes nothing at 194 and 960 members (test_at_size, which failed before). A change of one member clears the cached targets of its own service only.

--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -28,7 +28,7 @@
 from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Probes
 from dunlinsaddle.membership.rumors import Budget, Rumors
 from dunlinsaddle.membership.suspects import Suspects
-from dunlinsaddle.membership.sync import SyncTurns, digests_of, pages_order
+from dunlinsaddle.membership.sync import SyncTurns, pages_order
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.pieces import cut_pieces
@@ -295,10 +295,11 @@
         return [Send(to, self._sync()) for to in self.turns.take(now, self.me.gossip, others)]
 
     def _sync(self, *, answer: bool = False) -> Sync:
-        return Sync(**self._head([word_of(self.me)]), digests=digests_of(self.view), answer=answer)
+        digests = self.view.digests.numbers()
+        return Sync(**self._head([word_of(self.me)]), digests=digests, answer=answer)
 
     def _compare(self, now: float, sync: Sync) -> list[Send]:
-        mine = digests_of(self.view)
+        mine = self.view.digests.numbers()
         if len(sync.digests) != len(mine):
             return []
         differing = {i for i, digest in enumerate(mine) if digest != sync.digests[i]}
--- a/dunlinsaddle/membership/sync.py
+++ b/dunlinsaddle/membership/sync.py
@@ -1,52 +1,24 @@
-"""Digests of a view, by which two nodes find where their views differ."""
+"""When a node compares its view with others, and in which order it tells what differs."""
 
-import functools
+from collections.abc import Iterator
 from random import Random
 
-import xxhash
-
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
-from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.settings import Address
 
-BUCKETS = 64  #: digests of 4 bytes each, so that a comparison takes one datagram
-
-
-@functools.lru_cache(maxsize=8192)
-def bucket_of(instance: str) -> int:
-    """Give the bucket of an instance."""
-    return xxhash.xxh32_intdigest(instance.encode()) % BUCKETS
-
-
-def digests_of(view: MemberView) -> list[int]:
-    """Give a number of 32 bits for each bucket, equal where the views are equal.
-
-    The dead are left out, as each node concludes and forgets them at a time of its own; the
-    suspected count as alive, as suspicions come and go faster than views are compared.
-    """
-    digests = [0] * BUCKETS
-    for member in view.members():
-        if member.gone:
-            continue
-        draining = member.state == State.DRAINING
-        word = f'{member.instance}:{member.incarnation}:{draining:d}'
-        digests[bucket_of(member.instance)] ^= xxhash.xxh32_intdigest(word.encode())
-    return digests
-
 
-def pages_order(view: MemberView, differing: set[int], rng: Random) -> list[Member]:
+def pages_order(view: MemberView, differing: set[int], rng: Random) -> Iterator[Member]:
     """Give the members of differing buckets, whole buckets one after the other.
 
     In an order of our own: a fresh node that asks several at once hears few words twice, and
     asks no more for the buckets that it has in full.
     """
-    order = rng.sample(sorted(differing), len(differing))
-    places = {bucket: place for place, bucket in enumerate(order)}
-    members = [m for m in view.members() if bucket_of(m.instance) in differing]
-    # The budget may end within a bucket; its rest must not be the same each time.
-    rng.shuffle(members)
-    members.sort(key=lambda m: places[bucket_of(m.instance)])
-    return members
+    for bucket in rng.sample(sorted(differing), len(differing)):
+        members = list(view.digests.members(bucket))
+        # The budget may end within a bucket; its rest must not be the same each time.
+        rng.shuffle(members)
+        yield from members
 
 
 class SyncTurns:
--- a/dunlinsaddle/membership/view.py
+++ b/dunlinsaddle/membership/view.py
@@ -1,48 +1,11 @@
 """The instances that a node knows of, merged from what it hears in any order."""
 
 from collections.abc import Callable, Iterable
-from enum import IntEnum
-from typing import NamedTuple
 
-from dunlinsaddle.settings import Address
-
-
-class State(IntEnum):
-    """What is said of an instance. Within one incarnation a higher state goes first."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    DRAINING = 2
-    DEAD = 3
-    LEFT = 4
-
-
-class Member(NamedTuple):
-    """One instance as it announced itself, and its state.
-
-    ``incarnation`` grows with each start of the instance, with each change of what it says of
-    itself, and when it denies a suspicion. ``service`` is empty while no target has announced
-    itself there.
-    """
-
-    instance: str
-    incarnation: int
-    state: State
-    domain: str
-    service: str
-    peers: Address
-    gossip: Address
-
-    @property
-    def serving(self) -> bool:
-        """Whether new work may be sent there."""
-        return self.state in (State.ALIVE, State.SUSPECT) and bool(self.service)
-
-    @property
-    def gone(self) -> bool:
-        """Whether it is held to run no longer."""
-        return self.state in (State.DEAD, State.LEFT)
+from dunlinsaddle.membership.digests import Digests
+from dunlinsaddle.membership.member import Member, State
 
+__all__ = ['Member', 'MemberView', 'OnChange', 'State']
 
 OnChange = Callable[[Member | None, Member], None]  #: the word before, if any, and the new one
 
@@ -53,6 +16,7 @@
     def __init__(self, on_change: OnChange = lambda before, now: None) -> None:
         self._on_change = on_change
         self.version = 0
+        self.digests = Digests()
         self._members: dict[str, Member] = {}
         self._serving: dict[str, list[Member]] = {}
 
@@ -62,11 +26,18 @@
         if held is not None and _order(held) >= _order(member):
             return False
         self._members[member.instance] = member
-        self._serving.clear()
+        self.digests.replace(held, member)
+        # Only of the services that it concerns: members change all the time among hundreds.
+        self._serving.pop(member.service, None)
+        if held is not None:
+            self._serving.pop(held.service, None)
         self.version += 1
         self._on_change(held, member)
         return True
 
+    def __len__(self) -> int:
+        return len(self._members)
+
     def find(self, instance: str) -> Member | None:
         """Give the newest word on one instance."""
         return self._members.get(instance)
@@ -91,8 +62,11 @@
 
     def drop(self, instance: str) -> None:
         """Forget an instance that has long gone."""
-        self._members.pop(instance, None)
-        self._serving.clear()
+        held = self._members.pop(instance, None)
+        if held is None:
+            return
+        self.digests.remove(held)
+        self._serving.pop(held.service, None)
         self.version += 1
 
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -276,7 +276,7 @@
 
     def _member_changed(self, before: Member | None, member: Member) -> None:
         # The dead count as well while they are held: too many nodes is the safe side.
-        self.budget.nodes = max(sum(1 for _ in self.view.members()), 1)
+        self.budget.nodes = max(len(self.view), 1)
         if before is not None and before.state is member.state:
             return
         extra = {'member': member.instance, 'state': member.state.name.lower()}
--- /dev/null
+++ b/tests/test_at_size.py
@@ -0,0 +1,67 @@
+"""What a node's control costs where it is one of hundreds: counted in work, not in time."""
+
+from random import Random
+from unittest import mock
+
+import xxhash
+from testtools import TestCase
+
+from dunlinsaddle.membership import digests
+from dunlinsaddle.membership.digests import BUCKETS, Digests, bucket_of
+from dunlinsaddle.membership.messages import Sync
+from dunlinsaddle.membership.view import MemberView, State
+from tests.builders import build_member
+from tests.fakes.network import Machines
+
+FLEETS = (194, 960)
+
+
+class DigestsTest(TestCase):
+    def test_an_exchange_between_equal_views_costs_the_same_in_any_fleet(self):
+        # Callers wait: each exchange that comes in is compared with digests that were worked out
+        # anew over all members. With 194 nodes half of a node's processor time went there.
+        hashed = {}
+        for size in FLEETS:
+            net = Machines()
+            net.fill(size)
+            one, other = net.nodes['n000'], net.nodes['n001']
+            sync = Sync(
+                sender='n001', reply_to=other.me.gossip, digests=other.view.digests.numbers()
+            )
+            counted = mock.Mock(side_effect=xxhash.xxh32_intdigest)
+            with mock.patch.object(digests, 'xxh32_intdigest', counted):
+                self.assertEqual([], one.receive(1.0, sync))
+            hashed[size] = counted.call_count
+        self.assertEqual(dict.fromkeys(FLEETS, 0), hashed)
+
+    def test_kept_digests_are_those_of_the_members(self):
+        # Two nodes that hold the same would exchange all of it for ever if one of them had
+        # missed a change of its own view.
+        rng = Random(7)
+        view = MemberView()
+        for _ in range(3000):
+            name = f'n{rng.randrange(200):03}'
+            if rng.random() < 0.1:
+                view.drop(name)
+                continue
+            state = rng.choice(list(State))
+            view.take(build_member(name, incarnation=rng.randrange(1, 30), state=state))
+        fresh = Digests()
+        for member in view.members():
+            fresh.replace(None, member)
+        self.assertEqual(fresh.numbers(), view.digests.numbers())
+        held = {m.instance for bucket in range(BUCKETS) for m in view.digests.members(bucket)}
+        self.assertEqual({m.instance for m in view.members()}, held)
+
+    def test_suspicions_and_deaths_leave_digests_alone_as_before(self):
+        alive, suspected = (build_member('a', state=s) for s in (State.ALIVE, State.SUSPECT))
+        numbers = {}
+        for member in (alive, suspected):
+            found = Digests()
+            found.replace(None, member)
+            numbers[member.state] = found.numbers()
+        self.assertEqual(numbers[State.ALIVE], numbers[State.SUSPECT])
+        gone = Digests()
+        gone.replace(None, build_member('a', state=State.DEAD))
+        self.assertEqual([0] * BUCKETS, gone.numbers())
+        self.assertIn(bucket_of('a'), range(BUCKETS))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
+from dunlinsaddle.membership.digests import BUCKETS
 from dunlinsaddle.membership.messages import MAX_BYTES, Rumor, Sealer, Sync, word_of
-from dunlinsaddle.membership.sync import BUCKETS
 from dunlinsaddle.membership.view import State
 from tests.builders import PEER_KEY, build_member
 from tests.fakes.network import Machines
