A choice between targets costs the same among any number of them

Cause: each call walked over all targets of its service three times, though two are drawn. Ruled out: drawing again until a usable one is found (it would give up the rule that half of a service's targets are left in, when most fail alike). Change: who is usable is worked out once for a list of candidates, and again when somebody is left out or returns. Calls that were sent before walk as they did. Test failed before (walks counted).

--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -1,7 +1,7 @@
 """Which target of a service a call goes to, with views that may be stale."""
 
 from collections.abc import Sequence
-from math import exp
+from math import exp, inf
 from random import Random
 from typing import NamedTuple, TypedDict
 
@@ -28,6 +28,10 @@
 WORSE_COST = 0.8
 
 
+#: Lists of candidates that are held; a service has one at a time, and a deployment some hundred.
+LISTS_MOST = 512
+
+
 class Candidate(NamedTuple):
     """A target that could take the call, by the instance of its node."""
 
@@ -78,6 +82,19 @@
         return self._errors * exp((self._judged_at - now) / FORGET_SECONDS)
 
 
+class _Usable(NamedTuple):
+    """Who of a list of candidates may be given calls, as long as nothing about it changes."""
+
+    candidates: Sequence[Candidate]  #: held here, so that no other list takes its identity
+    changes: int  #: of who is left out, up to which this was worked out
+    until: float  #: the first of those left out counts again then
+    usable: list[Candidate]
+    near: list[Candidate]  #: those in the failure domain of this node
+
+    def holds(self, now: float, candidates: Sequence[Candidate], changes: int) -> bool:
+        return candidates is self.candidates and changes == self.changes and now < self.until
+
+
 class Router:
     """Two choices weighted by the load that rides back on answers, the near one preferred.
 
@@ -91,17 +108,18 @@
         self.instance = instance
         self._seen: dict[str, _Seen] = {}
         self._paces = Paces()
+        self._usables: dict[int, _Usable] = {}  #: by the identity of the list of candidates
+        self._left_out_changes = 0
 
     def choose(
         self, now: float, candidates: Sequence[Candidate], tried: frozenset[str] = frozenset()
     ) -> Candidate | None:
         """Give the target for a call, never one that was tried for it already."""
-        left = [c for c in candidates if c.instance not in tried]
-        if not left:
+        found = self._untried(now, candidates, tried) if tried else self._known(now, candidates)
+        usable = found.usable
+        if not usable:
             return None
-        usable = self._usable(now, left)
-        near = [c for c in usable if c.domain == self.domain]
-        first = self.rng.choice(near or usable)
+        first = self.rng.choice(found.near or usable)
         second = self.rng.choice(usable)
         if first is second:
             # Drawn twice, a bad one would be compared with nobody. Usual ones may be: what is
@@ -163,16 +181,21 @@
             return
         pause = min(EJECT_SECONDS * 2.0**seen.ejections, EJECT_SECONDS_MOST)
         seen.ejections += 1
-        seen.avoid_until = now + pause
+        self._leave_out(seen, now + pause)
 
     def avoid(self, now: float, instance: str) -> None:
         """Leave a target out for a while that says it is leaving: the view is older than it."""
-        self._of(instance).avoid_until = now + AVOID_SECONDS
+        self._leave_out(self._of(instance), now + AVOID_SECONDS)
+
+    def _leave_out(self, seen: _Seen, until: float) -> None:
+        seen.avoid_until = until
+        self._left_out_changes += 1
 
     def forget(self, instance: str) -> None:
         """Drop what is known of an instance that has gone."""
         self._seen.pop(instance, None)
         self._paces.forget(instance)
+        self._left_out_changes += 1
 
     def load_of(self, instance: str) -> Load:
         """Give the load that a target's latest answer told of."""
@@ -192,7 +215,35 @@
             pace=round(self._paces.of(now, instance), 2),
         )
 
-    def _usable(self, now: float, left: list[Candidate]) -> list[Candidate]:
+    def _untried(
+        self, now: float, candidates: Sequence[Candidate], tried: frozenset[str]
+    ) -> '_Usable':
+        """Work out who is left of a call that was sent before, which few calls are."""
+        return self._found(now, [c for c in candidates if c.instance not in tried])
+
+    def _known(self, now: float, candidates: Sequence[Candidate]) -> '_Usable':
+        """Give what was worked out for these candidates, unless something has changed since.
+
+        Worked out for each call, it took 44 us of processor time among 71 targets, and a service
+        of hundreds makes each call dearer. The dispatcher hands in the same list while its view
+        stays as it is.
+        """
+        held = self._usables.get(id(candidates))
+        if held is not None and held.holds(now, candidates, self._left_out_changes):
+            return held
+        if len(self._usables) >= LISTS_MOST:
+            self._usables.clear()
+        found = self._usables[id(candidates)] = self._found(now, candidates)
+        return found
+
+    def _found(self, now: float, candidates: Sequence[Candidate]) -> '_Usable':
+        usable = self._usable(now, candidates)
+        near = [c for c in usable if c.domain == self.domain]
+        ends = [self._of(c.instance).avoid_until for c in candidates]
+        until = min((end for end in ends if end > now), default=inf)
+        return _Usable(candidates, self._left_out_changes, until, usable, near)
+
+    def _usable(self, now: float, left: Sequence[Candidate]) -> list[Candidate]:
         """Leave out suspects and the ejected, but never too many of them.
 
         When most targets fail alike the cause is this node, the network or the request, and
--- a/tests/test_at_size.py
+++ b/tests/test_at_size.py
@@ -10,6 +10,7 @@
 from dunlinsaddle.membership.digests import BUCKETS, Digests, bucket_of
 from dunlinsaddle.membership.messages import Sync
 from dunlinsaddle.membership.view import MemberView, State
+from dunlinsaddle.policy.route import Candidate, Router
 from tests.builders import build_member
 from tests.fakes.network import Machines
 
@@ -65,3 +66,38 @@
         gone.replace(None, build_member('a', state=State.DEAD))
         self.assertEqual([0] * BUCKETS, gone.numbers())
         self.assertIn(bucket_of('a'), range(BUCKETS))
+
+
+class CountedCandidates(tuple):
+    """Counts how often somebody walks over it."""
+
+    walks = 0
+
+    def __iter__(self):
+        self.walks += 1
+        return super().__iter__()
+
+
+class ChoiceTest(TestCase):
+    def candidates(self, count: int) -> CountedCandidates:
+        return CountedCandidates(Candidate(f'n{i:03}', f'd{i % 5}') for i in range(count))
+
+    def test_a_choice_costs_the_same_among_any_number_of_targets(self):
+        # Each call walked over all targets of its service, though only two are drawn: among
+        # 71 of them 44 us of processor time a call, among four 14.
+        for size in FLEETS:
+            router, found = Router('d0', Random(3)), self.candidates(size)
+            for i in range(500):
+                router.choose(i / 100, found)
+            self.assertLessEqual(found.walks, 3)
+
+    def test_a_target_left_out_is_not_chosen_until_its_time_is_up(self):
+        # What is kept between choices must not outlive what it was worked out from.
+        router, found = Router('d0', Random(3)), self.candidates(40)
+        router.choose(0.0, found)
+        router.avoid(0.0, 'n000')
+        soon = {router.choose(0.1, found).instance for _ in range(2000)}
+        later = {router.choose(60.0, found).instance for _ in range(2000)}
+        self.assertNotIn('n000', soon)
+        self.assertIn('n000', later)
+        self.assertEqual(later, soon | {'n000'})
