Three nodes of each failure domain watch the store, all others hear from them

Cause: every node kept a watch of five seconds on the configuration and asked again after .1 to 1 s when refused. Ruled out: a push tree (seconds are lost when an inner node dies unseen); longer watches of all (an answer lost on a silent connection would hide a change for as long). Change: watchers chosen by hash from the view, suspected ones replaced; each gossip message tells the version held by its sender, who hears of a newer one fetches it from there; a watcher tells its whole domain, everybody else four at random. A node without a configuration waits a second for its peers.

--- a/dunlinsaddle/membership/agent.py
+++ b/dunlinsaddle/membership/agent.py
@@ -65,6 +65,10 @@
         self.gossip.announce(me)
         self._send(self.gossip.spread())
 
+    def tell_news(self, version: int, members: Iterable[Member]) -> None:
+        """Tell others at once that this node holds a newer configuration."""
+        self._send(self.gossip.tell_news(version, members))
+
     def leave(self) -> None:
         """Say goodbye and stop."""
         if self._started:
--- /dev/null
+++ b/dunlinsaddle/membership/keepers.py
@@ -0,0 +1,36 @@
+"""Which nodes do for their failure domain what one alone has to do, chosen without asking."""
+
+import xxhash
+
+from dunlinsaddle.membership.view import Member, MemberView, State
+
+KEEPERS = 3  #: nodes of a domain that look after it: one lives, whichever two are lost
+
+
+def by_hash(view: MemberView, domain: str) -> list[Member]:
+    """Give the live members of a failure domain in an order that is the same at every node."""
+    live = [m for m in view.members() if m.domain == domain and not m.gone]
+    return sorted(live, key=lambda m: xxhash.xxh64_intdigest(f'{domain}/{m.instance}'.encode()))
+
+
+class Watchers:
+    """The nodes of one failure domain that watch the store for all the others.
+
+    Those that are suspected, or about to leave, are passed over: another takes their place as
+    soon as they miss an answer. Where views differ for a moment, some watch that need not.
+    """
+
+    def __init__(self, view: MemberView, domain: str) -> None:
+        self.view = view
+        self.domain = domain
+        self._version = -1
+        self._chosen: frozenset[str] = frozenset()
+
+    def includes(self, instance: str) -> bool:
+        """Say whether a node is one of them."""
+        if self._version != self.view.version:
+            live = by_hash(self.view, self.domain)
+            able = [m for m in live if m.state is State.ALIVE] or live
+            self._chosen = frozenset(m.instance for m in able[:KEEPERS])
+            self._version = self.view.version
+        return instance in self._chosen
--- a/dunlinsaddle/membership/messages.py
+++ b/dunlinsaddle/membership/messages.py
@@ -40,11 +40,15 @@
 
 
 class Message(msgspec.Struct, array_like=True, tag=True, kw_only=True):
-    """What every message carries: who sends it, the address for answers, piggybacked words."""
+    """What every message carries: who sends it, the address for answers, piggybacked words.
+
+    ``news`` is the version of the newest configuration that the sender holds, 0 for none.
+    """
 
     sender: str
     reply_to: Address
     words: list[Word] = []
+    news: int = 0
 
 
 class Ping(Message, tag='p'):
--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -4,7 +4,7 @@
 docs/design/membership.md.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import islice, takewhile
 from random import Random
 from typing import Any, NamedTuple
@@ -60,6 +60,8 @@
         self.times = times
         self.sizes = sizes
         self.me: Member
+        self.news = 0  #: version of the newest configuration held here; each message tells it
+        self.on_news: Callable[[Member, int], None] = lambda member, version: None
         self.turns = SyncTurns(rng, times, sizes)
         self.rumors = Rumors(sizes.extra_sends)
         self.budget = Budget(sizes.bytes_per_second, sizes.burst)
@@ -125,6 +127,8 @@
             self.contact(now, [message.reply_to])
         for word in message.words:
             self._hear(now, word)
+        if message.news > self.news:
+            self._hear_news(message)
         match message:
             case Ping(number=number):
                 return [self._answer(message, Ack(**self._head(), number=number))]
@@ -137,6 +141,17 @@
             case _:
                 return []
 
+    def tell_news(self, version: int, members: Iterable[Member] = ()) -> list[Send]:
+        """Tell a newer version to a few others at random, and to ``members``."""
+        self.news = version
+        told = {*self._others(self.sizes.news_fanout), *members}
+        return [Send(m.gossip, self._rumor([])) for m in told]
+
+    def _hear_news(self, message: AnyMessage) -> None:
+        sender = self.view.find(message.sender)
+        if sender is not None:
+            self.on_news(sender, message.news)
+
     def _hear(self, now: float, word: Word) -> None:
         if word.instance == self.me.instance:
             self._refute(word)
@@ -345,7 +360,8 @@
 
     def _head(self, words: list[Word] | None = None) -> dict[str, Any]:
         words = self._words() if words is None else words
-        return {'sender': self.me.instance, 'reply_to': self.me.gossip, 'words': words}
+        head = {'sender': self.me.instance, 'reply_to': self.me.gossip}
+        return {**head, 'words': words, 'news': self.news}
 
     def _rumor(self, words: list[Word]) -> Rumor:
         return Rumor(**self._head(words))
--- a/dunlinsaddle/membership/roster.py
+++ b/dunlinsaddle/membership/roster.py
@@ -9,16 +9,15 @@
 from typing import Any, NamedTuple, TypedDict
 
 import msgspec
-import xxhash
 from result import Ok
 
+from dunlinsaddle.membership.keepers import KEEPERS, by_hash
 from dunlinsaddle.membership.protocol import Gossip
-from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.platform.store import ABSENT, ObjectStore
 from dunlinsaddle.settings import read_address
 
 ROSTERS = 'rosters'
-KEEPERS = 3  #: nodes of a domain that look after its roster: one lives, whichever two are lost
 ENOUGH = 3  #: live members that a roster must list, for the same reason
 MOST = 8  #: members that it lists: a fresh node needs one that answers
 FIRST_SECONDS = 0.5  #: seconds between two passes at the start, doubled each time
@@ -110,12 +109,6 @@
     return [m for m in found if m is not None]
 
 
-def keepers(view: MemberView, domain: str) -> list[Member]:
-    """Give the live members of a failure domain, those that keep its roster first."""
-    live = [m for m in view.members() if m.domain == domain and not m.gone]
-    return sorted(live, key=lambda m: xxhash.xxh64_intdigest(f'{domain}/{m.instance}'.encode()))
-
-
 class Bootstrap:
     """Finds the others through the platform, and keeps the roster if that falls to this node.
 
@@ -161,7 +154,7 @@
         """Read and mend the roster, if it falls to this node; False while the platform is out."""
         view = self.gossip.view
         me = self.gossip.me
-        if me not in keepers(view, me.domain)[:KEEPERS]:
+        if me not in by_hash(view, me.domain)[:KEEPERS]:
             return True
         rosters = await self.roster.read()
         if rosters is None:
@@ -175,7 +168,7 @@
         view = self.gossip.view
         me = self.gossip.me
         held = rosters.get(me.domain)
-        live = keepers(view, me.domain)[:MOST]
+        live = by_hash(view, me.domain)[:MOST]
         usable = [m for m in held.members if self._usable(m)] if held else []
         if len(usable) < min(ENOUGH, len(live)):
             await self.roster.write(live, held)
--- a/dunlinsaddle/membership/tuning.py
+++ b/dunlinsaddle/membership/tuning.py
@@ -33,3 +33,6 @@
     burst: int = 1500
     pages: int = 6
     join: int = 6
+    #: Members that hear of a newer configuration at once from each who takes it; with four, 98 in
+    #: 100 hear of it within some round trips, and the pings of the next second tell the others.
+    news_fanout: int = 4
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -23,6 +23,7 @@
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.agent import GossipAgent
+from dunlinsaddle.membership.keepers import Watchers
 from dunlinsaddle.membership.roster import Bootstrap, Roster
 from dunlinsaddle.membership.tuning import GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
@@ -128,6 +129,9 @@
         self.follower.links = self.links
         self.follower.peers = self._others
         self.follower.on_change = self._configured
+        self.watchers = Watchers(self.view, cfg.domain)
+        self.follower.watches = self._watches
+        self.agent.gossip.on_news = self.follower.hear
         self.peer_server.on_records = self.follower.answer
         self.deaths = DeathNews(self.links, self.quarantine, self._others, self.logger)
         self.peer_server.on_deaths = self.deaths.hear
@@ -258,11 +262,18 @@
         ready = self.follower.version > 0 and self.bootstrap.settled and not self.leaving
         return HttpResponse(200 if ready else 503, [], b'')
 
+    def _watches(self) -> bool:
+        return self.watchers.includes(self.settings.instance)
+
     def _others(self) -> list[Member]:
         mine = self.settings.instance
         return [m for m in self.view.members() if m.instance != mine and not m.gone]
 
     def _configured(self, found: Configuration) -> None:
+        # Of three watchers each tells its whole domain: a datagram may get lost.
+        domain = self.settings.domain if self._watches() else None
+        near = [m for m in self._others() if m.domain == domain]
+        self.agent.tell_news(self.follower.stored_version, near)
         limits = found.limits
         self.callers_http.limits = HttpLimits(
             limits.header_bytes,
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -1,4 +1,8 @@
-"""Keeps a node's routing configuration up to date: by a watch on the store, else from peers."""
+"""Keeps a node's routing configuration up to date: by a watch on the store, or from peers.
+
+A few nodes of each failure domain watch the store. Every message of the gossip tells the version
+that its sender holds, and who hears of a newer one fetches it from there.
+"""
 
 import asyncio
 import logging
@@ -10,15 +14,16 @@
 
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.view import Member
 from dunlinsaddle.platform.store import Listing, ObjectStore, StoredObject, Unavailable
 from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.routes.models import Configuration
 from dunlinsaddle.routes.table import RouteTable
 
-#: Seconds that one watch waits, and so the longest that a node misses a change after the answer
-#: to a watch was lost on an open connection, which nothing else shows. A shorter one costs more
-#: calls: 12 nodes make 2.4 a second with it, of thousands that the store takes.
+#: Seconds that one watch waits, and so the longest that a change is missed after the answer to a
+#: watch was lost on an open connection, which nothing else shows. A shorter one costs more calls:
+#: with three watchers in each of five failure domains three a second, of thousands.
 WATCH_SECONDS = 5.0
 #: Seconds that an answer may take beyond that, at first and at most. A store that does not answer
 #: must not hold up a node that knows nothing: its peers are asked after the first bound. It is
@@ -28,11 +33,17 @@
 FIRST_BACKOFF = 0.1  #: seconds; a store that refuses a call is mostly back within a second
 MOST_BACKOFF = 1.0  #: half of the two seconds within which a change has to be in force
 PEER_SECONDS = 0.5  #: for a peer's answer; a round trip between failure domains takes 1 ms
+#: Seconds between two looks whether it falls to this node to watch. A watcher that dies is
+#: suspected within three seconds; the two others of its domain watch meanwhile.
+TURN_SECONDS = 0.5
+#: Seconds for which a node without a configuration leaves the store alone. Its peers tell it of
+#: theirs with the first answer to its gossip.
+NEWS_PATIENCE = 1.0
 
 Reader = Callable[[Any], Result[Configuration, str]]
 
 
-class ConfigFollower:
+class ConfigFollower(OnLoop):
     """The newest configuration that this node has heard of. It never goes back."""
 
     def __init__(
@@ -54,23 +65,36 @@
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
         self.links: PeerLinks | None = None
         self.peers: Callable[[], list[Member]] = list
+        self.watches: Callable[[], bool] = lambda: True  #: whether it falls to this node to watch
         self._revision = 0  #: of the store, up to which this node has heard all
         self._entry: RecordEntry | None = None
         self._reachable: bool | None = None
+        self._fetching: asyncio.Task[None] | None = None
 
     @property
     def version(self) -> int:
         """The version in force here, 0 for none."""
         return self.table.configuration.version if self.table else 0
 
+    @property
+    def stored_version(self) -> int:
+        """The store's version of the object that is in force here, 0 for none."""
+        return self._entry.version if self._entry else 0
+
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the store until cancelled, while that falls to this node."""
         backoff, grace = FIRST_BACKOFF, FIRST_GRACE
+        patient_until = self.now() + NEWS_PATIENCE
         while True:
+            if not self.watches() and (self.version or self.now() < patient_until):
+                # What it heard of the store is old when its turn comes.
+                self._reachable = None
+                await asyncio.sleep(TURN_SECONDS * self.rng.uniform(0.5, 1.0))
+                continue
             # After a failure first a call that does not wait: connections that were cut may have
             # hidden a change, and one that goes silent shows only when its answer is overdue.
             wait = WATCH_SECONDS if self._revision and self._reachable else 0.0
-            began = asyncio.get_running_loop().time()
+            began = self.now()
             match await self.store.watch(self.kind, self._revision, wait, grace):
                 case Ok(listing):
                     backoff, grace = FIRST_BACKOFF, FIRST_GRACE
@@ -78,28 +102,41 @@
                     self._take_listing(listing)
                 case Err(Unavailable(detail)):
                     self._note_store(reachable=False, why=detail)
-                    if asyncio.get_running_loop().time() - began >= wait + grace:
+                    if self.now() - began >= wait + grace:
                         grace = min(grace * 2, MOST_GRACE)
-                    await self._ask_peer()
+                    await self._ask_any()
                     await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
                     backoff = min(backoff * 2, MOST_BACKOFF)
 
     def answer(self, frame: RecordFrame) -> RecordsAnswer | None:
-        """Answer a peer that cannot reach the store."""
+        """Answer a peer that has heard of a newer configuration, or cannot reach the store."""
         if not isinstance(frame, RecordsAsk):
             return None
         entry = self._entry
         entries = [entry] if entry is not None and entry.version > frame.since else []
-        return RecordsAnswer(frame.id, entry.version if entry else 0, 0.0, False, entries)
+        return RecordsAnswer(frame.id, self.stored_version, 0.0, False, entries)
 
-    async def _ask_peer(self) -> None:
+    def hear(self, member: Member, version: int) -> None:
+        """Fetch what a peer says is newer; word of it comes again if that fails."""
+        if version <= self.stored_version or self._fetching is not None:
+            return
+        self._fetching = self.loop.create_task(self._ask(member))
+        self._fetching.add_done_callback(self._fetched)
+
+    def _fetched(self, task: 'asyncio.Task[None]') -> None:
+        self._fetching = None
+
+    async def _ask_any(self) -> None:
         """Hear from a peer what the store would say: one that is cut off stays up to date."""
         peers = self.peers()
-        if self.links is None or not peers:
+        if peers:
+            await self._ask(self.rng.choice(peers))
+
+    async def _ask(self, member: Member) -> None:
+        if self.links is None:
             return
-        member = self.rng.choice(peers)
-        since = self._entry.version if self._entry else 0
-        answer = await self.links.ask_records(member.peers, RecordsAsk(0, since), PEER_SECONDS)
+        ask = RecordsAsk(0, self.stored_version)
+        answer = await self.links.ask_records(member.peers, ask, PEER_SECONDS)
         for entry in answer.entries if answer else []:
             self._take(entry, source=member.instance)
 
@@ -110,7 +147,7 @@
                 self._take(_entry(held), source='store')
 
     def _take(self, entry: RecordEntry, source: str) -> None:
-        if self._entry is not None and entry.version <= self._entry.version:
+        if entry.version <= self.stored_version:
             return
         match self.read(entry.doc):
             case Err(why):
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections import Counter
+from functools import partial
 from random import Random
 from typing import Any
 
 import msgspec
+from result import Err
 
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
@@ -13,6 +15,7 @@
 from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.mesh.node import MeshNode
 from dunlinsaddle.mesh.settings import Bounds, MeshSettings
+from dunlinsaddle.platform.store import Unavailable
 from dunlinsaddle.settings import Address
 from tests.builders import build_configuration, build_environment, build_logger, build_route
 from tests.fakes.site import HOST, paused_wall_clock
@@ -91,11 +94,31 @@
             await asyncio.sleep(BEAT_SECONDS)
 
 
+class StoreOfNode:
+    """The store as one node reaches it; it may turn some nodes away and serve the others."""
+
+    def __init__(self, mesh: 'Mesh', name: str) -> None:
+        self.mesh = mesh
+        self.name = name
+
+    def __getattr__(self, method: str) -> Any:
+        return partial(self._ask, method)
+
+    async def _ask(self, method: str, *args: Any, **kwargs: Any) -> Any:
+        store = self.mesh.store
+        if self.name in self.mesh.cut_off:
+            store.calls += 1
+            return Err(Unavailable('status 503'))
+        return await getattr(store, method)(*args, **kwargs)
+
+
 class Mesh:
     """Nodes by name, each beside a target."""
 
     def __init__(self, seed: int = 5) -> None:
         self.store = FakeStore()
+        self.cut_off: set[str] = set()  #: nodes that the store turns away
+        self.stopped: set[str] = set()
         self.rng = Random(seed)
         self.client = HttpClient(open_ended=True)
         self.nodes: dict[str, MeshNode] = {}
@@ -129,10 +152,25 @@
         at = [Address(HOST, port + n) for n in range(7)]
         cfg = MeshSettings(name, domain, 'r', *at[:6], at[6], service, Address(HOST, 9), BOUNDS)
         env = build_environment(rng=Random(self.rng.random()), wall_clock=paused_wall_clock)
-        node = MeshNode(cfg, env, build_logger(), self.store)
+        node = MeshNode(cfg, env, build_logger(), StoreOfNode(self, name))
         self.nodes[name] = node
         return node
 
+    async def kill(self, name: str) -> None:
+        """End a node without a word to the others."""
+        node = self.nodes[name]
+        node.agent._started = False
+        self.stopped.add(name)
+        await node.stop()
+
+    async def restart(self, name: str) -> None:
+        """Start a node again that was killed: at its address, knowing nothing."""
+        cfg = self.nodes[name].settings
+        node = self.node(name, cfg.service, cfg.domain, cfg.callers.port)
+        self.targets[name].node = node
+        self.stopped.discard(name)
+        await node.start()
+
     async def call(
         self, entry: str, path: str, method: str = 'GET', timeout: float = 5.0, **headers: str
     ) -> HttpResponse:
@@ -154,5 +192,6 @@
         for task in self._beats:
             task.cancel()
         self.client.close()
-        for node in self.nodes.values():
-            await node.stop()
+        for name, node in self.nodes.items():
+            if name not in self.stopped:
+                await node.stop()
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -142,13 +142,13 @@
         if node is None or name in self.paused:
             return
         if data is None:
-            self._send(name, node.tick(self.now))
+            self.send(name, node.tick(self.now))
             return
         message = self._sealer.open(data)
         assert message is not None
-        self._send(name, node.receive(self.now, message))
+        self.send(name, node.receive(self.now, message))
 
-    def _send(self, sender: str, sends: list[Send]) -> None:
+    def send(self, sender: str, sends: list[Send]) -> None:
         for to, message in sends:
             data = self._sealer.seal(message)
             self.sent[sender] += 1
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -2,7 +2,8 @@
 from random import Random
 
 from dunlinsaddle.membership.agent import GossipAgent
-from dunlinsaddle.membership.roster import KEEPERS, ROSTERS, Bootstrap, Roster, keepers
+from dunlinsaddle.membership.keepers import KEEPERS, by_hash
+from dunlinsaddle.membership.roster import ROSTERS, Bootstrap, Roster
 from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.settings import Address
 from tests.builders import PEER_KEY, build_member
@@ -165,4 +166,4 @@
             one.take(member)
         for member in reversed(members):
             other.take(member)
-        self.assertEqual(keepers(one, 'bangor-hall'), keepers(other, 'bangor-hall'))
+        self.assertEqual(by_hash(one, 'bangor-hall'), by_hash(other, 'bangor-hall'))
