--- a/dunlinsaddle/daemon.py
+++ b/dunlinsaddle/daemon.py
@@ -3,7 +3,7 @@
 What only some way of starting it needs is imported for that way. A node of the users' platform
 reads one file and needs no command line: without it, without the exporters of metrics and the
 product's own node, its imports took 0.27 s of processor time where they had taken 0.40 s (measured
-with ``time``, less the 0.17 s of an empty interpreter). Hundreds of them start after a loss of power.
+with ``time``, less the 0.17 s of an empty interpreter). Hundreds start after a loss of power.
 """
 
 import sys
