--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -116,12 +116,20 @@
             return await self._enter_once(self.once, work)
         failure = self._early_refusal(work.ctx)
         if failure is not None:
-            self.stats.shed[failure.kind.value] += 1
-            early = refusal(failure)
-            early.unspent = work.allowance.tokens
-            return early
+            return self._refused_early(work, failure)
         return await self._send_around(work)
 
+    def refuse_early(self, work: Work) -> Reply:
+        """Refuse a request that would begin in vain, with a time to come back."""
+        useful_for = work.ctx.useful_until - self.now()
+        return self._refused_early(work, self.executor.levels.refuse(useful_for))
+
+    def _refused_early(self, work: Work, failure: Failure) -> Reply:
+        self.stats.shed[failure.kind.value] += 1
+        early = refusal(failure)
+        early.unspent = work.allowance.tokens
+        return early
+
     async def _send_around(self, work: Work) -> Reply:
         tried: set[str] = set()
         given: set[str] = set()
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -13,7 +13,7 @@
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.calls.work import Running, RunningCalls, Waits, Work
-from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.mesh.resends import Attempts
 from dunlinsaddle.platform.requests import (
@@ -25,6 +25,7 @@
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.context import MAX_HOPS, CallContext, priority_of
 from dunlinsaddle.policy.costs import Costs
+from dunlinsaddle.policy.outcomes import Outcomes
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.records.models import Rank
 from dunlinsaddle.routes.follow import ConfigFollower
@@ -61,6 +62,7 @@
         self.rng = rng
         self.on_end = on_end
         self.costs = Costs()
+        self.outcomes = Outcomes()
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -84,8 +86,7 @@
             self.budget.sent(began, work.ctx.service)
         self.decisions.routed(work, version)
         try:
-            rule = '' if parent is None else parent.work.ctx.rule
-            reply = await self.dispatcher.dispatch(work, rule)
+            reply = await self._answer(work, parent)
         except asyncio.CancelledError:
             self.decisions.cancelled(work.ctx, loop.time() - began)
             raise
@@ -98,6 +99,18 @@
         self.on_end(work, reply, took)
         return caller_response(reply, terms.request_id)
 
+    async def _answer(self, work: Work, parent: Running | None) -> Reply:
+        """Give the answer to a request, or to a call of the local target."""
+        if parent is not None:
+            return await self.dispatcher.dispatch(work, parent.work.ctx.rule)
+        rule = work.ctx.rule
+        if not self.outcomes.admits(self.now(), rule):
+            return self.dispatcher.refuse_early(work)
+        reply = await self.dispatcher.dispatch(work)
+        if reply.outcome is not Outcome.NOT_RUN:
+            self.outcomes.ended(self.now(), rule, lost=bool(reply.cause))
+        return reply
+
     def _learn_cost(self, work: Work, load: Load, parent: Running | None) -> None:
         if parent is not None:
             parent.cost_below += load.cost
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -31,6 +31,7 @@
 #: Share of the time in which an answer is worth most after which a refused caller comes back.
 #: Half of it is left for the second try, which takes a fifth to a third when it is admitted.
 COME_BACK_SHARE = 0.5
+LONGEST_COME_BACK = 8.0  #: seconds; an overload is mostly over within them
 NOTHING = -1.0  #: the level of a service that admits nothing
 EDGE_MEMORY = 30.0  #: seconds for which a rule counts as calling a service
 
@@ -307,8 +308,12 @@
         if level <= admitted or self._marginal(level - admitted):
             return None
         excess = level / max(admitted, 1.0)
+        return self.refuse(useful_for, min(1.0 + excess, LONGEST_COME_BACK))
+
+    def refuse(self, useful_for: float, longest: float = LONGEST_COME_BACK) -> Failure:
+        """Give an early refusal; its caller comes back while one more try is in time."""
         self._refusals += 1
-        wait = spread(min(1.0 + excess, 8.0, useful_for * COME_BACK_SHARE), self._refusals)
+        wait = spread(min(longest, useful_for * COME_BACK_SHARE), self._refusals)
         return Failure(ErrorKind.REFUSED_EARLY, retry_after=wait)
 
     def _marginal(self, above: float) -> bool:
--- a/tests/fakes/deep_load.py
+++ b/tests/fakes/deep_load.py
@@ -14,6 +14,7 @@
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK, Priority
 from dunlinsaddle.policy.costs import Costs
 from dunlinsaddle.policy.level import ChainLevels, Heard
+from dunlinsaddle.policy.outcomes import Outcomes
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.policy.slots import SlotAdmission
@@ -100,6 +101,7 @@
 
     levels: ChainLevels
     costs: Costs
+    outcomes: Outcomes
 
 
 class DeepLoad(Events):
@@ -115,6 +117,7 @@
         factors: tuple[float, ...] = (0.7, 0.7, 1.6),
         early: bool = True,
         by_cost: bool = True,
+        by_outcome: bool = True,
     ) -> None:
         super().__init__()
         self.kinds = kinds
@@ -123,11 +126,12 @@
         self.slots = slots
         self.early = early
         self.by_cost = by_cost
+        self.by_outcome = by_outcome
         self.targets = {
             f't{i}': Target(f't{i}', DOMAINS[i % 3], factor, slots)
             for i, factor in enumerate(factors)
         }
-        self.entries = [Entry(ChainLevels(), Costs()) for _ in range(ENTRIES)]
+        self.entries = [Entry(ChainLevels(), Costs(), Outcomes()) for _ in range(ENTRIES)]
         self.callers = [
             CallingNode(Router(domain, Random(self.rng.random())), ChainLevels(), self._budget())
             for domain in DOMAINS
@@ -208,10 +212,14 @@
             if failure is not None:
                 return failure.retry_after
         caller = self.rng.choice(self.callers)
+        if self.by_outcome and not entry.outcomes.admits(self.now, kind.name):
+            return kind.objective / 2
         answer = yield from (self._chains if kind.chains else self._direct)(one, caller)
         for load in one.heard:
             heard = Heard(load.level, load.age)
             entry.levels.learn(self.now, 'deep', kind.name, heard)
+        if answer in (True, False):
+            entry.outcomes.ended(self.now, kind.name, lost=answer is False)
         if answer is True:
             entry.costs.learn(self.now, kind.name, kind.rank, one.cost)
         return answer
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,92 @@
+from random import Random
+
+from testtools import TestCase
+
+from dunlinsaddle.policy.outcomes import LEAST_ADMITTED, Outcomes
+from tests.mesh_case import MeshTest
+from tests.test_deep_load import ALIKE, ALIKE_SLOTS, ALL_SHED, shares
+
+
+class OutcomesTest(TestCase):
+    def admitted(self, outcomes: Outcomes, now: float, count: int = 400) -> float:
+        return sum(outcomes.admits(now, 'lookup') for _ in range(count)) / count
+
+    def ended(self, whole: float, seconds: float, outcomes: Outcomes, began: float = 0.0) -> None:
+        rng = Random(3)
+        for step in range(int(seconds * 10)):
+            outcomes.ended(began + step / 10, 'lookup', lost=rng.random() >= whole)
+
+    def test_all_are_let_in_while_they_are_whole(self):
+        outcomes = Outcomes()
+        self.ended(0.97, 5, outcomes)
+        self.assertEqual(1.0, self.admitted(outcomes, 5.0))
+
+    def test_a_rule_that_is_never_whole_is_let_in_to_find_out_only(self):
+        # Nearly all requests fail three hops down: what they use up there is missing elsewhere.
+        outcomes = Outcomes()
+        self.ended(0.0, 5, outcomes)
+        self.assertAlmostEqual(LEAST_ADMITTED, self.admitted(outcomes, 5.0), delta=0.1)
+
+    def test_what_half_of_is_whole_is_not_held_back(self):
+        outcomes = Outcomes()
+        self.ended(0.6, 5, outcomes)
+        self.assertGreater(self.admitted(outcomes, 5.0), 0.9)
+
+    def test_it_is_open_again_soon_after_the_calls_are_taken_again(self):
+        # Callers are refused though all would be served: only those let in show that.
+        outcomes = Outcomes()
+        self.ended(0.0, 5, outcomes)
+        now = 5.0
+        for step in range(15):
+            now = 5.0 + step / 10
+            if outcomes.admits(now, 'lookup'):
+                outcomes.ended(now, 'lookup', lost=False)
+        self.assertGreater(self.admitted(outcomes, now), 0.9)
+
+    def test_other_rules_are_not_held_back(self):
+        outcomes = Outcomes()
+        self.ended(0.0, 5, outcomes)
+        self.assertTrue(all(outcomes.admits(5.0, 'map') for _ in range(50)))
+
+
+class AllShedTest(TestCase):
+    def test_fewer_requests_begin_in_vain_and_no_fewer_are_whole(self):
+        # All targets of the deep service turn away half of what arrives: nine lookups in ten
+        # failed after three hops of work.
+        held = shares(ALIKE, ALL_SHED, ALIKE_SLOTS)
+        free = shares(ALIKE, ALL_SHED, ALIKE_SLOTS, by_outcome=False)
+        self.assertLess(held['lookup'].spoilt, 0.8)
+        self.assertGreater(free['lookup'].spoilt, 0.85)
+        self.assertGreaterEqual(held['lookup'].in_time, free['lookup'].in_time)
+        self.assertGreater(held['order'].in_time, free['order'].in_time - 0.02)
+
+
+class EntryTest(MeshTest):
+    def test_an_entry_refuses_most_of_a_rule_whose_calls_fail(self):
+        # The target answers 502, as a call of its own is refused further down. Callers are told
+        # when to come back in place of an error after the work of three hops.
+        async def scenario(mesh):
+            front = mesh.targets['b']
+
+            async def fail(req):
+                await mesh.nodes['b'].entry.handle(
+                    type(req)('GET', '/gone/x', _inner(req), b'', '')
+                )
+                return front.signed(req, 502)
+
+            front.script = fail
+            statuses = [(await mesh.call('a', '/deep/x')).status for _ in range(40)]
+            return statuses.count(502), statuses.count(503)
+
+        failed, refused = self.mesh(scenario, services=('front', 'deep', 'gone'))
+        self.assertEqual(40, failed + refused)
+        self.assertGreater(refused, 10)
+
+
+def _inner(req):
+    request_id = req.header(b'request-id')
+    return [
+        (b'host', b'h.example'),
+        (b'request-id', f'{request_id}.1'.encode()),
+        (b'deadline-milliseconds', b'500'),
+    ]
