--- a/dunlinsaddle/logs.py
+++ b/dunlinsaddle/logs.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import TextIO
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 PIECE_BYTES = 4096  #: a pipe that is writable takes as much without blocking (PIPE_BUF)
 LINES_HELD = 2000  #: for a reader that has stopped; some seconds of a flood, under a megabyte
@@ -84,7 +84,7 @@
     """
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             '%(levelname)s %(message)s',
             rename_fields={'levelname': 'level'},
             timestamp='time',
