--- a/dunlinsaddle/membership/keepers.py
+++ b/dunlinsaddle/membership/keepers.py
@@ -7,10 +7,15 @@
 KEEPERS = 3  #: nodes of a domain that look after it: one lives, whichever two are lost
 
 
+def score(salt: str, name: str) -> int:
+    """Give a name's place in an order that is the same at every node."""
+    return int(xxhash.xxh64_intdigest(f'{salt}/{name}'.encode()))
+
+
 def by_hash(view: MemberView, domain: str) -> list[Member]:
     """Give the live members of a failure domain in an order that is the same at every node."""
     live = [m for m in view.members() if m.domain == domain and not m.gone]
-    return sorted(live, key=lambda m: xxhash.xxh64_intdigest(f'{domain}/{m.instance}'.encode()))
+    return sorted(live, key=lambda m: score(domain, m.instance))
 
 
 class Watchers:
--- a/dunlinsaddle/records/topology.py
+++ b/dunlinsaddle/records/topology.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
+from dunlinsaddle.membership.keepers import score
 from dunlinsaddle.membership.view import Member
 
 WATCHERS = 2  #: per failure domain, so that one may die unnoticed
@@ -11,11 +10,6 @@
 NEIGHBOURS = 3  #: fixed peers in the own failure domain, and as many elsewhere
 
 
-def score(salt: str, name: str) -> int:
-    """Give a name's place in an order that is the same at every node."""
-    return int(xxhash.xxh64_intdigest(f'{salt}/{name}'.encode()))
-
-
 def watchers(domain: str, names: Iterable[str]) -> list[str]:
     """Give the instances that should watch the platform for a failure domain.
 
