--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -23,6 +23,8 @@
     from dunlinsaddle.calls.once import OnceGate
 
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
+#: What a request is said to have failed for that was refused as others of its rule fail.
+CALLS_FAIL = 'calls of its rule fail'
 #: How a call ends that no target was given.
 NOT_GIVEN = frozenset(kind.value for kind in REFUSED_BY_NODE)
 #: How a call ends that a target was given and has not answered; told by the node beside it.
@@ -122,7 +124,9 @@
     def refuse_early(self, work: Work) -> Reply:
         """Refuse a request that would begin in vain, with a time to come back."""
         useful_for = work.ctx.useful_until - self.now()
-        return self._refused_early(work, self.executor.levels.refuse(useful_for))
+        early = self._refused_early(work, self.executor.levels.refuse(useful_for))
+        early.cause = CALLS_FAIL
+        return early
 
     def _refused_early(self, work: Work, failure: Failure) -> Reply:
         self.stats.shed[failure.kind.value] += 1
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -75,12 +75,17 @@
                 return front.signed(req, 502)
 
             front.script = fail
-            statuses = [(await mesh.call('a', '/deep/x')).status for _ in range(40)]
-            return statuses.count(502), statuses.count(503)
-
-        failed, refused = self.mesh(scenario, services=('front', 'deep', 'gone'))
+            answers = [await mesh.call('a', '/deep/x') for _ in range(40)]
+            statuses = [answer.status for answer in answers]
+            told = all(
+                b'retry-after' in dict(answer.headers) for answer in answers if answer.status == 503
+            )
+            return statuses.count(502), statuses.count(503), told
+
+        failed, refused, told = self.mesh(scenario, services=('front', 'deep', 'gone'))
         self.assertEqual(40, failed + refused)
         self.assertGreater(refused, 10)
+        self.assertTrue(told)
 
 
 def _inner(req):
