--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -5,14 +5,12 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Iterator
-from itertools import islice, takewhile
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, NamedTuple
 
 from dunlinsaddle.membership.departed import Departed
 from dunlinsaddle.membership.messages import (
-    PAGE_BYTES,
     Ack,
     AnyMessage,
     Level,
@@ -23,17 +21,15 @@
     Word,
     details_of,
     member_of,
-    size_of,
     stands_for,
     word_of,
 )
 from dunlinsaddle.membership.probing import Outstanding, ProbeOrder, Probes
 from dunlinsaddle.membership.rumors import Budget, Rumors
 from dunlinsaddle.membership.suspects import Suspects
-from dunlinsaddle.membership.sync import SyncTurns, pages_order
+from dunlinsaddle.membership.sync import Exchange, SyncTurns
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
-from dunlinsaddle.pieces import cut_pieces
 from dunlinsaddle.settings import Address
 
 MAX_STEP = 1 << 40  #: how far beyond our own an incarnation may be that we answer by going past it
@@ -73,6 +69,7 @@
         self.suspects = Suspects(times)
         self.departed = Departed(view, times.forget)
         self.probes = Probes(rng, times)
+        self.exchange = Exchange(view, rng, self.budget, self.departed, sizes)
         self._probe_at = self._revisit_at = self._ticked = 0.0
 
     def start(self, now: float, me: Member) -> None:
@@ -335,13 +332,10 @@
         return Sync(**self._head([word_of(self.me)]), digests=digests, answer=answer)
 
     def _compare(self, now: float, sync: Sync) -> list[Send]:
-        mine = self.view.digests.numbers()
-        if len(sync.digests) != len(mine):
-            return []
-        differing = {i for i, digest in enumerate(mine) if digest != sync.digests[i]}
+        differing = self.exchange.differing(sync)
         if not differing:
             return []
-        pages = self._pages(now, differing)
+        pages = self.exchange.pages(now, differing)
         sends = [self._answer(sync, self._rumor(page)) for page in pages]
         if not sync.answer:
             sends.append(self._answer(sync, self._sync(answer=True)))
@@ -349,12 +343,6 @@
             self.turns.again_if_young(now)
         return sends
 
-    def _pages(self, now: float, differing: set[int]) -> Iterator[list[Word]]:
-        members = pages_order(self.view, differing, self.rng)
-        words = (word_of(m, age=self.departed.age(now, m.instance)) for m in members)
-        pages = islice(cut_pieces(words, size_of, PAGE_BYTES), self.sizes.pages)
-        return takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
-
     def spread(self) -> list[Send]:
         """Pass fresh words on without waiting for the next probe."""
         sends: list[Send] = []
--- a/dunlinsaddle/membership/sync.py
+++ b/dunlinsaddle/membership/sync.py
@@ -1,24 +1,60 @@
-"""When a node compares its view with others, and in which order it tells what differs."""
+"""When a node compares its view with others, and what it tells of what differs."""
 
 from collections.abc import Iterator
+from itertools import islice, takewhile
 from random import Random
 
+from dunlinsaddle.membership.departed import Departed
+from dunlinsaddle.membership.messages import PAGE_BYTES, Sync, Word, size_of, word_of
+from dunlinsaddle.membership.rumors import Budget
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView
+from dunlinsaddle.pieces import cut_pieces
 from dunlinsaddle.settings import Address
 
 
-def pages_order(view: MemberView, differing: set[int], rng: Random) -> Iterator[Member]:
-    """Give the members of differing buckets, whole buckets one after the other.
+class Exchange:
+    """What a node tells one whose view differs from its own."""
 
-    In an order of our own: a fresh node that asks several at once hears few words twice, and
-    asks no more for the buckets that it has in full.
-    """
-    for bucket in rng.sample(sorted(differing), len(differing)):
-        members = list(view.digests.members(bucket))
-        # The budget may end within a bucket; its rest must not be the same each time.
-        rng.shuffle(members)
-        yield from members
+    def __init__(
+        self,
+        view: MemberView,
+        rng: Random,
+        budget: Budget,
+        departed: Departed,
+        sizes: GossipSizes,
+    ) -> None:
+        self.view = view
+        self.rng = rng
+        self.budget = budget
+        self.departed = departed
+        self.sizes = sizes
+
+    def differing(self, sync: Sync) -> set[int]:
+        """Give the buckets that differ from those of the sender."""
+        mine = self.view.digests.numbers()
+        if len(sync.digests) != len(mine):
+            return set()
+        return {i for i, digest in enumerate(mine) if digest != sync.digests[i]}
+
+    def pages(self, now: float, differing: set[int]) -> Iterator[list[Word]]:
+        """Give words on the members of these buckets, a message each, as the budget allows."""
+        members = self._in_order(differing)
+        words = (word_of(m, age=self.departed.age(now, m.instance)) for m in members)
+        pages = islice(cut_pieces(words, size_of, PAGE_BYTES), self.sizes.pages)
+        return takewhile(lambda page: self.budget.spend(sum(map(size_of, page))), pages)
+
+    def _in_order(self, differing: set[int]) -> Iterator[Member]:
+        """Give the members of differing buckets, whole buckets one after the other.
+
+        In an order of our own: a fresh node that asks several at once hears few words twice,
+        and asks no more for the buckets that it has in full.
+        """
+        for bucket in self.rng.sample(sorted(differing), len(differing)):
+            members = list(self.view.digests.members(bucket))
+            # The budget may end within a bucket; its rest must not be the same each time.
+            self.rng.shuffle(members)
+            yield from members
 
 
 class SyncTurns:
--- a/dunlinsaddle/policy/level.py
+++ b/dunlinsaddle/policy/level.py
@@ -9,6 +9,7 @@
 
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
+from dunlinsaddle.policy.recent import RecentLowest
 from dunlinsaddle.policy.retry_after import spread
 from dunlinsaddle.policy.trend import LEAST_SHARE, DemandTrend
 
@@ -175,23 +176,6 @@
     return level - 1 + (room - before) / (totals[level] - before)
 
 
-class RecentLowest:
-    """The lowest value of the last seconds: levels below it have been open all that time."""
-
-    def __init__(self, seconds: float) -> None:
-        self.seconds = seconds
-        self._values: deque[tuple[float, float]] = deque()
-
-    def update(self, now: float, value: float) -> float:
-        """Add a value; gives the lowest one that is not too old."""
-        while self._values and self._values[-1][1] >= value:
-            self._values.pop()
-        self._values.append((now, value))
-        while self._values[0][0] < now - self.seconds:
-            self._values.popleft()
-        return self._values[0][1]
-
-
 class Heard(NamedTuple):
     """A level, the service that admits it, and for how long its target has not confirmed it."""
 
--- /dev/null
+++ b/dunlinsaddle/policy/recent.py
@@ -0,0 +1,20 @@
+"""The lowest value of the last seconds."""
+
+from collections import deque
+
+
+class RecentLowest:
+    """The lowest value of the last seconds: levels below it have been open all that time."""
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self._values: deque[tuple[float, float]] = deque()
+
+    def update(self, now: float, value: float) -> float:
+        """Add a value; gives the lowest one that is not too old."""
+        while self._values and self._values[-1][1] >= value:
+            self._values.pop()
+        self._values.append((now, value))
+        while self._values[0][0] < now - self.seconds:
+            self._values.popleft()
+        return self._values[0][1]
