--- a/dunlinsaddle/mesh/levels.py
+++ b/dunlinsaddle/mesh/levels.py
@@ -33,8 +33,10 @@
         """Tell until cancelled."""
         while True:
             await asyncio.sleep(ROUND_SECONDS)
-            level = self.admission.load(self.now()).level
+            level = self.admission.level
             if level < LOWEST_LEVEL:
+                # Where entries refuse everything no call comes that would let it be decided anew.
+                level = self.admission.load(self.now()).level
                 self._rounds_left = LAST_ROUNDS
             elif self._rounds_left:
                 self._rounds_left -= 1
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -63,6 +63,11 @@
         self._full_at = 0.0
         self._refusals = 0
 
+    @property
+    def level(self) -> float:
+        """The level that was admitted when it was decided last; costs nothing."""
+        return self._level.level
+
     def announce(self, slots: int) -> None:
         """Take the slots that the target says it has."""
         self.slots = slots
