A request that only waited is told that it did not run

Entry and the node beside the target ended the wait at the same moment, the entry first by the time of the way; its caller got 504, unknown, and an order could not be sent again. Ruled out: a longer time at the entry (it would be late at the route's timeout). Change: the node ends the wait 20 ms before the deadline; with less than 50 ms left nothing is sent again, or what is known not to have run would begin after all. Simulated time: 504 before, 503 with a time to come back after (test failed before).

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -22,6 +22,9 @@
 if TYPE_CHECKING:
     from dunlinsaddle.calls.once import OnceGate
 
+#: Seconds that a call must have left to be sent again. With less it is hardly answered, and one
+#: that is known not to have run would be begun after all.
+LEAST_LEFT = 0.05
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
 #: What a request is said to have failed for that was refused as others of its rule fail.
 CALLS_FAIL = 'calls of its rule fail'
@@ -297,6 +300,8 @@
     def _may_resend(self, work: Work, reply: Reply) -> bool:
         if work.ctx.deaths >= DEATHS_MOST:
             return False
+        if work.ctx.deadline - self.now() < LEAST_LEFT:
+            return False
         return self.resends.allows(work, reply)
 
 
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -29,6 +29,10 @@
 from dunlinsaddle.stats import Hop, Stats
 
 COME_BACK = 1.0  #: seconds; about the time in which a queue has moved
+#: Seconds before its deadline at which the wait of a call ends. The refusal, which says that it did
+#: not run, has to be at the entry before the entry gives up; between failure domains it takes some
+#: 3 ms, behind other work a few more. Later the caller would get 504, which says nothing.
+WAY_BACK = 0.02
 TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
@@ -171,7 +175,7 @@
         self._waiting_tickets[ticket.call_id] = ticket
         # A target that stands still releases nobody: the wait must end without it.
         late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
-        timer = loop.call_at(ticket.deadline, self._overdue, ticket, late)
+        timer = loop.call_at(ticket.deadline - WAY_BACK, self._overdue, ticket, late)
         try:
             refused = await fut
         except asyncio.CancelledError:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -92,6 +92,25 @@
         self.assertEqual(200, self.mesh(scenario))
 
 
+class LateWaitTest(MeshTest):
+    def test_a_request_that_only_waited_is_told_that_it_did_not_run(self):
+        # An order waits for a slot of a target that stands still, until its time is up. Entry and
+        # node ended it at the same moment, so that its caller got 504: it may have run, and must
+        # not be sent again. The node ends the wait a little sooner.
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.slots = 1
+            await asyncio.sleep(2)
+            b.seconds = 60.0
+            first = asyncio.create_task(mesh.call('a', '/deep/x', 'POST'))
+            await asyncio.sleep(0.1)
+            waited = await mesh.call('a', '/deep/y', 'POST', timeout=0.5)
+            first.cancel()
+            return waited.status, b'retry-after' in dict(waited.headers), len(b.seen)
+
+        self.assertEqual((503, True, 1), self.mesh(scenario, kind='unsafe', timeout='3000ms'))
+
+
 class AnnounceTest(MeshTest):
     def test_a_draining_target_gets_nothing_new(self):
         async def scenario(mesh):
