Read once more: the ablation runs again, resent calls pay for nothing kept, names

tests/ablation.py patched the queue's order in slots.py, from where it had moved with the kept sums; make ablation ended with an error and no test covered it. The router worked out when a target returns also for calls that were sent before, which keep nothing. Two constants LEAST_LEFT had two meanings: one is LEAST_RESEND_SECONDS. mesh/join.py holds the times of a start: mesh/start.py. Behaviour as before.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -24,7 +24,7 @@
 
 #: Seconds that a call must have left to be sent again. With less it is hardly answered, and one
 #: that is known not to have run would be begun after all.
-LEAST_LEFT = 0.05
+LEAST_RESEND_SECONDS = 0.05
 NO_TARGET_COME_BACK = 1.0  #: seconds; within one, a target that is back has been announced
 #: What a request is said to have failed for that was refused as others of its rule fail.
 CALLS_FAIL = 'calls of its rule fail'
@@ -300,7 +300,7 @@
     def _may_resend(self, work: Work, reply: Reply) -> bool:
         if work.ctx.deaths >= DEATHS_MOST:
             return False
-        if work.ctx.deadline - self.now() < LEAST_LEFT:
+        if work.ctx.deadline - self.now() < LEAST_RESEND_SECONDS:
             return False
         return self.resends.allows(work, reply)
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -31,10 +31,10 @@
 from dunlinsaddle.mesh.announce import AnnounceFace
 from dunlinsaddle.mesh.dialect import MeshDialect
 from dunlinsaddle.mesh.entry import Entry
-from dunlinsaddle.mesh.join import start_times
 from dunlinsaddle.mesh.levels import LevelNews
 from dunlinsaddle.mesh.resends import BudgetResends
 from dunlinsaddle.mesh.settings import Bounds, MeshSettings
+from dunlinsaddle.mesh.start import start_times
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -115,7 +115,11 @@
         self, now: float, candidates: Sequence[Candidate], tried: frozenset[str] = frozenset()
     ) -> Candidate | None:
         """Give the target for a call, never one that was tried for it already."""
-        found = self._untried(now, candidates, tried) if tried else self._known(now, candidates)
+        if tried:
+            # A call that was sent before: few are, so it is worked out anew.
+            found = self._found(now, [c for c in candidates if c.instance not in tried])
+        else:
+            found = self._known(now, candidates)
         usable = found.usable
         if not usable:
             return None
@@ -215,12 +219,6 @@
             pace=round(self._paces.of(now, instance), 2),
         )
 
-    def _untried(
-        self, now: float, candidates: Sequence[Candidate], tried: frozenset[str]
-    ) -> '_Usable':
-        """Work out who is left of a call that was sent before, which few calls are."""
-        return self._found(now, [c for c in candidates if c.instance not in tried])
-
     def _known(self, now: float, candidates: Sequence[Candidate]) -> '_Usable':
         """Give what was worked out for these candidates, unless something has changed since.
 
@@ -233,15 +231,16 @@
             return held
         if len(self._usables) >= LISTS_MOST:
             self._usables.clear()
-        found = self._usables[id(candidates)] = self._found(now, candidates)
+        ends = [self._of(c.instance).avoid_until for c in candidates]
+        until = min((end for end in ends if end > now), default=inf)
+        found = self._found(now, candidates)._replace(until=until)
+        self._usables[id(candidates)] = found
         return found
 
     def _found(self, now: float, candidates: Sequence[Candidate]) -> '_Usable':
         usable = self._usable(now, candidates)
         near = [c for c in usable if c.domain == self.domain]
-        ends = [self._of(c.instance).avoid_until for c in candidates]
-        until = min((end for end in ends if end > now), default=inf)
-        return _Usable(candidates, self._left_out_changes, until, usable, near)
+        return _Usable(candidates, self._left_out_changes, now, usable, near)
 
     def _usable(self, now: float, left: Sequence[Candidate]) -> list[Candidate]:
         """Leave out suspects and the ejected, but never too many of them.
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -84,7 +84,7 @@
         if not self.queue and self._free():
             self.inflight += 1
             return Run()
-        if not self._in_time(now, ticket, self.queue.work_ahead(ticket.level)):
+        if not self._in_time(now, ticket, self.queue.work_ahead(ticket)):
             return self._refuse(ticket)
         self.queue.add(ticket)
         late = self._late_behind(now, ticket)
--- a/dunlinsaddle/policy/waiting.py
+++ b/dunlinsaddle/policy/waiting.py
@@ -55,10 +55,10 @@
         """Give the seconds for which all that wait will hold a slot, added up."""
         return sum(self._seconds_of(rule) * count for rule, count in self._totals.items())
 
-    def work_ahead(self, level: int) -> float:
-        """Give the same for those that a new call of a level would wait behind."""
+    def work_ahead(self, ticket: Ticket) -> float:
+        """Give the same for those that a new call would wait behind."""
         return sum(
-            self._seconds_of(rule) * sum(counts[: level + 1])
+            self._seconds_of(rule) * sum(counts[: ticket.level + 1])
             for rule, counts in self._counts.items()
         )
 
--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -12,18 +12,24 @@
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import AbstractContextManager, nullcontext
+from functools import partial
+from itertools import islice
 from multiprocessing import get_context
 from typing import Any, NamedTuple
 from unittest.mock import patch
 
+from sortedcontainers import SortedKeyList
+
 from dunlinsaddle.policy import level, slots
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.policy.context import SLOTS_PER_RANK
+from dunlinsaddle.policy.waiting import WaitingCalls
 from tests.fakes.deep_load import DeepLoad, Kind, Pattern, Share
 from tests.test_deep_load import (
     ALIKE,
     ALIKE_SLOTS,
     ALIKE_SURGE,
+    ALL_SHED,
     UNLIKE,
     UNLIKE_LOST,
     UNLIKE_SLOTS,
@@ -32,6 +38,8 @@
 
 NEVER = 1e9
 
+Order = Callable[[Ticket], tuple[float, ...]]
+
 
 class Load(NamedTuple):
     """What is played."""
@@ -46,6 +54,7 @@
     Load('alike', ALIKE, ALIKE_SLOTS, ALIKE_SURGE),
     Load('unlike', UNLIKE, UNLIKE_SLOTS, UNLIKE_SURGE),
     Load('unlike, one lost', UNLIKE, UNLIKE_SLOTS, UNLIKE_LOST),
+    Load('alike, all shed', ALIKE, ALIKE_SLOTS, ALL_SHED),
     Load('unlike, nearly full', UNLIKE, UNLIKE_SLOTS, Pattern(surge=1.86)),
 )
 
@@ -59,6 +68,22 @@
     return rank, 0 if ticket.hop else 1, ticket.level, ticket.arrived
 
 
+class _WaitingInOrder(WaitingCalls):
+    """Calls in another order, in which the work ahead of one is added up."""
+
+    def __init__(self, order: Order, seconds_of: Callable[[str], float]) -> None:
+        super().__init__(seconds_of)
+        self._calls = SortedKeyList(key=order)
+
+    def work_ahead(self, ticket: Ticket) -> float:
+        ahead = islice(self._calls, self._calls.bisect_left(ticket))
+        return sum(self._seconds_of(waiting.rule) for waiting in ahead)
+
+
+def _ordered(order: Order) -> AbstractContextManager[Any]:
+    return patch.object(slots, 'WaitingCalls', partial(_WaitingInOrder, order))
+
+
 class Off(NamedTuple):
     """How a mechanism is switched off: an argument of the run, or a value that is replaced."""
 
@@ -70,10 +95,9 @@
     '(nothing off)': Off(),
     'levels upstream': Off({'early': False}),
     'places by cost': Off({'by_cost': False}),
-    'order by level': Off(replaced=lambda: patch.object(slots, '_order', _by_arrival)),
-    'one order for calls and others': Off(
-        replaced=lambda: patch.object(slots, '_order', _calls_first)
-    ),
+    'order by level': Off(replaced=lambda: _ordered(_by_arrival)),
+    'one order for calls and others': Off(replaced=lambda: _ordered(_calls_first)),
+    'rules held back': Off({'by_outcome': False}),
     'opening when slots are free': Off(replaced=lambda: patch.object(level, 'OPEN_AFTER', NEVER)),
     'wait for calls to come': Off(replaced=lambda: patch.object(slots, 'LEAST_LEFT', 1.0)),
     '95 % of the slots (94 %)': Off(replaced=lambda: patch.object(slots, 'USED_SHARE', 0.94)),
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -29,7 +29,7 @@
                 waiting.add(held[-1])
             level = rng.randrange(LOWEST_LEVEL + 1)
             ahead = sum(SECONDS[t.rule] for t in held if t.level <= level)
-            self.assertAlmostEqual(ahead, waiting.work_ahead(level))
+            self.assertAlmostEqual(ahead, waiting.work_ahead(build_ticket(level=level)))
             self.assertAlmostEqual(sum(SECONDS[t.rule] for t in held), waiting.work())
         ordered = sorted(held, key=lambda t: (t.level, t.arrived))
         self.assertEqual(ordered, [waiting.pop_first() for _ in held])
