Keys name the organisation of a request; neither key nor name goes past the entry

Cause: no line of the code knew a key. On the deployment whose configuration has organisations the key went on to targets, no organisation was named, and keys that were taken away were served.

Ruled out: holding keys as they are in memory (a crash report or a debugger would show them; a digest costs a microsecond); telling the organisation to targets among the travelling headers (a call of a target would then lack it); 401 for a call whose parent is not known (a node that restarts beside a target that goes on knows no parents, and 401 is final).

Change: the configuration's organisations and public routes are decoded in platform/; one table of digests for each version; a request is let in for the organisation of its key, a call for that of the request it is made for. A priority of the organisation goes before that of the route.

--- /dev/null
+++ b/dunlinsaddle/access/__init__.py
@@ -0,0 +1,1 @@
+"""Who may call, how long that is known, and how much each organisation may use."""
--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -31,6 +31,7 @@
     FAILED = 'request failed'
     CANCELLED = 'request cancelled'
     UNROUTED = 'request without route'
+    DENIED = 'request denied'
     OMITTED = 'decisions left out'
 
 
@@ -47,6 +48,7 @@
     Event.FAILED: 100,
     Event.CANCELLED: 10,
     Event.UNROUTED: 10,
+    Event.DENIED: 20,
 }
 
 
@@ -78,6 +80,33 @@
             extra = {'request_id': request_id, 'host': host, 'path': path, 'version': version}
             self.logger.info(Event.UNROUTED.value, extra=extra)
 
+    def denied(
+        self,
+        request_id: str,
+        rule: str,
+        failure: Failure,
+        version: int,
+        age: float,
+        organisation: str = '',
+    ) -> None:
+        """Note a request that may not begin: for its key, or for its organisation's quota.
+
+        ``age`` is that of the latest proof that no newer configuration is there, in seconds.
+        """
+        if not self._has_room(Event.DENIED):
+            return
+        extra = {
+            'request_id': request_id,
+            'rule': rule,
+            'organisation': organisation,
+            'kind': failure.kind.value,
+            'detail': failure.detail,
+            'retry_after': _rounded(failure.retry_after),
+            'version': version,
+            'age': _rounded(age),
+        }
+        self.logger.warning(Event.DENIED.value, extra=extra)
+
     def sent(self, ctx: CallContext, instance: str, load: Load, candidates: int) -> None:
         """Note the instance that was chosen, by what its latest answer said of its load."""
         if self._has_room(Event.SENT):
@@ -174,6 +203,8 @@
 
     def _write(self, event: Event, ctx: CallContext, **inputs: object) -> None:
         head = {'request_id': ctx.request_id, 'service': ctx.service, 'rule': ctx.rule}
+        if ctx.organisation:
+            head['organisation'] = ctx.organisation
         level = logging.WARNING if event in (Event.REFUSED, Event.FAILED) else logging.INFO
         self.logger.log(level, event.value, extra={**head, **inputs})
 
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -74,6 +74,7 @@
     owned: bool = False  #: the key's owner has decided that the call may run
     useful: Seconds = MAX_BUDGET  #: seconds after which an answer is worth less
     repeated: bool = False  #: it, or the request that it is made for, was sent before
+    organisation: str = ''  #: whose request it is, empty where callers need no key
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -74,6 +74,7 @@
         deaths=ctx.deaths,
         useful=min(max(ctx.useful_until - now, 0.0), MAX_BUDGET),
         repeated=ctx.repeated,
+        organisation=ctx.organisation,
     )
 
 
@@ -94,6 +95,7 @@
         deaths=call.deaths,
         useful_until=now + call.useful,
         repeated=call.repeated,
+        organisation=call.organisation,
     )
     allowance = Allowance(call.allowance)
     return Work(ctx, call.method, call.path, call.headers, call.body, allowance, Waits())
@@ -196,15 +198,24 @@
         a separator and a part of its own behind it. Only an id that extends one which the
         local target is running now says so; every other request counts as one at the entry.
         """
-        end = len(request_id)
-        while end and request_id[end - 1].isalnum():
-            end -= 1
-        return self._by_request.get(request_id[: end - 1]) if end > 1 else None
+        return self._by_request.get(_parent_id(request_id))
 
     def __len__(self) -> int:
         return len(self._calls)
 
 
+def derives_from_another(request_id: str) -> bool:
+    """Say whether an id has the form of those that targets give to their calls."""
+    return bool(_parent_id(request_id))
+
+
+def _parent_id(request_id: str) -> str:
+    end = len(request_id)
+    while end and request_id[end - 1].isalnum():
+        end -= 1
+    return request_id[: end - 1] if end > 1 else ''
+
+
 def come_back_after(reply: Reply, running: Running) -> float:
     """Give the seconds after which a call that failed for a refusal below may come again.
 
--- a/dunlinsaddle/errors.py
+++ b/dunlinsaddle/errors.py
@@ -46,6 +46,10 @@
     NO_TARGET = 'no-target'
     NO_ROUTE = 'no-route'
     NO_CONFIGURATION = 'no-configuration'
+    PARENT_UNKNOWN = 'parent-unknown'
+    STALE_CONFIGURATION = 'stale-configuration'
+    OVER_QUOTA = 'over-quota'
+    QUOTA_UNKNOWN = 'quota-unknown'
     QUARANTINED = 'quarantined'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
     CANCELLED = 'cancelled'
@@ -132,6 +136,18 @@
     _K.NO_CONFIGURATION: _rule(
         503, _NOT_RUN, 'This node has no configuration yet.', retry_after=True, resend=True
     ),
+    _K.PARENT_UNKNOWN: _rule(
+        503, _NOT_RUN, 'What this is a call of does not run here.', retry_after=True, resend=True
+    ),
+    _K.STALE_CONFIGURATION: _rule(
+        503, _NOT_RUN, 'Keys taken away may be unknown here.', retry_after=True, resend=True
+    ),
+    _K.OVER_QUOTA: _rule(
+        429, _NOT_RUN, 'The organisation is over its quota.', retry_after=True, resend=True
+    ),
+    _K.QUOTA_UNKNOWN: _rule(
+        503, _NOT_RUN, 'What is left of the quota is not known.', retry_after=True, resend=True
+    ),
     _K.TARGET_REFUSED: _rule(
         503, _NOT_RUN, 'The target did not take it.', retry_after=True, resend=True
     ),
--- a/dunlinsaddle/mesh/dialect.py
+++ b/dunlinsaddle/mesh/dialect.py
@@ -15,7 +15,8 @@
 
     def headers(self, work: Work, running: Running, seconds: float) -> Headers:
         """Give the caller's headers, the time left, and the incarnation that is meant."""
-        return target_headers(work.headers, seconds, self.target.target_id)
+        organisation = work.ctx.organisation
+        return target_headers(work.headers, seconds, self.target.target_id, organisation)
 
     def belongs(self, work: Work, headers: Headers) -> bool:
         """Say whether an answer names this request, or none."""
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -6,7 +6,9 @@
 from random import Random
 
 import uuid6
+from result import Err, Ok
 
+from dunlinsaddle.access.gate import Holder, holder_of
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.faces import fingerprint
@@ -79,7 +81,13 @@
         loop = self.loop
         began = loop.time()
         parent = self.running.parent_of(terms.request_id)
-        work = self._work(req, terms, route, parent)
+        match holder_of(terms, table, route, parent):
+            case Err(failure):
+                self.decisions.denied(terms.request_id, route.name, failure, version, 0.0)
+                return _answer_refused(terms, failure)
+            case Ok(holder):
+                keyed = table.wants_keys
+                work = self._work(req, terms, route, parent, holder, keyed=keyed)
         if work.ctx.repeated:
             self.budget.repeated(began, work.ctx.service)
         else:
@@ -121,7 +129,14 @@
         self.costs.learn(self.now(), ctx.rule, ctx.priority.rank, load.cost)
 
     def _work(
-        self, req: HttpRequest, terms: CallerTerms, route: Route, parent: Running | None
+        self,
+        req: HttpRequest,
+        terms: CallerTerms,
+        route: Route,
+        parent: Running | None,
+        holder: Holder,
+        *,
+        keyed: bool,
     ) -> Work:
         now = self.now()
         time_left = COMMON_TIME if terms.time_left is None else terms.time_left
@@ -129,7 +144,7 @@
         service = choose_service(route.shares, self.rng)
         request_id = terms.request_id or str(uuid6.uuid7())
         if parent is None:
-            priority = priority_of(Rank(min(route.priority, max(Rank))), request_id)
+            priority = priority_of(_rank(route, holder), request_id)
             priority = self.costs.placed(now, route.name, priority)
         else:
             # Failure: calls of a rank of their own are admitted by another level than the one
@@ -149,14 +164,21 @@
             key='',
             fingerprint=fingerprint(req, service),
             useful_until=math.inf if route.objective is None else now + route.objective,
+            organisation=holder.name if holder else '',
         )
         if parent is not None:
             ctx = _on_behalf(ctx, parent.work.ctx)
-        headers = travelling_headers(req, self.service)
+        headers = travelling_headers(req, self.service, keyed=keyed)
         tokens = Attempts(route.attempts - 1)
         return Work(ctx, req.method, req.path, headers, req.body, tokens, Waits(), [])
 
 
+def _rank(route: Route, holder: Holder) -> Rank:
+    """Give the rank of a request: the organisation's, if it has one, goes before the route's."""
+    own = None if holder is None else holder.priority
+    return Rank(min(route.priority if own is None else own, max(Rank)))
+
+
 def _note_failed(parent: Running, work: Work, reply: Reply) -> None:
     parent.come_back_after = max(parent.come_back_after, reply.retry_after, FAILED_BELOW)
     parent.failed_call = reply.cause or f'{work.ctx.service} {reply.kind or reply.status}'
@@ -172,4 +194,8 @@
 
 
 def _refused(terms: CallerTerms, kind: ErrorKind, retry_after: float = 0.0) -> HttpResponse:
-    return caller_response(refusal(Failure(kind, '', retry_after)), terms.request_id)
+    return _answer_refused(terms, Failure(kind, '', retry_after))
+
+
+def _answer_refused(terms: CallerTerms, failure: Failure) -> HttpResponse:
+    return caller_response(refusal(failure), terms.request_id)
--- a/dunlinsaddle/platform/configuration.py
+++ b/dunlinsaddle/platform/configuration.py
@@ -6,8 +6,17 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
+from dunlinsaddle.access.keys import digest_of
 from dunlinsaddle.platform.units import read_seconds, read_version
-from dunlinsaddle.routes.models import Configuration, Limits, Route, ServiceSpec, Share
+from dunlinsaddle.routes.models import (
+    Configuration,
+    Limits,
+    Organisation,
+    Quota,
+    Route,
+    ServiceSpec,
+    Share,
+)
 
 KIND = 'config'
 NAME = 'main'
@@ -28,6 +37,7 @@
     target_latency: str | None = None
     service: str | None = None
     traffic_split: list[_Part] = []
+    public: bool = False
 
 
 class _Service(msgspec.Struct, rename='camel'):
@@ -35,6 +45,13 @@
     max_connections: Annotated[int, Meta(ge=1)] = 1
 
 
+class _Tenant(msgspec.Struct, rename='camel'):
+    api_keys: list[str] = []
+    priority: Annotated[int, Meta(ge=0)] | None = None
+    requests_per_s: Annotated[float, Meta(ge=0)] = 0.0  #: 0 for no limit
+    burst: Annotated[float, Meta(ge=0)] = 0.0
+
+
 class _Limits(msgspec.Struct, rename='camel'):
     max_header_bytes: Annotated[int, Meta(ge=1)]
     max_body_bytes: Annotated[int, Meta(ge=0)]
@@ -68,6 +85,7 @@
 def _plain(document: _Document) -> Configuration:
     routes: list[Route] = []
     services: dict[str, ServiceSpec] = {}
+    organisations: list[Organisation] = []
     limits = Limits()
     for entry in document.resources:
         name, raw = entry.metadata.name, entry.specification
@@ -77,9 +95,14 @@
             case 'services':
                 spec = msgspec.json.decode(raw, type=_Service)
                 services[name] = ServiceSpec(name, spec.health_path, spec.max_connections)
+            case 'tenants':
+                found = msgspec.json.decode(raw, type=_Tenant)
+                organisations.append(_organisation(name, found))
             case 'limits':
                 limits = _limits(msgspec.json.decode(raw, type=_Limits))
-    return Configuration(read_version(document.version), tuple(routes), services, limits)
+    _check_holders(organisations)
+    version = read_version(document.version)
+    return Configuration(version, tuple(routes), services, limits, tuple(organisations))
 
 
 def _route(name: str, found: _Route) -> Route:
@@ -98,9 +121,29 @@
         attempts=found.attempts,
         priority=found.priority,
         shares=shares,
+        public=found.public,
     )
 
 
+def _organisation(name: str, found: _Tenant) -> Organisation:
+    if not name.isascii() or not name.isprintable() or not name.strip():
+        raise ValueError(f'not the name of an organisation: {name!r}')
+    keys = frozenset(digest_of(key) for key in found.api_keys)
+    quota = Quota(found.requests_per_s, found.burst) if found.requests_per_s else None
+    return Organisation(name, keys, found.priority, quota)
+
+
+def _check_holders(organisations: list[Organisation]) -> None:
+    """Refuse a name that stands twice and a key with two holders, without telling the key."""
+    names = [org.name for org in organisations]
+    if len(set(names)) < len(names):
+        raise ValueError('two organisations have the same name')
+    if len({key for org in organisations for key in org.keys}) < sum(
+        len(o.keys) for o in organisations
+    ):
+        raise ValueError('a key is held by two organisations')
+
+
 def _limits(found: _Limits) -> Limits:
     return Limits(
         found.max_header_bytes,
--- a/dunlinsaddle/platform/headers.py
+++ b/dunlinsaddle/platform/headers.py
@@ -13,3 +13,7 @@
 #: The service of the instance where the request began.
 ORIGIN = b'caller-service'
 RETRY_AFTER = b'retry-after'
+#: Carries the caller's key as ``Bearer KEY``.
+KEY = b'authorization'
+#: The name of the organisation that holds the caller's key, set for targets.
+ORGANISATION = b'tenant'
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -3,12 +3,17 @@
 import math
 from typing import NamedTuple
 
+from dunlinsaddle.access.keys import digest_of
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.platform import headers as names
 
 _SET_HERE = frozenset({names.TIME_LEFT, names.ORIGIN, names.EXPECTED_TARGET})
+#: Headers that end at the entry where callers need a key: the key itself must not leave it, and a
+#: caller must not name another organisation than its own.
+_OF_KEYS = frozenset({names.KEY, names.ORGANISATION})
+_BEARER = 'bearer '
 WRONG_TARGET = 421
 FIRST_SUCCESS, LAST_SUCCESS = 200, 299
 
@@ -18,18 +23,29 @@
 
     request_id: str
     time_left: float | None  #: seconds that the caller will still wait
+    key: bytes = b''  #: the digest of its key, empty where it shows none
 
 
 def read_terms(req: HttpRequest) -> CallerTerms:
     """Read a caller's headers; a time that cannot be read counts as none."""
     text = req.header(names.TIME_LEFT)
     time_left = int(text) / 1000 if text.isdecimal() else None
-    return CallerTerms(req.header(names.REQUEST_ID), time_left)
+    return CallerTerms(req.header(names.REQUEST_ID), time_left, _digest(req.header(names.KEY)))
 
 
-def travelling_headers(req: HttpRequest, origin: str) -> Headers:
-    """Give the headers that go on to the target, with the service of the origin."""
-    kept = [(n, v) for n, v in forwarded_headers(req.headers) if n not in _SET_HERE]
+def _digest(authorization: str) -> bytes:
+    if authorization[: len(_BEARER)].lower() != _BEARER:
+        return b''
+    return digest_of(authorization[len(_BEARER) :].strip())
+
+
+def travelling_headers(req: HttpRequest, origin: str, *, keyed: bool) -> Headers:
+    """Give the headers that go on to the target, with the service of the origin.
+
+    Where callers need a key, ``keyed``, neither the key nor a name that they gave goes on.
+    """
+    ended = _SET_HERE | _OF_KEYS if keyed else _SET_HERE
+    kept = [(n, v) for n, v in forwarded_headers(req.headers) if n not in ended]
     return [
         (b'host', req.header(b'host').encode('latin-1')),
         *kept,
@@ -37,10 +53,13 @@
     ]
 
 
-def target_headers(headers: Headers, seconds: float, target_id: str) -> Headers:
-    """Give the headers of one attempt at a target."""
+def target_headers(headers: Headers, seconds: float, target_id: str, organisation: str) -> Headers:
+    """Give the headers of one attempt at a target; ``organisation`` is empty for none."""
     left = str(max(math.floor(seconds * 1000), 1)).encode()
-    return [*headers, (names.TIME_LEFT, left), (names.EXPECTED_TARGET, target_id.encode())]
+    own = [(names.TIME_LEFT, left), (names.EXPECTED_TARGET, target_id.encode())]
+    if organisation:
+        own.append((names.ORGANISATION, organisation.encode()))
+    return [*headers, *own]
 
 
 def answers(request_id: str, headers: Headers) -> bool:
--- a/dunlinsaddle/policy/context.py
+++ b/dunlinsaddle/policy/context.py
@@ -59,3 +59,4 @@
     deaths: int = 0  #: of targets that were lost while they ran this request
     useful_until: float = math.inf  #: an answer after this time of the loop is worth less
     repeated: bool = False  #: it, or the request that it is made for, was sent before
+    organisation: str = ''  #: whose request it is, or the request that it is made for
--- a/dunlinsaddle/routes/models.py
+++ b/dunlinsaddle/routes/models.py
@@ -22,6 +22,7 @@
     attempts: int  #: targets that one request may be sent to
     priority: int  #: 0 is the highest
     shares: tuple[Share, ...]
+    public: bool = False  #: open to requests without a key
 
 
 class ServiceSpec(NamedTuple):
@@ -32,6 +33,22 @@
     connections: int
 
 
+class Quota(NamedTuple):
+    """How many requests of an organisation may run, over all instances."""
+
+    rate: float  #: requests a second
+    burst: float  #: further requests at once
+
+
+class Organisation(NamedTuple):
+    """Who may call, by digests of its keys: no copy of a key is held in this form."""
+
+    name: str
+    keys: frozenset[bytes]
+    priority: int | None = None  #: goes before that of the routes; 0 is the highest
+    quota: Quota | None = None  #: None for no limit
+
+
 class Limits(NamedTuple):
     """What callers may send, and how long they may take."""
 
@@ -48,3 +65,4 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: Limits
+    organisations: tuple[Organisation, ...] = ()  #: none: no request needs a key
--- a/dunlinsaddle/routes/table.py
+++ b/dunlinsaddle/routes/table.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from dunlinsaddle.routes.models import Configuration, Route, Share
+from dunlinsaddle.routes.models import Configuration, Organisation, Route, Share
 
 
 class RouteTable:
@@ -13,6 +13,21 @@
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
+        self._organisations = {org.name: org for org in configuration.organisations}
+        self._holders = {key: org for org in configuration.organisations for key in org.keys}
+
+    @property
+    def wants_keys(self) -> bool:
+        """Whether requests need a key, but for those on public routes."""
+        return bool(self.configuration.organisations)
+
+    def organisation(self, name: str) -> Organisation | None:
+        """Give an organisation by its name."""
+        return self._organisations.get(name)
+
+    def holder(self, digest: bytes) -> Organisation | None:
+        """Give the organisation that holds a key, by the key's digest."""
+        return self._holders.get(digest)
 
     def find(self, host: str, path: str) -> Route | None:
         """Give the route of a request, whose path may carry a query; None without a match.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -228,8 +228,16 @@
     return {'resourceKind': 'routes', 'metadata': {'name': name}, 'specification': given}
 
 
+def build_tenant(name: str = 'org', *keys: str, **changes: Any) -> dict[str, Any]:
+    """Give an organisation as the platform's configuration holds it."""
+    specification = {'apiKeys': list(keys or (f'key-of-{name}',)), **changes}
+    return {'resourceKind': 'tenants', 'metadata': {'name': name}, 'specification': specification}
+
+
 def build_configuration(
-    version: str = 'r7', routes: list[dict[str, Any]] | None = None
+    version: str = 'r7',
+    routes: list[dict[str, Any]] | None = None,
+    tenants: list[dict[str, Any]] | None = None,
 ) -> dict[str, Any]:
     limits = {
         'maxHeaderBytes': 16384,
@@ -243,6 +251,7 @@
         'resources': [
             *([build_route()] if routes is None else routes),
             {'resourceKind': 'services', 'metadata': {'name': 'svc'}, 'specification': service},
+            *(tenants or []),
             {'resourceKind': 'limits', 'metadata': {}, 'specification': limits},
         ],
     }
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -130,9 +130,10 @@
     async def configure(self, version: str = 'r7', **terms: Any) -> None:
         """Write a configuration with a route to each service, ``/SERVICE/``."""
         services = terms.pop('services', ('front', 'deep'))
+        tenants = terms.pop('tenants', None)
         routes = [build_route(s, prefix=f'/{s}/', service=s, **terms) for s in services]
         held = self.store.objects.get(('config', 'main'))
-        value = build_configuration(version, routes)
+        value = build_configuration(version, routes, tenants)
         await self.store.put('config', 'main', value, held.version if held else 0)
 
     async def place(
