A node's configuration is a lease: without a fresh proof nobody is let in by a key

Cause: a key that is taken away must be refused everywhere within a bound, also at nodes that no word reaches.

Change: a short question of one watcher of each domain each second, its answer handed on with its age by question and answer; the next watcher asks where the first fails; where all do, anybody asks. Lapses at three quarters of the bound, on a clock that counts suspension. A key that was never held here waits for a proof younger than its request before it is told 401.

--- a/dunlinsaddle/access/gate.py
+++ b/dunlinsaddle/access/gate.py
@@ -5,35 +5,87 @@
 from dunlinsaddle.calls.work import Running, derives_from_another
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.platform.requests import CallerTerms
+from dunlinsaddle.policy.freshness import Freshness
+from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Organisation, Route
 from dunlinsaddle.routes.table import RouteTable
 
 #: Seconds after which a call comes again whose parent is not known: a node that restarted beside
 #: a target that went on knows none of its requests, and they end within a second or so.
 ORPHAN_COME_BACK = 1.0
+#: Seconds after which a caller comes back to a node that is cut off: cuts mostly last some.
+STALE_COME_BACK = 1.0
+#: Seconds that a request waits whose key no configuration here ever held. A proof that comes in
+#: this time is mostly younger than the request.
+NEWS_PATIENCE = 1.5
+#: Seconds after which a request comes back whose key may be in a configuration not known here.
+UNSETTLED_COME_BACK = 0.5
 
 #: Whose request it is; None where it is nobody's, on a public route or where no key is needed.
 Holder = Organisation | None
 
 
-def holder_of(
-    terms: CallerTerms, table: RouteTable, route: Route, parent: Running | None
-) -> Result[Holder, Failure]:
-    """Give the organisation that holds a request's key, or why it may not begin.
-
-    Calls of the target beside the node carry no key. One is known by its id, which extends that
-    of a request that runs there now, and counts as its organisation's. An id that extends one
-    which does not run here is no proof: its caller may be the target, whose request was lost with
-    the process before this one, or somebody who hopes to pass without a key. It is told 503, as
-    401 would be wrong for the one, and an answer would be for the other.
-    """
-    if not table.wants_keys:
-        return Ok(None)
-    if parent is not None:
-        return Ok(table.organisation(parent.work.ctx.organisation))
-    holder = table.holder(terms.key)
-    if holder is not None or route.public:
-        return Ok(holder)
-    if not terms.key and derives_from_another(terms.request_id):
-        return Err(Failure(ErrorKind.PARENT_UNKNOWN, '', ORPHAN_COME_BACK))
-    return Err(Failure(ErrorKind.UNAUTHORIZED, 'no organisation holds the key'))
+class Gate:
+    """Says whose request it is by its key, as far as the node may still go by what it knows."""
+
+    def __init__(self, follower: ConfigFollower, freshness: Freshness) -> None:
+        self.follower = follower
+        self.freshness = freshness
+
+    async def settle(self, terms: CallerTerms) -> bool:
+        """Wait where a newer configuration may hold a key; say whether its standing is certain.
+
+        Failure: a key was added a moment ago, and a node that has not heard of it says 401, which
+        is final for the caller. So 401 takes a proof that is younger than the request. A key that
+        was held before is not waited for: who lost it is told at once.
+        """
+        if self._known(terms.key):
+            return True
+        arrived = self.freshness.clock()
+
+        def settled() -> bool:
+            return self.freshness.proved_at >= arrived or self._known(terms.key)
+
+        await self.freshness.wait_until(settled, NEWS_PATIENCE)
+        return settled()
+
+    def _known(self, key: bytes) -> bool:
+        table = self.follower.table
+        if not key or table is None or not table.wants_keys:
+            return True
+        return table.holder(key) is not None or table.withdrawn(key)
+
+    def holder_of(
+        self,
+        terms: CallerTerms,
+        table: RouteTable,
+        route: Route,
+        parent: Running | None,
+        *,
+        settled: bool,
+    ) -> Result[Holder, Failure]:
+        """Give the organisation that holds a request's key, or why it may not begin.
+
+        Calls of the target beside the node carry no key. One is known by its id, which extends
+        that of a request that runs there now, and counts as its organisation's. An id that
+        extends one which does not run here proves nothing: its caller may be the target, whose
+        request was lost with the process before this one, or somebody who hopes to pass without a
+        key. It is told 503: 401 would be wrong for the one, and an answer for the other.
+        """
+        if not table.wants_keys:
+            return Ok(None)
+        if parent is not None:
+            return Ok(table.organisation(parent.work.ctx.organisation))
+        if route.public:
+            return Ok(None if self.freshness.lapsed else table.holder(terms.key))
+        if not terms.key and derives_from_another(terms.request_id):
+            return Err(Failure(ErrorKind.PARENT_UNKNOWN, '', ORPHAN_COME_BACK))
+        if terms.key and self.freshness.lapsed:
+            return Err(Failure(ErrorKind.STALE_CONFIGURATION, 'no proof', STALE_COME_BACK))
+        holder = table.holder(terms.key)
+        if holder is not None:
+            return Ok(holder)
+        if not settled:
+            kind = ErrorKind.STALE_CONFIGURATION
+            return Err(Failure(kind, 'the key may be new', UNSETTLED_COME_BACK))
+        return Err(Failure(ErrorKind.UNAUTHORIZED, 'no organisation holds the key'))
--- a/dunlinsaddle/environment.py
+++ b/dunlinsaddle/environment.py
@@ -21,6 +21,10 @@
     stdin: TextIO = field(default_factory=lambda: sys.stdin)
     environ: Mapping[str, str] = field(default_factory=lambda: os.environ)
     wall_clock: Callable[[], float] = time.time
+    #: Seconds that go on while the machine is suspended, which the loop's clock leaves out.
+    lease_clock: Callable[[], float] = field(
+        default=lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
+    )
     rng: Random = field(default_factory=Random)
     open_gossip: Opener = open_udp
 
--- a/dunlinsaddle/membership/keepers.py
+++ b/dunlinsaddle/membership/keepers.py
@@ -29,13 +29,17 @@
         self.view = view
         self.domain = domain
         self._version = -1
-        self._chosen: frozenset[str] = frozenset()
+        self._chosen: list[Member] = []
 
-    def includes(self, instance: str) -> bool:
-        """Say whether a node is one of them."""
+    def chosen(self) -> list[Member]:
+        """Give them."""
         if self._version != self.view.version:
             live = by_hash(self.view, self.domain)
             able = [m for m in live if m.state is State.ALIVE] or live
-            self._chosen = frozenset(m.instance for m in able[:KEEPERS])
+            self._chosen = able[:KEEPERS]
             self._version = self.view.version
-        return instance in self._chosen
+        return self._chosen
+
+    def includes(self, instance: str) -> bool:
+        """Say whether a node is one of them."""
+        return any(m.instance == instance for m in self.chosen())
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -8,7 +8,7 @@
 import uuid6
 from result import Err, Ok
 
-from dunlinsaddle.access.gate import Holder, holder_of
+from dunlinsaddle.access.gate import Gate, Holder
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.faces import fingerprint
@@ -47,6 +47,7 @@
     def __init__(
         self,
         follower: ConfigFollower,
+        gate: Gate,
         dispatcher: Dispatcher,
         budget: RetryBudget,
         service: str,
@@ -57,6 +58,7 @@
     ) -> None:
         self.decisions = decisions
         self.follower = follower
+        self.gate = gate
         self.dispatcher = dispatcher
         self.budget = budget
         self.service = service
@@ -69,6 +71,7 @@
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request."""
         terms = read_terms(req)
+        settled = await self.gate.settle(terms)
         table = self.follower.table
         if table is None:
             return _refused(terms, ErrorKind.NO_CONFIGURATION, NO_CONFIGURATION_COME_BACK)
@@ -81,9 +84,10 @@
         loop = self.loop
         began = loop.time()
         parent = self.running.parent_of(terms.request_id)
-        match holder_of(terms, table, route, parent):
+        match self.gate.holder_of(terms, table, route, parent, settled=settled):
             case Err(failure):
-                self.decisions.denied(terms.request_id, route.name, failure, version, 0.0)
+                age = self.gate.freshness.age
+                self.decisions.denied(terms.request_id, route.name, failure, version, age)
                 return _answer_refused(terms, failure)
             case Ok(holder):
                 keyed = table.wants_keys
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from dunlinsaddle.access.gate import Gate
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.deaths import DeathNews
 from dunlinsaddle.calls.decisions import DecisionLog
@@ -38,12 +39,14 @@
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
+from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.policy.slots import SlotAdmission
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Configuration
+from dunlinsaddle.routes.proofs import ProofAsker
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import CallLabel, Hop, Stats
 
@@ -123,6 +126,7 @@
         self.agent = GossipAgent(self.view, PEER_KEY, self._rng(), times=TIMES)
         self.links = PeerLinks(PEER_KEY, cfg.instance, limits)
         self.peer_server = PeerServer(PEER_KEY, self._serve_peer, limits, self._peer_fault)
+        self.freshness = Freshness(self.env.lease_clock, cfg.bounds.revoke)
         self.follower = ConfigFollower(
             self.store,
             configuration.KIND,
@@ -130,12 +134,16 @@
             configuration.read_configuration,
             self._rng(),
             self.logger,
+            self.freshness,
         )
         self.follower.links = self.links
         self.follower.peers = self._others
         self.follower.on_change = self._configured
         self.watchers = Watchers(self.view, cfg.domain)
         self.follower.watches = self._watches
+        self.proofs = ProofAsker(
+            self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
+        )
         self.agent.gossip.on_news = self.follower.hear
         self.peer_server.on_records = self.follower.answer
         self.deaths = DeathNews(self.links, self.quarantine, self._others, self.logger)
@@ -177,6 +185,7 @@
         cfg = self.settings
         self.entry = Entry(
             self.follower,
+            Gate(self.follower, self.freshness),
             self.dispatcher,
             self.budget,
             cfg.service,
@@ -219,6 +228,7 @@
         self._spawn(_later(times.rosters, self.bootstrap.run))
         self._spawn(_later(times.configuration, partial(self.follower.run, acquainted_at)))
         self._spawn(self.level_news.run())
+        self._spawn(self.proofs.run())
         self._spawn(self.agent.run())
         return self.faces
 
@@ -317,6 +327,7 @@
         """Take what the settings say now of the deployment's promises."""
         self.settings = self.settings._replace(bounds=bounds)
         self.budget.take(bounds.retry_ratio, bounds.retry_extra)
+        self.freshness.most = bounds.revoke
 
     def _target_started(self) -> None:
         self.admission.restarted(self.now())
--- a/dunlinsaddle/mesh/settings.py
+++ b/dunlinsaddle/mesh/settings.py
@@ -13,6 +13,7 @@
     retry_ratio: float  #: arrivals beyond the first of each request, as a share of requests
     retry_extra: float  #: further such arrivals in each window, over all nodes
     retry_window: float
+    revoke: float | None = None  #: a key that was taken away is refused by then, everywhere
 
 
 class MeshSettings(NamedTuple):
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -14,10 +14,11 @@
 from result import Err, Ok, Result
 
 from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.messages import RecordFrame, RecordsAnswer, RecordsAsk
+from dunlinsaddle.calls.messages import MAX_BUDGET, RecordFrame, RecordsAnswer, RecordsAsk
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.view import Member
 from dunlinsaddle.platform.store import Listing, ObjectStore, StoredObject, Unavailable
+from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.routes.models import Configuration
 from dunlinsaddle.routes.table import RouteTable
@@ -55,6 +56,7 @@
         read: Reader,
         rng: Random,
         logger: logging.Logger,
+        freshness: Freshness,
     ) -> None:
         self.store = store
         self.kind = kind
@@ -62,6 +64,7 @@
         self.read = read
         self.rng = rng
         self.logger = logger
+        self.freshness = freshness
         self.table: RouteTable | None = None
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
         self.links: PeerLinks | None = None
@@ -69,6 +72,7 @@
         self.watches: Callable[[], bool] = lambda: True  #: whether it falls to this node to watch
         self._revision = 0  #: of the store, up to which this node has heard all
         self._entry: RecordEntry | None = None
+        self._refused = 0  #: the store's version of a newer object that could not be read
         self._reachable: bool | None = None
         self._fetching: asyncio.Task[None] | None = None
 
@@ -82,6 +86,12 @@
         """The store's version of the object that is in force here, 0 for none."""
         return self._entry.version if self._entry else 0
 
+    @property
+    def leased(self) -> bool:
+        """Whether callers are let in by keys, which may be taken away at any time."""
+        table = self.table
+        return table is not None and table.wants_keys
+
     async def run(self, acquainted_at: float = -math.inf) -> None:
         """Follow the store until cancelled, while that falls to this node.
 
@@ -102,11 +112,10 @@
             # hidden a change, and one that goes silent shows only when its answer is overdue.
             wait = WATCH_SECONDS if self._revision and self._reachable else 0.0
             began = self.now()
-            match await self.store.watch(self.kind, self._revision, wait, grace):
-                case Ok(listing):
+            match await self._watch(wait, grace):
+                case Ok():
                     backoff, grace = FIRST_BACKOFF, FIRST_GRACE
                     self._note_store(reachable=True, why='')
-                    self._take_listing(listing)
                 case Err(Unavailable(detail)):
                     self._note_store(reachable=False, why=detail)
                     if self.now() - began >= wait + grace:
@@ -115,19 +124,32 @@
                     await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
                     backoff = min(backoff * 2, MOST_BACKOFF)
 
+    async def look(self) -> bool:
+        """Ask the store once, whoever's turn it is; say whether it answered."""
+        return isinstance(await self._watch(0.0, FIRST_GRACE), Ok)
+
+    async def _watch(self, wait: float, grace: float) -> Result[Listing, Unavailable]:
+        began = self.freshness.clock()
+        found = await self.store.watch(self.kind, self._revision, wait, grace)
+        if isinstance(found, Ok):
+            self._take_listing(found.ok_value)
+            self.freshness.prove(began)
+        return found
+
     def answer(self, frame: RecordFrame) -> RecordsAnswer | None:
         """Answer a peer that has heard of a newer configuration, or cannot reach the store."""
         if not isinstance(frame, RecordsAsk):
             return None
         entry = self._entry
         entries = [entry] if entry is not None and entry.version > frame.since else []
-        return RecordsAnswer(frame.id, self.stored_version, 0.0, False, entries)
+        age = min(max(self.freshness.age, 0.0), MAX_BUDGET)
+        return RecordsAnswer(frame.id, self.stored_version, age, False, entries)
 
     def hear(self, member: Member, version: int) -> None:
         """Fetch what a peer says is newer; word of it comes again if that fails."""
         if version <= self.stored_version or self._fetching is not None:
             return
-        self._fetching = self.loop.create_task(self._ask(member))
+        self._fetching = self.loop.create_task(self.ask(member))
         self._fetching.add_done_callback(self._fetched)
 
     def _fetched(self, task: 'asyncio.Task[None]') -> None:
@@ -137,15 +159,25 @@
         """Hear from a peer what the store would say: one that is cut off stays up to date."""
         peers = self.peers()
         if peers:
-            await self._ask(self.rng.choice(peers))
+            await self.ask(self.rng.choice(peers))
 
-    async def _ask(self, member: Member) -> None:
+    async def ask(self, member: Member) -> None:
+        """Ask a peer for what is newer, and for its proof that nothing is.
+
+        The proof counts from before the question was sent: an answer may have been long on its
+        way, but the peer cannot have known less when it gave it.
+        """
         if self.links is None:
             return
+        began = self.freshness.clock()
         ask = RecordsAsk(0, self.stored_version)
         answer = await self.links.ask_records(member.peers, ask, PEER_SECONDS)
-        for entry in answer.entries if answer else []:
+        if answer is None:
+            return
+        for entry in answer.entries:
             self._take(entry, source=member.instance)
+        if max(self.stored_version, self._refused) >= answer.upto:
+            self.freshness.prove(began - answer.age)
 
     def _take_listing(self, listing: Listing) -> None:
         self._revision = max(listing.revision, self._revision)
@@ -159,12 +191,14 @@
         match self.read(entry.doc):
             case Err(why):
                 # The last good one stays in force: no answer is better than a wrong route.
+                self._refused = max(self._refused, entry.version)
                 self.logger.error('configuration unusable', extra={'why': why, 'source': source})
             case Ok(configuration) if configuration.version > self.version:
                 self._entry = entry
-                self.table = RouteTable(configuration)
+                self.table = RouteTable(configuration, self.table)
                 extra = {'version': configuration.version, 'source': source}
                 self.logger.info('configuration taken', extra=extra)
+                self.freshness.wake()
                 self.on_change(configuration)
 
     def _note_store(self, *, reachable: bool, why: str) -> None:
--- a/dunlinsaddle/routes/table.py
+++ b/dunlinsaddle/routes/table.py
@@ -1,20 +1,27 @@
 """Finds the route of a request: its host, then the longest prefix of its path."""
 
+from itertools import islice
 from random import Random
 
 from dunlinsaddle.routes.models import Configuration, Organisation, Route, Share
 
+WITHDRAWN_MOST = 100_000  #: keys that are remembered as withdrawn: a bound on memory
+
 
 class RouteTable:
     """The routes of one configuration, indexed for lookups."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self, configuration: Configuration, before: 'RouteTable | None' = None) -> None:
         self.configuration = configuration
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
         self._organisations = {org.name: org for org in configuration.organisations}
         self._holders = {key: org for org in configuration.organisations for key in org.keys}
+        self._withdrawn: frozenset[bytes] = frozenset()
+        if before is not None:
+            known = before._withdrawn.union(before._holders)
+            self._withdrawn = frozenset(islice(known.difference(self._holders), WITHDRAWN_MOST))
 
     @property
     def wants_keys(self) -> bool:
@@ -25,6 +32,10 @@
         """Give an organisation by its name."""
         return self._organisations.get(name)
 
+    def withdrawn(self, digest: bytes) -> bool:
+        """Say whether a key was held in an earlier configuration that this node knew."""
+        return digest in self._withdrawn
+
     def holder(self, digest: bytes) -> Organisation | None:
         """Give the organisation that holds a key, by the key's digest."""
         return self._holders.get(digest)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,6 +26,10 @@
 OPERATOR_TOKEN = 'a-token-for-tests'
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def build_environment(**changes: Any) -> Environment:
     values: dict[str, Any] = {
         'stdout': io.StringIO(),
@@ -34,6 +38,7 @@
         'environ': {},
         'rng': Random(7),
         'open_gossip': open_in_memory,
+        'lease_clock': _loop_time,
         **changes,
     }
     return Environment(**values)
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -18,10 +18,13 @@
 from dunlinsaddle.platform.store import Unavailable
 from dunlinsaddle.settings import Address
 from tests.builders import build_configuration, build_environment, build_logger, build_route
+from tests.fakes.network import network_here
 from tests.fakes.site import HOST, paused_wall_clock
 from tests.fakes.store import FakeStore
 
-BOUNDS = Bounds(drain=2.0, grace=6.0, retry_ratio=0.2, retry_extra=55.0, retry_window=10.0)
+BOUNDS = Bounds(
+    drain=2.0, grace=6.0, retry_ratio=0.2, retry_extra=55.0, retry_window=10.0, revoke=5.0
+)
 BEAT_SECONDS = 1.5
 
 
@@ -118,6 +121,7 @@
     def __init__(self, seed: int = 5) -> None:
         self.store = FakeStore()
         self.cut_off: set[str] = set()  #: nodes that the store turns away
+        self.isolated: set[str] = set()  #: nodes that nothing reaches but their callers
         self.stopped: set[str] = set()
         self.first_start = False
         self.rng = Random(seed)
@@ -158,9 +162,29 @@
         )
         env = build_environment(rng=Random(self.rng.random()), wall_clock=paused_wall_clock)
         node = MeshNode(cfg, env, build_logger(), StoreOfNode(self, name))
+        self._make_cuttable(name, node)
         self.nodes[name] = node
         return node
 
+    def _make_cuttable(self, name: str, node: MeshNode) -> None:
+        dial = node.links._link
+
+        async def link(address: Address) -> Any:
+            if name in self.isolated or address in self._addresses_of_isolated():
+                raise TimeoutError('cut off')
+            return await dial(address)
+
+        node.links._link = link  # type: ignore[method-assign]
+
+    def _addresses_of_isolated(self) -> set[Address]:
+        return {self.nodes[name].settings.peers for name in self.isolated}
+
+    def isolate(self, names: set[str]) -> None:
+        """Cut nodes off from all others and from the store; the empty set heals."""
+        self.isolated = names
+        self.cut_off = set(names)
+        network_here().silent = {self.nodes[name].settings.gossip for name in names}
+
     async def kill(self, name: str) -> None:
         """End a node without a word to the others."""
         node = self.nodes[name]
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -23,10 +23,11 @@
     def __init__(self) -> None:
         self.receivers: dict[Address, Receiver] = {}
         self.opened = 0
+        self.silent: set[Address] = set()  #: nothing gets from or to these
 
-    def send(self, to: Address, data: bytes) -> None:
+    def send(self, sender: Address, to: Address, data: bytes) -> None:
         receiver = self.receivers.get(to)
-        if receiver is not None:
+        if receiver is not None and not self.silent & {sender, to}:
             asyncio.get_running_loop().call_later(0.001, receiver, data)
 
 
@@ -41,14 +42,19 @@
         self.address = address
 
     def send(self, to: Address, data: bytes) -> None:
-        self.network.send(to, data)
+        self.network.send(self.address, to, data)
 
     def close(self) -> None:
         self.network.receivers.pop(self.address, None)
 
 
+def network_here() -> FakeNetwork:
+    """Give the network of the running loop."""
+    return _networks.setdefault(asyncio.get_running_loop(), FakeNetwork())
+
+
 async def open_in_memory(address: Address, receiver: Receiver) -> Transport:
-    network = _networks.setdefault(asyncio.get_running_loop(), FakeNetwork())
+    network = network_here()
     network.opened += 1
     if address.port == 0:
         address = address._replace(port=FIRST_PORT + network.opened)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -6,6 +6,7 @@
 
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.platform.store import WATCH_GRACE, Unavailable
+from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Share
 from dunlinsaddle.routes.table import RouteTable, choose_service
@@ -114,7 +115,13 @@
         async def run():
             logger = build_logger('follow')
             follower = ConfigFollower(
-                store, 'config', 'main', read_configuration, Random(1), logger
+                store,
+                'config',
+                'main',
+                read_configuration,
+                Random(1),
+                logger,
+                Freshness(asyncio.get_running_loop().time, None),
             )
             task = asyncio.create_task(follower.run())
             try:
