--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -25,6 +25,8 @@
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.stats import LATENCY_BOUNDS, Stats
 
+AGE_MOST = 86_400.0  #: seconds; a gauge takes no infinite age
+NEAREST = 10  #: organisations in a metric: a label for each would grow with the customers
 PATH = '/metrics'
 CONTENT_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 
@@ -58,6 +60,7 @@
         observe_stats(self.metrics, node.stats)
         self._observe_calls()
         self._observe_beliefs()
+        self._observe_access()
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer a question for the metrics."""
@@ -119,6 +122,27 @@
             self._ages,
         )
 
+    def _observe_access(self) -> None:
+        add, node = self.metrics, self.node
+        add.gauge(
+            'dunlinsaddle.configuration_age',
+            's',
+            'Seconds since it was proved that no newer configuration is there.',
+            lambda: [(min(node.freshness.age, AGE_MOST), {})],
+        )
+        add.gauge(
+            'dunlinsaddle.quota_left',
+            '{request}',
+            'Requests that this node may still lend now, of the organisations nearest to their limit.',
+            lambda: _nearest(node.ledger.tokens()),
+        )
+        add.counter(
+            'dunlinsaddle.quota_questions',
+            '{message}',
+            'Questions to the lenders of quotas.',
+            lambda: [(node.quotas.asked, {})],
+        )
+
     def _load(self) -> Values:
         load = self.node.admission.load(_now())
         found = {'inflight': load.inflight, 'waiting': load.waiting, 'limit': load.limit}
@@ -132,6 +156,11 @@
         return [(_now() - at, {'of': name}) for name, at in heard.items() if at > -math.inf]
 
 
+def _nearest(tokens: dict[str, float]) -> Values:
+    lowest = sorted(tokens.items(), key=lambda item: item[1])[:NEAREST]
+    return [(left, {'organisation': name}) for name, left in lowest]
+
+
 def _latency(stats: Stats) -> Values:
     return [
         pair
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -23,7 +23,13 @@
 from tests.fakes.store import FakeStore
 
 BOUNDS = Bounds(
-    drain=2.0, grace=6.0, retry_ratio=0.2, retry_extra=55.0, retry_window=10.0, revoke=5.0
+    drain=2.0,
+    grace=6.0,
+    retry_ratio=0.2,
+    retry_extra=55.0,
+    retry_window=10.0,
+    quota_slack=20.0,
+    revoke=5.0,
 )
 BEAT_SECONDS = 1.5
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -11,7 +11,7 @@
 from dunlinsaddle.records.models import Rank
 from tests.builders import build_configuration, build_route, build_tenant
 from tests.clock import PausedClockTest
-from tests.fakes.mesh import Mesh
+from tests.fakes.mesh import BOUNDS, Mesh
 
 SECRET = 'ruddedev3nax7u27gxpr'
 TENANTS = [build_tenant('acme', SECRET, priority=1), build_tenant('zeta', 'zeta-key')]
@@ -191,3 +191,66 @@
         routes = [build_route('r', public=True), build_route('s', prefix='/s/')]
         found = read_configuration(build_configuration(routes=routes)).ok()
         self.assertEqual([True, False], [r.public for r in found.routes])
+
+
+class QuotaTest(KeyedMeshTest):
+    """Requests of an organisation over all nodes, by whole nodes."""
+
+    TENANTS = (build_tenant('acme', SECRET, requestsPerS=2, burst=3), build_tenant('zeta'))
+
+    def quota_mesh(self, scenario):
+        async def run():
+            mesh = Mesh()
+            await mesh.configure(tenants=list(self.TENANTS))
+            for name, service in (('a', 'front'), ('b', 'deep'), ('c', 'deep')):
+                await mesh.place(name, service)
+            await asyncio.sleep(8)
+            try:
+                return await scenario(mesh)
+            finally:
+                await mesh.stop()
+
+        return self.run_paused(run())
+
+    async def flood(self, mesh, count, path='/deep/x', key=BEARER):
+        calls = [
+            mesh.call('abc'[i % 3], path, request_id=f'q{i}', authorization=key)
+            for i in range(count)
+        ]
+        return await asyncio.gather(*calls)
+
+    def test_what_is_over_the_limit_is_told_when_there_is_room(self):
+        async def scenario(mesh):
+            answers = await self.flood(mesh, 40)
+            waits = [float(dict(a.headers)[b'retry-after']) for a in answers if a.status == 429]
+            return [a.status for a in answers].count(200), sorted(waits)
+
+        served, waits = self.quota_mesh(scenario)
+        slack = BOUNDS.quota_slack
+        self.assertEqual(40 - served, len(waits))
+        self.assertLessEqual(served, (2 * 5 + 3) * 1.1 + slack)
+        self.assertGreaterEqual(served, 3)
+        self.assertGreater(waits[-1], waits[0])
+
+    def test_another_organisation_is_served_beside_a_flood(self):
+        async def scenario(mesh):
+            flood = asyncio.ensure_future(self.flood(mesh, 40))
+            answers = await self.flood(mesh, 9, key='Bearer key-of-zeta')
+            await flood
+            return {a.status for a in answers}
+
+        self.assertEqual({200}, self.quota_mesh(scenario))
+
+    def test_what_did_not_run_counts_for_nothing(self):
+        async def scenario(mesh):
+            for name in 'bc':
+                mesh.targets[name].beating = False
+                mesh.nodes[name].target.withdraw()
+            refused = await self.flood(mesh, 6)
+            await asyncio.sleep(0.1)
+            tokens = [node.ledger.tokens().get('acme') for node in mesh.nodes.values()]
+            return {a.status for a in refused}, max(t for t in tokens if t is not None)
+
+        statuses, tokens = self.quota_mesh(scenario)
+        self.assertEqual({503}, statuses)
+        self.assertGreaterEqual(tokens, 3)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -34,6 +34,14 @@
         self.assertEqual(Address('10.1.0.8', 7620), found.peers)
         self.assertEqual((2.0, 6.0, 0.2), (found.bounds.drain, found.bounds.grace, 0.2))
 
+    def test_bounds_of_keys_and_quotas_may_be_absent(self):
+        bounds = build_node_file()['bounds']
+        without = read_node_file(msgspec.json.encode(build_node_file())).unwrap().bounds
+        self.assertEqual((None, 0.0), (without.revoke, without.quota_slack))
+        keyed = {**bounds, 'revokeEverywhere': True, 'revoke': '5000ms', 'quotaSlack': 20}
+        found = read_node_file(msgspec.json.encode(build_node_file(bounds=keyed))).unwrap().bounds
+        self.assertEqual((5.0, 20.0), (found.revoke, found.quota_slack))
+
     def test_a_file_that_cannot_be_used_is_refused_with_its_reason(self):
         whole = msgspec.json.encode(build_node_file())
         cut = [whole[:size] for size in (0, 1, 100, len(whole) - 1)]
