--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -12,6 +12,7 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dunlinsaddle.access.quotas import Quotas
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.membership.view import MemberView
@@ -20,6 +21,8 @@
 from dunlinsaddle.metrics import Metrics, Values, cumulative, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
+from dunlinsaddle.policy.freshness import Freshness
+from dunlinsaddle.policy.quota import Ledger
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.policy.slots import SlotAdmission
 from dunlinsaddle.routes.follow import ConfigFollower
@@ -42,6 +45,9 @@
     follower: ConfigFollower
     announce: AnnounceFace
     store: ObjectStore
+    freshness: Freshness
+    ledger: Ledger
+    quotas: Quotas
 
 
 class MeshMetrics:
@@ -133,7 +139,7 @@
         add.gauge(
             'dunlinsaddle.quota_left',
             '{request}',
-            'Requests that this node may still lend now, of the organisations nearest to their limit.',
+            'Requests that may still be lent here, of the organisations nearest to their limit.',
             lambda: _nearest(node.ledger.tokens()),
         )
         add.counter(
