--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -6,7 +6,10 @@
 from random import Random
 
 import uuid6
+from result import Err, Ok
 
+from dunlinsaddle.access.gate import Gate, Holder
+from dunlinsaddle.access.quotas import Quotas
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.faces import fingerprint
@@ -45,6 +48,7 @@
     def __init__(
         self,
         follower: ConfigFollower,
+        gate: Gate,
         dispatcher: Dispatcher,
         budget: RetryBudget,
         service: str,
@@ -52,9 +56,12 @@
         rng: Random,
         decisions: DecisionLog,
         on_end: Callable[[Work, Reply, float], None],
+        quotas: Quotas,
     ) -> None:
+        self.quotas = quotas
         self.decisions = decisions
         self.follower = follower
+        self.gate = gate
         self.dispatcher = dispatcher
         self.budget = budget
         self.service = service
@@ -67,6 +74,7 @@
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request."""
         terms = read_terms(req)
+        settled = await self.gate.settle(terms)
         table = self.follower.table
         if table is None:
             return _refused(terms, ErrorKind.NO_CONFIGURATION, NO_CONFIGURATION_COME_BACK)
@@ -79,14 +87,21 @@
         loop = self.loop
         began = loop.time()
         parent = self.running.parent_of(terms.request_id)
-        work = self._work(req, terms, route, parent)
+        match self.gate.holder_of(terms, table, route, parent, settled=settled):
+            case Err(failure):
+                age = self.gate.freshness.age
+                self.decisions.denied(terms.request_id, route.name, failure, version, age)
+                return _answer_refused(terms, failure)
+            case Ok(holder):
+                keyed = table.wants_keys
+                work = self._work(req, terms, route, parent, holder, keyed=keyed)
         if work.ctx.repeated:
             self.budget.repeated(began, work.ctx.service)
         else:
             self.budget.sent(began, work.ctx.service)
         self.decisions.routed(work, version)
         try:
-            reply = await self._answer(work, parent)
+            reply = await self._answer(work, parent, holder)
         except asyncio.CancelledError:
             self.decisions.cancelled(work.ctx, loop.time() - began)
             raise
@@ -99,7 +114,7 @@
         self.on_end(work, reply, took)
         return caller_response(reply, terms.request_id)
 
-    async def _answer(self, work: Work, parent: Running | None) -> Reply:
+    async def _answer(self, work: Work, parent: Running | None, holder: Holder) -> Reply:
         """Give the answer to a request, or to a call of the local target."""
         if parent is not None:
             return await self.dispatcher.dispatch(work, parent.work.ctx.rule)
@@ -108,11 +123,27 @@
         held_back = work.ctx.priority.rank is not Rank.CRITICAL
         if held_back and not self.outcomes.admits(self.now(), rule):
             return self.dispatcher.refuse_early(work)
-        reply = await self.dispatcher.dispatch(work)
-        if reply.outcome is not Outcome.NOT_RUN:
+        early = self.dispatcher.refused_early(work)
+        if early is not None:
+            return early
+        match await self.quotas.take(holder):
+            case Err(failure):
+                return self._over_quota(work, failure)
+            case Ok(loan):
+                reply = await self.dispatcher.dispatch(work)
+        if reply.outcome is Outcome.NOT_RUN:
+            self.quotas.give_back(loan)
+        else:
             self.outcomes.ended(self.now(), rule, lost=bool(reply.cause))
         return reply
 
+    def _over_quota(self, work: Work, failure: Failure) -> Reply:
+        ctx = work.ctx
+        version, age = self.follower.version, self.gate.freshness.age
+        denied = self.decisions.denied
+        denied(ctx.request_id, ctx.rule, failure, version, age, ctx.organisation)
+        return refusal(failure)
+
     def _learn_cost(self, work: Work, load: Load, parent: Running | None) -> None:
         if parent is not None:
             parent.cost_below += load.cost
@@ -121,7 +152,14 @@
         self.costs.learn(self.now(), ctx.rule, ctx.priority.rank, load.cost)
 
     def _work(
-        self, req: HttpRequest, terms: CallerTerms, route: Route, parent: Running | None
+        self,
+        req: HttpRequest,
+        terms: CallerTerms,
+        route: Route,
+        parent: Running | None,
+        holder: Holder,
+        *,
+        keyed: bool,
     ) -> Work:
         now = self.now()
         time_left = COMMON_TIME if terms.time_left is None else terms.time_left
@@ -129,7 +167,7 @@
         service = choose_service(route.shares, self.rng)
         request_id = terms.request_id or str(uuid6.uuid7())
         if parent is None:
-            priority = priority_of(Rank(min(route.priority, max(Rank))), request_id)
+            priority = priority_of(_rank(route, holder), request_id)
             priority = self.costs.placed(now, route.name, priority)
         else:
             # Failure: calls of a rank of their own are admitted by another level than the one
@@ -149,14 +187,21 @@
             key='',
             fingerprint=fingerprint(req, service),
             useful_until=math.inf if route.objective is None else now + route.objective,
+            organisation=holder.name if holder else '',
         )
         if parent is not None:
             ctx = _on_behalf(ctx, parent.work.ctx)
-        headers = travelling_headers(req, self.service)
+        headers = travelling_headers(req, self.service, keyed=keyed)
         tokens = Attempts(route.attempts - 1)
         return Work(ctx, req.method, req.path, headers, req.body, tokens, Waits(), [])
 
 
+def _rank(route: Route, holder: Holder) -> Rank:
+    """Give the rank of a request: the organisation's, if it has one, goes before the route's."""
+    own = None if holder is None else holder.priority
+    return Rank(min(route.priority if own is None else own, max(Rank)))
+
+
 def _note_failed(parent: Running, work: Work, reply: Reply) -> None:
     parent.come_back_after = max(parent.come_back_after, reply.retry_after, FAILED_BELOW)
     parent.failed_call = reply.cause or f'{work.ctx.service} {reply.kind or reply.status}'
@@ -172,4 +217,8 @@
 
 
 def _refused(terms: CallerTerms, kind: ErrorKind, retry_after: float = 0.0) -> HttpResponse:
-    return caller_response(refusal(Failure(kind, '', retry_after)), terms.request_id)
+    return _answer_refused(terms, Failure(kind, '', retry_after))
+
+
+def _answer_refused(terms: CallerTerms, failure: Failure) -> HttpResponse:
+    return caller_response(refusal(failure), terms.request_id)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -8,6 +8,9 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from dunlinsaddle.access.gate import Gate
+from dunlinsaddle.access.peers import GossipPeers
+from dunlinsaddle.access.quotas import Quotas
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.deaths import DeathNews
 from dunlinsaddle.calls.decisions import DecisionLog
@@ -38,12 +41,15 @@
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
+from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.policy.quarantine import Quarantine
+from dunlinsaddle.policy.quota import Ledger
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.policy.slots import SlotAdmission
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Configuration
+from dunlinsaddle.routes.proofs import ProofAsker
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import CallLabel, Hop, Stats
 
@@ -123,6 +129,7 @@
         self.agent = GossipAgent(self.view, PEER_KEY, self._rng(), times=TIMES)
         self.links = PeerLinks(PEER_KEY, cfg.instance, limits)
         self.peer_server = PeerServer(PEER_KEY, self._serve_peer, limits, self._peer_fault)
+        self.freshness = Freshness(self.env.lease_clock, cfg.bounds.revoke)
         self.follower = ConfigFollower(
             self.store,
             configuration.KIND,
@@ -130,13 +137,21 @@
             configuration.read_configuration,
             self._rng(),
             self.logger,
+            self.freshness,
         )
         self.follower.links = self.links
         self.follower.peers = self._others
         self.follower.on_change = self._configured
         self.watchers = Watchers(self.view, cfg.domain)
         self.follower.watches = self._watches
+        self.proofs = ProofAsker(
+            self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
+        )
         self.agent.gossip.on_news = self.follower.hear
+        self.ledger = Ledger(cfg.bounds.quota_slack)
+        peers = GossipPeers(self.agent, self.view, lambda: self.bootstrap.strangers)
+        self.quotas = Quotas(cfg.instance, peers, self.ledger, self.follower.organisation)
+        self.agent.on_quota = self.quotas.hear
         self.peer_server.on_records = self.follower.answer
         self.deaths = DeathNews(self.links, self.quarantine, self._others, self.logger)
         self.peer_server.on_deaths = self.deaths.hear
@@ -177,6 +192,7 @@
         cfg = self.settings
         self.entry = Entry(
             self.follower,
+            Gate(self.follower, self.freshness),
             self.dispatcher,
             self.budget,
             cfg.service,
@@ -184,6 +200,7 @@
             self._rng(),
             self.decisions,
             self._ended,
+            self.quotas,
         )
         self.announce = AnnounceFace(
             cfg.service,
@@ -219,6 +236,7 @@
         self._spawn(_later(times.rosters, self.bootstrap.run))
         self._spawn(_later(times.configuration, partial(self.follower.run, acquainted_at)))
         self._spawn(self.level_news.run())
+        self._spawn(self.proofs.run())
         self._spawn(self.agent.run())
         return self.faces
 
@@ -310,6 +328,7 @@
         self.budget.nodes = max(len(self.view), 1)
         if before is not None and before.state is member.state:
             return
+        self.quotas.members_change()
         extra = {'member': member.instance, 'state': member.state.name.lower()}
         self.logger.info('member changed', extra={**extra, 'service': member.service})
 
@@ -317,6 +336,8 @@
         """Take what the settings say now of the deployment's promises."""
         self.settings = self.settings._replace(bounds=bounds)
         self.budget.take(bounds.retry_ratio, bounds.retry_extra)
+        self.freshness.most = bounds.revoke
+        self.ledger.slack = bounds.quota_slack
 
     def _target_started(self) -> None:
         self.admission.restarted(self.now())
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,6 +26,10 @@
 OPERATOR_TOKEN = 'a-token-for-tests'
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def build_environment(**changes: Any) -> Environment:
     values: dict[str, Any] = {
         'stdout': io.StringIO(),
@@ -34,6 +38,7 @@
         'environ': {},
         'rng': Random(7),
         'open_gossip': open_in_memory,
+        'lease_clock': _loop_time,
         **changes,
     }
     return Environment(**values)
@@ -228,8 +233,16 @@
     return {'resourceKind': 'routes', 'metadata': {'name': name}, 'specification': given}
 
 
+def build_tenant(name: str = 'org', *keys: str, **changes: Any) -> dict[str, Any]:
+    """Give an organisation as the platform's configuration holds it."""
+    specification = {'apiKeys': list(keys or (f'key-of-{name}',)), **changes}
+    return {'resourceKind': 'tenants', 'metadata': {'name': name}, 'specification': specification}
+
+
 def build_configuration(
-    version: str = 'r7', routes: list[dict[str, Any]] | None = None
+    version: str = 'r7',
+    routes: list[dict[str, Any]] | None = None,
+    tenants: list[dict[str, Any]] | None = None,
 ) -> dict[str, Any]:
     limits = {
         'maxHeaderBytes': 16384,
@@ -243,6 +256,7 @@
         'resources': [
             *([build_route()] if routes is None else routes),
             {'resourceKind': 'services', 'metadata': {'name': 'svc'}, 'specification': service},
+            *(tenants or []),
             {'resourceKind': 'limits', 'metadata': {}, 'specification': limits},
         ],
     }
