--- a/dunlinsaddle/membership/tuning.py
+++ b/dunlinsaddle/membership/tuning.py
@@ -34,7 +34,7 @@
     burst: int = 1500
     pages: int = 6
     join: int = 6
-    much: int = 16  #: buckets of 64 from which a view differs in so much that others are missing
+    much: int = 40  #: buckets of 64 from which a view differs in so much that others are missing
     #: Members that hear of a newer configuration at once from each who takes it; with four, 98 in
     #: 100 hear of it within some round trips, and the pings of the next second tell the others.
     news_fanout: int = 4
