A quota is what a window allows: rate, and the burst anew in each window

Cause: a bucket that refills at the rate alone refuses what the users' formula counts as within the limit, rate x window + burst in every window, 1.2 times the rate for good where the burst is one second's. In surges of 1.8 times the usual every organisation is over a rate of 1.6 times its usual.

Change: refill at limit / window, half of the burst at once, and a count of the window besides. For the first window of a lender the rate alone, as another may have lent the burst just before.

--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -148,7 +148,7 @@
             self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
         )
         self.agent.gossip.on_news = self.follower.hear
-        self.ledger = Ledger(cfg.bounds.quota_slack)
+        self.ledger = Ledger(cfg.bounds.quota_slack, cfg.bounds.quota_window)
         peers = GossipPeers(self.agent, self.view, lambda: self.bootstrap.strangers)
         self.quotas = Quotas(cfg.instance, peers, self.ledger, self.follower.organisation)
         self.agent.on_quota = self.quotas.hear
@@ -338,6 +338,7 @@
         self.budget.take(bounds.retry_ratio, bounds.retry_extra)
         self.freshness.most = bounds.revoke
         self.ledger.slack = bounds.quota_slack
+        self.ledger.window = bounds.quota_window
 
     def _target_started(self) -> None:
         self.admission.restarted(self.now())
--- a/dunlinsaddle/policy/quota.py
+++ b/dunlinsaddle/policy/quota.py
@@ -1,6 +1,7 @@
 """What one node lends of the quotas of organisations, and which node lends whose."""
 
 from bisect import bisect_right
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -10,6 +11,10 @@
 
 LENDERS = 3  #: nodes in turn that may lend an organisation's quota: two may be lost at once
 POINTS = 16  #: of each node on the ring: shares then differ by a quarter or so
+#: Part of the burst that is lent at once; the rest is lent over the window. A lender that dies may
+#: have lent all of it a moment before, and the next one does not know.
+BURST_PART = 0.5
+SLOT_SECONDS = 0.1  #: by which requests of a window are counted
 #: Part of the slack that an idle bucket holds beyond the burst. An organisation with a request a
 #: second is refused by chance without it; the rest of the slack pays for changes of the lender.
 IDLE_PART = 0.25
@@ -65,39 +70,74 @@
         return found
 
 
+class _Recent:
+    """How many were lent in the last window, a little more than less."""
+
+    __slots__ = ('_slots', 'total')
+
+    def __init__(self) -> None:
+        self._slots: deque[list[int]] = deque()
+        self.total = 0
+
+    def advance(self, now: float, window: float) -> None:
+        oldest = int((now - window) / SLOT_SECONDS)
+        while self._slots and self._slots[0][0] < oldest:
+            self.total -= self._slots.popleft()[1]
+
+    def add(self, now: float) -> None:
+        slot = int(now / SLOT_SECONDS)
+        if not self._slots or self._slots[-1][0] != slot:
+            self._slots.append([slot, 0])
+        self._slots[-1][1] += 1
+        self.total += 1
+
+    def take_back(self) -> None:
+        if self._slots and self._slots[-1][1]:
+            self._slots[-1][1] -= 1
+            self.total -= 1
+
+
 class _Bucket:
-    """Requests that may still run, refilled at the quota's rate."""
+    """Requests that may still run: refilled evenly, and no more of them than a window allows."""
 
-    __slots__ = ('at', 'promised', 'tokens')
+    __slots__ = ('at', 'born', 'promised', 'recent', 'tokens')
 
     def __init__(self, now: float, tokens: float) -> None:
         self.tokens = tokens
         self.at = now
+        self.born = now
         self.promised = now  #: until when the refill is promised to those told to come back
+        self.recent = _Recent()
 
-    def refill(self, now: float, rate: float, most: float) -> None:
+    def take(self, now: float, rate: float, most: float, window: float, limit: float) -> bool:
         self.tokens = min(self.tokens + (now - self.at) * rate, most)
         self.at = now
+        self.recent.advance(now, window)
+        if self.tokens < 1 or self.recent.total + 1 > limit:
+            return False
+        self.tokens -= 1
+        self.recent.add(now)
+        return True
 
-    def take(self, now: float, rate: float) -> Lent | Later:
-        if self.tokens >= 1:
-            self.tokens -= 1
-            return Lent()
-        self.promised = max(self.promised, now) + 1 / rate
-        return Later(min(max(self.promised - now, 0.0), LONGEST_COME_BACK))
+    def come_back(self, now: float, rate: float) -> float:
+        self.promised = min(max(self.promised, now) + 1 / rate, now + LONGEST_COME_BACK)
+        return self.promised - now
 
 
 class Ledger:
     """The buckets of the organisations whose quota this node lends.
 
-    Of every window it lends at most burst, slack and rate times the window: no more than the
-    users' formula allows when another node lent in the same window, since a bucket that was not
-    this node's all the while begins nearly empty. ``share`` is the part of the nodes known that
-    are in touch: of a fleet that is cut in two each side lends its part.
+    A quota of a rate and a burst means so many requests in each window: the rate times the
+    window, and the burst. The bucket refills at that over the window, so that one who asks for
+    more is served evenly, and the window's own count is kept besides. For the first window of a
+    bucket it refills at the rate alone, since another node may have lent the burst just before,
+    and it begins nearly empty. ``share`` is the part of the nodes known that are in touch: of a
+    fleet that is cut in two each side lends its part.
     """
 
-    def __init__(self, slack: float) -> None:
+    def __init__(self, slack: float, window: float) -> None:
         self.slack = slack
+        self.window = window
         self.share = 1.0
         self._since = 0.0  #: since when this node lends for whom it has no bucket yet
         self._own: dict[str, _Bucket] = {}
@@ -115,17 +155,24 @@
 
     def take(self, now: float, organisation: str, quota: Quota, *, first: bool) -> Lent | Later:
         """Lend for one request; ``first`` unless this node stands in for another."""
-        rate = quota.rate * self.share * (1.0 if first else ACTING_PART)
-        most = quota.burst * self.share + IDLE_PART * self.slack
-        bucket = self._bucket(now, organisation, rate, first=first)
-        bucket.refill(now, rate, max(most, 1.0))
-        return bucket.take(now, rate)
+        part = self.share * (1.0 if first else ACTING_PART)
+        bucket = self._bucket(now, organisation, quota.rate * part, first=first)
+        rate = quota.rate * part
+        if first and now - bucket.born >= self.window:
+            rate += quota.burst * part / self.window
+        idle = IDLE_PART * self.slack
+        most = max(BURST_PART * quota.burst * part + idle, 1.0)
+        limit = max((quota.rate * self.window + quota.burst) * part + idle, 1.0)
+        if bucket.take(now, rate, most, self.window, limit):
+            return Lent()
+        return Later(bucket.come_back(now, rate))
 
     def give_back(self, organisation: str) -> None:
         """Take back what was lent for a request that did not run."""
         bucket = self._own.get(organisation) or self._acting.get(organisation)
         if bucket is not None:
             bucket.tokens += 1
+            bucket.recent.take_back()
 
     def tokens(self) -> dict[str, float]:
         """Give what is left, by organisation, as of the latest request of each."""
@@ -141,6 +188,7 @@
         since = self._since if first else now
         tokens = FIRST_PART * self.slack + rate * max(now - since, 0.0)
         found = buckets[organisation] = _Bucket(now, tokens)
+        found.born = since
         return found
 
 
