Young lenders lend a part; more of the slack is lent; come back sooner

Change: a young node lends a quarter of the rate once it has met half of those listed and four; .35 of the slack and a quarter of the overage are lent; .8 s at most until the next try.

--- a/dunlinsaddle/access/quotas.py
+++ b/dunlinsaddle/access/quotas.py
@@ -38,6 +38,8 @@
 #: of the others has to have stood still for a moment.
 YOUNG_SECONDS = 5.0
 STILL_SECONDS = 0.4
+#: Share of those listed, and number, that a young node has met before it lends a part.
+MET_SHARE, MET_LEAST = 0.5, 4
 ROUNDS = 3  #: times that the lenders are asked in turn before a request is refused
 ROUND_SECONDS = 0.15  #: between them; all in all well within the objective of a request
 REFRESH_SECONDS = 0.05  #: after a change of members, as mostly several change at once
@@ -215,11 +217,13 @@
         """Lend of this node's own bucket, if it is one of the lenders."""
         order = self._order(organisation)
         known = self.find(organisation)
-        if known is None or self.instance not in order or self._is_young():
+        young = self._is_young()
+        if known is None or self.instance not in order or (young and self._alone()):
             return QuotaAnswer(**self.peers.head(), standing=Standing.NOT_MINE)
         if known.quota is None:
             return QuotaAnswer(**self.peers.head(), standing=Standing.LENT)
-        first = order[0] == self.instance
+        # A young one lends a part only: others that are young may take themselves for the lender.
+        first = order[0] == self.instance and not young
         match self.ledger.take(self.now(), organisation, known.quota, first=first):
             case Lent():
                 return QuotaAnswer(**self.peers.head(), standing=Standing.LENT)
@@ -227,12 +231,16 @@
                 return QuotaAnswer(**self.peers.head(), standing=Standing.LATER, wait=seconds)
 
     def _is_young(self) -> bool:
-        """Say whether this node may take itself for a lender only as it has not met the others.
+        """Say whether this node may take itself for a lender only as it has not met the others."""
+        now = self.now()
+        return now - self._started_at < YOUNG_SECONDS and now - self._changed_at < STILL_SECONDS
+
+    def _alone(self) -> bool:
+        """Say whether this node has met so few that many like it might lend at the same time.
 
         Failure: all nodes restart at once, and each thinks for a moment that it is alone.
         """
-        now = self.now()
-        return now - self._started_at < YOUNG_SECONDS and now - self._changed_at < STILL_SECONDS
+        return self.ledger.share < MET_SHARE or len(self.ring.names) < MET_LEAST
 
     def _silence(self, lender: str) -> float:
         """Give for how many seconds a node has left questions unanswered."""
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -144,11 +144,10 @@
         self.follower.on_change = self._configured
         self.watchers = Watchers(self.view, cfg.domain)
         self.follower.watches = self._watches
-        self.proofs = ProofAsker(
-            self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
-        )
         self.agent.gossip.on_news = self.follower.hear
-        self.ledger = Ledger(cfg.bounds.quota_slack, cfg.bounds.quota_window)
+        self.ledger = Ledger(
+            cfg.bounds.quota_slack, cfg.bounds.quota_window, cfg.bounds.quota_overage
+        )
         peers = GossipPeers(self.agent, self.view, lambda: self.bootstrap.strangers)
         self.quotas = Quotas(cfg.instance, peers, self.ledger, self.follower.organisation)
         self.agent.on_quota = self.quotas.hear
@@ -214,6 +213,9 @@
         self.callers_http = HttpFace(self.entry.handle, limits, self._fault, pipeline=PIPELINE)
         self.announce_http = HttpFace(self.announce.handle, HttpLimits(), self._fault)
         self.ready_http = HttpFace(self._answer_ready, HttpLimits(), self._fault)
+        self.proofs = ProofAsker(
+            self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
+        )
         self.metrics: MeshMetrics | None = None  #: built when somebody asks for them
         self.metrics_http = HttpFace(self._answer_metrics, HttpLimits(), self._fault)
 
@@ -339,6 +341,7 @@
         self.freshness.most = bounds.revoke
         self.ledger.slack = bounds.quota_slack
         self.ledger.window = bounds.quota_window
+        self.ledger.overage = bounds.quota_overage
 
     def _target_started(self) -> None:
         self.admission.restarted(self.now())
--- a/dunlinsaddle/mesh/settings.py
+++ b/dunlinsaddle/mesh/settings.py
@@ -14,6 +14,7 @@
     retry_extra: float  #: further such arrivals in each window, over all nodes
     retry_window: float
     quota_slack: float = 0.0  #: requests of an organisation beyond its quota in each window
+    quota_overage: float = 0.0  #: share of a quota by which it may be exceeded
     quota_window: float = 5.0  #: seconds over which quotas are counted
     revoke: float | None = None  #: a key that was taken away is refused by then, everywhere
 
--- a/dunlinsaddle/platform/node_file.py
+++ b/dunlinsaddle/platform/node_file.py
@@ -73,6 +73,7 @@
             retry_extra=float(bounds['retryBudgetExtra']),
             retry_window=read_seconds(bounds['budgetWindow']),
             quota_slack=float(bounds.get('quotaSlack', 0.0)),
+            quota_overage=float(bounds.get('quotaOverage', 0.0)),
             quota_window=read_seconds(bounds.get('quotaWindow', '5s')),
             revoke=read_seconds(bounds['revoke']) if bounds.get('revokeEverywhere') else None,
         ),
--- a/dunlinsaddle/policy/quota.py
+++ b/dunlinsaddle/policy/quota.py
@@ -17,14 +17,17 @@
 SLOT_SECONDS = 0.1  #: by which requests of a window are counted
 #: Part of the slack that an idle bucket holds beyond the burst. An organisation with a request a
 #: second is refused by chance without it; the rest of the slack pays for changes of the lender.
-IDLE_PART = 0.25
+IDLE_PART = 0.35
+#: Part of the overage that is lent; the rest is for changes of the lender, too.
+OVERAGE_PART = 0.25
 #: Part of the slack that a lender begins with, as it does not know what the one before it lent.
 FIRST_PART = 0.125
 #: Part of the rate that a stand-in lends. It cannot tell a lender that has died from one behind a
 #: cut, who goes on lending on its side.
 ACTING_PART = 0.25
 ACTING_SECONDS = 1.0  #: without a request after which a stand-in's bucket is begun anew
-LONGEST_COME_BACK = 2.0  #: seconds; callers heed a third of the time that they have
+#: Seconds; a caller that comes back within them is mostly still answered while that is worth most.
+LONGEST_COME_BACK = 0.8
 BUCKETS_MOST = 20_000  #: organisations that one node lends to: a bound on memory
 
 
@@ -135,9 +138,10 @@
     fleet that is cut in two each side lends its part.
     """
 
-    def __init__(self, slack: float, window: float) -> None:
+    def __init__(self, slack: float, window: float, overage: float = 0.0) -> None:
         self.slack = slack
         self.window = window
+        self.overage = overage
         self.share = 1.0
         self._since = 0.0  #: since when this node lends for whom it has no bucket yet
         self._own: dict[str, _Bucket] = {}
@@ -155,7 +159,7 @@
 
     def take(self, now: float, organisation: str, quota: Quota, *, first: bool) -> Lent | Later:
         """Lend for one request; ``first`` unless this node stands in for another."""
-        part = self.share * (1.0 if first else ACTING_PART)
+        part = self.share * (1.0 + OVERAGE_PART * self.overage if first else ACTING_PART)
         bucket = self._bucket(now, organisation, quota.rate * part, first=first)
         rate = quota.rate * part
         if first and now - bucket.born >= self.window:
