--- a/dunlinsaddle/access/gate.py
+++ b/dunlinsaddle/access/gate.py
@@ -6,6 +6,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.platform.requests import CallerTerms
 from dunlinsaddle.policy.freshness import Freshness
+from dunlinsaddle.records.models import Rank
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Organisation, Route
 from dunlinsaddle.routes.table import RouteTable
@@ -25,6 +26,12 @@
 Holder = Organisation | None
 
 
+def rank_of(route: Route, holder: Holder) -> Rank:
+    """Give the rank of a request: the organisation's, if it has one, goes before the route's."""
+    own = None if holder is None else holder.priority
+    return Rank(min(route.priority if own is None else own, max(Rank)))
+
+
 class Gate:
     """Says whose request it is by its key, as far as the node may still go by what it knows."""
 
@@ -67,7 +74,7 @@
         """Give the organisation that holds a request's key, or why it may not begin.
 
         Calls of the target beside the node carry no key. One is known by its id, which extends
-        that of a request that runs there now, and counts as its organisation's. An id that
+        that of a request that runs there now; whose it is, that request says. An id that
         extends one which does not run here proves nothing: its caller may be the target, whose
         request was lost with the process before this one, or somebody who hopes to pass without a
         key. It is told 503: 401 would be wrong for the one, and an answer for the other.
@@ -75,7 +82,7 @@
         if not table.wants_keys:
             return Ok(None)
         if parent is not None:
-            return Ok(table.organisation(parent.work.ctx.organisation))
+            return Ok(None)
         if route.public:
             return Ok(None if self.freshness.lapsed else table.holder(terms.key))
         if not terms.key and derives_from_another(terms.request_id):
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -8,7 +8,7 @@
 import uuid6
 from result import Err, Ok
 
-from dunlinsaddle.access.gate import Gate, Holder
+from dunlinsaddle.access.gate import Gate, Holder, rank_of
 from dunlinsaddle.access.quotas import Quotas
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
@@ -167,7 +167,7 @@
         service = choose_service(route.shares, self.rng)
         request_id = terms.request_id or str(uuid6.uuid7())
         if parent is None:
-            priority = priority_of(_rank(route, holder), request_id)
+            priority = priority_of(rank_of(route, holder), request_id)
             priority = self.costs.placed(now, route.name, priority)
         else:
             # Failure: calls of a rank of their own are admitted by another level than the one
@@ -196,12 +196,6 @@
         return Work(ctx, req.method, req.path, headers, req.body, tokens, Waits(), [])
 
 
-def _rank(route: Route, holder: Holder) -> Rank:
-    """Give the rank of a request: the organisation's, if it has one, goes before the route's."""
-    own = None if holder is None else holder.priority
-    return Rank(min(route.priority if own is None else own, max(Rank)))
-
-
 def _note_failed(parent: Running, work: Work, reply: Reply) -> None:
     parent.come_back_after = max(parent.come_back_after, reply.retry_after, FAILED_BELOW)
     parent.failed_call = reply.cause or f'{work.ctx.service} {reply.kind or reply.status}'
@@ -213,6 +207,7 @@
         deadline=min(ctx.deadline, root.deadline),
         hop=min(root.hop + 1, MAX_HOPS),
         repeated=root.repeated,
+        organisation=root.organisation,
     )
 
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -133,6 +133,26 @@
 
         self.assertEqual(((200, [200]), 'acme'), self.mesh(scenario))
 
+    def test_a_call_names_the_organisation_of_its_request_also_when_that_is_dropped(self):
+        async def scenario(mesh):
+            async def script(req):
+                held = mesh.store.objects['config', 'main']
+                routes = held.value['resources'][:2]
+                without = build_configuration('r9', routes, TENANTS[1:])
+                await mesh.store.put('config', 'main', without, held.version)
+                await asyncio.sleep(0.3)
+                call_id = req.header(b'request-id') + '.1'
+                headers = [(b'host', b'h.example'), (b'request-id', call_id.encode())]
+                call = HttpRequest('GET', '/deep/y', headers, b'', '')
+                await mesh.client.send(mesh.nodes['a'].settings.callers, call, 1.0)
+                return mesh.targets['a'].signed(req)
+
+            mesh.targets['a'].script = script
+            await mesh.call('a', '/front/x', authorization=BEARER)
+            return [req.header(b'tenant') for req in mesh.targets['b'].seen]
+
+        self.assertEqual(['acme'], self.mesh(scenario))
+
     def test_an_id_that_extends_no_running_request_is_no_way_in(self):
         async def scenario(mesh):
             _, statuses = await self.through(mesh, lambda req: 'made-up.1')
