Questions to lenders in a module of their own; all questions of a request take half a second at most

Cause: a request at a node that no lender answers waited up to 1.4 s for its refusal: the lender and two stand-ins in turn, three times. The caller's next try then came late.

--- a/dunlinsaddle/access/quotas.py
+++ b/dunlinsaddle/access/quotas.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import math
-import secrets
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple, Protocol
+from collections.abc import Callable
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
+from dunlinsaddle.access.questions import Peers, Questions
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.messages import (
@@ -21,27 +21,22 @@
 from dunlinsaddle.policy.quota import Later, Ledger, Lent, Ring
 from dunlinsaddle.routes.models import Organisation
 
-#: Seconds after which a question is sent once more: datagrams get lost, and an answer takes some
-#: milliseconds.
-AGAIN_SECONDS = 0.06
 ANSWER_SECONDS = 0.16  #: after which a lender counts as silent, and the next one is asked
 #: Seconds that a stand-in waits for the lender before it. Longer than askers do: a lender that is
 #: too slow for them but not for the stand-in goes on lending, through it, and nobody lends twice.
 RELAY_SECONDS = 0.25
 STAND_IN_SECONDS = 0.4  #: for the answer of a stand-in, which first asks the lender before it
-SILENT_SECONDS = 1.0  #: after the latest question until a silent lender is asked again
 #: Seconds of silence after which a stand-in lends itself: twice what a slow network takes for an
 #: answer. Two who lend at the same time might lend twice the quota.
 TAKE_OVER_SECONDS = 0.6
-PROBE_SECONDS = 0.25  #: between two looks of a stand-in whether the lender is back
 #: Seconds for which a node that has just started lends only what it knows to be its own: its view
 #: of the others has to have stood still for a moment.
 YOUNG_SECONDS = 5.0
 STILL_SECONDS = 0.4
 #: Share of those listed, and number, that a young node has met before it lends a part.
 MET_SHARE, MET_LEAST = 0.5, 4
-ROUNDS = 3  #: times that the lenders are asked in turn before a request is refused
-ROUND_SECONDS = 0.15  #: between them; all in all well within the objective of a request
+MOST_SECONDS = 0.5  #: for all questions of one request: a refusal must leave time to come back
+ROUND_SECONDS = 0.15  #: between two rounds of questions to the lenders
 REFRESH_SECONDS = 0.05  #: after a change of members, as mostly several change at once
 ANSWERED_MOST = 4096  #: answers that are held for questions that are sent once more
 COME_BACK = 0.5  #: seconds; by then another node has taken over
@@ -57,19 +52,6 @@
 FREE = Loan('', '')
 
 
-class Peers(Protocol):
-    """The others, as quotas need them."""
-
-    def present(self) -> tuple[list[str], float]:
-        """Give the nodes that are not gone, and what share of all are surely in touch."""
-
-    def head(self) -> dict[str, Any]:
-        """Give the fields of a message that say who sends it."""
-
-    def send(self, instance: str, message: QuotaMessage) -> None:
-        """Send a datagram, which may get lost."""
-
-
 class Quotas(OnLoop):
     """Asks the lender of an organisation for each request, and lends to those who ask this node.
 
@@ -90,13 +72,8 @@
         self.ledger = ledger
         self.find = find
         self.ring = Ring()
-        self.asked = 0
-        self._asks: dict[int, asyncio.Future[QuotaAnswer | None]] = {}
+        self.questions = Questions(peers)
         self._answered: OrderedDict[tuple[str, int], QuotaAnswer | None] = OrderedDict()
-        self._numbers = secrets.randbits(48)  #: so that a restarted node asks no old question
-        self._asked_at: dict[str, float] = {}
-        self._unanswered: dict[str, float] = {}  #: since when a node has not answered
-        self._tasks: set[asyncio.Task[None]] = set()
         self._refresh: asyncio.TimerHandle | None = None
         self._started_at = math.inf
         self._changed_at = 0.0
@@ -121,25 +98,27 @@
         """Take one request's part; Err says when there is room."""
         if organisation is None or organisation.quota is None:
             return Ok(FREE)
-        for _ in range(ROUNDS):
-            taken = await self._take_once(organisation.name)
+        until = self.now() + MOST_SECONDS
+        while self.now() < until:
+            taken = await self._take_once(organisation.name, until)
             if taken is not None:
                 return taken
             # After a restart of all no node lends until it has met the others.
             await asyncio.sleep(ROUND_SECONDS)
         return Err(Failure(ErrorKind.QUOTA_UNKNOWN, 'no lender answers', COME_BACK))
 
-    async def _take_once(self, name: str) -> Result[Loan, Failure] | None:
+    async def _take_once(self, name: str, until: float) -> Result[Loan, Failure] | None:
         """Ask the lenders in turn; None where none of them decides."""
         for place, lender in enumerate(self._order(name)):
             answer: QuotaAnswer | None
             if lender == self.instance:
                 answer = await self._decide(name)
-            elif self._silence(lender) >= ANSWER_SECONDS and self._asked_lately(lender):
+            elif self._passed_over(lender):
                 continue
             else:
                 patience = STAND_IN_SECONDS if place else ANSWER_SECONDS
-                answer = await self._ask(lender, name, patience)
+                patience = min(patience, max(until - self.now(), 0.0))
+                answer = await self.questions.ask(lender, name, patience)
             match answer:
                 case QuotaAnswer(standing=Standing.LENT):
                     return Ok(Loan(name, lender))
@@ -161,12 +140,10 @@
 
     def hear(self, message: QuotaMessage) -> None:
         """Take a message of another node."""
-        self._unanswered.pop(message.sender, None)
+        self.questions.heard(message.sender)
         match message:
-            case QuotaAnswer(number=number):
-                fut = self._asks.pop(number, None)
-                if fut is not None and not fut.done():
-                    fut.set_result(message)
+            case QuotaAnswer():
+                self.questions.answered(message)
             case QuotaReturn(organisation=organisation):
                 self.ledger.give_back(organisation)
             case QuotaAsk():
@@ -186,7 +163,7 @@
         if ask.relayed or self._order(ask.organisation)[:1] == [self.instance]:
             self._answer(ask, self._lend(ask.organisation))
         else:
-            self._spawn(self._answer_later(ask))
+            self.questions.spawn(self._answer_later(ask))
 
     async def _answer_later(self, ask: QuotaAsk) -> None:
         self._answer(ask, await self._decide(ask.organisation))
@@ -204,13 +181,13 @@
         for lender in self._order(organisation):
             if lender == self.instance:
                 break
-            if self._silence(lender) < TAKE_OVER_SECONDS:
-                answer = await self._ask(lender, organisation, RELAY_SECONDS, relayed=True)
+            if self.questions.silence(lender) < TAKE_OVER_SECONDS:
+                answer = await self.questions.ask(lender, organisation, RELAY_SECONDS, relayed=True)
                 if answer is not None and answer.standing is not Standing.NOT_MINE:
                     return answer
-            if self._silence(lender) < TAKE_OVER_SECONDS:
+            if self.questions.silence(lender) < TAKE_OVER_SECONDS:
                 return QuotaAnswer(**self.peers.head(), standing=Standing.NOT_MINE)
-            self._probe(lender)
+            self.questions.probe(lender)
         return self._lend(organisation)
 
     def _lend(self, organisation: str) -> QuotaAnswer:
@@ -230,6 +207,11 @@
             case Later(seconds):
                 return QuotaAnswer(**self.peers.head(), standing=Standing.LATER, wait=seconds)
 
+    def _passed_over(self, lender: str) -> bool:
+        """Say whether a lender was found silent a moment ago, and is not waited for again."""
+        lately = self.questions.asked_lately(lender)
+        return lately and self.questions.silence(lender) >= ANSWER_SECONDS
+
     def _is_young(self) -> bool:
         """Say whether this node may take itself for a lender only as it has not met the others."""
         now = self.now()
@@ -241,56 +223,3 @@
         Failure: all nodes restart at once, and each thinks for a moment that it is alone.
         """
         return self.ledger.share < MET_SHARE or len(self.ring.names) < MET_LEAST
-
-    def _silence(self, lender: str) -> float:
-        """Give for how many seconds a node has left questions unanswered."""
-        now = self.now()
-        return now - self._unanswered.get(lender, now)
-
-    def _asked_lately(self, lender: str) -> bool:
-        return self.now() - self._asked_at.get(lender, -math.inf) < SILENT_SECONDS
-
-    async def _ask(
-        self, lender: str, organisation: str, patience: float, *, relayed: bool = False
-    ) -> QuotaAnswer | None:
-        """Ask a lender; None when it is silent."""
-        self._numbers += 1
-        number = self._numbers
-        ask = QuotaAsk(
-            **self.peers.head(), number=number, organisation=organisation, relayed=relayed
-        )
-        fut: asyncio.Future[QuotaAnswer | None] = self.loop.create_future()
-        self._asks[number] = fut
-        self.asked += 1
-        if not self._asked_lately(lender):
-            # What was lost long ago says nothing.
-            self._unanswered.pop(lender, None)
-        self._asked_at[lender] = self.now()
-        self._unanswered.setdefault(lender, self.now())
-        self.peers.send(lender, ask)
-        again = self.loop.call_later(AGAIN_SECONDS, self.peers.send, lender, ask)
-        end = self.loop.call_later(patience, _give_up, fut)
-        try:
-            return await fut
-        finally:
-            again.cancel()
-            end.cancel()
-            self._asks.pop(number, None)
-
-    def _probe(self, lender: str) -> None:
-        """Look whether a silent lender is back, without waiting for it."""
-        if self.now() - self._asked_at.get(lender, -math.inf) >= PROBE_SECONDS:
-            self._spawn(self._look(lender))
-
-    async def _look(self, lender: str) -> None:
-        await self._ask(lender, '', RELAY_SECONDS, relayed=True)
-
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-def _give_up(fut: 'asyncio.Future[QuotaAnswer | None]') -> None:
-    if not fut.done():
-        fut.set_result(None)
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -146,7 +146,7 @@
             'dunlinsaddle.quota_questions',
             '{message}',
             'Questions to the lenders of quotas.',
-            lambda: [(node.quotas.asked, {})],
+            lambda: [(node.quotas.questions.count, {})],
         )
 
     def _load(self) -> Values:
