--- /dev/null
+++ b/dunlinsaddle/access/questions.py
@@ -0,0 +1,114 @@
+"""Questions to the lenders of quotas, and which of them have been silent."""
+
+import asyncio
+import math
+import secrets
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from dunlinsaddle.loops import OnLoop
+from dunlinsaddle.membership.messages import QuotaAnswer, QuotaAsk, QuotaMessage
+
+#: Seconds after which a question is sent once more: datagrams get lost, and an answer takes some
+#: milliseconds.
+AGAIN_SECONDS = 0.06
+SILENT_SECONDS = 1.0  #: after the latest question, from which a silence says nothing any more
+PROBE_SECONDS = 0.25  #: between two looks whether a silent lender is back
+PROBE_PATIENCE = 0.25  #: seconds for its answer
+
+
+class Peers(Protocol):
+    """The other nodes, as quotas need them."""
+
+    def present(self) -> tuple[list[str], float]:
+        """Give the nodes that are not gone, and what share of all are surely in touch."""
+
+    def head(self) -> dict[str, Any]:
+        """Give the fields of a message that say who sends it."""
+
+    def send(self, instance: str, message: QuotaMessage) -> None:
+        """Send a datagram, which may get lost."""
+
+
+class Questions(OnLoop):
+    """Asks, and remembers since when who has left questions unanswered."""
+
+    def __init__(self, peers: Peers) -> None:
+        self.peers = peers
+        self.count = 0
+        self._numbers = secrets.randbits(48)  #: so that a restarted node asks no old question
+        self._open: dict[int, asyncio.Future[QuotaAnswer | None]] = {}
+        self._asked_at: dict[str, float] = {}
+        self._unanswered: dict[str, float] = {}  #: since when
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def ask(
+        self, lender: str, organisation: str, patience: float, *, relayed: bool = False
+    ) -> QuotaAnswer | None:
+        """Ask a lender; None when it is silent for ``patience`` seconds."""
+        self._numbers += 1
+        number = self._numbers
+        head = self.peers.head()
+        ask = QuotaAsk(**head, number=number, organisation=organisation, relayed=relayed)
+        fut: asyncio.Future[QuotaAnswer | None] = self.loop.create_future()
+        self._open[number] = fut
+        self._note_asked(lender)
+        self.peers.send(lender, ask)
+        again = self.loop.call_later(AGAIN_SECONDS, self.peers.send, lender, ask)
+        end = self.loop.call_later(patience, _give_up, fut)
+        try:
+            return await fut
+        finally:
+            again.cancel()
+            end.cancel()
+            self._open.pop(number, None)
+
+    def answered(self, answer: QuotaAnswer) -> None:
+        """Take an answer; one that comes too late belongs to nobody."""
+        fut = self._open.pop(answer.number, None)
+        if fut is not None and not fut.done():
+            fut.set_result(answer)
+
+    def heard(self, instance: str) -> None:
+        """Note a sign of life."""
+        self._unanswered.pop(instance, None)
+
+    def silence(self, instance: str) -> float:
+        """Give for how many seconds a node has left questions unanswered."""
+        now = self.now()
+        return now - self._unanswered.get(instance, now)
+
+    def asked_lately(self, instance: str) -> bool:
+        """Say whether what is known of a node's silence still holds."""
+        return self._since_asked(instance) < SILENT_SECONDS
+
+    def probe(self, instance: str) -> None:
+        """Look whether a silent node is back, without waiting for it."""
+        if self._since_asked(instance) >= PROBE_SECONDS:
+            self.spawn(self._look(instance))
+
+    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run something that nobody waits for."""
+        task = self.loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _look(self, instance: str) -> None:
+        await self.ask(instance, '', PROBE_PATIENCE, relayed=True)
+
+    def _note_asked(self, lender: str) -> None:
+        now = self.now()
+        self.count += 1
+        if not self.asked_lately(lender):
+            # What was lost long ago says nothing.
+            self._unanswered.pop(lender, None)
+        self._asked_at[lender] = now
+        self._unanswered.setdefault(lender, now)
+
+    def _since_asked(self, instance: str) -> float:
+        return self.now() - self._asked_at.get(instance, -math.inf)
+
+
+def _give_up(fut: 'asyncio.Future[QuotaAnswer | None]') -> None:
+    if not fut.done():
+        fut.set_result(None)
