The retry budget follows the window that had most, as the users count it

Requests that fail early make fewer calls, and the budget, a share of the calls of the last ten seconds, shrinks with them. The users count the present window, the one before or the one half before, whichever has most.

Change: the most of three windows, worked out once for each bucket. The fake of the load filled its budget in one moment, which then counted beside the sends of the run for ten seconds: up to twice the budget. It is spread over the window now; the bounds of its tests are as before, and the one of all targets that turn calls away fails on the code before.

--- a/dunlinsaddle/policy/retry_budget.py
+++ b/dunlinsaddle/policy/retry_budget.py
@@ -1,6 +1,5 @@
 """The retries that a node may send for each service, out of a budget that all nodes share."""
 
-from collections import deque
 from math import exp
 
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
@@ -25,6 +24,10 @@
     allowed on top. So the sum over all nodes holds with no word between them. Calls that a
     repeated run makes are repeats at the service below: they take from the same budget.
 
+    What was sent is that of the present window, the one before it or the one half before,
+    whichever has most. Failure: requests that fail early make fewer calls, and the budget shrinks
+    just when it is needed.
+
     What more valued ranks ask for now is kept for them for the rest of the window. Failure: all
     targets of a deep service turn away half of what arrives. Lookups and orders spend the budget
     of ten seconds in two; then nearly all orders fail, which need eight answers each. Of the
@@ -99,37 +102,52 @@
 
 
 class _Window:
-    """Two counts over the last seconds, in buckets."""
+    """Two counts over the last seconds, in buckets, and the first of them over those before."""
 
     def __init__(self, seconds: float) -> None:
         self.width = seconds / BUCKETS
         self.wanted = [_Wanted() for _ in Rank]
-        self._buckets: deque[tuple[int, int, int]] = deque()
-        self._sent = 0
-        self._repeated = 0
+        self._sent = _Count()
+        self._repeated = _Count()
 
     def add(self, now: float, *, sent: int, repeated: int) -> None:
-        self._advance(now)
         number = int(now / self.width)
-        if self._buckets and self._buckets[-1][0] == number:
-            _, before_sent, before_repeated = self._buckets.pop()
-            self._buckets.append((number, before_sent + sent, before_repeated + repeated))
-        else:
-            self._buckets.append((number, sent, repeated))
-        self._sent += sent
-        self._repeated += repeated
+        self._sent.add(number, sent)
+        self._repeated.add(number, repeated)
 
     def sent(self, now: float) -> int:
-        self._advance(now)
-        return self._sent
+        """Give the most of the present window, the one before, and the one half before."""
+        number = int(now / self.width)
+        return max(self._sent.total(number - back) for back in (0, BUCKETS // 2, BUCKETS))
 
     def repeated(self, now: float) -> int:
-        self._advance(now)
-        return self._repeated
-
-    def _advance(self, now: float) -> None:
-        oldest = int(now / self.width) - BUCKETS
-        while self._buckets and self._buckets[0][0] < oldest:
-            _, sent, repeated = self._buckets.popleft()
-            self._sent -= sent
-            self._repeated -= repeated
+        return self._repeated.total(int(now / self.width))
+
+
+class _Count:
+    """A count by buckets, of which the totals of windows are kept."""
+
+    __slots__ = ('_buckets', '_totals')
+
+    def __init__(self) -> None:
+        self._buckets: dict[int, int] = {}
+        self._totals: dict[int, int] = {}  #: by the last bucket of a window
+
+    def add(self, number: int, count: int) -> None:
+        if number not in self._buckets:
+            self._forget(number - 2 * BUCKETS - 1)
+        self._buckets[number] = self._buckets.get(number, 0) + count
+        if number in self._totals:
+            self._totals[number] += count
+
+    def total(self, last: int) -> int:
+        found = self._totals.get(last)
+        if found is None:
+            buckets = self._buckets
+            found = sum(buckets.get(n, 0) for n in range(last - BUCKETS, last + 1))
+            self._totals[last] = found
+        return found
+
+    def _forget(self, oldest: int) -> None:
+        self._buckets = {n: c for n, c in self._buckets.items() if n >= oldest}
+        self._totals.clear()
--- a/tests/fakes/deep_load.py
+++ b/tests/fakes/deep_load.py
@@ -56,6 +56,7 @@
     hard: float = 0.0  #: share of callers that come again at once, up to three times
     lost: int = 0  #: targets that are gone
     sheds: float = 0.0  #: share of what arrives that all targets turn away
+    seconds: float = 5.0  #: for which it lasts, from second 2 on
 
 
 class Share(NamedTuple):
@@ -144,14 +145,16 @@
         """Give a budget whose window is full of usual calls."""
         budget = RetryBudget(RATIO, 0.0, WINDOW)
         usual = sum(kind.rate * max(4 * kind.chains, 1) for kind in self.kinds)
-        for _ in range(round(usual * WINDOW / len(DOMAINS))):
-            budget.sent(0.0, 'deep')
+        count = round(usual * WINDOW / len(DOMAINS))
+        for index in range(count):
+            # Spread over the window: sent in one moment, they would count beside those of the run.
+            budget.sent(index / count * WINDOW - WINDOW, 'deep')
         return budget
 
     def run(self) -> dict[str, Share]:
         for kind in self.kinds:
             self._next(kind)
-        self.play(13.0)
+        self.play(8.0 + self.pattern.seconds)
         return {name: self._share(name) for name in self.asked}
 
     def _share(self, name: str) -> Share:
@@ -160,14 +163,14 @@
 
     @property
     def unusual(self) -> bool:
-        return 2 <= self.now < 7
+        return 2 <= self.now < 2 + self.pattern.seconds
 
     def _next(self, kind: Kind) -> None:
         rate = kind.rate * (self.pattern.surge if self.unusual else 1.0)
         self.at(self.now + self.rng.expovariate(rate), lambda: self._new(kind))
 
     def _new(self, kind: Kind) -> None:
-        if self.now >= 8:
+        if self.now >= 3 + self.pattern.seconds:
             return
         self._next(kind)
         hard = self.unusual and self.rng.random() < self.pattern.hard
--- a/tests/test_deep_load.py
+++ b/tests/test_deep_load.py
@@ -21,6 +21,13 @@
     Kind('view', Rank.NORMAL, 38.3, 1.2, 5.0, 0.48),
 )
 UNLIKE_SLOTS = 38
+#: Orders are most of all and need four calls, fetches eight; views go to the deep service itself.
+MOSTLY = (
+    Kind('fetch', Rank.NORMAL, 65.0, 1.2, 5.0, 0.022, above=0.09, chains=2),
+    Kind('order', Rank.CRITICAL, 105.0, 1.5, 5.0, 0.022, above=0.12, chains=1),
+    Kind('view', Rank.NORMAL, 43.0, 1.2, 4.0, 0.36),
+)
+MOSTLY_SLOTS = 17
 #: Three targets of 20 slots take 1.5 times the usual load of ALIKE, those of 38 slots twice
 #: that of UNLIKE: a surge of 1.3 times as much, three in ten callers of which come again at once.
 ALIKE_SURGE = Pattern(surge=1.95, hard=0.3)
@@ -92,6 +99,21 @@
             self.assertGreater(served[order.name].in_time, served[lookup.name].in_time)
 
 
+class MostValuedMostlyTest(TestCase):
+    """Orders are two in five of all requests, and all targets turn calls away for nine seconds."""
+
+    def test_orders_get_the_repeats_of_the_load_before_the_fault(self):
+        # Requests that fail early make fewer calls, and with them the budget shrank that the
+        # orders need: it follows the window that had most.
+        fetch, order, view = MOSTLY
+        calls = 8 * fetch.rate + 4 * order.rate + view.rate
+        asked = 9 * order.rate
+        paid = 10 * calls * 0.16 / (4 * 0.55 / 0.45)
+        lucky = 0.45**4 * (asked - paid)
+        served = shares(MOSTLY, Pattern(sheds=0.55, seconds=9.0), MOSTLY_SLOTS)
+        self.assertGreater(served[order.name].in_time, (paid + lucky) / asked)
+
+
 class CostTest(TestCase):
     def test_four_cheap_requests_go_before_a_dear_one(self):
         # A view takes the slots of four lookups. Shed alike, each view that is served costs
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -32,6 +32,16 @@
             inside = [t for t in spends if start <= t < start + 10]
             self.assertLessEqual(len(inside), 2200 * 0.2 * OWN_SHARE + 1)
 
+    def test_a_fall_of_the_load_takes_nothing_from_the_budget_for_two_windows(self):
+        budget = RetryBudget(0.2, 0.0, 10.0)
+        for step in range(100):
+            for _ in range(10):
+                budget.sent(step * 0.1, 'svc')
+        whole = budget.allowed(9.9, 'svc')
+        self.assertEqual(whole, budget.allowed(15.0, 'svc'))
+        self.assertLess(budget.allowed(27.0, 'svc'), whole / 2)
+        self.assertEqual(0.0, budget.allowed(45.0, 'svc'))
+
     def test_what_is_scarce_is_kept_for_the_most_valued(self):
         # Lookups fail by hundreds, and their repeats take the whole budget: the calls of
         # orders, which fail beside them, are not sent again.
