--- a/dunlinsaddle/access/quotas.py
+++ b/dunlinsaddle/access/quotas.py
@@ -29,9 +29,8 @@
 #: Seconds of silence after which a stand-in lends itself: twice what a slow network takes for an
 #: answer. Two who lend at the same time might lend twice the quota.
 TAKE_OVER_SECONDS = 0.6
-#: Seconds for which a node that has just started lends only what it knows to be its own: its view
-#: of the others has to have stood still for a moment.
-YOUNG_SECONDS = 5.0
+YOUNG_SECONDS = 5.0  #: for which a node that has started is young
+#: Seconds for which the view of a young node has to stand still before it lends more than a part.
 STILL_SECONDS = 0.4
 #: Share of those listed, and number, that a young node has met before it lends a part.
 MET_SHARE, MET_LEAST = 0.5, 4
--- a/dunlinsaddle/policy/quota.py
+++ b/dunlinsaddle/policy/quota.py
@@ -24,8 +24,8 @@
 FIRST_PART = 0.125
 #: Part of the rate that a stand-in lends. It cannot tell a lender that has died from one behind a
 #: cut, who goes on lending on its side.
-ACTING_PART = 0.25
-ACTING_SECONDS = 1.0  #: without a request after which a stand-in's bucket is begun anew
+STAND_IN_PART = 0.25
+STAND_IN_SECONDS = 1.0  #: without a request after which a stand-in's bucket is begun anew
 #: Seconds; a caller that comes back within them is mostly still answered while that is worth most.
 LONGEST_COME_BACK = 0.8
 BUCKETS_MOST = 20_000  #: organisations that one node lends to: a bound on memory
@@ -145,7 +145,7 @@
         self.share = 1.0
         self._since = 0.0  #: since when this node lends for whom it has no bucket yet
         self._own: dict[str, _Bucket] = {}
-        self._acting: dict[str, _Bucket] = {}
+        self._stood_in: dict[str, _Bucket] = {}
 
     def begin(self, now: float, keeps: Iterable[str]) -> None:
         """Begin anew for all but those that this node keeps on lending to."""
@@ -159,7 +159,7 @@
 
     def take(self, now: float, organisation: str, quota: Quota, *, first: bool) -> Lent | Later:
         """Lend for one request; ``first`` unless this node stands in for another."""
-        part = self.share * (1.0 + OVERAGE_PART * self.overage if first else ACTING_PART)
+        part = self.share * (1.0 + OVERAGE_PART * self.overage if first else STAND_IN_PART)
         bucket = self._bucket(now, organisation, quota.rate * part, first=first)
         rate = quota.rate * part
         if first and now - bucket.born >= self.window:
@@ -173,7 +173,7 @@
 
     def give_back(self, organisation: str) -> None:
         """Take back what was lent for a request that did not run."""
-        bucket = self._own.get(organisation) or self._acting.get(organisation)
+        bucket = self._own.get(organisation) or self._stood_in.get(organisation)
         if bucket is not None:
             bucket.tokens += 1
             bucket.recent.take_back()
@@ -183,9 +183,9 @@
         return {name: bucket.tokens for name, bucket in self._own.items()}
 
     def _bucket(self, now: float, organisation: str, rate: float, *, first: bool) -> _Bucket:
-        buckets = self._own if first else self._acting
+        buckets = self._own if first else self._stood_in
         found = buckets.get(organisation)
-        if found is not None and (first or now - found.at < ACTING_SECONDS):
+        if found is not None and (first or now - found.at < STAND_IN_SECONDS):
             return found
         if len(buckets) >= BUCKETS_MOST:
             buckets.clear()
