A request is held against the levels of services once, not twice

Cause: with the quota between early refusal and sending, the entry asked for the early refusal and then called dispatch, which asks for it again. Each look counts the request in the trend of the demand and draws anew whether one at the edge of a level passes, on all deployments, also without organisations.

Change: the entry goes on with Dispatcher.send, the part of dispatch behind the refusal.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -119,7 +119,7 @@
             self.executor.levels.called(now, parent_rule, work.ctx.service, work.ctx.rule)
         if self.once is not None and not work.ctx.idempotent:
             return await self._enter_once(self.once, work)
-        return self.refused_early(work) or await self._send_around(work)
+        return self.refused_early(work) or await self.send(work)
 
     def refused_early(self, work: Work) -> Reply | None:
         """Give the refusal of what a service further down would refuse, None where none would."""
@@ -139,7 +139,8 @@
         early.unspent = work.allowance.tokens
         return early
 
-    async def _send_around(self, work: Work) -> Reply:
+    async def send(self, work: Work) -> Reply:
+        """Send a call that no early refusal stops to one target after another."""
         tried: set[str] = set()
         given: set[str] = set()
         last: Reply | None = None
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -130,7 +130,7 @@
             case Err(failure):
                 return self._over_quota(work, failure)
             case Ok(loan):
-                reply = await self.dispatcher.dispatch(work)
+                reply = await self.dispatcher.send(work)
         if reply.outcome is Outcome.NOT_RUN:
             self.quotas.give_back(loan)
         else:
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -47,6 +47,25 @@
         self.assertLess(failed, 15)
 
 
+class EarlyRefusalTest(MeshTest):
+    def test_a_request_is_held_against_the_levels_once(self):
+        # Each look counts the request in the trend of the demand, and draws again whether one at
+        # the edge of a level may pass: looked at twice, such requests were refused twice as often.
+        async def scenario(mesh):
+            levels = mesh.nodes['a'].executor.levels
+            looks, check = [], levels.check
+
+            def note(*args, **kwargs):
+                looks.append(args)
+                return check(*args, **kwargs)
+
+            levels.check = note
+            await mesh.call('a', '/deep/x')
+            return len(looks)
+
+        self.assertEqual(1, self.mesh(scenario))
+
+
 class ParentTest(MeshTest):
     def test_a_targets_call_takes_the_terms_of_the_request_it_is_made_for(self):
         # The target derives the id of its call from the one it runs: the call goes before
