One sliding count for repeats and quotas

Cause: the same change wrote two counts over a window in buckets, _Count of the retry budget and _Recent of quotas.

Change: policy/sliding.py serves both.

--- a/dunlinsaddle/policy/quota.py
+++ b/dunlinsaddle/policy/quota.py
@@ -1,12 +1,12 @@
 """What one node lends of the quotas of organisations, and which node lends whose."""
 
 from bisect import bisect_right
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
 
+from dunlinsaddle.policy.sliding import SlidingCount
 from dunlinsaddle.routes.models import Quota
 
 LENDERS = 3  #: nodes in turn that may lend an organisation's quota: two may be lost at once
@@ -73,50 +73,22 @@
         return found
 
 
-class _Recent:
-    """How many were lent in the last window, a little more than less."""
-
-    __slots__ = ('_slots', 'total')
-
-    def __init__(self) -> None:
-        self._slots: deque[list[int]] = deque()
-        self.total = 0
-
-    def advance(self, now: float, window: float) -> None:
-        oldest = int((now - window) / SLOT_SECONDS)
-        while self._slots and self._slots[0][0] < oldest:
-            self.total -= self._slots.popleft()[1]
-
-    def add(self, now: float) -> None:
-        slot = int(now / SLOT_SECONDS)
-        if not self._slots or self._slots[-1][0] != slot:
-            self._slots.append([slot, 0])
-        self._slots[-1][1] += 1
-        self.total += 1
-
-    def take_back(self) -> None:
-        if self._slots and self._slots[-1][1]:
-            self._slots[-1][1] -= 1
-            self.total -= 1
-
-
 class _Bucket:
     """Requests that may still run: refilled evenly, and no more of them than a window allows."""
 
     __slots__ = ('at', 'born', 'promised', 'recent', 'tokens')
 
-    def __init__(self, now: float, tokens: float) -> None:
+    def __init__(self, now: float, tokens: float, born: float, window: float) -> None:
         self.tokens = tokens
         self.at = now
-        self.born = now
+        self.born = born
         self.promised = now  #: until when the refill is promised to those told to come back
-        self.recent = _Recent()
+        self.recent = SlidingCount(SLOT_SECONDS, _slots(window))
 
     def take(self, now: float, rate: float, most: float, window: float, limit: float) -> bool:
         self.tokens = min(self.tokens + (now - self.at) * rate, most)
         self.at = now
-        self.recent.advance(now, window)
-        if self.tokens < 1 or self.recent.total + 1 > limit:
+        if self.tokens < 1 or self.recent.total(now, _slots(window)) + 1 > limit:
             return False
         self.tokens -= 1
         self.recent.add(now)
@@ -160,8 +132,8 @@
     def take(self, now: float, organisation: str, quota: Quota, *, first: bool) -> Lent | Later:
         """Lend for one request; ``first`` unless this node stands in for another."""
         part = self.share * (1.0 + OVERAGE_PART * self.overage if first else STAND_IN_PART)
-        bucket = self._bucket(now, organisation, quota.rate * part, first=first)
         rate = quota.rate * part
+        bucket = self._bucket(now, organisation, rate, first=first)
         if first and now - bucket.born >= self.window:
             rate += quota.burst * part / self.window
         idle = IDLE_PART * self.slack
@@ -191,11 +163,14 @@
             buckets.clear()
         since = self._since if first else now
         tokens = FIRST_PART * self.slack + rate * max(now - since, 0.0)
-        found = buckets[organisation] = _Bucket(now, tokens)
-        found.born = since
+        found = buckets[organisation] = _Bucket(now, tokens, since, self.window)
         return found
 
 
+def _slots(window: float) -> int:
+    return round(window / SLOT_SECONDS)
+
+
 def _hash(text: str) -> int:
     return int(xxhash.xxh64_intdigest(text.encode()))
 
--- a/dunlinsaddle/policy/retry_budget.py
+++ b/dunlinsaddle/policy/retry_budget.py
@@ -3,6 +3,7 @@
 from math import exp
 
 from dunlinsaddle.policy.context import LOWEST_LEVEL, SLOTS_PER_RANK
+from dunlinsaddle.policy.sliding import SlidingCount
 from dunlinsaddle.records.models import Rank
 
 BUCKETS = 10  #: parts of the window; a finer window would count more exactly and cost more
@@ -102,52 +103,21 @@
 
 
 class _Window:
-    """Two counts over the last seconds, in buckets, and the first of them over those before."""
+    """What was sent and repeated in the last window, and what was sent in those before."""
 
     def __init__(self, seconds: float) -> None:
-        self.width = seconds / BUCKETS
+        width = seconds / BUCKETS
         self.wanted = [_Wanted() for _ in Rank]
-        self._sent = _Count()
-        self._repeated = _Count()
+        self._sent = SlidingCount(width, 2 * BUCKETS)
+        self._repeated = SlidingCount(width, BUCKETS)
 
     def add(self, now: float, *, sent: int, repeated: int) -> None:
-        number = int(now / self.width)
-        self._sent.add(number, sent)
-        self._repeated.add(number, repeated)
+        self._sent.add(now, sent)
+        self._repeated.add(now, repeated)
 
     def sent(self, now: float) -> int:
         """Give the most of the present window, the one before, and the one half before."""
-        number = int(now / self.width)
-        return max(self._sent.total(number - back) for back in (0, BUCKETS // 2, BUCKETS))
+        return max(self._sent.total(now, BUCKETS, back) for back in (0, BUCKETS // 2, BUCKETS))
 
     def repeated(self, now: float) -> int:
-        return self._repeated.total(int(now / self.width))
-
-
-class _Count:
-    """A count by buckets, of which the totals of windows are kept."""
-
-    __slots__ = ('_buckets', '_totals')
-
-    def __init__(self) -> None:
-        self._buckets: dict[int, int] = {}
-        self._totals: dict[int, int] = {}  #: by the last bucket of a window
-
-    def add(self, number: int, count: int) -> None:
-        if number not in self._buckets:
-            self._forget(number - 2 * BUCKETS - 1)
-        self._buckets[number] = self._buckets.get(number, 0) + count
-        if number in self._totals:
-            self._totals[number] += count
-
-    def total(self, last: int) -> int:
-        found = self._totals.get(last)
-        if found is None:
-            buckets = self._buckets
-            found = sum(buckets.get(n, 0) for n in range(last - BUCKETS, last + 1))
-            self._totals[last] = found
-        return found
-
-    def _forget(self, oldest: int) -> None:
-        self._buckets = {n: c for n, c in self._buckets.items() if n >= oldest}
-        self._totals.clear()
+        return self._repeated.total(now, BUCKETS)
