The lease on the configuration stands in access/; work taken out of the way of a request

The names of headers that end at the entry are joined once, not for each request. Two guards of the gate with one answer are one, the line of a denied request is written in one place, and the asker of proofs is made where it is started.

--- a/dunlinsaddle/access/gate.py
+++ b/dunlinsaddle/access/gate.py
@@ -2,10 +2,10 @@
 
 from result import Err, Ok, Result
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.calls.work import Running, derives_from_another
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.platform.requests import CallerTerms
-from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.records.models import Rank
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Organisation, Route
@@ -79,9 +79,7 @@
         request was lost with the process before this one, or somebody who hopes to pass without a
         key. It is told 503: 401 would be wrong for the one, and an answer for the other.
         """
-        if not table.wants_keys:
-            return Ok(None)
-        if parent is not None:
+        if not table.wants_keys or parent is not None:
             return Ok(None)
         if route.public:
             return Ok(None if self.freshness.lapsed else table.holder(terms.key))
--- a/dunlinsaddle/access/peers.py
+++ b/dunlinsaddle/access/peers.py
@@ -1,9 +1,9 @@
 """The other nodes, as the lenders of quotas see them."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
+from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.agent import GossipAgent
 from dunlinsaddle.membership.messages import QuotaMessage
 from dunlinsaddle.membership.view import MemberView, State
@@ -13,7 +13,7 @@
 MISSED_SECONDS = 60.0
 
 
-class GossipPeers:
+class GossipPeers(OnLoop):
     """Speaks to the others by the datagrams of the gossip."""
 
     def __init__(self, agent: GossipAgent, view: MemberView, strangers: Callable[[], int]) -> None:
@@ -42,7 +42,7 @@
             self.agent.send(member.gossip, message)
 
     def _missed(self) -> int:
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         departed = self.agent.gossip.departed
         return sum(
             m.state is State.DEAD and departed.age(now, m.instance) < MISSED_SECONDS
--- a/dunlinsaddle/membership/agent.py
+++ b/dunlinsaddle/membership/agent.py
@@ -5,14 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from dunlinsaddle.membership.messages import (
-    AnyMessage,
-    QuotaAnswer,
-    QuotaAsk,
-    QuotaMessage,
-    QuotaReturn,
-    Sealer,
-)
+from dunlinsaddle.membership.messages import AnyMessage, QuotaMessage, Sealer
 from dunlinsaddle.membership.protocol import Gossip, Send
 from dunlinsaddle.membership.transport import Opener, Transport
 from dunlinsaddle.membership.tuning import GossipSizes, GossipTimes
@@ -99,7 +92,7 @@
         message = self._sealer.open(data)
         if message is None:
             self.counts.refused += 1
-        elif isinstance(message, QuotaAsk | QuotaAnswer | QuotaReturn):
+        elif isinstance(message, QuotaMessage):
             self.on_quota(message)
         elif self._started:
             self._send(self.gossip.receive(self._now(), message))
--- a/dunlinsaddle/mesh/entry.py
+++ b/dunlinsaddle/mesh/entry.py
@@ -89,8 +89,7 @@
         parent = self.running.parent_of(terms.request_id)
         match self.gate.holder_of(terms, table, route, parent, settled=settled):
             case Err(failure):
-                age = self.gate.freshness.age
-                self.decisions.denied(terms.request_id, route.name, failure, version, age)
+                self._note_denied(terms.request_id, route.name, failure)
                 return _answer_refused(terms, failure)
             case Ok(holder):
                 keyed = table.wants_keys
@@ -128,7 +127,8 @@
             return early
         match await self.quotas.take(holder):
             case Err(failure):
-                return self._over_quota(work, failure)
+                self._note_denied(work.ctx.request_id, rule, failure, work.ctx.organisation)
+                return refusal(failure)
             case Ok(loan):
                 reply = await self.dispatcher.send(work)
         if reply.outcome is Outcome.NOT_RUN:
@@ -137,12 +137,11 @@
             self.outcomes.ended(self.now(), rule, lost=bool(reply.cause))
         return reply
 
-    def _over_quota(self, work: Work, failure: Failure) -> Reply:
-        ctx = work.ctx
+    def _note_denied(
+        self, request_id: str, rule: str, failure: Failure, organisation: str = ''
+    ) -> None:
         version, age = self.follower.version, self.gate.freshness.age
-        denied = self.decisions.denied
-        denied(ctx.request_id, ctx.rule, failure, version, age, ctx.organisation)
-        return refusal(failure)
+        self.decisions.denied(request_id, rule, failure, version, age, organisation)
 
     def _learn_cost(self, work: Work, load: Load, parent: Running | None) -> None:
         if parent is not None:
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -12,6 +12,7 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from prometheus_client import CollectorRegistry, generate_latest
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.access.quotas import Quotas
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response
 from dunlinsaddle.errors import ErrorKind, Failure
@@ -21,7 +22,6 @@
 from dunlinsaddle.metrics import Metrics, Values, cumulative, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
-from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.policy.quota import Ledger
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.policy.slots import SlotAdmission
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.access.gate import Gate
 from dunlinsaddle.access.peers import GossipPeers
 from dunlinsaddle.access.quotas import Quotas
@@ -41,7 +42,6 @@
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import ObjectStore
-from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.quota import Ledger
 from dunlinsaddle.policy.retry_budget import RetryBudget
@@ -213,9 +213,6 @@
         self.callers_http = HttpFace(self.entry.handle, limits, self._fault, pipeline=PIPELINE)
         self.announce_http = HttpFace(self.announce.handle, HttpLimits(), self._fault)
         self.ready_http = HttpFace(self._answer_ready, HttpLimits(), self._fault)
-        self.proofs = ProofAsker(
-            self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
-        )
         self.metrics: MeshMetrics | None = None  #: built when somebody asks for them
         self.metrics_http = HttpFace(self._answer_metrics, HttpLimits(), self._fault)
 
@@ -238,7 +235,10 @@
         self._spawn(_later(times.rosters, self.bootstrap.run))
         self._spawn(_later(times.configuration, partial(self.follower.run, acquainted_at)))
         self._spawn(self.level_news.run())
-        self._spawn(self.proofs.run())
+        proofs = ProofAsker(
+            self.follower, self.freshness, self.view, self.watchers, cfg.instance, self._rng()
+        )
+        self._spawn(proofs.run())
         self._spawn(self.agent.run())
         return self.faces
 
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -12,7 +12,7 @@
 _SET_HERE = frozenset({names.TIME_LEFT, names.ORIGIN, names.EXPECTED_TARGET})
 #: Headers that end at the entry where callers need a key: the key itself must not leave it, and a
 #: caller must not name another organisation than its own.
-_OF_KEYS = frozenset({names.KEY, names.ORGANISATION})
+_SET_HERE_KEYED = _SET_HERE | {names.KEY, names.ORGANISATION}
 _BEARER = 'bearer '
 WRONG_TARGET = 421
 FIRST_SUCCESS, LAST_SUCCESS = 200, 299
@@ -44,7 +44,7 @@
 
     Where callers need a key, ``keyed``, neither the key nor a name that they gave goes on.
     """
-    ended = _SET_HERE | _OF_KEYS if keyed else _SET_HERE
+    ended = _SET_HERE_KEYED if keyed else _SET_HERE
     kept = [(n, v) for n, v in forwarded_headers(req.headers) if n not in ended]
     return [
         (b'host', req.header(b'host').encode('latin-1')),
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -13,12 +13,12 @@
 
 from result import Err, Ok, Result
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import MAX_BUDGET, RecordFrame, RecordsAnswer, RecordsAsk
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.view import Member
 from dunlinsaddle.platform.store import Listing, ObjectStore, StoredObject, Unavailable
-from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.routes.models import Configuration, Organisation
 from dunlinsaddle.routes.table import RouteTable
--- a/dunlinsaddle/routes/proofs.py
+++ b/dunlinsaddle/routes/proofs.py
@@ -4,10 +4,10 @@
 import math
 from random import Random
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.keepers import Watchers
 from dunlinsaddle.membership.view import Member, MemberView
-from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.routes.follow import ConfigFollower
 
 ROUND_SECONDS = 0.25  #: between two decisions whom to ask
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -4,9 +4,9 @@
 from result import Err, Ok
 from testtools import TestCase
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.platform.store import WATCH_GRACE, Unavailable
-from dunlinsaddle.policy.freshness import Freshness
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Share
 from dunlinsaddle.routes.table import RouteTable, choose_service
--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.policy.freshness import USED_SHARE, Freshness
+from dunlinsaddle.access.freshness import USED_SHARE, Freshness
 from dunlinsaddle.routes.proofs import ROUND_SECONDS
 from tests.builders import build_configuration, build_tenant
 from tests.clock import PausedClockTest
