Verdicts on a quota are one pair of types inside; messages are made and read in one place

Cause: what a node decided for itself came as a message of the gossip with a head, five times written, whose number was set later; policy/quota.py has Lent and Later for the same.

Change: lending and asking give Lent, Later or nothing; access/questions.py makes an answer of it and reads one. QuotaAnswer has its number from the start. A wrapper of one line is gone, and the question whether this node lends first stands once.

--- a/dunlinsaddle/access/questions.py
+++ b/dunlinsaddle/access/questions.py
@@ -7,7 +7,8 @@
 from typing import Any, Protocol
 
 from dunlinsaddle.loops import OnLoop
-from dunlinsaddle.membership.messages import QuotaAnswer, QuotaAsk, QuotaMessage
+from dunlinsaddle.membership.messages import QuotaAnswer, QuotaAsk, QuotaMessage, Standing
+from dunlinsaddle.policy.quota import Later, Lent, Verdict
 
 #: Seconds after which a question is sent once more: datagrams get lost, and an answer takes some
 #: milliseconds.
@@ -44,8 +45,8 @@
 
     async def ask(
         self, lender: str, organisation: str, patience: float, *, relayed: bool = False
-    ) -> QuotaAnswer | None:
-        """Ask a lender; None when it is silent for ``patience`` seconds."""
+    ) -> Verdict | None:
+        """Ask a lender; None when it is silent for ``patience`` seconds, or does not lend this."""
         self._numbers += 1
         number = self._numbers
         head = self.peers.head()
@@ -57,7 +58,7 @@
         again = self.loop.call_later(AGAIN_SECONDS, self.peers.send, lender, ask)
         end = self.loop.call_later(patience, _give_up, fut)
         try:
-            return await fut
+            return _verdict_of(await fut)
         finally:
             again.cancel()
             end.cancel()
@@ -109,6 +110,25 @@
         return self.now() - self._asked_at.get(instance, -math.inf)
 
 
+def answer_of(ask: QuotaAsk, verdict: Verdict | None, head: dict[str, Any]) -> QuotaAnswer:
+    """Give the answer to a question; without a verdict that this node does not lend the quota."""
+    match verdict:
+        case Lent():
+            return QuotaAnswer(**head, number=ask.number, standing=Standing.LENT)
+        case Later(seconds):
+            return QuotaAnswer(**head, number=ask.number, standing=Standing.LATER, wait=seconds)
+    return QuotaAnswer(**head, number=ask.number, standing=Standing.NOT_MINE)
+
+
+def _verdict_of(answer: QuotaAnswer | None) -> Verdict | None:
+    match answer:
+        case QuotaAnswer(standing=Standing.LENT):
+            return Lent()
+        case QuotaAnswer(standing=Standing.LATER, wait=wait):
+            return Later(wait)
+    return None
+
+
 def _give_up(fut: 'asyncio.Future[QuotaAnswer | None]') -> None:
     if not fut.done():
         fut.set_result(None)
--- a/dunlinsaddle/access/quotas.py
+++ b/dunlinsaddle/access/quotas.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from dunlinsaddle.access.questions import Peers, Questions
+from dunlinsaddle.access.questions import Peers, Questions, answer_of
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.messages import (
@@ -16,9 +16,8 @@
     QuotaAsk,
     QuotaMessage,
     QuotaReturn,
-    Standing,
 )
-from dunlinsaddle.policy.quota import Later, Ledger, Lent, Ring
+from dunlinsaddle.policy.quota import Later, Ledger, Lent, Ring, Verdict
 from dunlinsaddle.routes.models import Organisation
 
 ANSWER_SECONDS = 0.16  #: after which a lender counts as silent, and the next one is asked
@@ -91,7 +90,7 @@
             return
         self._changed_at = now
         own = self.ledger.organisations()
-        self.ledger.begin(now, [org for org in own if self._order(org)[:1] == [self.instance]])
+        self.ledger.begin(now, [org for org in own if self._is_first(org)])
 
     async def take(self, organisation: Organisation | None) -> Result[Loan, Failure]:
         """Take one request's part; Err says when there is room."""
@@ -108,24 +107,20 @@
 
     async def _take_once(self, name: str, until: float) -> Result[Loan, Failure] | None:
         """Ask the lenders in turn; None where none of them decides."""
-        for place, lender in enumerate(self._order(name)):
-            answer: QuotaAnswer | None
+        for place, lender in enumerate(self.ring.lenders(name)):
             if lender == self.instance:
-                answer = await self._decide(name)
+                verdict = await self._decide(name)
             elif self._passed_over(lender):
                 continue
             else:
                 patience = STAND_IN_SECONDS if place else ANSWER_SECONDS
                 patience = min(patience, max(until - self.now(), 0.0))
-                answer = await self.questions.ask(lender, name, patience)
-            match answer:
-                case QuotaAnswer(standing=Standing.LENT):
+                verdict = await self.questions.ask(lender, name, patience)
+            match verdict:
+                case Lent():
                     return Ok(Loan(name, lender))
-                case QuotaAnswer(standing=Standing.LATER, wait=wait):
-                    detail = f'told by {lender}'
-                    return Err(Failure(ErrorKind.OVER_QUOTA, detail, wait))
-                case _:
-                    continue
+                case Later(seconds):
+                    return Err(Failure(ErrorKind.OVER_QUOTA, f'told by {lender}', seconds))
         return None
 
     def give_back(self, loan: Loan) -> None:
@@ -159,7 +154,7 @@
         self._answered[key] = None
         if len(self._answered) > ANSWERED_MOST:
             self._answered.popitem(last=False)
-        if ask.relayed or self._order(ask.organisation)[:1] == [self.instance]:
+        if ask.relayed or self._is_first(ask.organisation):
             self._answer(ask, self._lend(ask.organisation))
         else:
             self.questions.spawn(self._answer_later(ask))
@@ -167,44 +162,42 @@
     async def _answer_later(self, ask: QuotaAsk) -> None:
         self._answer(ask, await self._decide(ask.organisation))
 
-    def _answer(self, ask: QuotaAsk, answer: QuotaAnswer) -> None:
-        answer.number = ask.number
+    def _answer(self, ask: QuotaAsk, verdict: Verdict | None) -> None:
+        answer = answer_of(ask, verdict, self.peers.head())
         self._answered[ask.sender, ask.number] = answer
         self.peers.send(ask.sender, answer)
 
-    def _order(self, organisation: str) -> list[str]:
-        return self.ring.lenders(organisation)
-
-    async def _decide(self, organisation: str) -> QuotaAnswer:
-        """Decide as the first lender, or as one who stands in for those before."""
-        for lender in self._order(organisation):
+    async def _decide(self, organisation: str) -> Verdict | None:
+        """Decide as the first lender, or as one who stands in for those before; None if neither."""
+        for lender in self.ring.lenders(organisation):
             if lender == self.instance:
                 break
             if self.questions.silence(lender) < TAKE_OVER_SECONDS:
-                answer = await self.questions.ask(lender, organisation, RELAY_SECONDS, relayed=True)
-                if answer is not None and answer.standing is not Standing.NOT_MINE:
-                    return answer
+                verdict = await self.questions.ask(
+                    lender, organisation, RELAY_SECONDS, relayed=True
+                )
+                if verdict is not None:
+                    return verdict
             if self.questions.silence(lender) < TAKE_OVER_SECONDS:
-                return QuotaAnswer(**self.peers.head(), standing=Standing.NOT_MINE)
+                return None
             self.questions.probe(lender)
         return self._lend(organisation)
 
-    def _lend(self, organisation: str) -> QuotaAnswer:
+    def _lend(self, organisation: str) -> Verdict | None:
         """Lend of this node's own bucket, if it is one of the lenders."""
-        order = self._order(organisation)
+        order = self.ring.lenders(organisation)
         known = self.find(organisation)
         young = self._is_young()
         if known is None or self.instance not in order or (young and self._alone()):
-            return QuotaAnswer(**self.peers.head(), standing=Standing.NOT_MINE)
+            return None
         if known.quota is None:
-            return QuotaAnswer(**self.peers.head(), standing=Standing.LENT)
+            return Lent()
         # A young one lends a part only: others that are young may take themselves for the lender.
         first = order[0] == self.instance and not young
-        match self.ledger.take(self.now(), organisation, known.quota, first=first):
-            case Lent():
-                return QuotaAnswer(**self.peers.head(), standing=Standing.LENT)
-            case Later(seconds):
-                return QuotaAnswer(**self.peers.head(), standing=Standing.LATER, wait=seconds)
+        return self.ledger.take(self.now(), organisation, known.quota, first=first)
+
+    def _is_first(self, organisation: str) -> bool:
+        return self.ring.lenders(organisation)[:1] == [self.instance]
 
     def _passed_over(self, lender: str) -> bool:
         """Say whether a lender was found silent a moment ago, and is not waited for again."""
--- a/dunlinsaddle/membership/messages.py
+++ b/dunlinsaddle/membership/messages.py
@@ -115,8 +115,8 @@
 class QuotaAnswer(Message, tag='qr'):
     """Answers a QuotaAsk. ``wait`` is the time in seconds until there is room."""
 
+    number: int
     standing: Standing
-    number: int = 0
     wait: Annotated[float, Meta(ge=0, le=MAX_WAIT)] = 0.0
 
 
--- a/dunlinsaddle/policy/quota.py
+++ b/dunlinsaddle/policy/quota.py
@@ -43,6 +43,9 @@
     seconds: float
 
 
+Verdict = Lent | Later
+
+
 class Ring:
     """An order of nodes for each organisation, the same wherever the same nodes are known."""
 
@@ -129,7 +132,7 @@
         """Give those that this node lends to as the first of its lenders."""
         return list(self._own)
 
-    def take(self, now: float, organisation: str, quota: Quota, *, first: bool) -> Lent | Later:
+    def take(self, now: float, organisation: str, quota: Quota, *, first: bool) -> Verdict:
         """Lend for one request; ``first`` unless this node stands in for another."""
         part = self.share * (1.0 + OVERAGE_PART * self.overage if first else STAND_IN_PART)
         rate = quota.rate * part
