Tests of whole nodes share one case that starts and stops them

The tests of organisations, of withdrawn keys and of shared watches each wrote MeshTest.mesh again. It takes the failure domain of a target and the time to settle now.

--- a/tests/mesh_case.py
+++ b/tests/mesh_case.py
@@ -9,14 +9,24 @@
 
 
 class MeshTest(PausedClockTest):
-    def mesh(self, scenario, *, configure=True, targets=('a:front', 'b:deep'), **terms):
+    def mesh(
+        self,
+        scenario,
+        *,
+        configure=True,
+        targets=('a:front', 'b:deep'),
+        settled=SETTLED,
+        **terms,
+    ):
+        """Run a scenario; ``targets`` are names with service and, if not the usual one, domain."""
+
         async def run():
             mesh = Mesh()
             if configure:
                 await mesh.configure(**terms)
-            for name, service in (pair.split(':') for pair in targets):
-                await mesh.place(name, service)
-            await asyncio.sleep(SETTLED)
+            for target in targets:
+                await mesh.place(*target.split(':'))
+            await asyncio.sleep(settled)
             try:
                 return await scenario(mesh)
             finally:
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -10,28 +10,17 @@
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.records.models import Rank
 from tests.builders import build_configuration, build_route, build_tenant
-from tests.clock import PausedClockTest
-from tests.fakes.mesh import BOUNDS, Mesh
+from tests.fakes.mesh import BOUNDS
+from tests.mesh_case import MeshTest
 
 SECRET = 'ruddedev3nax7u27gxpr'
 TENANTS = [build_tenant('acme', SECRET, priority=1), build_tenant('zeta', 'zeta-key')]
 BEARER = f'Bearer {SECRET}'
 
 
-class KeyedMeshTest(PausedClockTest):
-    def mesh(self, scenario, **terms):
-        async def run():
-            mesh = Mesh()
-            await mesh.configure(tenants=TENANTS, **terms)
-            await mesh.place('a', 'front')
-            await mesh.place('b', 'deep')
-            await asyncio.sleep(3)
-            try:
-                return await scenario(mesh)
-            finally:
-                await mesh.stop()
-
-        return self.run_paused(run())
+class KeyedMeshTest(MeshTest):
+    def keyed(self, scenario, **terms):
+        return self.mesh(scenario, **{'tenants': TENANTS, **terms})
 
 
 class KeyTest(KeyedMeshTest):
@@ -40,7 +29,7 @@
             answer = await mesh.call('a', '/deep/x', authorization=BEARER, tenant='zeta')
             return answer.status, mesh.targets['b'].seen[0]
 
-        status, seen = self.mesh(scenario)
+        status, seen = self.keyed(scenario)
         self.assertEqual(200, status)
         self.assertEqual(['acme'], [v.decode() for n, v in seen.headers if n == b'tenant'])
         self.assertNotIn(SECRET, repr(seen))
@@ -54,26 +43,21 @@
             ]
             return [a.status for a in answers], mesh.targets['b'].seen
 
-        self.assertEqual(([401, 401, 401], []), self.mesh(scenario))
+        self.assertEqual(([401, 401, 401], []), self.keyed(scenario))
 
     def test_a_public_route_needs_no_key(self):
         async def scenario(mesh):
             answer = await mesh.call('a', '/deep/x', tenant='zeta')
             return answer.status, mesh.targets['b'].seen[0].header(b'tenant')
 
-        self.assertEqual((200, ''), self.mesh(scenario, public=True))
+        self.assertEqual((200, ''), self.keyed(scenario, public=True))
 
     def test_without_organisations_headers_go_on_as_they_came(self):
-        async def run():
-            mesh = Mesh()
-            await mesh.configure()
-            await mesh.place('a', 'front')
-            await asyncio.sleep(3)
+        async def scenario(mesh):
             await mesh.call('a', '/front/x', authorization=BEARER)
-            await mesh.stop()
             return mesh.targets['a'].seen[0].header(b'authorization')
 
-        self.assertEqual(BEARER, self.run_paused(run()))
+        self.assertEqual(BEARER, self.mesh(scenario))
 
     def test_a_key_is_in_no_line_of_the_log(self):
         async def scenario(mesh):
@@ -83,7 +67,7 @@
                     await mesh.call('a', '/nowhere/x', authorization=word)
             return json.dumps([vars(r) for r in logs.records], default=str)
 
-        written = self.mesh(scenario)
+        written = self.keyed(scenario)
         self.assertNotIn(SECRET, written)
         self.assertNotIn('made-up-secret', written)
         self.assertIn('acme', written)
@@ -103,7 +87,7 @@
             await mesh.call('a', '/deep/x', authorization='Bearer zeta-key')
             return ranks
 
-        self.assertEqual([Rank.HIGH, Rank.NORMAL], self.mesh(scenario))
+        self.assertEqual([Rank.HIGH, Rank.NORMAL], self.keyed(scenario))
 
 
 class CallOfTargetTest(KeyedMeshTest):
@@ -131,7 +115,7 @@
             statuses = await self.through(mesh, lambda req: req.header(b'request-id') + '.1')
             return statuses, mesh.targets['b'].seen[0].header(b'tenant')
 
-        self.assertEqual(((200, [200]), 'acme'), self.mesh(scenario))
+        self.assertEqual(((200, [200]), 'acme'), self.keyed(scenario))
 
     def test_a_call_names_the_organisation_of_its_request_also_when_that_is_dropped(self):
         async def scenario(mesh):
@@ -151,14 +135,14 @@
             await mesh.call('a', '/front/x', authorization=BEARER)
             return [req.header(b'tenant') for req in mesh.targets['b'].seen]
 
-        self.assertEqual(['acme'], self.mesh(scenario))
+        self.assertEqual(['acme'], self.keyed(scenario))
 
     def test_an_id_that_extends_no_running_request_is_no_way_in(self):
         async def scenario(mesh):
             _, statuses = await self.through(mesh, lambda req: 'made-up.1')
             return statuses, mesh.targets['b'].seen
 
-        self.assertEqual(([503], []), self.mesh(scenario))
+        self.assertEqual(([503], []), self.keyed(scenario))
 
     def test_a_call_after_the_end_of_its_request_is_told_503(self):
         async def scenario(mesh):
@@ -166,7 +150,7 @@
             late = await mesh.call('a', '/deep/y', request_id='done.1')
             return late.status, late.headers
 
-        status, headers = self.mesh(scenario)
+        status, headers = self.keyed(scenario)
         self.assertEqual(503, status)
         self.assertIn(b'retry-after', dict(headers))
 
@@ -177,7 +161,7 @@
             await asyncio.sleep(2)
             return (await mesh.call('a', '/deep/y', request_id='lost.1')).status
 
-        self.assertEqual(503, self.mesh(scenario))
+        self.assertEqual(503, self.keyed(scenario))
 
 
 class OrganisationFormatTest(TestCase):
@@ -219,18 +203,8 @@
     TENANTS = (build_tenant('acme', SECRET, requestsPerS=2, burst=3), build_tenant('zeta'))
 
     def quota_mesh(self, scenario):
-        async def run():
-            mesh = Mesh()
-            await mesh.configure(tenants=list(self.TENANTS))
-            for name, service in (('a', 'front'), ('b', 'deep'), ('c', 'deep')):
-                await mesh.place(name, service)
-            await asyncio.sleep(8)
-            try:
-                return await scenario(mesh)
-            finally:
-                await mesh.stop()
-
-        return self.run_paused(run())
+        targets = ('a:front', 'b:deep', 'c:deep')
+        return self.keyed(scenario, tenants=list(self.TENANTS), targets=targets, settled=8)
 
     async def flood(self, mesh, count, path='/deep/x', key=BEARER):
         calls = [
--- a/tests/test_shared_watch.py
+++ b/tests/test_shared_watch.py
@@ -7,9 +7,9 @@
 from dunlinsaddle.membership.keepers import KEEPERS, Watchers, by_hash
 from dunlinsaddle.membership.view import MemberView, State
 from tests.builders import build_configuration, build_member
-from tests.clock import PausedClockTest
 from tests.fakes.mesh import Mesh
 from tests.fakes.network import Machines
+from tests.mesh_case import MeshTest
 
 DOMAINS = 3
 NODES = 24
@@ -25,20 +25,10 @@
     return mesh.nodes[name].settings.domain
 
 
-class FleetTest(PausedClockTest):
+class FleetTest(MeshTest):
     def fleet(self, scenario):
-        async def run():
-            mesh = Mesh()
-            await mesh.configure('r7')
-            for index, name in enumerate(NAMES):
-                await mesh.place(name, 'front', domain_of(index))
-            await asyncio.sleep(12)
-            try:
-                return await scenario(mesh)
-            finally:
-                await mesh.stop()
-
-        return self.run_paused(run())
+        targets = [f'{name}:front:{domain_of(index)}' for index, name in enumerate(NAMES)]
+        return self.mesh(scenario, targets=targets, settled=12)
 
     async def change(self, mesh: Mesh) -> set[int]:
         """Change the configuration; gives the versions in force when it has to be."""
--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -8,8 +8,8 @@
 from dunlinsaddle.access.freshness import USED_SHARE, Freshness
 from dunlinsaddle.routes.proofs import ROUND_SECONDS
 from tests.builders import build_configuration, build_tenant
-from tests.clock import PausedClockTest
-from tests.fakes.mesh import BOUNDS, Mesh
+from tests.fakes.mesh import BOUNDS
+from tests.mesh_case import MeshTest
 
 DOMAINS = 3
 NODES = 15
@@ -20,20 +20,10 @@
 AFTER = [build_tenant('acme', 'another-key'), build_tenant('zeta')]
 
 
-class FleetTest(PausedClockTest):
+class FleetTest(MeshTest):
     def fleet(self, scenario):
-        async def run():
-            mesh = Mesh()
-            await mesh.configure(tenants=BEFORE)
-            for index, name in enumerate(NAMES):
-                await mesh.place(name, 'front', f'd{index % DOMAINS}')
-            await asyncio.sleep(12)
-            try:
-                return await scenario(mesh)
-            finally:
-                await mesh.stop()
-
-        return self.run_paused(run())
+        targets = [f'{name}:front:d{index % DOMAINS}' for index, name in enumerate(NAMES)]
+        return self.mesh(scenario, targets=targets, settled=12, tenants=BEFORE)
 
     async def withdraw(self, mesh):
         held = mesh.store.objects['config', 'main']
