What a watcher hears of the store is told in logs and metrics

The incident's hypotheses (the store's counter went back and the node keeps asking from the higher revision; the store answers with an old copy) could not be told apart: no line told the revision that an answer brings, nor that an object was passed over as old. And no metric of a node's beliefs was ever collected: the collector keeps the first 4 KiB of an answer, all of them histograms of queue times.

Now: 'store went back' and 'configuration passed over' (version, revision, what is held); gauge configuration_revision; refusals with 410 counted as such; gauges of beliefs first, without the scope's three labels on each line. The test of their order failed before. No logic of taking is changed. The fake store of a whole node had no count of calls, so that gauge was never read in tests.

--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -55,7 +55,7 @@
 
     def __init__(self, node: Watched) -> None:
         self.node = node
-        reader = PrometheusMetricReader(disable_target_info=True)
+        reader = PrometheusMetricReader(disable_target_info=True, scope_info_enabled=False)
         # The exporter puts its collector into the registry of the process, which several nodes
         # in one process would share.
         self.registry = CollectorRegistry()
@@ -63,10 +63,12 @@
         cfg = node.settings
         resource = {'service.name': 'dunlinsaddle', 'service.instance.id': cfg.instance}
         self.metrics = Metrics(resource, further=[reader])
-        observe_stats(self.metrics, node.stats)
-        self._observe_calls()
+        # A reader that cuts the answer short keeps what tells a node's beliefs: they are few lines,
+        # and come before the histograms.
         self._observe_beliefs()
         self._observe_access()
+        observe_stats(self.metrics, node.stats)
+        self._observe_calls()
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer a question for the metrics."""
@@ -103,6 +105,12 @@
             'Version in force here, 0 for none.',
             lambda: [(node.follower.version, {})],
         )
+        add.gauge(
+            'dunlinsaddle.configuration_revision',
+            '1',
+            'Revision of the store up to which all changes of the configuration are known here.',
+            lambda: [(node.follower.revision, {})],
+        )
         add.gauge(
             'dunlinsaddle.members',
             '{instance}',
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -26,8 +26,8 @@
 
 CALL_TIMEOUT = 5.0  #: a slow platform still serves; one that is away fails to connect sooner
 LONGEST_WAIT_MS = 30_000  #: the longest watch that the store allows
-FIRST_REFUSAL = 429  #: from here on a status says that the store did nothing
-GONE_STATUS = 410  #: of a watch whose start is older than the history that the store keeps
+GONE_STATUS = 410  #: of a watch whose start is not in the history that the store keeps
+FIRST_REFUSAL = 410  #: from here on a status says that the store did nothing
 
 
 class HttpObjectStore:
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -70,9 +70,10 @@
         self.links: PeerLinks | None = None
         self.peers: Callable[[], list[Member]] = list
         self.watches: Callable[[], bool] = lambda: True  #: whether it falls to this node to watch
-        self._revision = 0  #: of the store, up to which this node has heard all
+        self.revision = 0  #: of the store, up to which this node has heard all
         self._entry: RecordEntry | None = None
         self._refused = 0  #: the store's version of a newer object that could not be read
+        self._listed = Listing([], 0)  #: the latest that had objects
         self._reachable: bool | None = None
         self._fetching: asyncio.Task[None] | None = None
 
@@ -114,7 +115,7 @@
                 continue
             # After a failure first a call that does not wait: connections that were cut may have
             # hidden a change, and one that goes silent shows only when its answer is overdue.
-            wait = WATCH_SECONDS if self._revision and self._reachable else 0.0
+            wait = WATCH_SECONDS if self.revision and self._reachable else 0.0
             began = self.now()
             match await self._watch(wait, grace):
                 case Ok():
@@ -134,7 +135,7 @@
 
     async def _watch(self, wait: float, grace: float) -> Result[Listing, Unavailable]:
         began = self.freshness.clock()
-        found = await self.store.watch(self.kind, self._revision, wait, grace)
+        found = await self.store.watch(self.kind, self.revision, wait, grace)
         if isinstance(found, Ok):
             self._take_listing(found.ok_value)
             self.freshness.prove(began)
@@ -184,11 +185,26 @@
             self.freshness.prove(began - answer.age)
 
     def _take_listing(self, listing: Listing) -> None:
-        self._revision = max(listing.revision, self._revision)
+        self._log_listing(listing)
+        self.revision = max(listing.revision, self.revision)
         for held in listing.objects:
             if held.name == self.name and held.value is not None:
                 self._take(_entry(held), source='store')
 
+    def _log_listing(self, listing: Listing) -> None:
+        """Tell what the store says, where it is not the change that follows."""
+        if listing.revision < self.revision and listing != self._listed:
+            extra = {'revision': listing.revision, 'known_to': self.revision}
+            self.logger.warning('store went back', extra=extra)
+        for held in listing.objects:
+            if held.version <= self.stored_version and listing != self._listed:
+                found = self.read(held.value).map(lambda c: c.version).unwrap_or(0)
+                extra = {'version': found, 'revision': held.version, 'held': self.version}
+                extra['held_revision'] = self.stored_version
+                self.logger.info('configuration passed over', extra=extra)
+        if listing.objects:
+            self._listed = listing
+
     def _take(self, entry: RecordEntry, source: str) -> None:
         if entry.version <= self.stored_version:
             return
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -110,6 +110,10 @@
         self.mesh = mesh
         self.name = name
 
+    @property
+    def calls(self) -> int:
+        return self.mesh.store.calls
+
     def __getattr__(self, method: str) -> Any:
         return partial(self._ask, method)
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -197,3 +197,15 @@
         (version,) = families['dunlinsaddle_configuration_version'].samples
         self.assertEqual(7.0, version.value)
         self.assertIn('dunlinsaddle_members', families)
+
+    def test_beliefs_come_before_histograms(self):
+        # A collector that keeps the first part of an answer saw no version of the configuration.
+        async def scenario(mesh):
+            req = HttpRequest('GET', '/metrics', [], b'', '')
+            exchange = await mesh.client.send(mesh.nodes['a'].settings.metrics, req, 1)
+            return exchange.response.body.decode()
+
+        before, found, _ = self.mesh(scenario).partition('_bucket')
+        self.assertTrue(found)
+        for name in ('configuration_version', 'configuration_revision', 'platform_calls_total'):
+            self.assertIn(f'\ndunlinsaddle_{name} ', before)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -137,9 +137,12 @@
             since = (await store.put('records', 'a', 1, 0)).unwrap().version
             await store.put('records', 'b', 2, 0)
             platform.forget_history()
-            return (await store.watch('records', since - 1, 3)).unwrap()
+            listing = (await store.watch('records', since - 1, 3)).unwrap()
+            return listing, dict(store.failures)
 
-        self.assertEqual([1, 2], [held.value for held in self.with_platform(scenario).objects])
+        listing, failures = self.with_platform(scenario)
+        self.assertEqual([1, 2], [held.value for held in listing.objects])
+        self.assertEqual({'410': 1}, failures)
 
     def test_a_refusal_says_that_nothing_was_done(self):
         # 503, 429, and a platform that turns this node alone away: all are answers at once.
