--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,7 @@
 
 import argparse
 import asyncio
-from typing import Any, TypedDict
+from typing import Any, NamedTuple, TypedDict
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
@@ -36,12 +36,20 @@
     removed: bool
 
 
+class Copy(NamedTuple):
+    """What the store held at some moment."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    revision: int
+
+
 class Platform:
     """Objects by kind and name, with one counter of revisions for all of them."""
 
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.revision = 1
+        self.era = 1  #: rises when the store comes back from a copy; told in every answer
         self.events: list[tuple[str, Event]] = []
         self.oldest = 1  #: revision from which on the history is still held
         self.changed = asyncio.Event()
@@ -55,8 +63,26 @@
         self.events.clear()
         self.oldest = self.revision
 
+    def copy(self) -> Copy:
+        """Give what is held now. Objects are replaced, never changed in place."""
+        return Copy(dict(self.objects), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy: what was written since is gone, and its revisions are reused."""
+        self.objects = dict(copy.objects)
+        self.revision = copy.revision
+        self.oldest = min(self.oldest, copy.revision)
+        self.events = [e for e in self.events if _revision_of(e) <= copy.revision]
+        self.era += 1
+        self._wake()
+
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Answer one request."""
+        response = await self._answer(req)
+        response.headers.append((b'store-era', str(self.era).encode()))
+        return response
+
+    async def _answer(self, req: HttpRequest) -> HttpResponse:
         if req.path == '/faults':
             self.faults = msgspec.json.decode(req.body, type=Faults)
             return json_response(self.faults)
@@ -116,23 +142,25 @@
     async def _watch(self, kind: str, since: int, wait: float) -> HttpResponse:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait
-        while since >= self.oldest and not self._since(kind, since):
+        era = self.era
+        while self.era == era and self._has(since) and not self._since(kind, since):
             try:
                 async with asyncio.timeout_at(deadline):
                     await self.changed.wait()
             except TimeoutError:
                 break
-        if since < self.oldest:
+        if self.era != era:
+            return json_response({'error': 'cut off'}, 503)
+        if not self._has(since):
             return json_response({'error': 'this history is gone'}, 410)
         events = self._since(kind, since)
         return json_response({'events': events, 'atRevision': self.revision})
 
+    def _has(self, revision: int) -> bool:
+        return self.oldest <= revision <= self.revision
+
     def _since(self, kind: str, since: int) -> list[Event]:
-        return [
-            event
-            for changed, event in self.events
-            if changed == kind and event['object']['metadata']['revision'] > since
-        ]
+        return [e[1] for e in self.events if e[0] == kind and _revision_of(e) > since]
 
     def _write(self, req: HttpRequest) -> HttpResponse:
         url = urlsplit(req.path)
@@ -190,10 +218,17 @@
         self.revision += 1
         held = {**held, 'metadata': {**held['metadata'], 'revision': self.revision}}
         self.events.append((kind, Event(object=held, removed=removed)))
-        # Wakes all that wait now; each of them looks again for what it waits for.
+        self._wake()
+        return held
+
+    def _wake(self) -> None:
+        """Wake all that wait now; each of them looks again for what it waits for."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return held
+
+
+def _revision_of(entry: tuple[str, Event]) -> int:
+    return int(entry[1]['object']['metadata']['revision'])
 
 
 def _parts(path: str) -> list[str]:
