A configuration is newer by the operators' version, and a version names its epoch

What callers saw: served by version 21 more than two seconds after 23 was accepted.

Cause: the store returned from an older copy, its counter went back, and the node took the counter for a clock that never does. It kept the highest revision it had seen as the place to watch from (refused with 410, listed, asked again at once: 80 calls a second at each watcher) and passed over every object whose revision was not above that of the object it held. Class: a sequence number compared across a restart of its sequence.

Ruled out: an old copy that is served to nodes only, configurations that cannot be read, gossip.

The client reads the epoch of each answer and gives versions that hold epoch and revision in one number, which never goes back; a watch from another epoch lists, a condition of another epoch is not sent. The follower, gossip and the peers' answers compare the operators' version only. A store that holds less than this node proves nothing until it has been written again. A version that never came back stays as it was.

Ways weighed: pairs of epoch and revision everywhere (same order, 40 more places that have to know of it); forgetting all at each new epoch (no order between two nodes in two epochs; what the copy holds would revert what is in force).

--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -21,7 +21,7 @@
 from dunlinsaddle.mesh.settings import MeshSettings
 from dunlinsaddle.metrics import Metrics, Values, cumulative, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
-from dunlinsaddle.platform.store import ObjectStore
+from dunlinsaddle.platform.store import ObjectStore, place_of
 from dunlinsaddle.policy.quota import Ledger
 from dunlinsaddle.policy.retry_budget import RetryBudget
 from dunlinsaddle.policy.slots import SlotAdmission
@@ -108,8 +108,14 @@
         add.gauge(
             'dunlinsaddle.configuration_revision',
             '1',
-            'Revision of the store up to which all changes of the configuration are known here.',
-            lambda: [(node.follower.revision, {})],
+            'Revision of the store up to which this node knows all changes of the configuration.',
+            lambda: [(place_of(node.follower.known_to).revision, {})],
+        )
+        add.gauge(
+            'dunlinsaddle.store_epoch',
+            '1',
+            'Epoch of that revision; rises each time the store returns from a copy.',
+            lambda: [(place_of(node.follower.known_to).epoch, {})],
         )
         add.gauge(
             'dunlinsaddle.members',
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -313,7 +313,7 @@
         # Of three watchers each tells its whole domain: a datagram may get lost.
         domain = self.settings.domain if self._watches() else None
         near = [m for m in self._others() if m.domain == domain]
-        self.agent.tell_news(self.follower.stored_version, near)
+        self.agent.tell_news(found.version, near)
         limits = found.limits
         self.callers_http.limits = HttpLimits(
             limits.header_bytes,
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -18,15 +18,20 @@
     Conflict,
     JsonValue,
     Listing,
+    Place,
     StoredObject,
     StoreError,
     Unavailable,
+    place_of,
+    version_of,
 )
 from dunlinsaddle.settings import Address
 
 CALL_TIMEOUT = 5.0  #: a slow platform still serves; one that is away fails to connect sooner
 LONGEST_WAIT_MS = 30_000  #: the longest watch that the store allows
 GONE_STATUS = 410  #: of a watch whose start is not in the history that the store keeps
+EPOCH_HEADER = b'store-era'  #: of each answer; rises each time the store returns from a copy
+EPOCH_DIGITS = 6  #: a bound against absurd numbers, which no peer could be told
 FIRST_REFUSAL = 410  #: from here on a status says that the store did nothing
 
 
@@ -40,6 +45,7 @@
         self.calls = 0
         self.failures: Counter[str] = Counter()  #: calls without a usable answer, by why
         self.answered_at = -math.inf  #: time of the loop of the latest answer
+        self.epoch = 0  #: the latest that an answer told
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         """Read one object."""
@@ -58,11 +64,11 @@
     async def _list(self, kind: str, timeout: float) -> Result[Listing, Unavailable]:
         """Read page by page, each within ``timeout`` seconds.
 
-        The revision is that of the first page: what changes while the others are read is
-        news to a watch that starts there.
+        The version is that of the first page: what changes while the others are read is
+        news to a watch that starts there, which lists anew if the store came back from a copy.
         """
         objects: list[StoredObject] = []
-        revision: int | None = None
+        version: int | None = None
         after = ''
         while True:
             query = '?' + urlencode({'after': after}) if after else ''
@@ -71,9 +77,9 @@
                     return Err(error)
                 case Ok(page):
                     objects += page.objects
-                    revision = page.revision if revision is None else revision
+                    version = page.version if version is None else version
                     if not page.more or not page.objects:
-                        return Ok(Listing(objects, revision))
+                        return Ok(Listing(objects, version))
                     after = page.objects[-1].name
 
     async def put(
@@ -84,14 +90,20 @@
         if expected == ABSENT:
             body = msgspec.json.encode({'metadata': meta, 'specification': value})
             return await self._changed(kind, name, 'POST', _path(kind), body)
+        place = place_of(expected)
+        if place.epoch < self.epoch:
+            return await self._conflict(kind, name)
         body = msgspec.json.encode(
-            {'metadata': {**meta, 'revision': expected}, 'specification': value}
+            {'metadata': {**meta, 'revision': place.revision}, 'specification': value}
         )
         return await self._changed(kind, name, 'PUT', _path(kind, name), body)
 
     async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
         """Delete on the condition that the version is ``expected``."""
-        path = f'{_path(kind, name)}?revision={expected}'
+        place = place_of(expected)
+        if place.epoch < self.epoch:
+            return await self._conflict(kind, name)
+        path = f'{_path(kind, name)}?revision={place.revision}'
         match await self._changed(kind, name, 'DELETE', path, b''):
             case Ok(held):
                 return Ok(held._replace(value=None))
@@ -102,16 +114,18 @@
         self, kind: str, since: int, timeout: float, grace: float = WATCH_GRACE
     ) -> Result[Listing, Unavailable]:
         """Wait for something newer than ``since``; 0 and a forgotten past read all anew."""
-        if since <= 0:
+        place = place_of(since)
+        if since <= 0 or place.epoch < self.epoch:
             return await self._list(kind, timeout + grace)
         wait_ms = min(int(timeout * 1000), LONGEST_WAIT_MS)
-        path = f'{_path(kind)}?watch={since}&waitMs={wait_ms}'
+        path = f'{_path(kind)}?watch={place.revision}&waitMs={wait_ms}'
         # It waits long on purpose: it must not be taken for overdue and sent once more.
         match await self._send('GET', path, timeout=timeout + grace, repeats=False):
-            case Ok(HttpResponse(status=200) as response):
-                return _decoded(response, _Changes).map(lambda changes: changes.plain(kind))
-            case Ok(HttpResponse(status=status)) if status == GONE_STATUS:
+            case Ok(response) if response.status == GONE_STATUS or _epoch(response) != place.epoch:
+                # The same revision of another epoch tells of other changes, and hides some.
                 return await self._list(kind, timeout + grace)
+            case Ok(HttpResponse(status=200) as response):
+                return _decoded(response, _Changes).map(lambda c: c.plain(kind, place.epoch))
             case other:
                 return Err(_unavailable(other))
 
@@ -124,11 +138,14 @@
             case Ok(HttpResponse(status=404)):
                 return Err(Conflict(None))
             case Ok(HttpResponse(status=409)):
-                # What stands there is read anew: the answer to a create need not hold it.
-                return (await self.get(kind, name)).and_then(lambda current: Err(Conflict(current)))
+                return await self._conflict(kind, name)
             case other:
                 return Err(_unavailable(other))
 
+    async def _conflict(self, kind: str, name: str) -> Result[StoredObject, StoreError]:
+        # What stands there is read anew: the answer to a create need not hold it.
+        return (await self.get(kind, name)).and_then(lambda current: Err(Conflict(current)))
+
     async def _send(
         self,
         method: str,
@@ -148,6 +165,7 @@
         match exchange:
             case Answered(response):
                 self.answered_at = asyncio.get_running_loop().time()
+                self.epoch = max(self.epoch, _epoch(response))
                 if response.status >= FIRST_REFUSAL:
                     self.failures[str(response.status)] += 1
                 return Ok(response)
@@ -174,8 +192,9 @@
     metadata: _WireMeta
     specification: Any = None
 
-    def plain(self, kind: str) -> StoredObject:
-        return StoredObject(kind, self.metadata.name, self.metadata.revision, self.specification)
+    def plain(self, kind: str, epoch: int) -> StoredObject:
+        version = version_of(Place(epoch, self.metadata.revision))
+        return StoredObject(kind, self.metadata.name, version, self.specification)
 
 
 class _WirePage(msgspec.Struct, rename='camel'):
@@ -193,39 +212,46 @@
     events: list[_WireEvent]
     at_revision: int
 
-    def plain(self, kind: str) -> Listing:
+    def plain(self, kind: str, epoch: int) -> Listing:
         objects = []
         for event in self.events:
-            for held in _readable(kind, event.object):
+            for held in _readable(kind, epoch, event.object):
                 objects.append(held._replace(value=None) if event.removed else held)
-        return Listing(objects, self.at_revision)
+        return Listing(objects, version_of(Place(epoch, self.at_revision)))
 
 
 class _Page(msgspec.Struct):
     objects: list[StoredObject]
-    revision: int
+    version: int
     more: bool
 
 
-def _readable(kind: str, raw: msgspec.Raw) -> list[StoredObject]:
+def _epoch(response: HttpResponse) -> int:
+    """Read the epoch of an answer, 0 where it tells none."""
+    told = dict(response.headers).get(EPOCH_HEADER, b'')
+    return int(told) if told.isdigit() and len(told) <= EPOCH_DIGITS else 0
+
+
+def _readable(kind: str, epoch: int, raw: msgspec.Raw) -> list[StoredObject]:
     """Give the object, or nothing: one that another writer spoiled must not hide the rest."""
     try:
-        return [msgspec.json.decode(raw, type=_WireObject).plain(kind)]
+        return [msgspec.json.decode(raw, type=_WireObject).plain(kind, epoch)]
     except (msgspec.MsgspecError, UnicodeError, RecursionError):
         return []
 
 
 def _object(kind: str, response: HttpResponse) -> Result[Any, Any]:
-    return _decoded(response, _WireObject).map(lambda held: held.plain(kind))
+    return _decoded(response, _WireObject).map(lambda held: held.plain(kind, _epoch(response)))
 
 
 def _page(kind: str, result: Result[HttpResponse, Unavailable]) -> Result[_Page, Unavailable]:
     match result:
         case Ok(HttpResponse(status=200) as response):
+            epoch = _epoch(response)
             return _decoded(response, _WirePage).map(
                 lambda page: _Page(
-                    [held for raw in page.items for held in _readable(kind, raw)],
-                    page.at_revision,
+                    [held for raw in page.items for held in _readable(kind, epoch, raw)],
+                    version_of(Place(epoch, page.at_revision)),
                     page.more,
                 )
             )
--- a/dunlinsaddle/platform/store.py
+++ b/dunlinsaddle/platform/store.py
@@ -6,13 +6,40 @@
 from result import Result
 
 JsonValue = Any  #: whatever JSON can hold
+#: Versions of one epoch: a year's at 30,000 changes a second, and a power of ten, so that people
+#: can read both parts of a version.
+EPOCH_VERSIONS = 10**12
+
+
+class Place(NamedTuple):
+    """A place in the history of the store, as the store tells it.
+
+    The store's counter goes back when the store returns from an older copy, and gives its values
+    out again; the epoch rises each time.
+    """
+
+    epoch: int
+    revision: int
+
+
+def version_of(place: Place) -> int:
+    """Give the version of a place: one number that never goes back, in any epoch.
+
+    What was read before the store returned from a copy has a lower version than all that is
+    read afterwards, also what the copy held all the time.
+    """
+    return place.epoch * EPOCH_VERSIONS + place.revision
+
+
+def place_of(version: int) -> Place:
+    """Give the place of a version."""
+    return Place(*divmod(version, EPOCH_VERSIONS))
 
 
 class StoredObject(NamedTuple):
     """An object with its version; ``value`` is None once it is deleted.
 
-    Versions come from one counter of the platform and never go back, so of two versions of
-    an object the higher is always the later one.
+    Of two versions the higher is always the later one, see ``version_of``.
     """
 
     kind: str
@@ -22,10 +49,10 @@
 
 
 class Listing(NamedTuple):
-    """Objects of a kind, and the counter's value that the listing is complete up to."""
+    """Objects of a kind, and the version that the listing is complete up to."""
 
     objects: list[StoredObject]
-    revision: int
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,5 +98,6 @@
     ) -> Result[Listing, Unavailable]:
         """Wait until something of a kind is newer than ``since``; empty after ``timeout`` s.
 
+        With a version from before the store returned from a copy it gives all objects, at once.
         ``grace`` is how many seconds the answer itself may take.
         """
--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -242,13 +242,13 @@
     def _take_listing(self, since: int, listing: Listing) -> None:
         entries = sorted(map(entry_of, listing.objects), key=lambda e: e.version)
         new = self._take_entries(entries)
-        self.book.complete(since, listing.revision)
+        self.book.complete(since, listing.version)
         self.fresh_at = _now()
         if not new:
             return
         me = self.me()
         # All of them, not just the new: a push says that nothing is missing up to its end.
-        for chunk in cut(entries, since, listing.revision):
+        for chunk in cut(entries, since, listing.version):
             push = RecordsPush(chunk.since, chunk.upto, me.domain, me.instance, chunk.entries)
             self._push([*self._children(me.instance, me.instance), *self._reach(me)], push)
 
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -18,7 +18,14 @@
 from dunlinsaddle.calls.messages import MAX_BUDGET, RecordFrame, RecordsAnswer, RecordsAsk
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.membership.view import Member
-from dunlinsaddle.platform.store import Listing, ObjectStore, StoredObject, Unavailable
+from dunlinsaddle.platform.store import (
+    JsonValue,
+    Listing,
+    ObjectStore,
+    StoredObject,
+    Unavailable,
+    place_of,
+)
 from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.routes.models import Configuration, Organisation
 from dunlinsaddle.routes.table import RouteTable
@@ -46,7 +53,12 @@
 
 
 class ConfigFollower(OnLoop):
-    """The newest configuration that this node has heard of. It never goes back."""
+    """The newest configuration that this node has heard of. It never goes back.
+
+    What is newer, the operators' own version says. The store's versions only say what it has told
+    this node already: when it returns from an older copy, that may hold an older configuration
+    for a while, which must not be taken for a newer one by any node.
+    """
 
     def __init__(
         self,
@@ -70,10 +82,13 @@
         self.links: PeerLinks | None = None
         self.peers: Callable[[], list[Member]] = list
         self.watches: Callable[[], bool] = lambda: True  #: whether it falls to this node to watch
-        self.revision = 0  #: of the store, up to which this node has heard all
-        self._entry: RecordEntry | None = None
-        self._refused = 0  #: the store's version of a newer object that could not be read
-        self._listed = Listing([], 0)  #: the latest that had objects
+        self.known_to = 0  #: the store's version up to which this node has heard all
+        self._entry: RecordEntry | None = None  #: in force here, with the operators' version
+        self._read_to = 0  #: the store's version of the latest object that it brought
+        self._refused = 0  #: the operators' version of a peer's that could not be read
+        #: Whether the store holds a configuration as new as this node's: not, from its return from
+        #: an older copy until the operators have written it again.
+        self._caught_up = True
         self._reachable: bool | None = None
         self._fetching: asyncio.Task[None] | None = None
 
@@ -82,11 +97,6 @@
         """The version in force here, 0 for none."""
         return self.table.configuration.version if self.table else 0
 
-    @property
-    def stored_version(self) -> int:
-        """The store's version of the object that is in force here, 0 for none."""
-        return self._entry.version if self._entry else 0
-
     @property
     def leased(self) -> bool:
         """Whether callers are let in by keys, which may be taken away at any time."""
@@ -115,7 +125,7 @@
                 continue
             # After a failure first a call that does not wait: connections that were cut may have
             # hidden a change, and one that goes silent shows only when its answer is overdue.
-            wait = WATCH_SECONDS if self.revision and self._reachable else 0.0
+            wait = WATCH_SECONDS if self.known_to and self._reachable else 0.0
             began = self.now()
             match await self._watch(wait, grace):
                 case Ok():
@@ -135,10 +145,11 @@
 
     async def _watch(self, wait: float, grace: float) -> Result[Listing, Unavailable]:
         began = self.freshness.clock()
-        found = await self.store.watch(self.kind, self.revision, wait, grace)
+        found = await self.store.watch(self.kind, self.known_to, wait, grace)
         if isinstance(found, Ok):
             self._take_listing(found.ok_value)
-            self.freshness.prove(began)
+            if self._caught_up:
+                self.freshness.prove(began)
         return found
 
     def answer(self, frame: RecordFrame) -> RecordsAnswer | None:
@@ -148,11 +159,11 @@
         entry = self._entry
         entries = [entry] if entry is not None and entry.version > frame.since else []
         age = min(max(self.freshness.age, 0.0), MAX_BUDGET)
-        return RecordsAnswer(frame.id, self.stored_version, age, False, entries)
+        return RecordsAnswer(frame.id, self.version, age, False, entries)
 
     def hear(self, member: Member, version: int) -> None:
         """Fetch what a peer says is newer; word of it comes again if that fails."""
-        if version <= self.stored_version or self._fetching is not None:
+        if version <= self.version or self._fetching is not None:
             return
         self._fetching = self.loop.create_task(self.ask(member))
         self._fetching.add_done_callback(self._fetched)
@@ -175,51 +186,58 @@
         if self.links is None:
             return
         began = self.freshness.clock()
-        ask = RecordsAsk(0, self.stored_version)
+        ask = RecordsAsk(0, self.version)
         answer = await self.links.ask_records(member.peers, ask, PEER_SECONDS)
         if answer is None:
             return
         for entry in answer.entries:
-            self._take(entry, source=member.instance)
-        if max(self.stored_version, self._refused) >= answer.upto:
+            self._take_told(entry, member.instance)
+        if max(self.version, self._refused) >= answer.upto:
             self.freshness.prove(began - answer.age)
 
     def _take_listing(self, listing: Listing) -> None:
-        self._log_listing(listing)
-        self.revision = max(listing.revision, self.revision)
+        before, now = place_of(self.known_to), place_of(listing.version)
+        if self.known_to and now.epoch > before.epoch:
+            self._caught_up = False
+            extra = {'epoch': now.epoch, 'revision': now.revision, 'before': before.revision}
+            self.logger.warning('store returned from a copy', extra=extra)
+        self.known_to = max(listing.version, self.known_to)
         for held in listing.objects:
             if held.name == self.name and held.value is not None:
-                self._take(_entry(held), source='store')
+                self._take_stored(held)
 
-    def _log_listing(self, listing: Listing) -> None:
-        """Tell what the store says, where it is not the change that follows."""
-        if listing.revision < self.revision and listing != self._listed:
-            extra = {'revision': listing.revision, 'known_to': self.revision}
-            self.logger.warning('store went back', extra=extra)
-        for held in listing.objects:
-            if held.version <= self.stored_version and listing != self._listed:
-                found = self.read(held.value).map(lambda c: c.version).unwrap_or(0)
-                extra = {'version': found, 'revision': held.version, 'held': self.version}
-                extra['held_revision'] = self.stored_version
-                self.logger.info('configuration passed over', extra=extra)
-        if listing.objects:
-            self._listed = listing
-
-    def _take(self, entry: RecordEntry, source: str) -> None:
-        if entry.version <= self.stored_version:
+    def _take_stored(self, held: StoredObject) -> None:
+        if held.version <= self._read_to:
             return
-        match self.read(entry.doc):
+        self._read_to = held.version
+        found = self._take(held.value, 'store')
+        self._caught_up = self._caught_up or found is None or found >= self.version
+
+    def _take_told(self, entry: RecordEntry, source: str) -> None:
+        if entry.version > self.version and self._take(entry.doc, source) is None:
+            self._refused = max(self._refused, entry.version)
+
+    def _take(self, doc: JsonValue, source: str) -> int | None:
+        """Put a configuration in force if it is newer; gives its version, None if unreadable."""
+        if self._entry is not None and doc == self._entry.doc:
+            return self.version
+        match self.read(doc):
             case Err(why):
                 # The last good one stays in force: no answer is better than a wrong route.
-                self._refused = max(self._refused, entry.version)
                 self.logger.error('configuration unusable', extra={'why': why, 'source': source})
-            case Ok(configuration) if configuration.version > self.version:
-                self._entry = entry
-                self.table = RouteTable(configuration, self.table)
-                extra = {'version': configuration.version, 'source': source}
-                self.logger.info('configuration taken', extra=extra)
-                self.freshness.wake()
-                self.on_change(configuration)
+                return None
+            case Ok(configuration):
+                found = configuration.version
+        extra = {'version': found, 'source': source}
+        if found <= self.version:
+            self.logger.info('configuration passed over', extra={**extra, 'held': self.version})
+            return found
+        self.logger.info('configuration taken', extra=extra)
+        self._entry = RecordEntry(self.name, found, doc)
+        self.table = RouteTable(configuration, self.table)
+        self.freshness.wake()
+        self.on_change(configuration)
+        return found
 
     def _note_store(self, *, reachable: bool, why: str) -> None:
         if reachable is self._reachable:
@@ -230,7 +248,3 @@
             self.logger.info('store regained')
         elif not reachable:
             self.logger.warning('store lost', extra={'why': why})
-
-
-def _entry(held: StoredObject) -> RecordEntry:
-    return RecordEntry(held.name, held.version, held.value)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.revision = 1
-        self.era = 1  #: rises when the store comes back from a copy; told in every answer
+        self.era = 0  #: rises when the store comes back from a copy; told in every answer
         self.events: list[tuple[str, Event]] = []
         self.oldest = 1  #: revision from which on the history is still held
         self.changed = asyncio.Event()
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -11,9 +11,12 @@
     WATCH_GRACE,
     Conflict,
     Listing,
+    Place,
     StoredObject,
     StoreError,
     Unavailable,
+    place_of,
+    version_of,
 )
 
 
@@ -30,6 +33,7 @@
         self.apart_revision = 0
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self.revision = 0
+        self.epoch = 0
         self.down = False
         self.delay = 0.0
         self.lose_answers = 0  #: so many writes take effect, but their answers get lost
@@ -38,6 +42,20 @@
         self.call_times: list[float] = []
         self.changed = asyncio.Event()
 
+    def restore(self, objects: dict[tuple[str, str], StoredObject], revision: int) -> None:
+        """Come back from a copy: what was written since is gone, and its revisions are reused."""
+        self.epoch += 1
+        self.revision = revision
+        self.objects = {
+            key: held._replace(version=self._version(place_of(held.version).revision))
+            for key, held in objects.items()
+        }
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _version(self, revision: int) -> int:
+        return version_of(Place(self.epoch, revision))
+
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         if await self._fails():
             return Err(Unavailable('down'))
@@ -65,7 +83,9 @@
         deadline = loop.time() + timeout
         while not (listing := self._listing(kind, since)).objects:
             try:
-                await asyncio.wait_for(self.changed.wait(), max(deadline - loop.time(), 0))
+                # wait_for would lose a cancellation that comes with a change.
+                async with asyncio.timeout_at(deadline):
+                    await self.changed.wait()
             except TimeoutError:
                 break
             if self.down:
@@ -104,9 +124,9 @@
             self.apart_revision += 1
             return self.apart_revision
         self.revision += 1
-        return self.revision
+        return self._version(self.revision)
 
     def _listing(self, kind: str, since: int) -> Listing:
         objects = [o for (k, _), o in self.objects.items() if k == kind and o.version > since]
-        revision = self.apart_revision if kind in self.apart else self.revision
-        return Listing(copy.deepcopy(objects), revision)
+        version = self.apart_revision if kind in self.apart else self._version(self.revision)
+        return Listing(copy.deepcopy(objects), version)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -11,15 +11,19 @@
 from dunlinsaddle.calls.listener import HttpFace
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.configuration import read_configuration
+from dunlinsaddle.platform.store import ABSENT, Conflict, Place, place_of
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.settings import Address
 from standins.platform import Platform
 from tests.builders import build_configuration, build_logger
 from tests.clock import PausedClockTest
+from tests.mesh_case import SETTLED, MeshTest
 
 ADDRESS = Address('127.0.0.1', 9)
 IN_FORCE = 2.0  #: seconds within which a change has to be in force
 AWAY = 2.6  #: seconds for which the store answers nobody
+LONG = 6.0  #: seconds; longer than a watch, whose answer proves what held when it was sent
+NAMES = ('a:front', 'b:deep', 'c:front', 'd:deep', 'e:front')
 ANSWER = 0.004  #: seconds for an answer of the store; with none, a loop without a pause never ends
 
 
@@ -45,15 +49,87 @@
         await self.platform.handle(HttpRequest(method, path, [], body, ''))
 
 
-class FollowTest(PausedClockTest):
-    def follow(self, scenario):
+class StoreCase(PausedClockTest):
+    """A stand-in of the store behind its client."""
+
+    def with_store(self, scenario):
         async def run():
             platform = Platform()
             face = HttpFace(platform.handle, HttpLimits())
             await face.listen(ADDRESS)
             client = HttpClient()
+            try:
+                return await scenario(platform, HttpObjectStore(ADDRESS, client))
+            finally:
+                client.close()
+                face.close()
+
+        return self.run_paused(run())
+
+
+class ClientTest(StoreCase):
+    def test_a_change_behind_a_revision_that_was_given_out_again_is_not_missed(self):
+        """The counter has passed the watcher's revision before it asks again: no 410 tells it."""
+
+        async def scenario(platform, store):
+            operator = Operator(platform)
+            copy = platform.copy()
+            await operator.spend_revisions(3)
+            since = (await store.list('config')).unwrap().version
+            platform.restore(copy)
+            await operator.configure('r23')
+            await operator.spend_revisions(6)
+            return (await store.watch('config', since, 5.0)).unwrap()
+
+        listing = self.with_store(scenario)
+        self.assertEqual(['r23'], [held.value['version'] for held in listing.objects])
+        self.assertEqual(Place(1, 8), place_of(listing.version))
+
+    def test_a_write_on_the_condition_of_an_earlier_epoch_changes_nothing(self):
+        """Another writer's object has the revision that the first writer read, and is not its."""
+
+        async def scenario(platform, store):
+            copy = platform.copy()
+            read = (await store.put('records', 'a', 'mine', ABSENT)).unwrap()
+            platform.restore(copy)
+            theirs = (await store.put('records', 'a', 'theirs', ABSENT)).unwrap()
+            self.assertEqual(place_of(read.version).revision, place_of(theirs.version).revision)
+            refused = [
+                await store.put('records', 'a', 'mine again', read.version),
+                await store.delete('records', 'a', read.version),
+            ]
+            return refused, (await store.get('records', 'a')).unwrap()
+
+        refused, held = self.with_store(scenario)
+        self.assertEqual('theirs', held.value)
+        self.assertEqual([Conflict(held)] * 2, [result.unwrap_err() for result in refused])
+
+    def test_a_listing_that_spans_the_return_is_listed_anew(self):
+        """The first pages are of objects that are gone, and the rest of those that are there."""
+
+        async def scenario(platform, store):
+            for name in 'abc':
+                await store.put('records', name, 'kept', ABSENT)
+            copy = platform.copy()
+            await store.put('records', 'aa', 'lost', ABSENT)
+            platform.faults = {'page': 1, 'delay': 1.0}
+            listing = asyncio.create_task(store.list('records'))
+            await asyncio.sleep(2.5)
+            platform.restore(copy)
+            mixed = (await listing).unwrap()
+            platform.faults = {}
+            return mixed, (await store.watch('records', mixed.version, 5.0)).unwrap()
+
+        mixed, anew = self.with_store(scenario)
+        self.assertIn('lost', [held.value for held in mixed.objects])
+        self.assertEqual(['a', 'b', 'c'], [held.name for held in anew.objects])
+
+
+class FollowTest(StoreCase):
+    def follow(self, scenario):
+        async def run(platform, store):
             follower = ConfigFollower(
-                HttpObjectStore(ADDRESS, client),
+                store,
                 'config',
                 'main',
                 read_configuration,
@@ -66,10 +142,8 @@
                 return await scenario(platform, follower)
             finally:
                 task.cancel()
-                client.close()
-                face.close()
 
-        return self.run_paused(run())
+        return self.with_store(run)
 
     async def drill(self, platform: Platform) -> None:
         """Follow r18 and r21, and come back from a copy that lacks r21 and all since r18."""
@@ -108,3 +182,81 @@
             return platform.reads - before
 
         self.assertLess(self.follow(scenario), 10)
+
+    def test_a_copy_that_is_older_than_what_is_in_force_reverts_nothing(self):
+        """Callers are served by r18 until the operator has written r21 again."""
+
+        async def scenario(platform, follower):
+            await self.drill(platform)
+            await asyncio.sleep(IN_FORCE)
+            return follower.version
+
+        self.assertEqual(21, self.follow(scenario))
+
+    def test_an_older_copy_proves_nothing(self):
+        """A key may be gone with what the store does not know: the lease must not run on."""
+
+        async def scenario(platform, follower):
+            await self.drill(platform)
+            await asyncio.sleep(LONG)
+            age = follower.freshness.age
+            await Operator(platform).configure('r21')
+            await asyncio.sleep(IN_FORCE)
+            return age, follower.freshness.age
+
+        before, after = self.follow(scenario)
+        self.assertGreater(before, LONG)
+        self.assertLess(after, LONG)
+
+    def test_changes_are_in_force_after_each_of_three_returns(self):
+        async def scenario(platform, follower):
+            operator = Operator(platform)
+            versions = []
+            for number in range(3):
+                await operator.configure(f'r{10 * number + 1}')
+                copy = platform.copy()
+                await operator.spend_revisions(5 - number)
+                await asyncio.sleep(0.1)
+                platform.restore(copy)
+                await asyncio.sleep(0.5)
+                await operator.configure(f'r{10 * number + 5}')
+                await asyncio.sleep(IN_FORCE)
+                versions.append(follower.version)
+            return versions
+
+        self.assertEqual([5, 15, 25], self.follow(scenario))
+
+
+class FleetTest(MeshTest):
+    def test_a_node_that_starts_from_the_copy_hears_what_is_in_force_from_its_peers(self):
+        """It takes r7 of the copy, whose version is above that of r9 in the epoch before."""
+
+        async def scenario(mesh):
+            copy = dict(mesh.store.objects), mesh.store.revision
+            await mesh.configure('r9')
+            await asyncio.sleep(1)
+            mesh.store.restore(*copy)
+            await mesh.kill('b')
+            await mesh.restart('b')
+            await asyncio.sleep(SETTLED)
+            restarted = mesh.nodes['b'].follower.version
+            await mesh.configure('r12')
+            await asyncio.sleep(IN_FORCE)
+            return restarted, {node.follower.version for node in mesh.nodes.values()}
+
+        self.assertEqual((9, {12}), self.mesh(scenario, targets=NAMES))
+
+    def test_nodes_that_the_store_turns_away_keep_up_through_the_return(self):
+        """Their peers' versions are of another epoch than the last that they heard themselves."""
+
+        async def scenario(mesh):
+            copy = dict(mesh.store.objects), mesh.store.revision
+            await mesh.configure('r9')
+            await asyncio.sleep(1)
+            mesh.cut_off = {'a', 'c'}
+            mesh.store.restore(*copy)
+            await mesh.configure('r12')
+            await asyncio.sleep(IN_FORCE)
+            return {node.follower.version for node in mesh.nodes.values()}
+
+        self.assertEqual({12}, self.mesh(scenario, targets=NAMES))
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -44,7 +44,7 @@
             again = (await store.put('records', 'a', {'n': 2}, 0)).unwrap_err()
             self.assertEqual({'n': 1}, again.current.value)
             made = made.unwrap()
-            since = (await store.list('records')).unwrap().revision
+            since = (await store.list('records')).unwrap().version
             gone = (await store.delete('records', 'a', made.version)).unwrap()
             self.assertIsNone(gone.value)
             self.assertEqual([], (await store.list('records')).unwrap().objects)
@@ -72,7 +72,7 @@
             while not writer.done() or len(seen) < 200:
                 listing = (await store.watch('records', since, 3)).unwrap()
                 seen += [o.name for o in listing.objects]
-                since, calls = listing.revision, calls + 1
+                since, calls = listing.version, calls + 1
             return seen, calls
 
         seen, calls = self.with_platform(scenario)
