--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -127,7 +127,14 @@
             # hidden a change, and one that goes silent shows only when its answer is overdue.
             wait = WATCH_SECONDS if self.known_to and self._reachable else 0.0
             began = self.now()
+            read_to = self._read_to
             match await self._watch(wait, grace):
+                case Ok() if self.now() - began < min(wait, backoff) and self._read_to == read_to:
+                    # A store without history lists in place of waiting: asked in a spin, it
+                    # would have no calls left for the others.
+                    grace = FIRST_GRACE
+                    await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
+                    backoff = min(backoff * 2, MOST_BACKOFF)
                 case Ok():
                     backoff, grace = FIRST_BACKOFF, FIRST_GRACE
                     self._note_store(reachable=True, why='')
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,6 +27,7 @@
     act_late: float  #: seconds after which writes are done, and their answers get lost
     refused_hosts: list[str]  #: callers that get 503, while others are served
     page: int  #: items in one page of a listing
+    no_history: bool  #: 410 to every watch
 
 
 class Event(TypedDict):
@@ -157,7 +158,8 @@
         return json_response({'events': events, 'atRevision': self.revision})
 
     def _has(self, revision: int) -> bool:
-        return self.oldest <= revision <= self.revision
+        known = self.oldest <= revision <= self.revision
+        return known and not self.faults.get('no_history')
 
     def _since(self, kind: str, since: int) -> list[Event]:
         return [e[1] for e in self.events if e[0] == kind and _revision_of(e) > since]
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -226,6 +226,22 @@
 
         self.assertEqual([5, 15, 25], self.follow(scenario))
 
+    def test_a_store_that_keeps_no_history_is_not_asked_without_a_pause(self):
+        """Each watch is refused and lists at once: the watchers take up the store's rate."""
+
+        async def scenario(platform, follower):
+            await Operator(platform).configure('r18')
+            platform.faults = {'delay': ANSWER, 'no_history': True}
+            await asyncio.sleep(10)
+            asked = platform.reads
+            await Operator(platform).configure('r23')
+            await asyncio.sleep(IN_FORCE)
+            return asked, follower.version
+
+        asked, version = self.follow(scenario)
+        self.assertLess(asked, 50)
+        self.assertEqual(23, version)
+
 
 class FleetTest(MeshTest):
     def test_a_node_that_starts_from_the_copy_hears_what_is_in_force_from_its_peers(self):
