Keepers of the rosters pass again when the store has returned from a copy

What nodes wrote since the copy is gone, and nobody writes it again for them. The followers see a return at once; the keepers spread their passes over a second: one read each, and one write a domain.

--- a/dunlinsaddle/membership/roster.py
+++ b/dunlinsaddle/membership/roster.py
@@ -29,6 +29,9 @@
 #: Seconds between two tries while the platform is out. Nodes that started in the outage know
 #: nobody; half of the two seconds in which they have to find each other once it returns.
 AWAY_SECONDS = 1.0
+#: Seconds over which keepers spread their pass after the store has returned from a copy: they see
+#: it at once, and a fresh node must find the others within two.
+RETURN_SECONDS = 1.0
 
 
 class RosterEntry(TypedDict):
@@ -125,6 +128,7 @@
         self.rng = rng
         self._contacted: set[Member] = set()
         self._asked_all = False
+        self._returned = asyncio.Event()
 
     @property
     def settled(self) -> bool:
@@ -141,6 +145,14 @@
         """How many are listed that were not known to be alive at the latest look."""
         return len(self._contacted)
 
+    def store_returned(self) -> None:
+        """Pass again soon: the store lost what was written since the copy that it came from.
+
+        Failure: the copy holds no roster, or one of nodes that have gone. Who starts then finds
+        nobody, and refuses its callers until the next pass of a keeper, half a minute later.
+        """
+        self._returned.set()
+
     async def run(self) -> None:
         """Pass until cancelled, soon at first and seldom later."""
         period = FIRST_SECONDS
@@ -149,14 +161,23 @@
             if not answered and self._alone():
                 await asyncio.sleep(AWAY_SECONDS * self.rng.uniform(0.5, 1.0))
                 continue
-            await asyncio.sleep(period * self.rng.uniform(0.5, 1.5))
+            await self._pause(period * self.rng.uniform(0.5, 1.5))
             if self._alone():
                 period = min(2 * period, EVERY_SECONDS)
                 continue
             if period < NEXT_SECONDS:
-                await asyncio.sleep(NEXT_SECONDS)
+                await self._pause(NEXT_SECONDS)
             period = min(4 * max(period, NEXT_SECONDS), EVERY_SECONDS)
 
+    async def _pause(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._returned.wait()
+        except TimeoutError:
+            return
+        self._returned.clear()
+        await asyncio.sleep(self.rng.uniform(0, RETURN_SECONDS))
+
     def _alone(self) -> bool:
         # Those who know others can wait; if all asked this often, they would hit a platform
         # that has just come back as one.
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -142,6 +142,7 @@
         self.follower.links = self.links
         self.follower.peers = self._others
         self.follower.on_change = self._configured
+        self.follower.on_return = lambda: self.bootstrap.store_returned()
         self.watchers = Watchers(self.view, cfg.domain)
         self.follower.watches = self._watches
         self.agent.gossip.on_news = self.follower.hear
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -79,6 +79,7 @@
         self.freshness = freshness
         self.table: RouteTable | None = None
         self.on_change: Callable[[Configuration], None] = lambda configuration: None
+        self.on_return: Callable[[], None] = lambda: None  #: the store has returned from a copy
         self.links: PeerLinks | None = None
         self.peers: Callable[[], list[Member]] = list
         self.watches: Callable[[], bool] = lambda: True  #: whether it falls to this node to watch
@@ -208,6 +209,7 @@
             self._caught_up = False
             extra = {'epoch': now.epoch, 'revision': now.revision, 'before': before.revision}
             self.logger.warning('store returned from a copy', extra=extra)
+            self.on_return()
         self.known_to = max(listing.version, self.known_to)
         for held in listing.objects:
             if held.name == self.name and held.value is not None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -262,6 +262,20 @@
 
         self.assertEqual((9, {12}), self.mesh(scenario, targets=NAMES))
 
+    def test_a_new_node_finds_the_others_though_the_copy_holds_no_roster(self):
+        """It lists itself alone, knows no target, and refuses its callers until a keeper looks."""
+
+        async def scenario(mesh):
+            await asyncio.sleep(60)
+            mesh.store.restore({}, 0)
+            await mesh.configure('r7')
+            await asyncio.sleep(IN_FORCE)
+            node = await mesh.place('f', 'front', port=2000)
+            await asyncio.sleep(IN_FORCE)
+            return len(node.view)
+
+        self.assertEqual(6, self.mesh(scenario, targets=NAMES))
+
     def test_nodes_that_the_store_turns_away_keep_up_through_the_return(self):
         """Their peers' versions are of another epoch than the last that they heard themselves."""
 
