Soak: the store may return from copies; a route for each version shows which are in force

The soak harmed the store in four ways and none of them lost what it had taken; nor did it look whether the newest configuration is in force anywhere, only whether two old routes are served. Now each configuration has a route of its own and the newest must be served at every machine after the last fault. Returns are drawn from a generator of their own: the other faults of a seed stay as they are.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -23,6 +23,7 @@
 NETWORK = '127.77.{}.{}'
 PORTS = {'outbound': 8304, 'ready': 8302, 'control': 8306}
 APP_PORT, TARGET_PORT, STORE_PORT = 8301, 8401, 8309
+AGAIN_SECONDS = 0.2  #: between two tries of the operator
 INTERNAL_PORTS = [7620, 7635]
 BOUNDS = {
     'drain': '2000ms',
@@ -75,6 +76,7 @@
         self.client = HttpClient()
         self.store = Address(NETWORK.format(run, 1), STORE_PORT)
         self.version = 0
+        self.accepted = 0  #: the latest version that the store is known to have taken
         self._revision = 0
         self._environ: dict[str, dict[str, str]] = {}
         self._argv: dict[str, list[str]] = {}
@@ -141,7 +143,22 @@
         write took effect whose answer was lost; that one's revision is known from then on.
         """
         self.version += 1
-        value = _configuration(self.version, kinds)
+        await self._write(self.version, kinds)
+
+    async def write_again(self, kinds: list[TargetKind]) -> None:
+        """Write what the store may have lost as it returned from a copy, until it is taken."""
+        written = False
+        while not written:
+            held = await self.ask(self.store, 'GET', '/objects/config/main')
+            self._revision = _revision_of(held)
+            try:
+                await self._write(max(self.accepted, 1), kinds)
+                written = True
+            except NotWritten:
+                await asyncio.sleep(AGAIN_SECONDS)
+
+    async def _write(self, version: int, kinds: list[TargetKind]) -> None:
+        value = _configuration(version, kinds)
         meta: dict[str, Any] = {'name': 'main'}
         method, path = 'POST', '/objects/config'
         if self._revision:
@@ -151,9 +168,10 @@
         answer = await self.ask(self.store, method, path, body)
         if answer is None or answer.status not in (200, 409):
             raise NotWritten(answer and answer.status)
-        self._revision = msgspec.json.decode(answer.body)['metadata']['revision']
+        self._revision = _revision_of(answer)
         if answer.status == 409:
             raise NotWritten(409)
+        self.accepted = max(self.accepted, version)
 
     async def ask(
         self, address: Address, method: str, path: str, body: bytes = b''
@@ -162,6 +180,14 @@
         exchange = await self.client.send(address, HttpRequest(method, path, [], body, ''), 3.0)
         return exchange.response if isinstance(exchange, Answered) else None
 
+    async def keep_copy(self) -> None:
+        """Let the store keep a copy of what it holds now."""
+        await self.ask(self.store, 'POST', '/keep')
+
+    async def return_from_copy(self) -> None:
+        """Let the store lose what was written since the copy."""
+        await self.ask(self.store, 'POST', '/return')
+
     async def faults(self, **faults: Any) -> None:
         """Set what goes wrong at the store."""
         await self.ask(self.store, 'POST', '/faults', msgspec.json.encode(faults))
@@ -188,6 +214,13 @@
     ]
 
 
+def _revision_of(answer: HttpResponse | None) -> int:
+    """Give the revision of an object that the store holds, 0 for none."""
+    if answer is None or answer.status not in (200, 409):
+        return 0
+    return int(msgspec.json.decode(answer.body)['metadata']['revision'])
+
+
 def _target_argv(host: str, what: TargetKind) -> list[str]:
     argv = [sys.executable, '-m', 'standins.mesh_target', '--service', what.service]
     argv += ['--listen', f'{host}:{TARGET_PORT}', '--named', f'{host}:{APP_PORT}']
@@ -213,22 +246,27 @@
     }
 
 
+def _route(what: TargetKind, prefix: str) -> dict[str, Any]:
+    route = {
+        'host': 'h.example',
+        'pathPrefix': prefix,
+        'kind': what.kind,
+        'timeout': '1500ms',
+        'targetLatency': '1000ms',
+        'priority': 0 if what.kind == 'unsafe' else 2,
+        'service': what.service,
+        'attempts': 2,
+    }
+    return {'resourceKind': 'routes', 'metadata': {'name': prefix}, 'specification': route}
+
+
 def _configuration(version: int, kinds: list[TargetKind]) -> dict[str, Any]:
-    entries: list[dict[str, Any]] = []
+    # A route for each version so far shows callers which of them are in force.
+    entries = [_route(kinds[0], f'/r{number}/') for number in range(1, version + 1) if kinds]
     for what in kinds:
-        route = {
-            'host': 'h.example',
-            'pathPrefix': f'/{what.service}/',
-            'kind': what.kind,
-            'timeout': '1500ms',
-            'targetLatency': '1000ms',
-            'priority': 0 if what.kind == 'unsafe' else 2,
-            'service': what.service,
-            'attempts': 2,
-        }
         service = {'healthPath': '/health', 'maxConnections': 200}
         entries += [
-            {'resourceKind': 'routes', 'metadata': {'name': what.service}, 'specification': route},
+            _route(what, f'/{what.service}/'),
             {
                 'resourceKind': 'services',
                 'metadata': {'name': what.service},
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -57,6 +57,7 @@
         self.faults = Faults()
         self.reads = 0
         self.writes = 0
+        self.kept = self.copy()  #: what it returns from when it is told to
         self._late: set[asyncio.Task[None]] = set()
 
     def forget_history(self) -> None:
@@ -87,6 +88,12 @@
         if req.path == '/faults':
             self.faults = msgspec.json.decode(req.body, type=Faults)
             return json_response(self.faults)
+        if req.path == '/keep':
+            self.kept = self.copy()
+            return json_response({'revision': self.kept.revision})
+        if req.path == '/return':
+            self.restore(self.kept)
+            return json_response({'era': self.era})
         if req.path == '/counts':
             return json_response({'reads': self.reads, 'writes': self.writes})
         if self.faults.get('down'):
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -73,11 +73,14 @@
 class Soak:
     """One run."""
 
-    def __init__(self, fleet: MeshFleet, seed: int) -> None:
+    def __init__(self, fleet: MeshFleet, seed: int, *, returns: bool) -> None:
         self.fleet = fleet
         self.rng = Random(seed)
+        self.returns = returns  #: whether the store returns from copies meanwhile
+        self.returns_rng = Random(-seed)  #: of its own: the other faults of a seed stay as they are
         self.record = Record()
         self.calling = True
+        self.services = ['views', 'orders']  #: and later the newest configuration's own route
 
     async def play(self, seconds: float) -> Record:
         """Start all, harm it for a while, heal it, and judge."""
@@ -88,6 +91,7 @@
         await self._until_served('at the start', 3 * RECOVERY)
         workers = [asyncio.create_task(self._call_on(number)) for number in range(WORKERS)]
         await self._harm_for(seconds)
+        self.services.append(f'r{self.fleet.accepted}')
         await self._until_served('after the last fault', RECOVERY)
         self.calling = False
         await asyncio.gather(*workers)
@@ -125,7 +129,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         client = HttpClient()
-        open_ways = {(entry, s) for entry in self.fleet.machines for s in ('views', 'orders')}
+        open_ways = {(entry, s) for entry in self.fleet.machines for s in self.services}
         while open_ways and loop.time() < until:
             for entry, service in sorted(open_ways):
                 sent = await self._call(client, entry, service)
@@ -143,6 +147,8 @@
         # A harm that fails ends the others: one that starts a process after the fleet was ended
         # would leave it running, and the run would wait for its end.
         async with asyncio.TaskGroup() as group:
+            if self.returns:
+                group.create_task(self._return_stores(until))
             while loop.time() < until:
                 group.create_task(self._harm())
                 await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -212,6 +218,20 @@
         except NotWritten as exc:
             self.record.faults.append(f'the configuration was not written: {exc}')
 
+    async def _return_stores(self, until: float) -> None:
+        """Let the store return from a copy some seconds old, again and again."""
+        loop, rng = asyncio.get_running_loop(), self.returns_rng
+        while loop.time() < until:
+            await self.fleet.keep_copy()
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            await self.fleet.faults(down=True)
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            await self.fleet.return_from_copy()
+            await self.fleet.faults()
+            self.record.faults.append('return_store')
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            await self.fleet.write_again(KINDS)
+
     async def _end_node(self, name: str, how: signal.Signals) -> None:
         node = self.fleet.machines[name].node
         node.kill(signal.SIGCONT)
@@ -271,10 +291,10 @@
     return findings
 
 
-async def run(seed: int, seconds: float) -> Record:
+async def run(seed: int, seconds: float, *, returns: bool = False) -> Record:
     """Play one seed."""
     async with MeshFleet(seed % 240 + 1) as fleet:
-        return await Soak(fleet, seed).play(seconds)
+        return await Soak(fleet, seed, returns=returns).play(seconds)
 
 
 def main() -> int:
@@ -282,11 +302,14 @@
     parser = argparse.ArgumentParser(description='Randomized soak of nodes as processes.')
     parser.add_argument('--seeds', default='1-5', help='FIRST-LAST')
     parser.add_argument('--seconds', type=float, default=8.0, help='Of faults in each run.')
+    parser.add_argument(
+        '--returns', action='store_true', help='Let the store return from older copies meanwhile.'
+    )
     args = parser.parse_args()
     first, _, last = args.seeds.partition('-')
     found = 0
     for seed in range(int(first), int(last or first) + 1):
-        record = asyncio.run(run(seed, args.seconds))
+        record = asyncio.run(run(seed, args.seconds, returns=args.returns))
         statuses = Counter(one.status for one in record.sent)
         line = {'seed': seed, 'statuses': dict(statuses), 'findings': record.findings}
         if record.findings:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 #: 10: a node that started while the store took calls and said nothing had no configuration for
 #: 27 s, the time of a whole watch (about every second run, at 5 s of faults).
 SEEDS = ((2, 3.0), (10, 5.0))
+RETURNS_SEED, RETURNS_SECONDS = 3, 4.0
 
 
 class SoakTest(TestCase):
@@ -24,6 +25,12 @@
             record = asyncio.run(run(seed, seconds))
             self.assertEqual([], record.findings, (seed, record.faults))
 
+    def test_changes_are_in_force_though_the_store_returns_from_copies(self):
+        """A machine that is not served by the newest route holds an old configuration."""
+        record = asyncio.run(run(RETURNS_SEED, RETURNS_SECONDS, returns=True))
+        self.assertIn('return_store', record.faults)
+        self.assertEqual([], record.findings, record.faults)
+
 
 class OperatorTest(PausedClockTest):
     def configure(self, *answers: HttpResponse | None) -> tuple[list[str], list[Any]]:
