--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,6 +13,7 @@
 
 MAX_VALUE_BYTES = 1 << 20
 PAGE_ITEMS = 500
+OTHERS_WRITES = 20  #: changes by others after a copy is kept, whose revisions it gives out again
 WRITES = ('POST', 'PUT', 'DELETE')
 
 
@@ -90,6 +91,7 @@
             return json_response(self.faults)
         if req.path == '/keep':
             self.kept = self.copy()
+            self.revision += OTHERS_WRITES
             return json_response({'revision': self.kept.revision})
         if req.path == '/return':
             self.restore(self.kept)
