Test: a record changed after the store's return is in force

The product's own records had the cause of the incident, too: their version is the store's revision, and a change accepted below the one held was never taken.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,13 +9,16 @@
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest
 from dunlinsaddle.calls.listener import HttpFace
+from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.platform.store import ABSENT, Conflict, Place, place_of
+from dunlinsaddle.records.book import RecordBook
+from dunlinsaddle.records.sync import RecordSync
 from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.settings import Address
 from standins.platform import Platform
-from tests.builders import build_configuration, build_logger
+from tests.builders import build_configuration, build_document, build_logger, build_member
 from tests.clock import PausedClockTest
 from tests.mesh_case import SETTLED, MeshTest
 
@@ -125,6 +128,40 @@
         self.assertEqual(['a', 'b', 'c'], [held.name for held in anew.objects])
 
 
+class RecordsTest(StoreCase):
+    def test_a_record_changed_after_the_return_is_in_force(self):
+        """Its revision is below that of the version held, which was lost with the store's."""
+
+        async def scenario(platform, store):
+            await store.put('records', 'cut-orders', {'record': build_document()}, ABSENT)
+            member = build_member()
+            sync = RecordSync(
+                RecordBook(),
+                store,
+                MemberView(),
+                None,
+                lambda: member,
+                Random(1),
+                build_logger('records'),
+            )
+            copy = platform.copy()
+            await Operator(platform).spend_revisions(6)
+            held = (await store.get('records', 'cut-orders')).unwrap()
+            await store.put('records', 'cut-orders', {'record': None}, held.version)
+            task = asyncio.create_task(sync.run())
+            await asyncio.sleep(5)
+            before = sync.book.find('cut-orders')
+            platform.restore(copy)
+            held = (await store.get('records', 'cut-orders')).unwrap()
+            document = build_document(deadline=1.25)
+            await store.put('records', 'cut-orders', {'record': document}, held.version)
+            await asyncio.sleep(5)
+            task.cancel()
+            return before, sync.book.find('cut-orders').deadline
+
+        self.assertEqual((None, 1.25), self.with_store(scenario))
+
+
 class FollowTest(StoreCase):
     def follow(self, scenario):
         async def run(platform, store):
