--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -144,6 +144,7 @@
                 Random(1),
                 build_logger('records'),
             )
+            platform.faults = {'delay': ANSWER}
             copy = platform.copy()
             await Operator(platform).spend_revisions(6)
             held = (await store.get('records', 'cut-orders')).unwrap()
