A refused watch of another epoch costs one call; builders of followers and record sync

Found in reading the change: any answer of another epoch made the client list, a refusal too, so that all watchers of a store in trouble asked twice. Besides: the soak's returns were drawn from the same stream as its other faults, since a generator drops the sign of its seed; one case of the store's client and one builder each of a follower and of a record sync, for what stood in two tests each.

--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -29,10 +29,9 @@
 
 CALL_TIMEOUT = 5.0  #: a slow platform still serves; one that is away fails to connect sooner
 LONGEST_WAIT_MS = 30_000  #: the longest watch that the store allows
-GONE_STATUS = 410  #: of a watch whose start is not in the history that the store keeps
 EPOCH_HEADER = b'store-era'  #: of each answer; rises each time the store returns from a copy
 EPOCH_DIGITS = 6  #: a bound against absurd numbers, which no peer could be told
-FIRST_REFUSAL = 410  #: from here on a status says that the store did nothing
+FIRST_REFUSAL = 410  #: from here on a status says that the store did nothing; 410 is a watch's
 
 
 class HttpObjectStore:
@@ -121,11 +120,12 @@
         path = f'{_path(kind)}?watch={place.revision}&waitMs={wait_ms}'
         # It waits long on purpose: it must not be taken for overdue and sent once more.
         match await self._send('GET', path, timeout=timeout + grace, repeats=False):
-            case Ok(response) if response.status == GONE_STATUS or _epoch(response) != place.epoch:
-                # The same revision of another epoch tells of other changes, and hides some.
-                return await self._list(kind, timeout + grace)
-            case Ok(HttpResponse(status=200) as response):
+            case Ok(HttpResponse(status=200) as response) if _epoch(response) == place.epoch:
                 return _decoded(response, _Changes).map(lambda c: c.plain(kind, place.epoch))
+            case Ok(HttpResponse(status=200 | 410)):
+                # Not in the history, or of another epoch, in which the same revision stands for
+                # other changes and would hide some.
+                return await self._list(kind, timeout + grace)
             case other:
                 return Err(_unavailable(other))
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -78,7 +78,7 @@
         self.fleet = fleet
         self.rng = Random(seed)
         self.returns = returns  #: whether the store returns from copies meanwhile
-        self.returns_rng = Random(-seed)  #: of its own: the other faults of a seed stay as they are
+        self.returns_rng = Random(f'returns {seed}')  #: the other faults of a seed stay as they are
         self.record = Record()
         self.calling = True
         self.services = list(SERVICES)  #: and later the newest configuration's own route
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,17 +8,23 @@
 from random import Random
 from typing import Any
 
+from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.calls.messages import Call, Reply
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.errors import Outcome
-from dunlinsaddle.membership.view import Member, State
+from dunlinsaddle.membership.view import Member, MemberView, State
+from dunlinsaddle.platform.configuration import read_configuration
+from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.policy.context import CallContext, Priority
 from dunlinsaddle.policy.limit import AdaptiveLimit
 from dunlinsaddle.policy.retry import Allowance
+from dunlinsaddle.records.book import RecordBook
 from dunlinsaddle.records.changes import Change
 from dunlinsaddle.records.models import Rank, RequestRule, ServiceRecord
+from dunlinsaddle.records.sync import RecordSync
+from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.settings import Address, Settings, read_settings
 from tests.fakes.network import open_in_memory
 
@@ -63,6 +69,25 @@
     return logger
 
 
+def build_follower(store: ObjectStore) -> ConfigFollower:
+    return ConfigFollower(
+        store,
+        'config',
+        'main',
+        read_configuration,
+        Random(1),
+        build_logger('follow'),
+        Freshness(_loop_time, None),
+    )
+
+
+def build_record_sync(store: ObjectStore) -> RecordSync:
+    """Build that of a node that knows no other."""
+    member = build_member()
+    logger = build_logger('records')
+    return RecordSync(RecordBook(), store, MemberView(), None, lambda: member, Random(1), logger)  # type: ignore[arg-type]
+
+
 def build_record(service: str = 'cut-orders', **changes: Any) -> ServiceRecord:
     rules = (
         RequestRule('release', 'POST', '/orders/*/release', Rank.CRITICAL, False),
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,28 +1,21 @@
 """The store comes back from an older copy: its revisions go back and are given out again."""
 
 import asyncio
-from random import Random
 
 import msgspec
 
-from dunlinsaddle.access.freshness import Freshness
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.http import HttpLimits, HttpRequest
-from dunlinsaddle.calls.listener import HttpFace
-from dunlinsaddle.membership.view import MemberView
-from dunlinsaddle.platform.client import HttpObjectStore
-from dunlinsaddle.platform.configuration import read_configuration
+from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.platform.store import ABSENT, Conflict, Place, place_of
-from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.sync import RecordSync
-from dunlinsaddle.routes.follow import ConfigFollower
-from dunlinsaddle.settings import Address
 from standins.platform import Platform
-from tests.builders import build_configuration, build_document, build_logger, build_member
-from tests.clock import PausedClockTest
+from tests.builders import (
+    build_configuration,
+    build_document,
+    build_follower,
+    build_record_sync,
+)
 from tests.mesh_case import SETTLED, MeshTest
+from tests.store_case import StoreCase
 
-ADDRESS = Address('127.0.0.1', 9)
 IN_FORCE = 2.0  #: seconds within which a change has to be in force
 AWAY = 2.6  #: seconds for which the store answers nobody
 LONG = 6.0  #: seconds; longer than a watch, whose answer proves what held when it was sent
@@ -52,29 +45,11 @@
         await self.platform.handle(HttpRequest(method, path, [], body, ''))
 
 
-class StoreCase(PausedClockTest):
-    """A stand-in of the store behind its client."""
-
-    def with_store(self, scenario):
-        async def run():
-            platform = Platform()
-            face = HttpFace(platform.handle, HttpLimits())
-            await face.listen(ADDRESS)
-            client = HttpClient()
-            try:
-                return await scenario(platform, HttpObjectStore(ADDRESS, client))
-            finally:
-                client.close()
-                face.close()
-
-        return self.run_paused(run())
-
-
 class ClientTest(StoreCase):
     def test_a_change_behind_a_revision_that_was_given_out_again_is_not_missed(self):
         """The counter has passed the watcher's revision before it asks again: no 410 tells it."""
 
-        async def scenario(platform, store):
+        async def scenario(store, platform):
             operator = Operator(platform)
             copy = platform.copy()
             await operator.spend_revisions(3)
@@ -84,14 +59,27 @@
             await operator.spend_revisions(6)
             return (await store.watch('config', since, 5.0)).unwrap()
 
-        listing = self.with_store(scenario)
+        listing = self.with_platform(scenario)
         self.assertEqual(['r23'], [held.value['version'] for held in listing.objects])
         self.assertEqual(Place(1, 8), place_of(listing.version))
 
+    def test_a_watch_that_is_refused_costs_one_call(self):
+        """All watchers of a store in trouble would ask twice, as its refusals tell a new epoch."""
+
+        async def scenario(store, platform):
+            since = (await store.list('config')).unwrap().version
+            platform.restore(platform.copy())
+            platform.faults = {'busy': True}
+            before = store.calls
+            refused = await store.watch('config', since, 5.0)
+            return store.calls - before, refused.is_err()
+
+        self.assertEqual((1, True), self.with_platform(scenario))
+
     def test_a_write_on_the_condition_of_an_earlier_epoch_changes_nothing(self):
         """Another writer's object has the revision that the first writer read, and is not its."""
 
-        async def scenario(platform, store):
+        async def scenario(store, platform):
             copy = platform.copy()
             read = (await store.put('records', 'a', 'mine', ABSENT)).unwrap()
             platform.restore(copy)
@@ -103,14 +91,14 @@
             ]
             return refused, (await store.get('records', 'a')).unwrap()
 
-        refused, held = self.with_store(scenario)
+        refused, held = self.with_platform(scenario)
         self.assertEqual('theirs', held.value)
         self.assertEqual([Conflict(held)] * 2, [result.unwrap_err() for result in refused])
 
     def test_a_listing_that_spans_the_return_is_listed_anew(self):
         """The first pages are of objects that are gone, and the rest of those that are there."""
 
-        async def scenario(platform, store):
+        async def scenario(store, platform):
             for name in 'abc':
                 await store.put('records', name, 'kept', ABSENT)
             copy = platform.copy()
@@ -123,7 +111,7 @@
             platform.faults = {}
             return mixed, (await store.watch('records', mixed.version, 5.0)).unwrap()
 
-        mixed, anew = self.with_store(scenario)
+        mixed, anew = self.with_platform(scenario)
         self.assertIn('lost', [held.value for held in mixed.objects])
         self.assertEqual(['a', 'b', 'c'], [held.name for held in anew.objects])
 
@@ -132,18 +120,9 @@
     def test_a_record_changed_after_the_return_is_in_force(self):
         """Its revision is below that of the version held, which was lost with the store's."""
 
-        async def scenario(platform, store):
+        async def scenario(store, platform):
             await store.put('records', 'cut-orders', {'record': build_document()}, ABSENT)
-            member = build_member()
-            sync = RecordSync(
-                RecordBook(),
-                store,
-                MemberView(),
-                None,
-                lambda: member,
-                Random(1),
-                build_logger('records'),
-            )
+            sync = build_record_sync(store)
             platform.faults = {'delay': ANSWER}
             copy = platform.copy()
             await Operator(platform).spend_revisions(6)
@@ -160,28 +139,20 @@
             task.cancel()
             return before, sync.book.find('cut-orders').deadline
 
-        self.assertEqual((None, 1.25), self.with_store(scenario))
+        self.assertEqual((None, 1.25), self.with_platform(scenario))
 
 
 class FollowTest(StoreCase):
     def follow(self, scenario):
-        async def run(platform, store):
-            follower = ConfigFollower(
-                store,
-                'config',
-                'main',
-                read_configuration,
-                Random(1),
-                build_logger('follow'),
-                Freshness(asyncio.get_running_loop().time, None),
-            )
+        async def run(store, platform):
+            follower = build_follower(store)
             task = asyncio.create_task(follower.run())
             try:
                 return await scenario(platform, follower)
             finally:
                 task.cancel()
 
-        return self.with_store(run)
+        return self.with_platform(run)
 
     async def drill(self, platform: Platform) -> None:
         """Follow r18 and r21, and come back from a copy that lacks r21 and all since r18."""
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -4,13 +4,11 @@
 from result import Err, Ok
 from testtools import TestCase
 
-from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.platform.store import WATCH_GRACE, Unavailable
-from dunlinsaddle.routes.follow import ConfigFollower
 from dunlinsaddle.routes.models import Share
 from dunlinsaddle.routes.table import RouteTable, choose_service
-from tests.builders import build_configuration, build_logger, build_route
+from tests.builders import build_configuration, build_follower, build_route
 from tests.clock import PausedClockTest
 from tests.fakes.store import FakeStore
 
@@ -113,16 +111,7 @@
         store = store or FakeStore()
 
         async def run():
-            logger = build_logger('follow')
-            follower = ConfigFollower(
-                store,
-                'config',
-                'main',
-                read_configuration,
-                Random(1),
-                logger,
-                Freshness(asyncio.get_running_loop().time, None),
-            )
+            follower = build_follower(store)
             task = asyncio.create_task(follower.run())
             try:
                 return await scenario(store, follower)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -4,39 +4,16 @@
 import msgspec
 from result import Ok
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.http import HttpLimits, HttpResponse
-from dunlinsaddle.calls.listener import HttpFace
-from dunlinsaddle.membership.view import MemberView
-from dunlinsaddle.platform.client import HttpObjectStore
+from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.platform.store import Conflict, Unavailable
-from dunlinsaddle.records.book import RecordBook
-from dunlinsaddle.records.sync import RecordSync
-from dunlinsaddle.settings import Address
-from standins.platform import MAX_VALUE_BYTES, Platform
-from tests.builders import build_document, build_logger, build_member
-from tests.clock import PausedClockTest
-
-ADDRESS = Address('127.0.0.1', 9)
-CALLER = '::1'  #: as connections in memory name the other end
-
+from standins.platform import MAX_VALUE_BYTES
+from tests.builders import build_document, build_record_sync
+from tests.store_case import StoreCase
 
-class StoreClientTest(PausedClockTest):
-    def with_platform(self, scenario, handler=None):
-        async def run():
-            platform = Platform()
-            limits = HttpLimits(body_bytes=2 * MAX_VALUE_BYTES)
-            face = HttpFace(handler or platform.handle, limits)
-            await face.listen(ADDRESS)
-            client = HttpClient()
-            try:
-                return await scenario(HttpObjectStore(ADDRESS, client), platform)
-            finally:
-                client.close()
-                face.close()
+CALLER = '::1'  #: as connections in memory name the other end
 
-        return self.run_paused(run())
 
+class StoreClientTest(StoreCase):
     def test_writes_are_conditional_and_a_watch_tells_of_deletes(self):
         async def scenario(store, platform):
             made = await store.put('records', 'a', {'n': 1}, 0)
@@ -98,16 +75,7 @@
         # for each would never hear of a change; this one waits longer after each try, and is
         # back at its short wait once the platform is fast again.
         async def scenario(store, platform):
-            member = build_member()
-            sync = RecordSync(
-                RecordBook(),
-                store,
-                MemberView(),
-                None,
-                lambda: member,
-                Random(1),
-                build_logger('slow'),
-            )
+            sync = build_record_sync(store)
             await store.put('records', 'cut-orders', {'record': build_document()}, 0)
             platform.faults = {'delay': 6.0}
             task = asyncio.create_task(sync.run())
