--- a/dunlinsaddle/loops.py
+++ b/dunlinsaddle/loops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from functools import cached_property
+from random import Random
 
 
 class OnLoop:
@@ -21,3 +22,22 @@
     def now(self) -> float:
         """Give the time of the loop, in seconds."""
         return self.loop.time()
+
+
+class Backoff:
+    """Pauses between tries, in seconds: doubled each time up to a bound, and spread by chance."""
+
+    def __init__(self, first: float, most: float, rng: Random) -> None:
+        self.first = first
+        self.most = most
+        self.rng = rng
+        self.seconds = first  #: the next pause, at most
+
+    def reset(self) -> None:
+        """Begin anew with the first pause."""
+        self.seconds = self.first
+
+    async def pause(self) -> None:
+        """Wait before the next try."""
+        await asyncio.sleep(self.seconds * self.rng.uniform(0.5, 1.0))
+        self.seconds = min(self.seconds * 2, self.most)
--- a/dunlinsaddle/routes/follow.py
+++ b/dunlinsaddle/routes/follow.py
@@ -16,7 +16,7 @@
 from dunlinsaddle.access.freshness import Freshness
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import MAX_BUDGET, RecordFrame, RecordsAnswer, RecordsAsk
-from dunlinsaddle.loops import OnLoop
+from dunlinsaddle.loops import Backoff, OnLoop
 from dunlinsaddle.membership.view import Member
 from dunlinsaddle.platform.store import (
     JsonValue,
@@ -114,7 +114,7 @@
         Before ``acquainted_at`` it can't tell, and leaves the store alone once it knows a
         configuration.
         """
-        backoff, grace = FIRST_BACKOFF, FIRST_GRACE
+        backoff, grace = Backoff(FIRST_BACKOFF, MOST_BACKOFF, self.rng), FIRST_GRACE
         patient_until = self.now() + NEWS_PATIENCE
         while True:
             now = self.now()
@@ -130,22 +130,22 @@
             began = self.now()
             read_to = self._read_to
             match await self._watch(wait, grace):
-                case Ok() if self.now() - began < min(wait, backoff) and self._read_to == read_to:
-                    # A store without history lists in place of waiting: asked in a spin, it
-                    # would have no calls left for the others.
-                    grace = FIRST_GRACE
-                    await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
-                    backoff = min(backoff * 2, MOST_BACKOFF)
                 case Ok():
-                    backoff, grace = FIRST_BACKOFF, FIRST_GRACE
+                    grace = FIRST_GRACE
                     self._note_store(reachable=True, why='')
+                    took = self.now() - began
+                    if took < min(wait, backoff.seconds) and self._read_to == read_to:
+                        # A store without history lists in place of waiting: asked in a spin, it
+                        # would have no calls left for the others.
+                        await backoff.pause()
+                    else:
+                        backoff.reset()
                 case Err(Unavailable(detail)):
                     self._note_store(reachable=False, why=detail)
                     if self.now() - began >= wait + grace:
                         grace = min(grace * 2, MOST_GRACE)
                     await self._ask_any()
-                    await asyncio.sleep(backoff * self.rng.uniform(0.5, 1.0))
-                    backoff = min(backoff * 2, MOST_BACKOFF)
+                    await backoff.pause()
 
     async def look(self) -> bool:
         """Ask the store once, whoever's turn it is; say whether it answered."""
