A limit that nobody told rises before its first calls have been judged

The limit is 8 until 29 of the first 32 calls have ended, with 20 slots free.

Now it rises by half a call for each that ends, as in the slow start that follows. Its test gave a limit of 8 before.

--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -86,10 +86,11 @@
     decrease would go on down to one call.
     """
 
-    def __init__(self, first: float = FIRST_LIMIT, most: int = 1000) -> None:
+    def __init__(self, first: float | None = None, most: int = 1000) -> None:
         self.most = most
-        self.first = min(first, most)
+        self.first = min(first or FIRST_LIMIT, most)
         self.value = self.first
+        self._told = first is not None  #: the first limit, by who knows the target
         self._baselines: dict[str, float] = {}
         self._inflation = 1.0
         self._slow_start = True
@@ -100,11 +101,13 @@
         self._probe_pause = PROBE_AFTER
         self._cohort = _Cohort(0, FEWEST, 0.0)
 
-    def guess(self, first: float, most: int) -> None:
+    def guess(self, told: float | None, most: int) -> None:
         """Take a first guess and the upper bound; what was learned goes before the guess."""
+        first = told or FIRST_LIMIT
         self.most = most
         if first != self.first and not self._baselines:
             self.value = first
+        self._told = told is not None
         self.first = min(first, most)
         self.value = min(self.value, most)
 
@@ -149,6 +152,10 @@
         baseline = self._baselines.get(rule)
         if baseline is None:
             cohort.first.setdefault(rule, []).append(own_time)
+            if not self._baselines and not self._told:
+                # Held until there is a baseline, a fleet that has just started refuses callers
+                # for the time of some thirty calls, with most of its slots free.
+                self._start_slowly(cohort)
             return
         ratio = own_time / baseline
         cohort.by_rule.setdefault(rule, []).append(ratio)
@@ -161,7 +168,11 @@
             # Too little may be let in to use the limit, as long as it is the limit that
             # holds back: what has run well before needs no such sign.
             self.value += KNOWN_GROWTH
-        elif self._slow_start and cohort.peak >= USED * self.value:
+        else:
+            self._start_slowly(cohort)
+
+    def _start_slowly(self, cohort: _Cohort) -> None:
+        if self._slow_start and cohort.peak >= USED * self.value:
             self.value = min(self.value + FIRST_GROWTH, self.most)
 
     def _add_baselines(self, cohort: _Cohort) -> None:
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from dunlinsaddle.policy.limit import AdaptiveLimit
+from dunlinsaddle.policy.limit import FIRST_LIMIT, AdaptiveLimit
 from tests.builders import FakeServer
 
 
@@ -12,6 +12,20 @@
         self.assertGreater(limit.value, 45)
         self.assertLess(limit.value, 120)
 
+    def test_limit_that_nobody_told_rises_before_the_first_calls_have_been_judged(self):
+        """A fleet that has just started refuses callers for seconds with its slots free."""
+        server = FakeServer(slots=60, service_time=0.4)
+        limit = AdaptiveLimit(most=1000)
+        server.run(limit, seconds=3 * server.service_time)
+        self.assertGreater(limit.value, 2 * FIRST_LIMIT)
+
+    def test_limit_that_was_told_waits_for_the_first_calls_to_be_judged(self):
+        """A target is given more than its slots from its first calls on, and answers late."""
+        server = FakeServer(slots=60, service_time=0.4)
+        limit = AdaptiveLimit(first=60, most=1000)
+        server.run(limit, seconds=server.service_time)
+        self.assertEqual(60, limit.value)
+
     def test_limit_never_exceeds_the_connections(self):
         server = FakeServer(slots=200, service_time=0.02)
         limit = AdaptiveLimit(most=30)
