The rate learned under a limit that nobody told grows with the limit

The rate that the first, low limit let through counts on for a hundred calls; the level shuts on it, and too few come to use the limit, so that it stops rising.

--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -214,7 +214,10 @@
         self._observe(now)
         start = self._started.pop(ticket.call_id)
         own_time = sample.own_time if sample.completed else None
+        before = self.limit
         self._adaptive.finished(now, start.cohort, sample.rule, own_time)
+        if self._adaptive.starting:
+            self._observed.grown(max(self.limit / before, 1.0))
         if not sample.completed:
             return
         seconds = now - start.when
--- a/dunlinsaddle/policy/capacity.py
+++ b/dunlinsaddle/policy/capacity.py
@@ -40,6 +40,14 @@
             self._calls *= 0.5
             self._time *= 0.5
 
+    def grown(self, factor: float) -> None:
+        """Take it that the target does so many times the calls, as it is given more at once.
+
+        Failure: the rate that a low limit let through counts on for a hundred calls; by it the
+        level shuts, and too few are let in to show that the target can take more.
+        """
+        self._calls *= factor
+
     def idle(self, now: float) -> float:
         """Give for how many seconds places have been free."""
         return 0.0 if self._saturated else now - self._free_since
--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -101,6 +101,11 @@
         self._probe_pause = PROBE_AFTER
         self._cohort = _Cohort(0, FEWEST, 0.0)
 
+    @property
+    def starting(self) -> bool:
+        """Whether it still rises from a first limit that nobody told."""
+        return self._slow_start and not self._told
+
     def guess(self, told: float | None, most: int) -> None:
         """Take a first guess and the upper bound; what was learned goes before the guess."""
         first = told or FIRST_LIMIT
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,10 +1,12 @@
+from heapq import heappop, heappush
+from itertools import count
 from statistics import median
 from time import perf_counter
 
 from testtools import TestCase
 
 from dunlinsaddle.errors import ErrorKind
-from dunlinsaddle.policy.admission import Admission, Refuse, Run, Sample, Wait
+from dunlinsaddle.policy.admission import Admission, Refuse, Run, Sample, Ticket, Wait
 from dunlinsaddle.policy.retry_after import retry_after
 from tests.builders import build_ticket
 
@@ -75,6 +77,28 @@
             costs.append(perf_counter() - began)
         return median(costs)
 
+    def test_rate_learned_under_a_low_limit_grows_with_it(self):
+        """Callers are refused by the rate of the first limit long after it has risen."""
+        admission = Admission()
+        now = self.saturate(admission, seconds=0.4, ends=80)
+        self.assertGreater(admission._capacity(now), 0.8 * admission.limit / 0.4)
+
+    def saturate(self, admission: Admission, seconds: float, ends: int) -> float:
+        """Offer more than is let in until so many calls have ended; gives the time."""
+        now, numbers = 0.0, count()
+        running: list[tuple[float, Ticket]] = []
+        for _ in range(ends):
+            while True:
+                ticket = build_ticket(next(numbers), arrived=now, deadline=now + 10)
+                if not isinstance(admission.arrive(now, ticket), Run):
+                    break
+                heappush(running, (now + seconds, ticket))
+            now, ended = heappop(running)
+            admission.finish(now, ended, Sample('default', seconds, completed=True))
+            for ticket in admission.release(now).started:
+                heappush(running, (now + seconds, ticket))
+        return now
+
     def finish_one(self, admission: Admission, call_id: int, seconds: float) -> None:
         admission.arrive(0.0, build_ticket(call_id))
         sample = Sample('default', seconds, completed=True)
