--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -90,20 +90,16 @@
             body = msgspec.json.encode({'metadata': meta, 'specification': value})
             return await self._changed(kind, name, 'POST', _path(kind), body)
         place = place_of(expected)
-        if place.epoch < self.epoch:
-            return await self._conflict(kind, name)
         body = msgspec.json.encode(
             {'metadata': {**meta, 'revision': place.revision}, 'specification': value}
         )
-        return await self._changed(kind, name, 'PUT', _path(kind, name), body)
+        return await self._changed(kind, name, 'PUT', _path(kind, name), body, place)
 
     async def delete(self, kind: str, name: str, expected: int) -> Result[StoredObject, StoreError]:
         """Delete on the condition that the version is ``expected``."""
         place = place_of(expected)
-        if place.epoch < self.epoch:
-            return await self._conflict(kind, name)
         path = f'{_path(kind, name)}?revision={place.revision}'
-        match await self._changed(kind, name, 'DELETE', path, b''):
+        match await self._changed(kind, name, 'DELETE', path, b'', place):
             case Ok(held):
                 return Ok(held._replace(value=None))
             case failed:
@@ -130,8 +126,17 @@
                 return Err(_unavailable(other))
 
     async def _changed(
-        self, kind: str, name: str, method: str, path: str, body: bytes
+        self,
+        kind: str,
+        name: str,
+        method: str,
+        path: str,
+        body: bytes,
+        expected: Place | None = None,
     ) -> Result[StoredObject, StoreError]:
+        if expected is not None and expected.epoch < self.epoch:
+            # Its revision may have been given out again, to another writer's change.
+            return await self._conflict(kind, name)
         match await self._send(method, path, body):
             case Ok(HttpResponse(status=200 | 201) as response):
                 return _object(kind, response)
