--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -141,7 +141,7 @@
     (1: little waits when the overload ends).
     """
 
-    def __init__(self, *, limit: float | None = None, most: int = 1000, bias: float = 0.5) -> None:
+    def __init__(self, *, limit: float = 0, most: int = 1000, bias: float = 0.5) -> None:
         self.inflight = 0
         self._away: set[int] = set()
         self.most = most
@@ -159,7 +159,7 @@
     def of(cls, record: ServiceRecord) -> 'Admission':
         """Build it as a record says; its slots are a first guess only."""
         return cls(
-            limit=record.slots or None,
+            limit=record.slots,
             most=record.connections,
             bias=record.recovery_bias,
         )
@@ -176,7 +176,7 @@
     def configure(self, record: ServiceRecord) -> None:
         """Take what the record says now; what was learned stays."""
         self.most = record.connections
-        self._adaptive.guess(record.slots or None, record.connections)
+        self._adaptive.guess(record.slots, record.connections)
         self._use_bias(record.recovery_bias)
 
     def restarted(self, now: float) -> None:
--- a/dunlinsaddle/policy/limit.py
+++ b/dunlinsaddle/policy/limit.py
@@ -86,11 +86,12 @@
     decrease would go on down to one call.
     """
 
-    def __init__(self, first: float | None = None, most: int = 1000) -> None:
+    def __init__(self, first: float = 0, most: int = 1000) -> None:
+        """Begin with a first guess by who knows the target, 0 for none."""
         self.most = most
         self.first = min(first or FIRST_LIMIT, most)
         self.value = self.first
-        self._told = first is not None  #: the first limit, by who knows the target
+        self._told = first > 0
         self._baselines: dict[str, float] = {}
         self._inflation = 1.0
         self._slow_start = True
@@ -106,13 +107,13 @@
         """Whether it still rises from a first limit that nobody told."""
         return self._slow_start and not self._told
 
-    def guess(self, told: float | None, most: int) -> None:
-        """Take a first guess and the upper bound; what was learned goes before the guess."""
+    def guess(self, told: float, most: int) -> None:
+        """Take a first guess, 0 for none, and the upper bound; what was learned goes before it."""
         first = told or FIRST_LIMIT
         self.most = most
         if first != self.first and not self._baselines:
             self.value = first
-        self._told = told is not None
+        self._told = told > 0
         self.first = min(first, most)
         self.value = min(self.value, most)
 
