--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -147,13 +147,11 @@
 
     async def write_again(self, kinds: list[TargetKind]) -> None:
         """Write what the store may have lost as it returned from a copy, until it is taken."""
-        written = False
-        while not written:
+        while True:
             held = await self.ask(self.store, 'GET', '/objects/config/main')
             self._revision = _revision_of(held)
             try:
-                await self._write(max(self.accepted, 1), kinds)
-                written = True
+                return await self._write(max(self.accepted, 1), kinds)
             except NotWritten:
                 await asyncio.sleep(AGAIN_SECONDS)
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -149,7 +149,7 @@
         # would leave it running, and the run would wait for its end.
         async with asyncio.TaskGroup() as group:
             if self.returns:
-                group.create_task(self._return_stores(until))
+                group.create_task(self._return_store(until))
             while loop.time() < until:
                 group.create_task(self._harm())
                 await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -219,7 +219,7 @@
         except NotWritten as exc:
             self.record.faults.append(f'the configuration was not written: {exc}')
 
-    async def _return_stores(self, until: float) -> None:
+    async def _return_store(self, until: float) -> None:
         """Let the store return from a copy some seconds old, again and again."""
         loop, rng = asyncio.get_running_loop(), self.returns_rng
         while loop.time() < until:
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -50,6 +50,9 @@
             key: held._replace(version=self._version(place_of(held.version).revision))
             for key, held in objects.items()
         }
+        self._wake()
+
+    def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -112,8 +115,7 @@
             return Err(Conflict(copy.deepcopy(held)))
         stored = StoredObject(kind, name, self._next_revision(kind), copy.deepcopy(value))
         self.objects[kind, name] = stored
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._wake()
         if self.lose_answers > 0 and kind not in self.apart:
             self.lose_answers -= 1
             return Err(Unavailable('the answer got lost'))
