Nodes tell what a target says of itself in its answers; nothing decides by it yet

Both headers are read in platform/, with the rate as a decimal number (anything else says nothing, of several the lowest counts), only of the target's own unchanged answers: who took over an address answers 421 and speaks for itself. One line for each change, four a second at most; two gauges. Fakes of targets can say both.

--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -12,6 +12,7 @@
 
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS
 from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.calls.target import Said
 from dunlinsaddle.calls.work import Work
 from dunlinsaddle.errors import Failure, Outcome
 from dunlinsaddle.loops import OnLoop
@@ -32,11 +33,12 @@
     CANCELLED = 'request cancelled'
     UNROUTED = 'request without route'
     DENIED = 'request denied'
+    TARGET_SAID = 'target said'
     OMITTED = 'decisions left out'
 
 
 #: Lines a second for each event. At 23 us a line (a failed request's, written to a file that is
-#: always ready), all 206 together take half a percent of a core; refusals come in floods of
+#: always ready), all 210 together take half a percent of a core; refusals come in floods of
 #: hundreds, of which a sample of fifty tells the cause.
 LINES_A_SECOND = {
     Event.ROUTED: 4,
@@ -49,6 +51,7 @@
     Event.CANCELLED: 10,
     Event.UNROUTED: 10,
     Event.DENIED: 20,
+    Event.TARGET_SAID: 4,
 }
 
 
@@ -182,6 +185,20 @@
         if self._has_room(Event.CANCELLED):
             self._write(Event.CANCELLED, ctx, seconds=_rounded(seconds), inner=bool(ctx.hop))
 
+    def target_said(self, request_id: str, target_id: str, said: Said, before: Said) -> None:
+        """Note that a target says something else of itself with an answer than before."""
+        if not self._has_room(Event.TARGET_SAID):
+            return
+        extra = {
+            'request_id': request_id,
+            'target': target_id,
+            'rate': said.rate,
+            'rate_before': before.rate,
+            'leaving': said.leaving,
+            'unreadable': said.unreadable,
+        }
+        self.logger.info(Event.TARGET_SAID.value, extra=extra)
+
     def _has_room(self, event: Event) -> bool:
         second = int(self.now())
         if second != self._second:
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -7,9 +7,9 @@
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.decisions import DecisionLog
-from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest
+from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
-from dunlinsaddle.calls.target import LocalTarget, PlainDialect, TargetDialect
+from dunlinsaddle.calls.target import LocalTarget, PlainDialect, Said, TargetDialect
 from dunlinsaddle.calls.work import Running, RunningCalls, Work, come_back_after
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import OnLoop
@@ -63,6 +63,8 @@
         self.on_death = on_death
         self.levels = levels or ChainLevels()
         self.decisions: DecisionLog | None = None
+        #: Takes what the target says of itself with the answer to a request.
+        self.on_said: Callable[[str, Said], None] = lambda request_id, said: None
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
         self._waiting_tickets: dict[int, Ticket] = {}
         self._tickets = 0
@@ -294,6 +296,7 @@
             work.waits.seconds += took
         match exchange:
             case Answered(response):
+                self._hear(work, response)
                 reply = self.dialect.reply(response)
                 if not reply.kind:
                     reply.retry_after = come_back_after(reply, running)
@@ -311,6 +314,11 @@
                     self.on_death(work.ctx.fingerprint, reply.deaths)
                 return reply
 
+    def _hear(self, work: Work, response: HttpResponse) -> None:
+        said = self.dialect.said(response)
+        if said is not None:
+            self.on_said(work.ctx.request_id, said)
+
     async def _target_lives(self) -> bool:
         """Say whether the target takes connections: a dead one refuses them at once."""
         address = self.target.address
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -1,7 +1,7 @@
 """The target beside a node: what is known of it, and how it is spoken to."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from dunlinsaddle.calls.http import HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply
@@ -10,6 +10,14 @@
 from dunlinsaddle.settings import Address
 
 
+class Said(NamedTuple):
+    """What a target says of itself with an answer, beside the answer to the request."""
+
+    rate: float | None = None  #: requests a second that it takes from all nodes, None for no bound
+    leaving: bool = False
+    unreadable: str | None = None  #: a rate that says nothing, as it cannot be read
+
+
 class TargetDialect(Protocol):
     """How a target is spoken to: what goes with a call, and what its answer says."""
 
@@ -22,6 +30,9 @@
     def reply(self, response: HttpResponse) -> Reply:
         """Tell what a whole answer says of the call."""
 
+    def said(self, response: HttpResponse) -> Said | None:
+        """Tell what a whole answer says of the target; None unless it is the target's own."""
+
 
 class PlainDialect:
     """The product's own way: a target passes a token on with the calls that it makes."""
@@ -44,6 +55,10 @@
         headers = forwarded_headers(response.headers)
         return Reply(0, response.status, headers, response.body, Outcome.DONE)
 
+    def said(self, response: HttpResponse) -> Said | None:
+        """Tell nothing: these targets ask for their drain themselves, and name no rate."""
+        return None
+
 
 class LocalTarget:
     """The target beside this node, as it announced itself."""
--- a/dunlinsaddle/mesh/dialect.py
+++ b/dunlinsaddle/mesh/dialect.py
@@ -2,9 +2,9 @@
 
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Headers, Reply
-from dunlinsaddle.calls.target import LocalTarget
+from dunlinsaddle.calls.target import LocalTarget, Said
 from dunlinsaddle.calls.work import Running, Work
-from dunlinsaddle.platform.requests import answers, read_answer, target_headers
+from dunlinsaddle.platform.requests import answers, read_answer, read_said, target_headers
 
 
 class MeshDialect:
@@ -25,3 +25,7 @@
     def reply(self, response: HttpResponse) -> Reply:
         """Tell what a whole answer says of the call."""
         return read_answer(response)
+
+    def said(self, response: HttpResponse) -> Said | None:
+        """Tell what a whole answer says of the target; None unless it is the target's own."""
+        return read_said(response, self.target.target_id)
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -18,6 +18,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.mesh.announce import AnnounceFace
+from dunlinsaddle.mesh.news import TargetNews
 from dunlinsaddle.mesh.settings import MeshSettings
 from dunlinsaddle.metrics import Metrics, Values, cumulative, observe_stats
 from dunlinsaddle.platform.client import HttpObjectStore
@@ -47,6 +48,7 @@
     store: ObjectStore
     freshness: Freshness
     ledger: Ledger
+    news: TargetNews
     quotas: Quotas
 
 
@@ -66,6 +68,7 @@
         # A reader that cuts the answer short keeps what tells a node's beliefs: they are few lines,
         # and come before the histograms.
         self._observe_beliefs()
+        self._observe_target()
         self._observe_access()
         observe_stats(self.metrics, node.stats)
         self._observe_calls()
@@ -142,6 +145,21 @@
             self._ages,
         )
 
+    def _observe_target(self) -> None:
+        add, node = self.metrics, self.node
+        add.gauge(
+            'dunlinsaddle.target_rate',
+            '{request}/s',
+            'Requests a second that the target says it takes, none where it names no rate.',
+            lambda: [] if node.news.said.rate is None else [(node.news.said.rate, {})],
+        )
+        add.gauge(
+            'dunlinsaddle.target_leaving',
+            '1',
+            'Whether the target says with its answers that it leaves.',
+            lambda: [(int(node.news.said.leaving), {})],
+        )
+
     def _observe_access(self) -> None:
         add, node = self.metrics, self.node
         add.gauge(
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -36,6 +36,7 @@
 from dunlinsaddle.mesh.dialect import MeshDialect
 from dunlinsaddle.mesh.entry import Entry
 from dunlinsaddle.mesh.levels import LevelNews
+from dunlinsaddle.mesh.news import TargetNews
 from dunlinsaddle.mesh.resends import BudgetResends
 from dunlinsaddle.mesh.settings import Bounds, MeshSettings
 from dunlinsaddle.mesh.start import start_times
@@ -187,6 +188,8 @@
         self.dispatcher.resends = BudgetResends(self.budget)
         self.dispatcher.decisions = self.decisions
         self.executor.decisions = self.decisions
+        self.news = TargetNews(self.target, self.decisions)
+        self.executor.on_said = self.news.hear
 
     def _build_faces(self) -> None:
         cfg = self.settings
--- a/dunlinsaddle/platform/headers.py
+++ b/dunlinsaddle/platform/headers.py
@@ -10,6 +10,11 @@
 #: The id of the target incarnation that answers; despite its name not an instance of ours.
 TARGET_ID = b'instance'
 NOT_RUN = b'not-executed'
+#: Requests a second, a decimal number, that the target takes from all instances together; a rate,
+#: despite its name not a limit of calls that run at once.
+RATE = b'server-limit'
+#: ``1`` on every answer of a target that leaves.
+LEAVING = b'server-leaving'
 #: The service of the instance where the request began.
 ORIGIN = b'caller-service'
 RETRY_AFTER = b'retry-after'
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -1,11 +1,13 @@
 """Requests and answers as callers and targets of the platform write them."""
 
 import math
+import re
 from typing import NamedTuple
 
 from dunlinsaddle.access.keys import digest_of
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
+from dunlinsaddle.calls.target import Said
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.platform import headers as names
 
@@ -15,6 +17,8 @@
 _SET_HERE_KEYED = _SET_HERE | {names.KEY, names.ORGANISATION}
 _BEARER = 'bearer '
 WRONG_TARGET = 421
+_DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?', re.ASCII)
+_SHOWN = 40  #: characters of a value that cannot be read, in logs
 FIRST_SUCCESS, LAST_SUCCESS = 200, 299
 
 
@@ -86,6 +90,27 @@
     return Reply(0, response.status, kept, response.body, Outcome.DONE)
 
 
+def read_said(response: HttpResponse, target_id: str) -> Said | None:
+    """Tell what an answer says of the target; None unless that target has made it, unchanged.
+
+    Of several rates the lowest counts. A rate that cannot be read says nothing.
+    """
+    found = dict(response.headers)
+    own = names.SIGNATURE in found or names.NOT_RUN in found
+    # What took over the address of a target that has gone answers so, and speaks for itself.
+    other = response.status == WRONG_TARGET or found.get(names.TARGET_ID, b'') not in (
+        b'',
+        target_id.encode('latin-1'),
+    )
+    if not own or other or b'content-encoding' in found:
+        return None
+    texts = [value.decode('latin-1') for name, value in response.headers if name == names.RATE]
+    rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    unreadable = None if rates or not texts else texts[0][:_SHOWN]
+    leaving = found.get(names.LEAVING) == b'1'
+    return Said(min(rates, default=None), leaving, unreadable)
+
+
 def caller_response(reply: Reply, request_id: str) -> HttpResponse:
     """Give the response that carries a reply to a caller.
 
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from functools import partial
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from result import Err
@@ -34,6 +34,14 @@
 BEAT_SECONDS = 1.5
 
 
+class Arrival(NamedTuple):
+    """A request that reached a target."""
+
+    when: float
+    origin: str  #: the service of the instance where it began
+    request_id: str
+
+
 class MeshTarget:
     """A target that announces itself, checks whom a request expects, and signs its answers."""
 
@@ -50,11 +58,16 @@
         self.cancelled = 0
         self.seen: list[HttpRequest] = []
         self.script: Any = None  #: answers in place of the target
+        self.says: list[tuple[bytes, bytes]] = []  #: headers that it adds to its answers
+        #: Of each request that arrived: when, and at which instance it began, by its service.
+        self.arrivals: list[Arrival] = []
         self.node: MeshNode
         self.face = HttpFace(self.handle, HttpLimits())
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         request_id = req.header(b'request-id')
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(Arrival(now, req.header(b'caller-service'), request_id))
         if req.header(b'expected-instance') not in ('', self.target_id):
             return HttpResponse(421, [], b'')
         self.runs[request_id] += 1
@@ -72,6 +85,7 @@
         names = [
             (b'request-id', req.header(b'request-id').encode()),
             (b'server-signature', self.target_id.encode()),
+            *self.says,
         ]
         return HttpResponse(status, names, body)
 
