A target gets no more requests a second than it names in its answers

Cause: nodes read an answer for its own request only. Admission knows slots alone, which a target announces with its heartbeats; what it says of itself in an answer was read by nobody. Ruled out: resends (25 logged of 613 sends), a limit held to by each node on its own (the targets' shares do not move at all).

All requests to a target pass the node beside it, so one token bucket there holds the sum over all instances. It refills at the rate, with a quarter of a second's worth after a pause, and begins empty; a rate of nothing still lets a call go every four seconds, since only answers tell that it has ended. Queue, wait, level and the time to come back go by the rate where it is narrower than the slots; a timer starts what waits when no call ends by then. The time since room is there counts from the next token: free slots under a used up rate opened the level.

A lower rate holds at once, a higher one or none only by the answer to a request that was sent after the lower one was heard: answers overtake one another.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -36,6 +36,10 @@
 TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
+#: Hears what the target says of itself: with the answer to which request, and when that was sent.
+OnSaid = Callable[[str, float, Said], None]
+
+
 class Executor(OnLoop):
     """Gives calls to the local target, as many at once as admission allows."""
 
@@ -64,9 +68,10 @@
         self.levels = levels or ChainLevels()
         self.decisions: DecisionLog | None = None
         #: Takes what the target says of itself with the answer to a request.
-        self.on_said: Callable[[str, Said], None] = lambda request_id, said: None
+        self.on_said: OnSaid = lambda request_id, sent_at, said: None
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
         self._waiting_tickets: dict[int, Ticket] = {}
+        self._due: asyncio.TimerHandle | None = None
         self._tickets = 0
         self._shadows: set[int] = set()
         self._suspect_lock = asyncio.Lock()
@@ -175,6 +180,7 @@
         fut: asyncio.Future[Failure | None] = loop.create_future()
         self._waiting[ticket.call_id] = fut
         self._waiting_tickets[ticket.call_id] = ticket
+        self._wake_when_due(loop.time())
         # A target that stands still releases nobody: the wait must end without it.
         late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
         timer = loop.call_at(ticket.deadline - WAY_BACK, self._overdue, ticket, late)
@@ -296,7 +302,7 @@
             work.waits.seconds += took
         match exchange:
             case Answered(response):
-                self._hear(work, response)
+                self._hear(work, sent_at, response)
                 reply = self.dialect.reply(response)
                 if not reply.kind:
                     reply.retry_after = come_back_after(reply, running)
@@ -314,10 +320,10 @@
                     self.on_death(work.ctx.fingerprint, reply.deaths)
                 return reply
 
-    def _hear(self, work: Work, response: HttpResponse) -> None:
+    def _hear(self, work: Work, sent_at: float, response: HttpResponse) -> None:
         said = self.dialect.said(response)
         if said is not None:
-            self.on_said(work.ctx.request_id, said)
+            self.on_said(work.ctx.request_id, sent_at, said)
 
     async def _target_lives(self) -> bool:
         """Say whether the target takes connections: a dead one refuses them at once."""
@@ -348,6 +354,19 @@
         late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
         for dropped in released.dropped:
             self._settle(dropped, late)
+        self._wake_when_due(now)
+
+    def _wake_when_due(self, now: float) -> None:
+        """Start waiting calls when their time comes, too: of few calls none may end by then."""
+        if self._due is not None:
+            return
+        seconds = self.admission.due_in(now)
+        if seconds is not None:
+            self._due = self.loop.call_at(now + seconds, self._start_due)
+
+    def _start_due(self) -> None:
+        self._due = None
+        self._release(self.now())
 
     def _refused(self, failure: Failure, work: Work) -> Reply:
         self.stats.shed[failure.kind.value] += 1
--- a/dunlinsaddle/mesh/news.py
+++ b/dunlinsaddle/mesh/news.py
@@ -1,22 +1,55 @@
-"""What the target beside the node says of itself with its answers."""
+"""What the target beside the node says of itself with its answers, and for how long it holds."""
+
+import math
 
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.target import LocalTarget, Said
+from dunlinsaddle.loops import OnLoop
+from dunlinsaddle.policy.slots import SlotAdmission
 
 NOTHING_SAID = Said()
 
 
-class TargetNews:
-    """Holds what the target has said last."""
+class TargetNews(OnLoop):
+    """Holds what the target has said last, and has the node act on it.
+
+    Answers overtake one another. A lower rate holds at once. A higher one, or none, holds by the
+    answer to a request that was sent after the lower one was heard: an earlier answer that was
+    long on its way would lift the bound of a target in need.
+    """
 
-    def __init__(self, target: LocalTarget, decisions: DecisionLog) -> None:
+    def __init__(
+        self, target: LocalTarget, admission: SlotAdmission, decisions: DecisionLog
+    ) -> None:
         self.target = target
+        self.admission = admission
         self.decisions = decisions
         self.said = NOTHING_SAID
+        self._named_at = -math.inf  #: when the rate was named last
+        self._began_at = -math.inf  #: when the present incarnation was announced
+
+    def restarted(self) -> None:
+        """Forget what the incarnation before has said."""
+        self.said = NOTHING_SAID
+        self._began_at = self.now()
 
-    def hear(self, request_id: str, said: Said) -> None:
-        """Take what came with the answer to a request."""
-        if said == self.said:
+    def hear(self, request_id: str, sent_at: float, said: Said) -> None:
+        """Take what came with the answer to a request that was sent at ``sent_at``."""
+        if sent_at < self._began_at:
             return
-        self.decisions.target_said(request_id, self.target.target_id, said, self.said)
+        now = self.now()
+        held = self.said
+        higher = _rate(said) > _rate(held)
+        if said.unreadable is not None or (higher and sent_at < self._named_at):
+            said = said._replace(rate=held.rate)
+        elif said.rate is not None:
+            self._named_at = now
+        if said == held:
+            return
+        self.decisions.target_said(request_id, self.target.target_id, said, held)
         self.said = said
+        self.admission.name_rate(now, said.rate)
+
+
+def _rate(said: Said) -> float:
+    return math.inf if said.rate is None else said.rate
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -188,7 +188,7 @@
         self.dispatcher.resends = BudgetResends(self.budget)
         self.dispatcher.decisions = self.decisions
         self.executor.decisions = self.decisions
-        self.news = TargetNews(self.target, self.decisions)
+        self.news = TargetNews(self.target, self.admission, self.decisions)
         self.executor.on_said = self.news.hear
 
     def _build_faces(self) -> None:
@@ -349,6 +349,7 @@
 
     def _target_started(self) -> None:
         self.admission.restarted(self.now())
+        self.news.restarted()
 
     def _ended(self, work: Work, reply: Reply, took: float) -> None:
         rank = work.ctx.priority.rank.name.lower()
--- a/dunlinsaddle/policy/admission.py
+++ b/dunlinsaddle/policy/admission.py
@@ -121,6 +121,9 @@
     def release(self, now: float) -> Released:
         """Say which waiting calls start now and which can no longer make their deadline."""
 
+    def due_in(self, now: float) -> float | None:
+        """Give the seconds until a waiting call may start though no call ends; None for never."""
+
     def load(self, now: float) -> Load:
         """Give the load to report."""
 
@@ -259,6 +262,10 @@
             started.append(ticket)
         return Released(started, dropped)
 
+    def due_in(self, now: float) -> float | None:
+        """Give None: only the end of a call makes room for another."""
+        return None
+
     def load(self, now: float) -> Load:
         """Give the load to report."""
         self._level.update(now, self._capacity(now), self._observed.idle(now))
--- a/dunlinsaddle/policy/naive.py
+++ b/dunlinsaddle/policy/naive.py
@@ -59,6 +59,10 @@
             started.append(self.queue.popleft())
         return Released(started, [])
 
+    def due_in(self, now: float) -> float | None:
+        """Give None: only the end of a call makes room for another."""
+        return None
+
     def load(self, now: float) -> Load:
         """Give the load to report."""
         return Load(self.inflight, len(self.queue), self.limit)
--- /dev/null
+++ b/dunlinsaddle/policy/rate.py
@@ -0,0 +1,65 @@
+"""How many calls a second go to a target that names a rate."""
+
+import math
+
+#: Seconds of the rate that may go at once after a pause. Calls come in clusters; a target that
+#: names a rate takes a quarter of a second's worth together.
+BURST_SECONDS = 0.25
+#: Calls a second that go at least. The answers alone tell that a rate has ended: a target that
+#: takes nothing at all would never be heard again. One call in four seconds is a sign of life.
+LEAST_RATE = 0.25
+
+ROUNDING = 1e-6  #: tokens
+
+
+class RateLimit:
+    """A token bucket: in any t seconds no more than rate x t calls, and a burst.
+
+    It begins empty: before the rate was known, calls went as they came.
+    """
+
+    def __init__(self) -> None:
+        self.rate = math.inf  #: calls a second
+        self._tokens = 0.0
+        self._at = 0.0
+
+    @property
+    def binding(self) -> bool:
+        """Whether a rate is named."""
+        return self.rate < math.inf
+
+    def name(self, now: float, rate: float | None) -> None:
+        """Take the rate that holds from now on, None for none."""
+        self._refill(now)
+        if not self.binding:
+            self._tokens = 0.0
+        self.rate = math.inf if rate is None else max(rate, LEAST_RATE)
+        self._tokens = min(self._tokens, self._most())
+
+    def free(self, now: float) -> bool:
+        """Say whether a call may go now."""
+        return self.wait(now, 1) <= 0
+
+    def take(self, now: float) -> None:
+        """Count a call that goes."""
+        self._refill(now)
+        if self.binding:
+            self._tokens -= 1
+
+    def wait(self, now: float, calls: int) -> float:
+        """Give the seconds until so many more calls have gone, as far as the rate binds them."""
+        if not self.binding:
+            return 0.0
+        self._refill(now)
+        missing = calls - self._tokens
+        # A sum of refills may miss a whole token by its last digits: a timer set for that moment
+        # would find none, and be set again for the same moment.
+        return missing / self.rate if missing > ROUNDING else 0.0
+
+    def _most(self) -> float:
+        return max(self.rate * BURST_SECONDS, 1.0)
+
+    def _refill(self, now: float) -> None:
+        if self.binding:
+            self._tokens = min(self._tokens + (now - self._at) * self.rate, self._most())
+        self._at = now
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -14,8 +14,9 @@
     Wait,
 )
 from dunlinsaddle.policy.level import AdmittedLevel
+from dunlinsaddle.policy.rate import RateLimit
 from dunlinsaddle.policy.retry_after import spread
-from dunlinsaddle.policy.waiting import WaitingCalls
+from dunlinsaddle.policy.waiting import Ahead, WaitingCalls
 
 #: Share of the announced slots that is used. Targets slow down when nearly full, some from 95 %
 #: on, and a new connection may hold a slot for a moment.
@@ -34,6 +35,7 @@
 #: Seconds between two looks at all that wait: an objective shorter than that of the calls behind
 #: it is missed in the middle of the queue. A tenth of the shortest objective, 0.3 s.
 LOOK_SECONDS = 0.03
+SOONEST_DUE = 0.001  #: seconds; a timer for less may come before the rate has room
 LEAST_LEFT = 0.1  #: share of the slots that a call is taken to have, at least
 SHORTEST_COME_BACK = 0.4  #: seconds; less would return before the queue has moved
 LONGEST_COME_BACK = 1.6  #: seconds; callers heed a third of a deadline of five seconds at most
@@ -45,6 +47,8 @@
     A target's own queue knows neither rank nor deadline, and some targets never answer what
     they cannot queue. So nothing is sent that has to wait there: the queue is here.
 
+    A target may name a rate besides, in calls a second from all nodes: then no more are started.
+
     The level that fills the slots is reported with each answer, and entries refuse by it.
     Failure: a lookup passes three hops and fails there, as one of its four calls is refused.
     At 1.3 times the capacity 0.39 of all lookups were begun in vain, and 0.17 with the level
@@ -60,8 +64,9 @@
         self._times: dict[str, float] = {}
         self._mean = 0.0  #: seconds for which a call holds a slot; 0 until one has ended
         self._level = AdmittedLevel(ADMITTED_USE)
-        self._full_at = 0.0
+        self._full_at = 0.0  #: until when no call could start at once, by what is known
         self._refusals = 0
+        self._rate = RateLimit()
 
     @property
     def level(self) -> float:
@@ -73,19 +78,24 @@
         self.slots = slots
         self.limit = _limit(slots)
 
+    def name_rate(self, now: float, rate: float | None) -> None:
+        """Take the calls a second that the target says it takes, None for any number."""
+        self._rate.name(now, rate)
+
     def restarted(self, now: float) -> None:
-        """Forget the service times of the incarnation before."""
+        """Forget the service times and the rate of the incarnation before."""
         self._times.clear()
         self._mean = 0.0
+        self._rate.name(now, None)
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
         self._count(now, ticket)
-        if not self.queue and self._free():
-            self.inflight += 1
+        if not self.queue and self._free(now):
+            self._start(now)
             return Run()
-        if not self._in_time(now, ticket, self.queue.work_ahead(ticket)):
-            return self._refuse(ticket)
+        if not self._in_time(now, ticket, self.queue.ahead_of(ticket)):
+            return self._refuse(now, ticket)
         self.queue.add(ticket)
         late = self._late_behind(now, ticket)
         if late is not None:
@@ -95,8 +105,8 @@
 
     def finish(self, now: float, ticket: Ticket, sample: Sample) -> None:
         """Hear that a running call has ended."""
-        if not self._free():
-            self._full_at = now
+        if not self._has_slot():
+            self._full_at = max(self._full_at, now)
         self.inflight -= 1
         if not sample.completed:
             return
@@ -117,15 +127,21 @@
         """Say which waiting calls start now and which can no longer be answered in time."""
         started: list[Ticket] = []
         dropped: list[Ticket] = []
-        while self.queue and self._free():
+        while self.queue and self._free(now):
             ticket = self.queue.pop_first()
             if now + self._time(ticket.rule) > ticket.deadline:
                 dropped.append(ticket)
                 continue
-            self.inflight += 1
+            self._start(now)
             started.append(ticket)
         return Released(started, dropped)
 
+    def due_in(self, now: float) -> float | None:
+        """Give the seconds until a waiting call may start though no call ends; None for never."""
+        if not self.queue or not self._has_slot():
+            return None
+        return max(self._rate.wait(now, 1), SOONEST_DUE)
+
     def load(self, now: float) -> Load:
         """Give the load to report."""
         self._level.update(now, self._capacity(), self._idle(now))
@@ -134,36 +150,55 @@
     def _count(self, now: float, ticket: Ticket) -> None:
         """Count the demand of a call, by the time for which it will hold a slot."""
         amount = self._time(ticket.rule) / self._mean if self._mean else 1.0
+        if self._bound_by_rate():
+            amount = 1.0
         self._level.arrived(ticket.level, amount)
         self._level.update(now, self._capacity(), self._idle(now))
 
     def _capacity(self) -> float:
-        """Give the usual calls a second that the slots in use can take; 0 if unknown."""
+        """Give the usual calls a second that the target can take; 0 if unknown."""
+        if self._bound_by_rate():
+            return self._rate.rate
         return self.limit / self._mean if self._mean else 0.0
 
+    def _bound_by_rate(self) -> bool:
+        """Say whether the rate allows fewer calls than the slots do."""
+        return self._rate.rate * self._mean < self.limit and self._rate.binding
+
     def _idle(self, now: float) -> float:
-        """Give for how many seconds there have been free slots."""
-        return now - self._full_at if self._free() else 0.0
+        """Give for how many seconds a call could have started at once."""
+        return now - self._full_at if self._free(now) else 0.0
+
+    def _free(self, now: float) -> bool:
+        return self._has_slot() and self._rate.free(now)
 
-    def _free(self) -> bool:
+    def _has_slot(self) -> bool:
         return self.inflight < self.limit
 
+    def _start(self, now: float) -> None:
+        self.inflight += 1
+        self._rate.take(now)
+        wait = self._rate.wait(now, 1)
+        if wait > 0:
+            self._full_at = now + wait
+
     def _time(self, rule: str) -> float:
         return self._times.get(rule, self._mean)
 
-    def _wait(self, ticket: Ticket, work: float) -> float:
-        """Give the seconds until a call starts with so many seconds of work ahead of it.
+    def _wait(self, now: float, ticket: Ticket, ahead: Ahead) -> float:
+        """Give the seconds until a call starts.
 
         At the entry, more valued calls that come later count, too: what waits there has what
         they leave of the slots, and told at once its caller can use the time. A call of running
         work is not given up for what may come.
         """
         left = 1.0 if ticket.hop else max(self._level.left_for(ticket.level), LEAST_LEFT)
-        return (work + self._mean) / (self.limit * left)
+        for_slot = (ahead.work + self._mean) / self.limit
+        return max(for_slot, self._rate.wait(now, ahead.calls + 1)) / left
 
-    def _in_time(self, now: float, ticket: Ticket, work: float) -> bool:
+    def _in_time(self, now: float, ticket: Ticket, ahead: Ahead) -> bool:
         """Say whether a call would be answered while its answer is still worth something."""
-        answered = now + self._wait(ticket, work) + self._time(ticket.rule)
+        answered = now + self._wait(now, ticket, ahead) + self._time(ticket.rule)
         return answered <= min(ticket.deadline, ticket.useful_until)
 
     def _late_behind(self, now: float, arrived: Ticket) -> Ticket | None:
@@ -172,18 +207,19 @@
         if now - self._looked_at >= LOOK_SECONDS:
             self._looked_at = now
             most = len(self.queue)
-        work = self.queue.work()
+        calls, work = self.queue.all()
         for ticket in islice(reversed(self.queue), most):
             if ticket is arrived:
                 return None
+            calls -= 1
             work -= self._time(ticket.rule)
-            if not self._in_time(now, ticket, work):
+            if not self._in_time(now, ticket, Ahead(calls, work)):
                 return ticket
         return None
 
-    def _refuse(self, ticket: Ticket) -> Refuse:
+    def _refuse(self, now: float, ticket: Ticket) -> Refuse:
         self._refusals += 1
-        backlog = self._wait(ticket, self.queue.work())
+        backlog = self._wait(now, ticket, self.queue.all())
         seconds = min(max(2 * backlog, SHORTEST_COME_BACK), LONGEST_COME_BACK)
         failure = Failure(ErrorKind.OVERLOADED, retry_after=spread(seconds, self._refusals))
         return Refuse(failure)
--- a/dunlinsaddle/policy/waiting.py
+++ b/dunlinsaddle/policy/waiting.py
@@ -1,6 +1,7 @@
 """The calls that wait at a target, the most valued first, with the work ahead of each."""
 
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList
 
@@ -8,6 +9,13 @@
 from dunlinsaddle.policy.context import LOWEST_LEVEL
 
 
+class Ahead(NamedTuple):
+    """What goes before a call."""
+
+    calls: int
+    work: float  #: seconds for which they will hold a slot, added up
+
+
 class WaitingCalls:
     """Calls in the order of their levels, then of their arrival.
 
@@ -51,17 +59,20 @@
         self._count(ticket, -1)
         return ticket
 
-    def work(self) -> float:
-        """Give the seconds for which all that wait will hold a slot, added up."""
-        return sum(self._seconds_of(rule) * count for rule, count in self._totals.items())
+    def all(self) -> Ahead:
+        """Give all that wait, as they go before what comes last."""
+        return self._ahead(self._totals)
 
-    def work_ahead(self, ticket: Ticket) -> float:
-        """Give the same for those that a new call would wait behind."""
-        return sum(
-            self._seconds_of(rule) * sum(counts[: ticket.level + 1])
-            for rule, counts in self._counts.items()
+    def ahead_of(self, ticket: Ticket) -> Ahead:
+        """Give those that a new call would wait behind."""
+        return self._ahead(
+            {rule: sum(counts[: ticket.level + 1]) for rule, counts in self._counts.items()}
         )
 
+    def _ahead(self, counts: dict[str, int]) -> Ahead:
+        work = sum(self._seconds_of(rule) * count for rule, count in counts.items())
+        return Ahead(sum(counts.values()), work)
+
     def _count(self, ticket: Ticket, change: int) -> None:
         rule = ticket.rule
         total = self._totals.get(rule, 0) + change
--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -23,7 +23,7 @@
 from dunlinsaddle.policy import level, slots
 from dunlinsaddle.policy.admission import Ticket
 from dunlinsaddle.policy.context import SLOTS_PER_RANK
-from dunlinsaddle.policy.waiting import WaitingCalls
+from dunlinsaddle.policy.waiting import Ahead, WaitingCalls
 from tests.fakes.deep_load import DeepLoad, Kind, Pattern, Share
 from tests.test_deep_load import (
     ALIKE,
@@ -75,9 +75,9 @@
         super().__init__(seconds_of)
         self._calls = SortedKeyList(key=order)
 
-    def work_ahead(self, ticket: Ticket) -> float:
-        ahead = islice(self._calls, self._calls.bisect_left(ticket))
-        return sum(self._seconds_of(waiting.rule) for waiting in ahead)
+    def ahead_of(self, ticket: Ticket) -> Ahead:
+        ahead = list(islice(self._calls, self._calls.bisect_left(ticket)))
+        return Ahead(len(ahead), sum(self._seconds_of(waiting.rule) for waiting in ahead))
 
 
 def _ordered(order: Order) -> AbstractContextManager[Any]:
--- a/tests/test_named_rate.py
+++ b/tests/test_named_rate.py
@@ -2,6 +2,12 @@
 
 import asyncio
 
+from dunlinsaddle.calls.decisions import DecisionLog
+from dunlinsaddle.calls.target import LocalTarget, Said
+from dunlinsaddle.mesh.news import TargetNews
+from dunlinsaddle.policy.slots import SlotAdmission
+from tests.builders import build_logger
+from tests.clock import PausedClockTest
 from tests.fakes.mesh_load import ENTRIES, TARGETS, Callers, allowed
 from tests.mesh_case import MeshTest
 
@@ -44,3 +50,74 @@
         self.assertGreater(most[0], 0)
         for rank in (0, 2):
             self.assertGreaterEqual(callers.served(rank, named_at), 0.99)
+
+    def test_what_all_targets_rates_bear_goes_to_the_most_valued(self):
+        """Without a queue by rank, orders are lost to views where targets are in need."""
+        callers, most, named_at = self.named_by('tuv', '13')
+        self.assertLessEqual(max(most), allowed(13))
+        # 30 orders and 90 views a second; 39 of them may run.
+        self.assertGreaterEqual(callers.served(0, named_at), 0.98)
+        self.assertGreaterEqual(callers.served(2, named_at), 0.09)
+        refused = [one for one in callers.asked if one.when > named_at and one.status != 200]
+        self.assertEqual({503}, {one.status for one in refused})
+        self.assertGreater(min(one.retry_after for one in refused), 0)
+
+    def test_a_target_is_bound_as_long_as_it_names_a_rate(self):
+        async def scenario(mesh, callers):
+            counts = []
+            target = mesh.targets['t']
+            for text in ('7.5', '2', '', 'abc', '6'):
+                name_rate(target, text)
+                before = len(target.arrivals)
+                await callers.ask_for(4.0)
+                counts.append((len(target.arrivals) - before) / 4.0)
+            await callers.end()
+            return counts
+
+        low, lower, none, unread, again = self.fleet(scenario)
+        self.assertLessEqual(low, 9)
+        self.assertLessEqual(lower, 3)
+        self.assertGreater(none, 20)
+        self.assertGreater(unread, 20)
+        self.assertLessEqual(again, 8)
+
+
+class NewsTest(PausedClockTest):
+    """Answers that overtake one another, and those of another incarnation."""
+
+    def rates(self, *steps):
+        """Give the rate held after each answer: when it came, when its request went, its rate."""
+
+        async def scenario():
+            admission = SlotAdmission()
+            decisions = DecisionLog(build_logger())
+            news = TargetNews(LocalTarget(), admission, decisions)
+            loop, held = asyncio.get_running_loop(), []
+            began = loop.time()
+            for came, sent, rate in steps:
+                await asyncio.sleep(began + came - loop.time())
+                news.hear('q', began + sent, Said(rate))
+                held.append(news.said.rate)
+            return held
+
+        return self.run_paused(scenario())
+
+    def test_a_lower_rate_holds_at_once(self):
+        self.assertEqual([9.0, 5.0], self.rates((1, 0.5, 9.0), (2, 0, 5.0)))
+
+    def test_an_answer_that_was_long_on_its_way_lifts_no_bound(self):
+        """It was made before the target was in need, and comes after the answer that says so."""
+        steps = ((1, 0.9, 5.0), (2, 0.5, None), (3, 0.5, 9.0), (4, 3.5, 9.0), (5, 4.5, None))
+        self.assertEqual([5.0, 5.0, 5.0, 9.0, None], self.rates(*steps))
+
+    def test_the_word_of_the_incarnation_before_does_not_count(self):
+        async def scenario():
+            decisions = DecisionLog(build_logger())
+            news = TargetNews(LocalTarget(), SlotAdmission(), decisions)
+            sent_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(1)
+            news.restarted()
+            news.hear('q', sent_at, Said(5.0))
+            return news.said
+
+        self.assertEqual(Said(), self.run_paused(scenario()))
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -28,12 +28,15 @@
                 held.append(build_ticket(number, rule=rule, level=level, arrived=number))
                 waiting.add(held[-1])
             level = rng.randrange(LOWEST_LEVEL + 1)
-            ahead = sum(SECONDS[t.rule] for t in held if t.level <= level)
-            self.assertAlmostEqual(ahead, waiting.work_ahead(build_ticket(level=level)))
-            self.assertAlmostEqual(sum(SECONDS[t.rule] for t in held), waiting.work())
+            before = [SECONDS[t.rule] for t in held if t.level <= level]
+            ahead = waiting.ahead_of(build_ticket(level=level))
+            self.assertEqual(len(before), ahead.calls)
+            self.assertAlmostEqual(sum(before), ahead.work)
+            self.assertEqual(len(held), waiting.all().calls)
+            self.assertAlmostEqual(sum(SECONDS[t.rule] for t in held), waiting.all().work)
         ordered = sorted(held, key=lambda t: (t.level, t.arrived))
         self.assertEqual(ordered, [waiting.pop_first() for _ in held])
-        self.assertEqual((0, 0), (len(waiting), waiting.work()))
+        self.assertEqual((0, 0), (len(waiting), waiting.all().work))
 
 
 class CountedAdmission(SlotAdmission):
