What a target with a rate does not take is served by the others

Callers of a service lost a quarter of their views as one of its three targets named a rate of .5 a second, though the other two were at a hundredth of their slots. Two causes: entries chose that target by its slots, of which all are free, and refused by the level that it told, which is averaged over all targets of the service.

The node beside a target tells its rate, and how much of it is used, with each reply (`Told`); a call costs there what it takes of the rate. The level of a target with a rate counts only where all targets of the service name one, and is not gossiped. A rate that was not renewed for ten seconds is asked for anew by one call: by its cost alone a target with next to no rate is passed over, and nobody hears of the rate's end.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -271,6 +271,7 @@
         return exchange
 
     def _heard(self, now: float, member: Member, reply: Reply) -> None:
+        self._learn_told(now, member, reply)
         if reply.kind in LOST_KINDS:
             self.router.failed(now, member.instance)
             return
@@ -282,10 +283,29 @@
         if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
             self.router.avoid(now, member.instance)
 
+    def _learn_told(self, now: float, member: Member, reply: Reply) -> None:
+        if reply.told is not None and reply.told.rate is not None:
+            self.router.named_rate(now, member.instance, reply.told.rate, reply.told.use)
+        elif not reply.kind:
+            self.router.named_rate(now, member.instance, None)
+
     def _learn(self, now: float, work: Work, reply: Reply) -> None:
-        if reply.load is not None:
+        if reply.load is not None and self._speaks_for_service(work.ctx.service, reply):
             self.executor.levels.learn(now, work.ctx.service, work.ctx.rule, reply.load.heard)
 
+    def _speaks_for_service(self, service: str, reply: Reply) -> bool:
+        """Say whether the level that came with a reply is one to refuse requests by.
+
+        Failure: one of three targets names a rate of .5 a second, and by its level entries refuse
+        a quarter of the views, which the other two have room for. What a target with a rate does
+        not take goes to those without; theirs is the level of the service.
+        """
+        if reply.told is None or reply.told.rate is None:
+            return True
+        if reply.load is not None and reply.load.limited_by != service:
+            return True
+        return all(self.router.names_rate(m.instance) for m in self.view.serving(service))
+
     def _after(self, work: Work, reply: Reply) -> Work:
         """Carry on with the call what its last try taught."""
         if not reply.deaths:
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -8,7 +8,7 @@
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest, HttpResponse
-from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.messages import Lost, NotSent, Reply, Told, refusal
 from dunlinsaddle.calls.target import LocalTarget, PlainDialect, Said, TargetDialect
 from dunlinsaddle.calls.work import Running, RunningCalls, Work, come_back_after
 from dunlinsaddle.errors import ErrorKind, Failure
@@ -69,6 +69,8 @@
         self.decisions: DecisionLog | None = None
         #: Takes what the target says of itself with the answer to a request.
         self.on_said: OnSaid = lambda request_id, sent_at, said: None
+        #: Gives what other nodes are told of that with each reply.
+        self.told: Callable[[], Told | None] = lambda: None
         self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
         self._waiting_tickets: dict[int, Ticket] = {}
         self._due: asyncio.TimerHandle | None = None
@@ -256,6 +258,7 @@
             self._finish(ticket, Sample(ticket.rule, running.own_time(now), completed), now)
         reply.unspent = work.allowance.tokens
         reply.load = self._load(work.ctx)._replace(cost=self._cost(running))
+        reply.told = self.told()
         return reply
 
     def _cost(self, running: Running) -> float:
@@ -374,5 +377,6 @@
         if self.decisions is not None:
             self.decisions.refused(work.ctx, failure, load)
         reply = refusal(failure, load=load)
+        reply.told = self.told()
         reply.unspent = work.allowance.tokens
         return reply
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -14,6 +14,8 @@
 
 MAX_BUDGET = 86_400.0  #: seconds; a day is a bound against absurd numbers only
 
+MAX_RATE = 1e9  #: calls a second; a bound against absurd numbers only
+
 Headers = list[tuple[bytes, bytes]]
 
 # The decoder refuses what is out of range, NaN included: a peer with a fault must not hand
@@ -23,6 +25,8 @@
 Seconds = Annotated[float, Meta(ge=0, le=MAX_BUDGET)]
 Tokens = Annotated[int, Meta(ge=0, le=MAX_RETRY_BOUND)]
 Hops = Annotated[int, Meta(ge=0, le=MAX_HOPS)]
+Rate = Annotated[float, Meta(gt=0, le=MAX_RATE)]
+Share = Annotated[float, Meta(ge=0, le=MAX_RATE)]
 StatusCode = Annotated[int, Meta(ge=200, le=599)]
 
 
@@ -46,6 +50,14 @@
     proof: bytes
 
 
+class Told(msgspec.Struct, array_like=True, frozen=True):
+    """What a target has said of itself with its answers, as the node beside it tells others."""
+
+    incarnation: str  #: the start of the target that has said it
+    rate: Rate | None = None  #: requests a second that it takes from all nodes, None for any number
+    use: Share = 0.0  #: of the rate, over the last second
+
+
 class Call(msgspec.Struct, tag='c', array_like=True):
     """One call handed to the node beside a target. ``budget`` is the time left in seconds.
 
@@ -91,6 +103,7 @@
     load: Load | None = None
     deaths: int = 0
     cause: str = ''  #: the call that it failed for: its service, and how it ended
+    told: Told | None = None  #: None where the target has said nothing of itself
 
     @property
     def size(self) -> int:
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -68,6 +68,7 @@
         self.service = ''
         self.address: Address | None = None
         self.target_id = ''  #: names the incarnation, where targets say so
+        self.started = 0  #: Unix milliseconds, 0 where targets do not say
         self.leaving = False  #: the node itself stops, whatever the target says
         self._drains = False
         self._refused = False
@@ -92,11 +93,17 @@
         if not same or self._refused:
             self.begin(service, address, self.target_id)
 
-    def begin(self, service: str, address: Address, target_id: str) -> None:
+    @property
+    def incarnation(self) -> str:
+        """Name this start of it: a target may start again under the id that it had."""
+        return f'{self.target_id}/{self.started}'
+
+    def begin(self, service: str, address: Address, target_id: str, started: int = 0) -> None:
         """Take a new incarnation, which names itself: whatever was held of the old one is over."""
         self.service = service
         self.address = address
         self.target_id = target_id
+        self.started = started
         self._drains = self._refused = False
         self.on_start()
 
--- a/dunlinsaddle/mesh/levels.py
+++ b/dunlinsaddle/mesh/levels.py
@@ -33,6 +33,9 @@
         """Tell until cancelled."""
         while True:
             await asyncio.sleep(ROUND_SECONDS)
+            if self.admission.names_rate:
+                # Others of the service may have room, and replies tell entries whether they do.
+                continue
             level = self.admission.level
             if level < LOWEST_LEVEL:
                 # Where entries refuse everything no call comes that would let it be decided anew.
--- a/dunlinsaddle/mesh/news.py
+++ b/dunlinsaddle/mesh/news.py
@@ -3,8 +3,10 @@
 import math
 
 from dunlinsaddle.calls.decisions import DecisionLog
+from dunlinsaddle.calls.messages import Told
 from dunlinsaddle.calls.target import LocalTarget, Said
 from dunlinsaddle.loops import OnLoop
+from dunlinsaddle.policy.rate import LEAST_RATE
 from dunlinsaddle.policy.slots import SlotAdmission
 
 NOTHING_SAID = Said()
@@ -33,6 +35,13 @@
         self.said = NOTHING_SAID
         self._began_at = self.now()
 
+    def told(self) -> Told | None:
+        """Give what others are told, None where there is nothing to tell."""
+        if self.said.rate is None:
+            return None
+        use = self.admission.rate_use(self.now())
+        return Told(self.target.incarnation, max(self.said.rate, LEAST_RATE), use)
+
     def hear(self, request_id: str, sent_at: float, said: Said) -> None:
         """Take what came with the answer to a request that was sent at ``sent_at``."""
         if sent_at < self._began_at:
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -190,6 +190,7 @@
         self.executor.decisions = self.decisions
         self.news = TargetNews(self.target, self.admission, self.decisions)
         self.executor.on_said = self.news.hear
+        self.executor.told = self.news.told
 
     def _build_faces(self) -> None:
         cfg = self.settings
--- a/dunlinsaddle/policy/rate.py
+++ b/dunlinsaddle/policy/rate.py
@@ -1,10 +1,12 @@
 """How many calls a second go to a target that names a rate."""
 
 import math
+from math import exp
 
 #: Seconds of the rate that may go at once after a pause. Calls come in clusters; a target that
 #: names a rate takes a quarter of a second's worth together.
 BURST_SECONDS = 0.25
+USE_SECONDS = 1.0  #: over which the use of a rate is told, the unit in which it is named
 #: Calls a second that go at least. The answers alone tell that a rate has ended: a target that
 #: takes nothing at all would never be heard again. One call in four seconds is a sign of life.
 LEAST_RATE = 0.25
@@ -21,6 +23,7 @@
     def __init__(self) -> None:
         self.rate = math.inf  #: calls a second
         self._tokens = 0.0
+        self._recent = 0.0  #: calls that went lately, each fading over ``USE_SECONDS``
         self._at = 0.0
 
     @property
@@ -43,9 +46,15 @@
     def take(self, now: float) -> None:
         """Count a call that goes."""
         self._refill(now)
+        self._recent += 1
         if self.binding:
             self._tokens -= 1
 
+    def use(self, now: float) -> float:
+        """Give the share of the rate that is used; 0 where none is named."""
+        self._refill(now)
+        return self._recent / (self.rate * USE_SECONDS)
+
     def wait(self, now: float, calls: int) -> float:
         """Give the seconds until so many more calls have gone, as far as the rate binds them."""
         if not self.binding:
@@ -62,4 +71,5 @@
     def _refill(self, now: float) -> None:
         if self.binding:
             self._tokens = min(self._tokens + (now - self._at) * self.rate, self._most())
+        self._recent *= exp((self._at - now) / USE_SECONDS)
         self._at = now
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -7,6 +7,7 @@
 
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.pace import FORGET_SECONDS, Paces
+from dunlinsaddle.policy.rate import USE_SECONDS
 
 #: Calls in a row without an answer; one or two happen at a sound target that restarts.
 EJECT_AFTER = 3
@@ -26,7 +27,9 @@
 #: What a target costs at least beside one that is so much better: as if four fifths of its slots
 #: were taken. By its load alone it is idle as long as it is passed over, and so is chosen again.
 WORSE_COST = 0.8
-
+#: Seconds after which a rate is asked for anew. Each entry asks, so among hundreds that is some
+#: tens of calls a second at one target, of which all but those that it takes go elsewhere.
+ASK_AGAIN_SECONDS = 10.0
 
 #: Lists of candidates that are held; a service has one at a time, and a deployment some hundred.
 LISTS_MOST = 512
@@ -63,6 +66,9 @@
         'failures',
         'load',
         'outstanding',
+        'rate',
+        'rate_told_at',
+        'rate_use',
     )
 
     def __init__(self) -> None:
@@ -71,6 +77,9 @@
         self.failures = 0
         self.ejections = 0
         self.avoid_until = 0.0
+        self.rate = inf  #: calls a second that it takes from all nodes
+        self.rate_use = 0.0  #: the share of it that was used when it was told
+        self.rate_told_at = 0.0
         self._errors = 0.0
         self._judged_at = 0.0
 
@@ -78,6 +87,22 @@
         self._errors = self.errors(now) * ERROR_DECAY + (1 - ERROR_DECAY if failed else 0)
         self._judged_at = now
 
+    def use_of_rate(self, now: float) -> float:
+        """Give the share of its rate that one more call would make used, as far as known.
+
+        What was told fades: it is of the last second.
+        """
+        if self.rate == inf:
+            return 0.0
+        if now - self.rate_told_at >= ASK_AGAIN_SECONDS and not self.outstanding:
+            # Failure: a target names next to no rate, is passed over for it, and nobody hears of
+            # its end. One call now and then asks; its answer tells the rate that holds.
+            return 0.0
+        told = self.rate_use + self.load.waiting / self.rate
+        return (
+            told * exp((self.rate_told_at - now) / USE_SECONDS) + (self.outstanding + 1) / self.rate
+        )
+
     def errors(self, now: float) -> float:
         return self._errors * exp((self._judged_at - now) / FORGET_SECONDS)
 
@@ -128,6 +153,8 @@
         if first is second:
             # Drawn twice, a bad one would be compared with nobody. Usual ones may be: what is
             # known of their load is renewed so.
+            if self._of(first.instance).use_of_rate(now) > 1:
+                return min(usable, key=lambda c: self._cost(now, c))
             second = min(usable, key=lambda c: self._hardship(now, c))
             if self._hardship(now, first) <= MUCH_WORSE * self._hardship(now, second):
                 return first
@@ -164,6 +191,18 @@
         if load is not None:
             seen.load = load
 
+    def named_rate(self, now: float, instance: str, rate: float | None, use: float = 0.0) -> None:
+        """Note the rate that a target names and the share of it that is used; None for none."""
+        seen = self._of(instance)
+        seen.rate = inf if rate is None else rate
+        seen.rate_use = use
+        seen.rate_told_at = now
+
+    def names_rate(self, instance: str) -> bool:
+        """Say whether a target names a rate, as far as known."""
+        seen = self._seen.get(instance)
+        return seen is not None and seen.rate < inf
+
     def took(
         self, now: float, instance: str, rule: str, seconds: float, *, whole: bool = True
     ) -> None:
@@ -270,6 +309,7 @@
         seen = self._of(candidate.instance)
         load = seen.load
         cost = (max(load.inflight, seen.outstanding) + load.waiting + 1) / max(load.limit, 1)
+        cost = max(cost, seen.use_of_rate(now))
         cost *= 1 + ERROR_WEIGHT * seen.errors(now)
         if candidate.instance == self.instance:
             return cost
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -73,6 +73,11 @@
         """The level that was admitted when it was decided last; costs nothing."""
         return self._level.level
 
+    @property
+    def names_rate(self) -> bool:
+        """Whether the target names a rate."""
+        return self._rate.binding
+
     def announce(self, slots: int) -> None:
         """Take the slots that the target says it has."""
         self.slots = slots
@@ -82,6 +87,10 @@
         """Take the calls a second that the target says it takes, None for any number."""
         self._rate.name(now, rate)
 
+    def rate_use(self, now: float) -> float:
+        """Give the share of the named rate that is used, 0 where none is named."""
+        return self._rate.use(now)
+
     def restarted(self, now: float) -> None:
         """Forget the service times and the rate of the incarnation before."""
         self._times.clear()
--- a/tests/test_named_rate.py
+++ b/tests/test_named_rate.py
@@ -51,6 +51,30 @@
         for rank in (0, 2):
             self.assertGreaterEqual(callers.served(rank, named_at), 0.99)
 
+    def test_requests_that_one_target_does_not_take_are_served_by_the_others(self):
+        """Refused by the level of the target in need, callers lose what others have room for."""
+        for names, text in (('t', '0.5'), ('tu', '7.5')):
+            callers, most, named_at = self.named_by(names, text)
+            self.assertLessEqual(max(most), allowed(float(text)))
+            for rank in (0, 2):
+                self.assertGreaterEqual(callers.served(rank, named_at), 0.99)
+
+    def test_the_end_of_a_rate_is_heard_though_the_target_was_passed_over(self):
+        """A target that nobody asks tells nobody that it takes everything again."""
+
+        async def scenario(mesh, callers):
+            target = mesh.targets['t']
+            name_rate(target, '0')
+            await callers.ask_for(5.0)
+            name_rate(target, '')
+            await callers.ask_for(12.0)
+            before = len(target.arrivals)
+            await callers.ask_for(3.0)
+            await callers.end()
+            return (len(target.arrivals) - before) / 3.0
+
+        self.assertGreater(self.fleet(scenario), 20)
+
     def test_what_all_targets_rates_bear_goes_to_the_most_valued(self):
         """Without a queue by rank, orders are lost to views where targets are in need."""
         callers, most, named_at = self.named_by('tuv', '13')
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -3,7 +3,13 @@
 from testtools import TestCase
 
 from dunlinsaddle.policy.admission import Load
-from dunlinsaddle.policy.route import AVOID_SECONDS, EJECT_AFTER, Candidate, Router
+from dunlinsaddle.policy.route import (
+    ASK_AGAIN_SECONDS,
+    AVOID_SECONDS,
+    EJECT_AFTER,
+    Candidate,
+    Router,
+)
 
 NEAR = Candidate('bangor-1', 'bangor-hall')
 FAR = Candidate('menai-1', 'menai-hall')
@@ -146,3 +152,23 @@
                     self.router.failed(0.0, instance)
         self.load('caernarfon-1', inflight=5, limit=100)
         self.assertGreater(self.shares(now=0.0)['caernarfon-1'], 0.6)
+
+    def test_target_whose_rate_is_used_up_is_left_to_the_others(self):
+        """By its slots alone it is idle, and would draw most calls and refuse them."""
+        for name in ('bangor-1', 'menai-1', 'caernarfon-1'):
+            self.load(name, inflight=4, limit=40)
+        self.router.named_rate(0.0, 'bangor-1', 5.0, use=1.0)
+        self.assertEqual(0.0, self.shares().get('bangor-1', 0.0))
+
+    def test_target_with_a_rate_gets_calls_while_the_others_are_full(self):
+        for name in ('menai-1', 'caernarfon-1'):
+            self.load(name, inflight=40, waiting=20, limit=40)
+        self.router.named_rate(0.0, 'bangor-1', 5.0, use=0.3)
+        self.assertGreater(self.shares()['bangor-1'], 0.9)
+
+    def test_rate_that_is_used_up_is_asked_for_anew_by_one_call_at_a_time(self):
+        self.router.named_rate(0.0, 'bangor-1', 0.25, use=1.0)
+        now = ASK_AGAIN_SECONDS + 1
+        self.assertEqual('bangor-1', self.router.choose(now, ALL).instance)
+        self.router.sent('bangor-1')
+        self.assertEqual(0.0, self.shares(now).get('bangor-1', 0.0))
