A target that says with its answers that it leaves gets nothing new

The same cause as with the rate: what a target says of itself in an answer was read by nobody; leaving was taken from heartbeats alone.

The node beside the target, which all requests to it pass, now takes such an answer for the end of its work, as it takes a heartbeat that says draining, and tells the other nodes.

--- a/dunlinsaddle/mesh/news.py
+++ b/dunlinsaddle/mesh/news.py
@@ -1,6 +1,7 @@
 """What the target beside the node says of itself with its answers, and for how long it holds."""
 
 import math
+from collections.abc import Callable
 
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.messages import Told
@@ -21,8 +22,13 @@
     """
 
     def __init__(
-        self, target: LocalTarget, admission: SlotAdmission, decisions: DecisionLog
+        self,
+        target: LocalTarget,
+        admission: SlotAdmission,
+        decisions: DecisionLog,
+        on_leave: Callable[[], None] = lambda: None,
     ) -> None:
+        self.on_leave = on_leave  #: tells other nodes that nothing new may be sent here
         self.target = target
         self.admission = admission
         self.decisions = decisions
@@ -53,11 +59,16 @@
             said = said._replace(rate=held.rate)
         elif said.rate is not None:
             self._named_at = now
+        # One that leaves does so for good, whatever answers are still on their way.
+        said = said._replace(leaving=said.leaving or held.leaving)
         if said == held:
             return
         self.decisions.target_said(request_id, self.target.target_id, said, held)
         self.said = said
         self.admission.name_rate(now, said.rate)
+        if said.leaving and not held.leaving:
+            self.target.drain()
+            self.on_leave()
 
 
 def _rate(said: Said) -> float:
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -188,7 +188,7 @@
         self.dispatcher.resends = BudgetResends(self.budget)
         self.dispatcher.decisions = self.decisions
         self.executor.decisions = self.decisions
-        self.news = TargetNews(self.target, self.admission, self.decisions)
+        self.news = TargetNews(self.target, self.admission, self.decisions, self._announce_self)
         self.executor.on_said = self.news.hear
         self.executor.told = self.news.told
 
--- a/tests/fakes/mesh_load.py
+++ b/tests/fakes/mesh_load.py
@@ -1,6 +1,7 @@
 """Callers of a whole fleet of nodes in one loop, and what they and the targets see."""
 
 import asyncio
+import itertools
 from collections import Counter
 from collections.abc import Iterable
 from random import Random
@@ -25,6 +26,7 @@
 class Asked(NamedTuple):
     """One request of a caller and its answer."""
 
+    request_id: str
     when: float
     entry: str
     rank: int
@@ -47,6 +49,7 @@
         self.asked: list[Asked] = []
         #: When each instance passed on an answer with a header of its target first.
         self.told: dict[bytes, dict[str, float]] = {}
+        self._numbers = itertools.count()
         self._out: set[asyncio.Task[None]] = set()
 
     async def configure(self) -> None:
@@ -81,12 +84,15 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         rank = 0 if self.rng.random() < ORDER_SHARE else 2
-        response = await self.mesh.call(entry, PATHS[rank], timeout=self.timeout)
+        request_id = f'load-{next(self._numbers)}'
+        response = await self.mesh.call(
+            entry, PATHS[rank], timeout=self.timeout, request_id=request_id
+        )
         now = loop.time()
         self._note(entry, response, now)
         found = dict(response.headers)
         wait = float(found.get(b'retry-after', b'0'))
-        self.asked.append(Asked(began, entry, rank, response.status, now - began, wait))
+        self.asked.append(Asked(request_id, began, entry, rank, response.status, now - began, wait))
 
     def _note(self, entry: str, response: HttpResponse, now: float) -> None:
         origin = self.mesh.nodes[entry].settings.service
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,50 @@
+"""A target that says with its answers that it leaves, while its heartbeats still say ready."""
+
+import asyncio
+
+from tests.fakes.mesh import BOUNDS
+from tests.fakes.mesh_load import ENTRIES, TARGETS, Callers
+from tests.mesh_case import MeshTest
+
+LEAVING = [(b'server-leaving', b'1')]
+
+
+class LeavingTest(MeshTest):
+    """Three entries with 20 requests a second each, and three targets, one of which leaves."""
+
+    def fleet(self, scenario, targets=ENTRIES + TARGETS):
+        async def run(mesh):
+            callers = Callers(mesh, 20.0)
+            await callers.configure()
+            await asyncio.sleep(1)
+            await callers.ask_for(1.0)
+            return await scenario(mesh, callers)
+
+        return self.mesh(run, configure=False, targets=targets)
+
+    async def leave(self, mesh, callers, name='t'):
+        """Let a target say so; give when every entry has passed on an answer that does."""
+        mesh.targets[name].says = LEAVING
+        await callers.ask_for(2.0)
+        return asyncio.get_running_loop().time()
+
+    def late(self, mesh, callers, name='t'):
+        """Count the requests that were sent too late and reached the target all the same."""
+        told = callers.told.get(b'server-leaving', {})
+        sent = {one.request_id: one for one in callers.asked}
+        return sum(
+            sent[a.request_id].when > told.get(a.origin, float('inf')) + BOUNDS.drain
+            for a in mesh.targets[name].arrivals
+            if a.request_id in sent
+        )
+
+    def test_a_target_that_says_with_its_answers_that_it_leaves_gets_nothing_new(self):
+        """It ends while requests still come, and their callers lose them."""
+
+        async def scenario(mesh, callers):
+            since = await self.leave(mesh, callers)
+            await callers.ask_for(6.0)
+            await callers.end()
+            return self.late(mesh, callers), [callers.served(rank, since) for rank in (0, 2)]
+
+        self.assertEqual((0, [1.0, 1.0]), self.fleet(scenario))
