A target that refused a connection is no other one: only its id and its start say so

A target that leaves and turns one connection away, as those that are full do, got a request more: its next heartbeat was taken for that of a new incarnation, which ends a drain (1 request sent too late in the test, allowed 0; that one's answer says leaving anew). On the platform each incarnation has an id or a start of its own; that a port was closed says it for targets of the product's own interface alone, which have neither.

--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -78,11 +78,6 @@
         """Whether nothing new may be given to it."""
         return self._drains or self.leaving
 
-    @property
-    def refused(self) -> bool:
-        """Whether it took no connection when it was last tried."""
-        return self._refused
-
     def announce(self, service: str, address: Address) -> None:
         """Take an announcement; that of a new target ends the drain of the old one.
 
--- a/dunlinsaddle/mesh/announce.py
+++ b/dunlinsaddle/mesh/announce.py
@@ -66,7 +66,6 @@
         new = held is None or (held.target_id, held.started) != (beat.target_id, beat.started)
         if new:
             self.logger.info('target announced', extra=_named(beat))
-        if new or self.target.refused:
             self.target.begin(beat.service, self.address, beat.target_id, beat.started)
         if beat.draining and not self.target.draining:
             self.logger.info('target drains', extra=_named(beat))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -48,3 +48,29 @@
             return self.late(mesh, callers), [callers.served(rank, since) for rank in (0, 2)]
 
         self.assertEqual((0, [1.0, 1.0]), self.fleet(scenario))
+
+    def test_a_target_that_leaves_and_refused_a_connection_gets_nothing_new(self):
+        """It turns one connection away, and its next heartbeat is taken for that of a new one."""
+
+        async def scenario(mesh, callers):
+            await self.leave(mesh, callers)
+            mesh.nodes['t'].target.note_refused()
+            await callers.ask_for(6.0)
+            await callers.end()
+            return self.late(mesh, callers)
+
+        self.assertEqual(0, self.fleet(scenario))
+
+    def test_the_next_incarnation_serves_at_once(self):
+        async def scenario(mesh, callers):
+            await self.leave(mesh, callers)
+            target = mesh.targets['t']
+            target.says, target.born, target.sequence = [], 9000, 0
+            await target.announce(mesh.client)
+            # Entries that met its end avoid it for some seconds.
+            await callers.ask_for(8.0)
+            await callers.end()
+            began = asyncio.get_running_loop().time() - 1.0
+            return sum(a.when > began for a in target.arrivals)
+
+        self.assertGreater(self.fleet(scenario), 0)
