A node that starts again is told by entries what its target had said of itself

Entries are bound all the same. An entry now keeps what it was told of an instance's target and sends it back with each call (`Call.told`), and the node takes it if it is of the same incarnation, by id and start. Leaving holds at once; a rate as long as the node has heard no answer of its own.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -8,7 +8,7 @@
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS
 from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.member_calls import candidates_of
-from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.messages import Lost, NotSent, Reply, Told, refusal
 from dunlinsaddle.calls.work import Attempt, Work, call_of
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import OnLoop
@@ -108,6 +108,9 @@
         self.resends: ResendPolicy = AllowanceResends()
         self.decisions: DecisionLog | None = None
         self._choices: dict[str, _Choices] = {}
+        #: By the instance beside the target. It goes back with each call: a node that has started
+        #: again knows nothing of a target that goes on, and would take it for one like any other.
+        self._told: dict[str, Told] = {}
 
     async def dispatch(self, work: Work, parent_rule: str = '') -> Reply:
         """Give a call to one target after another until one answer is final.
@@ -265,7 +268,8 @@
             return await self.executor.execute(work._replace(allowance=Allowance(handed)))
         loop = self.loop
         now = loop.time()
-        exchange = await self.links.call(member.peers, call_of(work, now, handed))
+        call = call_of(work, now, handed, self._told.get(member.instance))
+        exchange = await self.links.call(member.peers, call)
         if work.waits is not None:
             work.waits.seconds += loop.time() - now
         return exchange
@@ -284,9 +288,13 @@
             self.router.avoid(now, member.instance)
 
     def _learn_told(self, now: float, member: Member, reply: Reply) -> None:
-        if reply.told is not None and reply.told.rate is not None:
-            self.router.named_rate(now, member.instance, reply.told.rate, reply.told.use)
+        told = reply.told
+        if told is not None:
+            self._told[member.instance] = told
+            self.router.named_rate(now, member.instance, told.rate, told.use)
         elif not reply.kind:
+            # The target has answered, and says nothing of itself any more.
+            self._told.pop(member.instance, None)
             self.router.named_rate(now, member.instance, None)
 
     def _learn(self, now: float, work: Work, reply: Reply) -> None:
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -56,6 +56,7 @@
     incarnation: str  #: the start of the target that has said it
     rate: Rate | None = None  #: requests a second that it takes from all nodes, None for any number
     use: Share = 0.0  #: of the rate, over the last second
+    leaving: bool = False
 
 
 class Call(msgspec.Struct, tag='c', array_like=True):
@@ -87,6 +88,7 @@
     useful: Seconds = MAX_BUDGET  #: seconds after which an answer is worth less
     repeated: bool = False  #: it, or the request that it is made for, was sent before
     organisation: str = ''  #: whose request it is, empty where callers need no key
+    told: Told | None = None  #: what the receiver has told of its target, in case it forgot
 
 
 class Reply(msgspec.Struct, tag='r', array_like=True):
--- a/dunlinsaddle/calls/work.py
+++ b/dunlinsaddle/calls/work.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS
-from dunlinsaddle.calls.messages import MAX_BUDGET, Call, Headers, Reply
+from dunlinsaddle.calls.messages import MAX_BUDGET, Call, Headers, Reply, Told
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.policy.context import CallContext, Priority
 from dunlinsaddle.policy.retry import Allowance
@@ -50,7 +50,7 @@
     attempts: list[Attempt] | None = None  #: sends so far; None where nobody asks
 
 
-def call_of(work: Work, now: float, handed: int) -> Call:
+def call_of(work: Work, now: float, handed: int, told: Told | None = None) -> Call:
     """Give the frame that hands a call to another node."""
     ctx = work.ctx
     return Call(
@@ -75,6 +75,7 @@
         useful=min(max(ctx.useful_until - now, 0.0), MAX_BUDGET),
         repeated=ctx.repeated,
         organisation=ctx.organisation,
+        told=told,
     )
 
 
--- a/dunlinsaddle/mesh/news.py
+++ b/dunlinsaddle/mesh/news.py
@@ -35,37 +35,52 @@
         self.said = NOTHING_SAID
         self._named_at = -math.inf  #: when the rate was named last
         self._began_at = -math.inf  #: when the present incarnation was announced
+        self._heard_at = -math.inf  #: when it has answered last
 
     def restarted(self) -> None:
         """Forget what the incarnation before has said."""
         self.said = NOTHING_SAID
         self._began_at = self.now()
+        self._heard_at = -math.inf
 
     def told(self) -> Told | None:
         """Give what others are told, None where there is nothing to tell."""
-        if self.said.rate is None:
+        said = self.said
+        if said == NOTHING_SAID:
             return None
+        rate = None if said.rate is None else max(said.rate, LEAST_RATE)
         use = self.admission.rate_use(self.now())
-        return Told(self.target.incarnation, max(self.said.rate, LEAST_RATE), use)
+        return Told(self.target.incarnation, rate, use, said.leaving)
+
+    def recall(self, request_id: str, told: Told | None) -> None:
+        """Take what this node told another before it was started again, of the same incarnation."""
+        if told is None or told.incarnation != self.target.incarnation:
+            return
+        rate = told.rate if self._heard_at == -math.inf else self.said.rate
+        self._take(request_id, Said(rate, told.leaving))
 
     def hear(self, request_id: str, sent_at: float, said: Said) -> None:
         """Take what came with the answer to a request that was sent at ``sent_at``."""
         if sent_at < self._began_at:
             return
-        now = self.now()
         held = self.said
         higher = _rate(said) > _rate(held)
+        self._heard_at = self.now()
         if said.unreadable is not None or (higher and sent_at < self._named_at):
             said = said._replace(rate=held.rate)
         elif said.rate is not None:
-            self._named_at = now
+            self._named_at = self._heard_at
+        self._take(request_id, said)
+
+    def _take(self, request_id: str, said: Said) -> None:
+        held = self.said
         # One that leaves does so for good, whatever answers are still on their way.
         said = said._replace(leaving=said.leaving or held.leaving)
         if said == held:
             return
         self.decisions.target_said(request_id, self.target.target_id, said, held)
         self.said = said
-        self.admission.name_rate(now, said.rate)
+        self.admission.name_rate(self.now(), said.rate)
         if said.leaving and not held.leaving:
             self.target.drain()
             self.on_leave()
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -358,6 +358,7 @@
         self.stats.took(Hop.WHOLE, took)
 
     async def _serve_peer(self, call: Call) -> Reply:
+        self.news.recall(call.request_id, call.told)
         return await self.executor.execute(work_of(call, self.now()))
 
     def _peer_fault(self, call: Call) -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -74,3 +74,17 @@
             return sum(a.when > began for a in target.arrivals)
 
         self.assertGreater(self.fleet(scenario), 0)
+
+    def test_entries_that_were_told_keep_to_it_though_the_node_beside_the_target_starts_again(self):
+        """The new node knows of no leaving, and hands on the first request that it is sent."""
+
+        async def scenario(mesh, callers):
+            await self.leave(mesh, callers)
+            await mesh.kill('t')
+            await callers.ask_for(3.0)
+            await mesh.restart('t')
+            await callers.ask_for(8.0)
+            await callers.end()
+            return self.late(mesh, callers)
+
+        self.assertEqual(0, self.fleet(scenario))
--- a/tests/test_named_rate.py
+++ b/tests/test_named_rate.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from dunlinsaddle.calls.decisions import DecisionLog
+from dunlinsaddle.calls.messages import Told
 from dunlinsaddle.calls.target import LocalTarget, Said
 from dunlinsaddle.mesh.news import TargetNews
 from dunlinsaddle.policy.slots import SlotAdmission
+from dunlinsaddle.settings import Address
 from tests.builders import build_logger
 from tests.clock import PausedClockTest
 from tests.fakes.mesh_load import ENTRIES, TARGETS, Callers, allowed
@@ -145,3 +147,22 @@
             return news.said
 
         self.assertEqual(Said(), self.run_paused(scenario()))
+
+    def test_a_node_that_was_started_again_holds_the_rate_that_entries_were_told(self):
+        """Its first calls go to a target in need before an answer says so; later its word holds."""
+
+        async def scenario():
+            target = LocalTarget()
+            news = TargetNews(target, SlotAdmission(), DecisionLog(build_logger()))
+            target.on_start = news.restarted
+            target.begin('deep', Address('h', 1), 'i-1', 7)
+            held = []
+            for told in (Told('i-1/6', 3.0), Told('i-1/7', 4.0)):
+                news.recall('q', told)
+                held.append(news.said.rate)
+            await asyncio.sleep(1)
+            news.hear('q', asyncio.get_running_loop().time(), Said(9.0))
+            news.recall('q', Told('i-1/7', 4.0))
+            return [*held, news.said.rate]
+
+        self.assertEqual([None, 4.0, 9.0], self.run_paused(scenario()))
