What waits at a target that leaves is refused before the target has left

A queue by slots empties within the time for which a target serves on; one that waits for a rate does not. Half of that time after the drain began, whoever still waits is told that it did not run. Ruled out: to refuse all at the drain's first moment, as at the stop of a node; where the others are full, what waits is still best served here. Test: the call that the rate has room for is served, the others get 503 within that time.

--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -65,6 +65,7 @@
 
     def __init__(self) -> None:
         self.on_start: Callable[[], None] = lambda: None
+        self.on_drain: Callable[[], None] = lambda: None
         self.service = ''
         self.address: Address | None = None
         self.target_id = ''  #: names the incarnation, where targets say so
@@ -104,7 +105,9 @@
 
     def drain(self) -> None:
         """Give it nothing new."""
-        self._drains = True
+        if not self._drains:
+            self._drains = True
+            self.on_drain()
 
     def note_refused(self) -> None:
         """Note that it takes no connections."""
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -66,6 +66,9 @@
 CALLERS_LEAVE = 2.5
 #: Seconds for one call to the store. It answers in 4 ms, and in trouble in some 400 ms.
 STORE_SECONDS = 2.0
+#: Share of the time for which a draining target serves on, after which no call waits for it. The
+#: rest is for calls that are on their way, and for what is refused to be served elsewhere.
+WAITS_ON = 0.5
 #: Seconds before the kill at which a stopping node ends whatever still runs.
 KILL_MARGIN = 0.4
 #: The platform gives its processes no secret, and its network is closed: the key keeps out
@@ -171,6 +174,7 @@
             dialect=MeshDialect(self.target),
         )
         self.target.on_start = self._target_started
+        self.target.on_drain = self._target_drains
         self.level_news = LevelNews(self.agent, self.admission, self.executor.levels)
         self.agent.gossip.on_level = self.level_news.hear
         self.router = Router(cfg.domain, self._rng(), cfg.instance)
@@ -352,6 +356,15 @@
         self.admission.restarted(self.now())
         self.news.restarted()
 
+    def _target_drains(self) -> None:
+        seconds = self.settings.bounds.drain * WAITS_ON
+        self.loop.call_later(seconds, self._end_waits)
+
+    def _end_waits(self) -> None:
+        # Where little may run at once calls wait for longer than the target serves on.
+        if self.target.draining:
+            self.executor.refuse_waiting()
+
     def _ended(self, work: Work, reply: Reply, took: float) -> None:
         rank = work.ctx.priority.rank.name.lower()
         self.stats.count(CallLabel(work.ctx.service, rank, reply.outcome.value, reply.kind))
--- a/tests/fakes/mesh_load.py
+++ b/tests/fakes/mesh_load.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from dunlinsaddle.calls.http import HttpResponse
 from tests.builders import build_configuration, build_route
@@ -52,14 +52,12 @@
         self._numbers = itertools.count()
         self._out: set[asyncio.Task[None]] = set()
 
-    async def configure(self) -> None:
+    async def configure(self, **terms: Any) -> None:
         """Write routes of two ranks to one service."""
-        routes = [
-            build_route(
-                f'rank-{rank}', prefix=path.removesuffix('x'), service=SERVICE, priority=rank
-            )
-            for rank, path in PATHS.items()
-        ]
+        routes = []
+        for rank, path in PATHS.items():
+            named = {'prefix': path.removesuffix('x'), 'service': SERVICE, 'priority': rank}
+            routes.append(build_route(f'rank-{rank}', **named, **terms))
         held = self.mesh.store.objects.get(('config', 'main'))
         value = build_configuration('r9', routes)
         await self.mesh.store.put('config', 'main', value, held.version if held else 0)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,10 +12,10 @@
 class LeavingTest(MeshTest):
     """Three entries with 20 requests a second each, and three targets, one of which leaves."""
 
-    def fleet(self, scenario, targets=ENTRIES + TARGETS):
+    def fleet(self, scenario, targets=ENTRIES + TARGETS, **terms):
         async def run(mesh):
             callers = Callers(mesh, 20.0)
-            await callers.configure()
+            await callers.configure(**terms)
             await asyncio.sleep(1)
             await callers.ask_for(1.0)
             return await scenario(mesh, callers)
@@ -88,3 +88,26 @@
             return self.late(mesh, callers)
 
         self.assertEqual(0, self.fleet(scenario))
+
+    def test_what_waits_for_the_rate_of_a_target_that_leaves_is_not_given_to_it_later(self):
+        """Where little may run a call waits for seconds, and reaches a target that has left."""
+
+        async def scenario(mesh, callers):
+            target = mesh.targets['t']
+            target.says = [(b'server-limit', b'0.5')]
+            await mesh.call('a', '/orders/x')
+            asked = [
+                asyncio.create_task(mesh.call('a', '/orders/x', timeout=8.0)) for _ in range(4)
+            ]
+            await asyncio.sleep(2.2)
+            target.state = 'draining'
+            await target.announce(mesh.client)
+            acknowledged_at = asyncio.get_running_loop().time()
+            answers = await asyncio.gather(*asked)
+            last = target.arrivals[-1].when - acknowledged_at
+            return last, {answer.status for answer in answers}
+
+        long = {'timeout': '8000ms', 'targetLatency': None}
+        last, statuses = self.fleet(scenario, (*ENTRIES, 't:deep:d'), **long)
+        self.assertLessEqual(last, BOUNDS.drain)
+        self.assertEqual({200, 503}, statuses)
