What waits for a rate goes on at once when the rate rises

Callers waited four seconds more after a target's answer had raised its rate from .25 to 100 a second (test: 4.0 s between the first and the last of four, now under .2): the timer stood at the moment that the old rate named, and a second one was never set beside it. An earlier moment now takes its place.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -361,11 +361,14 @@
 
     def _wake_when_due(self, now: float) -> None:
         """Start waiting calls when their time comes, too: of few calls none may end by then."""
-        if self._due is not None:
-            return
         seconds = self.admission.due_in(now)
-        if seconds is not None:
-            self._due = self.loop.call_at(now + seconds, self._start_due)
+        if seconds is None:
+            return
+        if self._due is not None:
+            if self._due.when() <= now + seconds:
+                return
+            self._due.cancel()
+        self._due = self.loop.call_at(now + seconds, self._start_due)
 
     def _start_due(self) -> None:
         self._due = None
--- a/tests/test_named_rate.py
+++ b/tests/test_named_rate.py
@@ -21,15 +21,15 @@
 class NamedRateTest(MeshTest):
     """Three entries with 40 requests a second each, and three targets."""
 
-    def fleet(self, scenario, **terms):
+    def fleet(self, scenario, targets=ENTRIES + TARGETS, asked=2.0, **terms):
         async def run(mesh):
             callers = Callers(mesh, 40.0)
-            await callers.configure()
+            await callers.configure(**terms)
             await asyncio.sleep(1)
-            await callers.ask_for(2.0)
+            await callers.ask_for(asked)
             return await scenario(mesh, callers)
 
-        return self.mesh(run, configure=False, targets=ENTRIES + TARGETS, **terms)
+        return self.mesh(run, configure=False, targets=targets)
 
     def named_by(self, names, text, seconds=10.0):
         """Let targets name a rate; give callers, the most in a window of each, and since when."""
@@ -107,6 +107,25 @@
         self.assertGreater(unread, 20)
         self.assertLessEqual(again, 8)
 
+    def test_what_waits_goes_on_at_once_when_the_rate_rises(self):
+        """The node waits for the moment that the old rate named, and callers with it."""
+
+        async def scenario(mesh, callers):
+            target = mesh.targets['t']
+            name_rate(target, '0.25')
+            await mesh.call('a', '/orders/x')
+            asked = [
+                asyncio.create_task(mesh.call('a', '/orders/x', timeout=20.0)) for _ in range(4)
+            ]
+            await asyncio.sleep(0.5)
+            name_rate(target, '100')
+            await asyncio.gather(*asked)
+            whens = [arrival.when for arrival in target.arrivals[1:]]
+            return whens[-1] - whens[0]
+
+        long = {'timeout': '20s', 'targetLatency': None}
+        self.assertLess(self.fleet(scenario, (*ENTRIES, 't:deep:d'), 0.0, **long), 0.2)
+
 
 class NewsTest(PausedClockTest):
     """Answers that overtake one another, and those of another incarnation."""
