Soak: targets name rates and say that they leave, and what reaches them is held against it

All arrivals at a target count for its rate, whoever was told; a request counts for leaving if its entry had passed on such an answer two seconds before it was sent, unless that entry's node was ended or frozen since.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -17,6 +17,7 @@
 from dunlinsaddle.platform import headers as names
 from dunlinsaddle.settings import Address
 from standins.fleet import START_SECONDS, Process
+from standins.mesh_target import SAYS_PATH, Says
 from standins.proxy import Proxy
 
 #: Each machine has an address of its own on loopback, as nodes tell their target's calls by it.
@@ -190,6 +191,12 @@
         """Set what goes wrong at the store."""
         await self.ask(self.store, 'POST', '/faults', msgspec.json.encode(faults))
 
+    async def say(self, name: str, says: Says) -> str:
+        """Let a machine's target say something of itself; gives its id, empty if it is away."""
+        address = Address(self.machines[name].host, TARGET_PORT)
+        answer = await self.ask(address, 'POST', SAYS_PATH, msgspec.json.encode(says))
+        return str(msgspec.json.decode(answer.body)['target']) if answer else ''
+
     async def runs(self, name: str) -> dict[str, int]:
         """Give how often the present target of a machine ran each request."""
         address = Address(self.machines[name].host, TARGET_PORT)
--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -19,9 +19,17 @@
 
 BEAT_SECONDS = 0.5  #: between heartbeats; a third of the platform's, so that trials are short
 CALL_SECONDS = 2.0
+SAYS_PATH = '/-/says'  #: takes what it is to say of itself with its answers
 WRONG_TARGET = 421
 
 
+class Says(msgspec.Struct):
+    """What a target says of itself with its answers, beside its heartbeats."""
+
+    rate: float | None = None  #: requests a second
+    leaving: bool = False
+
+
 class MeshTarget:
     """Runs requests that expect it, ``slots`` at once, and tells on request what it has run."""
 
@@ -31,6 +39,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.draining = False
+        self.says = Says()
         self.running = 0
         self.runs: dict[str, int] = {}
         self.client = HttpClient()
@@ -39,13 +48,18 @@
         """Answer one request."""
         if req.path == '/-/runs':
             return json_response(self.runs)
+        if req.path == SAYS_PATH:
+            self.says = msgspec.json.decode(req.body, type=Says)
+            return json_response({'target': self.target_id})
         if req.path == '/health':
             said = [(names.TARGET_ID, self.target_id.encode())]
             return HttpResponse(503 if self.draining else 200, said, b'')
+        request_id = req.header(names.REQUEST_ID)
+        print(f'got {self.target_id} {time.monotonic():.4f} {request_id}', flush=True)  # noqa: T201
         if req.header(names.EXPECTED_TARGET) != self.target_id:
             return HttpResponse(WRONG_TARGET, [(names.TARGET_ID, self.target_id.encode())], b'')
         if self.running >= self.options.slots:
-            return HttpResponse(503, [(names.NOT_RUN, b'1')], b'')
+            return HttpResponse(503, [(names.NOT_RUN, b'1'), *self._said()], b'')
         self.running += 1
         try:
             return await self._run(req)
@@ -63,10 +77,19 @@
         said = [
             (names.REQUEST_ID, request_id.encode()),
             (names.SIGNATURE, self.target_id.encode()),
+            *self._said(),
         ]
         body = msgspec.json.encode({'id': request_id, 'path': req.path})
         return HttpResponse(status, said, body)
 
+    def _said(self) -> list[tuple[bytes, bytes]]:
+        said = []
+        if self.says.rate is not None:
+            said.append((names.RATE, f'{self.says.rate:.3f}'.encode()))
+        if self.says.leaving:
+            said.append((names.LEAVING, b'1'))
+        return said
+
     async def _call(self, path: str, parent: str) -> bool:
         pairs = [
             (b'host', b'h.example'),
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -27,7 +27,18 @@
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.platform import headers as names
 from standins.mesh import MeshFleet, NotWritten, TargetKind, call_headers
+from standins.mesh_target import Says
 from standins.proxy import Harm
+from standins.soak_says import (
+    Arrival,
+    Asked,
+    Disturbed,
+    PassedOn,
+    RateNamed,
+    judge_leaving,
+    judge_rates,
+    read_arrival,
+)
 
 KINDS = [
     TargetKind('views', calls=('/deep/x',)),
@@ -60,6 +71,7 @@
     status: int
     sound: bool  #: the answer is the one to this request, and signed
     seconds: float
+    when: float = 0.0  #: of the host's steady clock
 
 
 @dataclass
@@ -69,16 +81,21 @@
     sent: list[Sent] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
+    named: list[RateNamed] = field(default_factory=list)
+    passed_on: list[PassedOn] = field(default_factory=list)
+    disturbed: list[Disturbed] = field(default_factory=list)
 
 
 class Soak:
     """One run."""
 
-    def __init__(self, fleet: MeshFleet, seed: int, *, returns: bool) -> None:
+    def __init__(self, fleet: MeshFleet, seed: int, *, returns: bool, says: bool) -> None:
         self.fleet = fleet
         self.rng = Random(seed)
         self.returns = returns  #: whether the store returns from copies meanwhile
         self.returns_rng = Random(f'returns {seed}')  #: the other faults of a seed stay as they are
+        self.says = says  #: whether targets say something of themselves with their answers
+        self.says_rng = Random(f'says {seed}')
         self.record = Record()
         self.calling = True
         self.services = list(SERVICES)  #: and later the newest configuration's own route
@@ -97,8 +114,13 @@
         self.calling = False
         await asyncio.gather(*workers)
         await asyncio.sleep(CALL_SECONDS)
-        self.record.findings += judge(self.record.sent, self._all_runs())
-        return self.record
+        runs, arrivals = self._all_runs()
+        record = self.record
+        record.findings += judge(record.sent, runs)
+        record.findings += judge_rates(record.named, arrivals)
+        asked = [Asked(one.request_id, one.entry, one.when) for one in record.sent]
+        record.findings += judge_leaving(record.passed_on, asked, arrivals, record.disturbed)
+        return record
 
     async def _call_on(self, number: int) -> None:
         client = HttpClient()
@@ -120,10 +142,14 @@
         exchange = await client.send(self.fleet.machines[entry].outbound, req, CALL_SECONDS)
         took = loop.time() - began
         if not isinstance(exchange, Answered):
-            return Sent(request_id, service, entry, 0, True, took)
+            return Sent(request_id, service, entry, 0, True, took, began)
         response = exchange.response
         sound = response.status != 200 or _sound(response, request_id)
-        return Sent(request_id, service, entry, response.status, sound, took)
+        found = dict(response.headers)
+        if found.get(names.LEAVING) == b'1':
+            left = found.get(names.SIGNATURE, b'').decode()
+            self.record.passed_on.append(PassedOn(entry, left, began + took))
+        return Sent(request_id, service, entry, response.status, sound, took, began)
 
     async def _until_served(self, when: str, seconds: float) -> None:
         """Wait until every machine serves every service; one that does not is a finding."""
@@ -150,6 +176,8 @@
         async with asyncio.TaskGroup() as group:
             if self.returns:
                 group.create_task(self._return_store(until))
+            if self.says:
+                group.create_task(self._let_say(until))
             while loop.time() < until:
                 group.create_task(self._harm())
                 await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -189,6 +217,7 @@
         node.kill(signal.SIGSTOP)
         await asyncio.sleep(hold)
         node.kill(signal.SIGCONT)
+        self._note_disturbed(name)
 
     async def _kill_target(self, name: str, hold: float) -> None:
         await _end(self.fleet.machines[name].target.popen, signal.SIGKILL)
@@ -234,7 +263,34 @@
             await self.fleet.write_again(KINDS)
             await self._reconfigure('', 0.0)
 
+    async def _let_say(self, until: float) -> None:
+        """Let targets in turn name a rate for a while, or say that they leave, and then leave."""
+        loop, rng = asyncio.get_running_loop(), self.says_rng
+        while loop.time() < until:
+            name = rng.choice(list(self.fleet.machines))
+            hold = rng.uniform(3.5, 6.0)
+            if rng.random() < 0.5:
+                await self._name_rate(name, rng.uniform(1.0, 10.0), hold)
+            else:
+                self.record.faults.append(f'leave {name} {hold:.1f}')
+                await self.fleet.say(name, Says(leaving=True))
+                await asyncio.sleep(hold)
+                await self._replace_target(name, hold)
+
+    async def _name_rate(self, name: str, rate: float, hold: float) -> None:
+        self.record.faults.append(f'name_rate {name} {rate:.1f} {hold:.1f}')
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        target_id = await self.fleet.say(name, Says(rate=rate))
+        await asyncio.sleep(hold)
+        self.record.named.append(RateNamed(target_id, rate, since, loop.time()))
+        await self.fleet.say(name, Says())
+
+    def _note_disturbed(self, name: str) -> None:
+        self.record.disturbed.append(Disturbed(name, asyncio.get_running_loop().time()))
+
     async def _end_node(self, name: str, how: signal.Signals) -> None:
+        self._note_disturbed(name)
         node = self.fleet.machines[name].node
         node.kill(signal.SIGCONT)
         await _end(node.popen, how)
@@ -245,18 +301,23 @@
         node, target = held.node.popen.poll(), held.target.popen.poll()
         self.fleet.restart(name, node=node is not None, target=target is not None)
 
-    def _all_runs(self) -> Counter[str]:
-        """Count the runs of each request, those of targets that were killed included."""
+    def _all_runs(self) -> tuple[Counter[str], list[Arrival]]:
+        """Count the runs of each request and give all arrivals, those at dead targets included."""
         runs: Counter[str] = Counter()
+        arrivals = []
         for proc in self.fleet.processes:
             while True:
                 try:
-                    word, _, request_id = proc.out.get_nowait().partition(' ')
+                    line = proc.out.get_nowait()
                 except queue.Empty:
                     break
+                word, _, request_id = line.partition(' ')
                 if word == 'run':
                     runs[request_id] += 1
-        return runs
+                arrival = read_arrival(line)
+                if arrival is not None:
+                    arrivals.append(arrival)
+        return runs, arrivals
 
 
 async def _end(popen: 'subprocess.Popen[str]', how: signal.Signals) -> None:
@@ -295,10 +356,10 @@
     return findings
 
 
-async def run(seed: int, seconds: float, *, returns: bool = False) -> Record:
+async def run(seed: int, seconds: float, *, returns: bool = False, says: bool = False) -> Record:
     """Play one seed."""
     async with MeshFleet(seed % 240 + 1) as fleet:
-        return await Soak(fleet, seed, returns=returns).play(seconds)
+        return await Soak(fleet, seed, returns=returns, says=says).play(seconds)
 
 
 def main() -> int:
@@ -309,11 +370,14 @@
     parser.add_argument(
         '--returns', action='store_true', help='Let the store return from older copies meanwhile.'
     )
+    parser.add_argument(
+        '--says', action='store_true', help='Let targets name rates and leave by their answers.'
+    )
     args = parser.parse_args()
     first, _, last = args.seeds.partition('-')
     found = 0
     for seed in range(int(first), int(last or first) + 1):
-        record = asyncio.run(run(seed, args.seconds, returns=args.returns))
+        record = asyncio.run(run(seed, args.seconds, returns=args.returns, says=args.says))
         statuses = Counter(one.status for one in record.sent)
         line = {'seed': seed, 'statuses': dict(statuses), 'findings': record.findings}
         if record.findings:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,15 @@
 from dunlinsaddle.calls.http import HttpResponse, json_response
 from standins.mesh import MeshFleet, NotWritten
 from standins.soak import Sent, judge, run
+from standins.soak_says import (
+    Arrival,
+    Asked,
+    Disturbed,
+    PassedOn,
+    RateNamed,
+    judge_leaving,
+    judge_rates,
+)
 from tests.clock import PausedClockTest
 
 #: One short run for each change of the code; seeds that ever failed stay here, with the cause.
@@ -15,6 +24,8 @@
 #: 27 s, the time of a whole watch (about every second run, at 5 s of faults).
 SEEDS = ((2, 3.0), (10, 5.0))
 RETURNS_SEED, RETURNS_SECONDS = 3, 4.0
+#: Nodes that read answers for their requests alone pass rate and leaving by in this run.
+SAYS_SEED, SAYS_SECONDS = 1, 10.0
 
 
 class SoakTest(TestCase):
@@ -31,6 +42,13 @@
         self.assertIn('return_store', record.faults)
         self.assertEqual([], record.findings, record.faults)
 
+    def test_what_targets_say_with_their_answers_is_kept_to_while_processes_are_harmed(self):
+        """A target that names a rate gets more, or one that leaves gets requests."""
+        record = asyncio.run(run(SAYS_SEED, SAYS_SECONDS, says=True))
+        self.assertTrue(record.named)
+        self.assertTrue(record.passed_on)
+        self.assertEqual([], record.findings, record.faults)
+
 
 class OperatorTest(PausedClockTest):
     def configure(self, *answers: HttpResponse | None) -> tuple[list[str], list[Any]]:
@@ -78,3 +96,33 @@
         self.assertEqual(1, self.found({'q': 1}, status=503))
         self.assertEqual(1, self.found({'q': 1}, sound=False))
         self.assertEqual(1, self.found({'q': 1}, status=404))
+
+
+class JudgeSaidTest(TestCase):
+    def most(self, count, since=10.0, until=20.0):
+        arrivals = [Arrival('t', 14.0 + n * 0.01, f'q{n}') for n in range(count)]
+        return len(judge_rates([RateNamed('t', 5.0, since, until)], arrivals))
+
+    def test_a_window_with_more_than_the_rate_allows_is_a_finding(self):
+        self.assertEqual([0, 1], [self.most(35), self.most(36)])
+
+    def test_only_windows_in_which_the_rate_binds_count(self):
+        self.assertEqual([0, 0], [self.most(90, since=12.0), self.most(90, until=13.9)])
+
+    def late(self, sent, target='t', disturbed=()):
+        return len(
+            judge_leaving(
+                [PassedOn('a', 't', 10.0), PassedOn('a', 't', 90.0)],
+                [Asked('q', 'a', sent)],
+                [Arrival(target, sent + 0.1, 'q')],
+                [Disturbed('a', when) for when in disturbed],
+            )
+        )
+
+    def test_a_request_to_a_target_that_its_entry_knew_to_leave_is_a_finding(self):
+        self.assertEqual([0, 1, 0], [self.late(11.9), self.late(12.1), self.late(12.1, 'u')])
+
+    def test_an_entry_that_was_ended_since_may_have_forgotten(self):
+        self.assertEqual(
+            [0, 1], [self.late(15.0, disturbed=[12.0]), self.late(15.0, disturbed=[9.0])]
+        )
