Waits for admission in a module of their own

The executor had grown to 385 lines and held two maps of the same waiting calls and three timers. `calls/waiters.py` holds each waiting call with its future and timer, and the timer of what is due. Behaviour as before; all tests of it unchanged.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -10,6 +10,7 @@
 from dunlinsaddle.calls.http import FIRST_ERROR_STATUS, HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, Told, refusal
 from dunlinsaddle.calls.target import LocalTarget, PlainDialect, Said, TargetDialect
+from dunlinsaddle.calls.waiters import COME_BACK, End, Waiters
 from dunlinsaddle.calls.work import Running, RunningCalls, Work, come_back_after
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import OnLoop
@@ -28,11 +29,6 @@
 from dunlinsaddle.policy.quarantine import Alone, Barred, Quarantine
 from dunlinsaddle.stats import Hop, Stats
 
-COME_BACK = 1.0  #: seconds; about the time in which a queue has moved
-#: Seconds before its deadline at which the wait of a call ends. The refusal, which says that it did
-#: not run, has to be at the entry before the entry gives up; between failure domains it takes some
-#: 3 ms, behind other work a few more. Later the caller would get 504, which says nothing.
-WAY_BACK = 0.02
 TICK_SECONDS = TICK + 0.0001  #: just enough for the tick to be due
 
 
@@ -71,9 +67,7 @@
         self.on_said: OnSaid = lambda request_id, sent_at, said: None
         #: Gives what other nodes are told of that with each reply.
         self.told: Callable[[], Told | None] = lambda: None
-        self._waiting: dict[int, asyncio.Future[Failure | None]] = {}
-        self._waiting_tickets: dict[int, Ticket] = {}
-        self._due: asyncio.TimerHandle | None = None
+        self._waiters = Waiters(admission, self._release)
         self._tickets = 0
         self._shadows: set[int] = set()
         self._suspect_lock = asyncio.Lock()
@@ -179,22 +173,14 @@
                     self._settle(evicted, Failure(ErrorKind.OVERLOADED, retry_after=COME_BACK))
         if self.decisions is not None:
             self.decisions.queued(ctx, self._load(ctx))
-        fut: asyncio.Future[Failure | None] = loop.create_future()
-        self._waiting[ticket.call_id] = fut
-        self._waiting_tickets[ticket.call_id] = ticket
-        self._wake_when_due(loop.time())
-        # A target that stands still releases nobody: the wait must end without it.
-        late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
-        timer = loop.call_at(ticket.deadline - WAY_BACK, self._overdue, ticket, late)
+        end = self._waiters.add(ticket)
         try:
-            refused = await fut
+            refused = await end
         except asyncio.CancelledError:
-            self._leave(ticket, fut)
+            self._leave(ticket, end)
             raise
         finally:
-            timer.cancel()
-            self._waiting.pop(ticket.call_id, None)
-            del self._waiting_tickets[ticket.call_id]
+            self._waiters.remove(ticket)
         self.stats.waited(loop.time() - ticket.arrived)
         return refused
 
@@ -215,9 +201,9 @@
                 self.stats.observed_refusals[failure.kind.value] += 1
         self._shadows.add(ticket.call_id)
 
-    def _leave(self, ticket: Ticket, fut: 'asyncio.Future[Failure | None]') -> None:
+    def _leave(self, ticket: Ticket, end: End) -> None:
         """Take a cancelled call out, whether it still waits or was started this moment."""
-        if fut.done() and not fut.cancelled() and fut.result() is None:
+        if end.done() and not end.cancelled() and end.result() is None:
             now = self.now()
             self._finish(ticket, Sample(ticket.rule, 0.0, completed=False), now)
         else:
@@ -225,19 +211,11 @@
 
     def refuse_waiting(self) -> None:
         """Refuse what still waits at a target that leaves: it did not run, and can elsewhere."""
-        for ticket in list(self._waiting_tickets.values()):
-            self._overdue(ticket, Failure(ErrorKind.DRAINING, retry_after=COME_BACK))
-
-    def _overdue(self, ticket: Ticket, failure: Failure) -> None:
-        if ticket.call_id in self._waiting:
-            self.admission.abandon(ticket)
-            self._settle(ticket, failure)
+        self._waiters.refuse_all(Failure(ErrorKind.DRAINING, retry_after=COME_BACK))
 
     def _settle(self, ticket: Ticket, failure: Failure | None) -> None:
         self._shadows.discard(ticket.call_id)
-        fut = self._waiting.pop(ticket.call_id, None)
-        if fut is not None and not fut.done():
-            fut.set_result(failure)
+        self._waiters.settle(ticket, failure)
 
     async def _run(self, work: Work, ticket: Ticket) -> Reply:
         loop = self.loop
@@ -357,22 +335,7 @@
         late = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=COME_BACK)
         for dropped in released.dropped:
             self._settle(dropped, late)
-        self._wake_when_due(now)
-
-    def _wake_when_due(self, now: float) -> None:
-        """Start waiting calls when their time comes, too: of few calls none may end by then."""
-        seconds = self.admission.due_in(now)
-        if seconds is None:
-            return
-        if self._due is not None:
-            if self._due.when() <= now + seconds:
-                return
-            self._due.cancel()
-        self._due = self.loop.call_at(now + seconds, self._start_due)
-
-    def _start_due(self) -> None:
-        self._due = None
-        self._release(self.now())
+        self._waiters.wake_when_due(now)
 
     def _refused(self, failure: Failure, work: Work) -> Reply:
         self.stats.shed[failure.kind.value] += 1
