--- a/standins/soak.py
+++ b/standins/soak.py
@@ -46,7 +46,11 @@
     TargetKind('deep', slots=40, seconds=0.01),
 ]
 SERVICES = ('views', 'orders')  #: that callers ask for
-COPIES = 2
+COPIES = 2  #: machines of each kind, unless a run names another number
+#: Seconds for each machine beside the first few, within which all have started: processes start one
+#: after the other, and each takes most of a second of a core.
+START_EACH = 1.0
+DOMAINS = 3  #: failure domains, at most
 WORKERS = 10
 CALL_SECONDS = 3.0
 PAUSE = 0.03  #: between two requests of a worker
@@ -89,9 +93,18 @@
 class Soak:
     """One run."""
 
-    def __init__(self, fleet: MeshFleet, seed: int, *, returns: bool, says: bool) -> None:
+    def __init__(
+        self,
+        fleet: MeshFleet,
+        seed: int,
+        *,
+        returns: bool = False,
+        says: bool = False,
+        copies: int = COPIES,
+    ) -> None:
         self.fleet = fleet
         self.rng = Random(seed)
+        self.copies = copies
         self.returns = returns  #: whether the store returns from copies meanwhile
         self.returns_rng = Random(f'returns {seed}')  #: the other faults of a seed stay as they are
         self.says = says  #: whether targets say something of themselves with their answers
@@ -103,10 +116,11 @@
     async def play(self, seconds: float) -> Record:
         """Start all, harm it for a while, heal it, and judge."""
         await self.fleet.configure(KINDS)
-        for copy in range(COPIES):
+        for copy in range(self.copies):
             for what in KINDS:
-                await self.fleet.place(f'{what.service}-{copy}', f'd{copy}', what)
-        await self._until_served('at the start', 3 * RECOVERY)
+                await self.fleet.place(f'{what.service}-{copy}', f'd{copy % DOMAINS}', what)
+        more = max(len(self.fleet.machines) - COPIES * len(KINDS), 0)
+        await self._until_served('at the start', 3 * RECOVERY + more * START_EACH)
         workers = [asyncio.create_task(self._call_on(number)) for number in range(WORKERS)]
         await self._harm_for(seconds)
         self.services.append(f'r{self.fleet.accepted}')
@@ -356,10 +370,18 @@
     return findings
 
 
-async def run(seed: int, seconds: float, *, returns: bool = False, says: bool = False) -> Record:
+async def run(
+    seed: int,
+    seconds: float,
+    *,
+    returns: bool = False,
+    says: bool = False,
+    copies: int = COPIES,
+) -> Record:
     """Play one seed."""
     async with MeshFleet(seed % 240 + 1) as fleet:
-        return await Soak(fleet, seed, returns=returns, says=says).play(seconds)
+        soak = Soak(fleet, seed, returns=returns, says=says, copies=copies)
+        return await soak.play(seconds)
 
 
 def main() -> int:
@@ -373,11 +395,13 @@
     parser.add_argument(
         '--says', action='store_true', help='Let targets name rates and leave by their answers.'
     )
+    parser.add_argument('--copies', type=int, default=COPIES, help='Machines of each kind.')
     args = parser.parse_args()
     first, _, last = args.seeds.partition('-')
     found = 0
     for seed in range(int(first), int(last or first) + 1):
-        record = asyncio.run(run(seed, args.seconds, returns=args.returns, says=args.says))
+        playing = run(seed, args.seconds, returns=args.returns, says=args.says, copies=args.copies)
+        record = asyncio.run(playing)
         statuses = Counter(one.status for one in record.sent)
         line = {'seed': seed, 'statuses': dict(statuses), 'findings': record.findings}
         if record.findings:
