--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -185,8 +185,13 @@
         if self._has_room(Event.CANCELLED):
             self._write(Event.CANCELLED, ctx, seconds=_rounded(seconds), inner=bool(ctx.hop))
 
-    def target_said(self, request_id: str, target_id: str, said: Said, before: Said) -> None:
-        """Note that a target says something else of itself with an answer than before."""
+    def target_said(
+        self, request_id: str, target_id: str, said: Said, before: Said, source: str
+    ) -> None:
+        """Note that a target says something else of itself than before.
+
+        ``source`` is the answer to the request, or the entry that sent it and had been told.
+        """
         if not self._has_room(Event.TARGET_SAID):
             return
         extra = {
@@ -196,6 +201,7 @@
             'rate_before': before.rate,
             'leaving': said.leaving,
             'unreadable': said.unreadable,
+            'source': source,
         }
         self.logger.info(Event.TARGET_SAID.value, extra=extra)
 
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -13,7 +13,6 @@
 from dunlinsaddle.records.schema import MAX_RETRY_BOUND
 
 MAX_BUDGET = 86_400.0  #: seconds; a day is a bound against absurd numbers only
-
 MAX_RATE = 1e9  #: calls a second; a bound against absurd numbers only
 
 Headers = list[tuple[bytes, bytes]]
@@ -26,7 +25,8 @@
 Tokens = Annotated[int, Meta(ge=0, le=MAX_RETRY_BOUND)]
 Hops = Annotated[int, Meta(ge=0, le=MAX_HOPS)]
 Rate = Annotated[float, Meta(gt=0, le=MAX_RATE)]
-Share = Annotated[float, Meta(ge=0, le=MAX_RATE)]
+#: Above 1 where the rate is under one call a second.
+RateUse = Annotated[float, Meta(ge=0, le=MAX_RATE)]
 StatusCode = Annotated[int, Meta(ge=200, le=599)]
 
 
@@ -55,7 +55,7 @@
 
     incarnation: str  #: the start of the target that has said it
     rate: Rate | None = None  #: requests a second that it takes from all nodes, None for any number
-    use: Share = 0.0  #: of the rate, over the last second
+    use: RateUse = 0.0  #: of the rate, over the last second
     leaving: bool = False
 
 
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -18,6 +18,9 @@
     unreadable: str | None = None  #: a rate that says nothing, as it cannot be read
 
 
+NOTHING_SAID = Said()
+
+
 class TargetDialect(Protocol):
     """How a target is spoken to: what goes with a call, and what its answer says."""
 
--- a/dunlinsaddle/mesh/news.py
+++ b/dunlinsaddle/mesh/news.py
@@ -5,13 +5,11 @@
 
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.messages import Told
-from dunlinsaddle.calls.target import LocalTarget, Said
+from dunlinsaddle.calls.target import NOTHING_SAID, LocalTarget, Said
 from dunlinsaddle.loops import OnLoop
 from dunlinsaddle.policy.rate import LEAST_RATE
 from dunlinsaddle.policy.slots import SlotAdmission
 
-NOTHING_SAID = Said()
-
 
 class TargetNews(OnLoop):
     """Holds what the target has said last, and has the node act on it.
@@ -57,7 +55,7 @@
         if told is None or told.incarnation != self.target.incarnation:
             return
         rate = told.rate if self._heard_at == -math.inf else self.said.rate
-        self._take(request_id, Said(rate, told.leaving))
+        self._take(request_id, Said(rate, told.leaving), 'entry')
 
     def hear(self, request_id: str, sent_at: float, said: Said) -> None:
         """Take what came with the answer to a request that was sent at ``sent_at``."""
@@ -70,15 +68,15 @@
             said = said._replace(rate=held.rate)
         elif said.rate is not None:
             self._named_at = self._heard_at
-        self._take(request_id, said)
+        self._take(request_id, said, 'answer')
 
-    def _take(self, request_id: str, said: Said) -> None:
+    def _take(self, request_id: str, said: Said, source: str) -> None:
         held = self.said
         # One that leaves does so for good, whatever answers are still on their way.
         said = said._replace(leaving=said.leaving or held.leaving)
         if said == held:
             return
-        self.decisions.target_said(request_id, self.target.target_id, said, held)
+        self.decisions.target_said(request_id, self.target.target_id, said, held, source)
         self.said = said
         self.admission.name_rate(self.now(), said.rate)
         if said.leaving and not held.leaving:
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -7,7 +7,7 @@
 from dunlinsaddle.access.keys import digest_of
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
-from dunlinsaddle.calls.target import Said
+from dunlinsaddle.calls.target import NOTHING_SAID, Said
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.platform import headers as names
 
@@ -96,19 +96,19 @@
     Of several rates the lowest counts. A rate that cannot be read says nothing.
     """
     found = dict(response.headers)
-    own = names.SIGNATURE in found or names.NOT_RUN in found
     # What took over the address of a target that has gone answers so, and speaks for itself.
-    other = response.status == WRONG_TARGET or found.get(names.TARGET_ID, b'') not in (
-        b'',
-        target_id.encode('latin-1'),
-    )
-    if not own or other or b'content-encoding' in found:
+    if response.status == WRONG_TARGET or b'content-encoding' in found:
         return None
+    if names.SIGNATURE not in found and names.NOT_RUN not in found:
+        return None
+    if found.get(names.TARGET_ID, b'').decode('latin-1') not in ('', target_id):
+        return None
+    leaving = found.get(names.LEAVING) == b'1'
+    if names.RATE not in found:
+        return Said(leaving=leaving) if leaving else NOTHING_SAID
     texts = [value.decode('latin-1') for name, value in response.headers if name == names.RATE]
     rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
-    unreadable = None if rates or not texts else texts[0][:_SHOWN]
-    leaving = found.get(names.LEAVING) == b'1'
-    return Said(min(rates, default=None), leaving, unreadable)
+    return Said(min(rates, default=None), leaving, None if rates else texts[0][:_SHOWN])
 
 
 def caller_response(reply: Reply, request_id: str) -> HttpResponse:
