The level opens at once when a target's rate ends, and not before its first call

Entries went on refusing by a level of 66 for as long as the next token of the old rate was away (up to four seconds), as the moment until which no call could start was never taken back; and between naming and the first call the bucket counted as room, since nothing had noted when it first has a token.

--- a/dunlinsaddle/policy/rate.py
+++ b/dunlinsaddle/policy/rate.py
@@ -1,7 +1,6 @@
 """How many calls a second go to a target that names a rate."""
 
 import math
-from math import exp
 
 #: Seconds of the rate that may go at once after a pause. Calls come in clusters; a target that
 #: names a rate takes a quarter of a second's worth together.
@@ -10,8 +9,9 @@
 #: Calls a second that go at least. The answers alone tell that a rate has ended: a target that
 #: takes nothing at all would never be heard again. One call in four seconds is a sign of life.
 LEAST_RATE = 0.25
-
-ROUNDING = 1e-6  #: tokens
+#: Tokens that may miss to a whole one. A sum of refills misses it by its last digits, and a timer
+#: for that moment would be set again for the same moment.
+ROUNDING = 1e-6
 
 
 class RateLimit:
@@ -33,9 +33,11 @@
 
     def name(self, now: float, rate: float | None) -> None:
         """Take the rate that holds from now on, None for none."""
-        self._refill(now)
-        if not self.binding:
-            self._tokens = 0.0
+        if self.binding:
+            self._refill(now)
+        else:
+            self._tokens = self._recent = 0.0
+            self._at = now
         self.rate = math.inf if rate is None else max(rate, LEAST_RATE)
         self._tokens = min(self._tokens, self._most())
 
@@ -45,13 +47,16 @@
 
     def take(self, now: float) -> None:
         """Count a call that goes."""
+        if not self.binding:
+            return
         self._refill(now)
         self._recent += 1
-        if self.binding:
-            self._tokens -= 1
+        self._tokens -= 1
 
     def use(self, now: float) -> float:
         """Give the share of the rate that is used; 0 where none is named."""
+        if not self.binding:
+            return 0.0
         self._refill(now)
         return self._recent / (self.rate * USE_SECONDS)
 
@@ -61,15 +66,12 @@
             return 0.0
         self._refill(now)
         missing = calls - self._tokens
-        # A sum of refills may miss a whole token by its last digits: a timer set for that moment
-        # would find none, and be set again for the same moment.
         return missing / self.rate if missing > ROUNDING else 0.0
 
     def _most(self) -> float:
         return max(self.rate * BURST_SECONDS, 1.0)
 
     def _refill(self, now: float) -> None:
-        if self.binding:
-            self._tokens = min(self._tokens + (now - self._at) * self.rate, self._most())
-        self._recent *= exp((self._at - now) / USE_SECONDS)
+        self._tokens = min(self._tokens + (now - self._at) * self.rate, self._most())
+        self._recent *= math.exp((self._at - now) / USE_SECONDS)
         self._at = now
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -86,6 +86,9 @@
     def name_rate(self, now: float, rate: float | None) -> None:
         """Take the calls a second that the target says it takes, None for any number."""
         self._rate.name(now, rate)
+        # The next token of the rate before may have been far off.
+        self._full_at = min(self._full_at, now)
+        self._note_full(now)
 
     def rate_use(self, now: float) -> float:
         """Give the share of the named rate that is used, 0 where none is named."""
@@ -95,7 +98,7 @@
         """Forget the service times and the rate of the incarnation before."""
         self._times.clear()
         self._mean = 0.0
-        self._rate.name(now, None)
+        self.name_rate(now, None)
 
     def arrive(self, now: float, ticket: Ticket) -> Verdict:
         """Decide on a new call."""
@@ -187,6 +190,9 @@
     def _start(self, now: float) -> None:
         self.inflight += 1
         self._rate.take(now)
+        self._note_full(now)
+
+    def _note_full(self, now: float) -> None:
         wait = self._rate.wait(now, 1)
         if wait > 0:
             self._full_at = now + wait
--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -106,3 +106,17 @@
         admission.restarted(0.0)
         verdicts = {type(admission.arrive(0.0, build_ticket(n))) for n in range(5)}
         self.assertEqual({Run}, verdicts)
+
+    def test_the_level_opens_at_once_when_the_rate_ends(self):
+        """The next token of the old rate was seconds away, and entries refuse until then."""
+        admission = self.admission(0.25)
+        for step in range(210):
+            now = step * 0.02
+            admission.arrive(now, build_ticket(step, level=step * 7 % 384, deadline=now + 0.3))
+            for started in admission.release(now).started:
+                admission.finish(now, started, Sample('default', 0.1, True))
+        self.assertLess(admission.load(4.2).level, 128)
+        admission.name_rate(4.2, None)
+        for started in admission.release(4.2).started:
+            admission.finish(4.2, started, Sample('default', 0.1, True))
+        self.assertEqual(511, admission.load(4.4).level)
