One holder of what a target told, and no tuple made for each answer

The router kept a second answer to whether a target names a rate; the dispatcher holds what was told, and asks that now. Each answer made a new tuple to keep leaving, also where nobody leaves. Demand is counted in one expression.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -308,11 +308,12 @@
         a quarter of the views, which the other two have room for. What a target with a rate does
         not take goes to those without; theirs is the level of the service.
         """
-        if reply.told is None or reply.told.rate is None:
+        if not _names_rate(reply.told):
             return True
         if reply.load is not None and reply.load.limited_by != service:
             return True
-        return all(self.router.names_rate(m.instance) for m in self.view.serving(service))
+        told = self._told
+        return all(_names_rate(told.get(m.instance)) for m in self.view.serving(service))
 
     def _after(self, work: Work, reply: Reply) -> Work:
         """Carry on with the call what its last try taught."""
@@ -340,6 +341,10 @@
     return not reply.kind and reply.status < FIRST_ERROR_STATUS
 
 
+def _names_rate(told: Told | None) -> bool:
+    return told is not None and told.rate is not None
+
+
 def _truthful(reply: Reply) -> Reply:
     """Keep a refusal from saying "not run" when an earlier try of the same call may have run."""
     if reply.outcome is not Outcome.NOT_RUN:
--- a/dunlinsaddle/mesh/news.py
+++ b/dunlinsaddle/mesh/news.py
@@ -72,8 +72,9 @@
 
     def _take(self, request_id: str, said: Said, source: str) -> None:
         held = self.said
-        # One that leaves does so for good, whatever answers are still on their way.
-        said = said._replace(leaving=said.leaving or held.leaving)
+        if held.leaving and not said.leaving:
+            # One that leaves does so for good, whatever answers are still on their way.
+            said = said._replace(leaving=True)
         if said == held:
             return
         self.decisions.target_said(request_id, self.target.target_id, said, held, source)
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -199,11 +199,6 @@
         seen.rate_use = use
         seen.rate_told_at = now
 
-    def names_rate(self, instance: str) -> bool:
-        """Say whether a target names a rate, as far as known."""
-        seen = self._seen.get(instance)
-        return seen is not None and seen.rate < inf
-
     def took(
         self, now: float, instance: str, rule: str, seconds: float, *, whole: bool = True
     ) -> None:
--- a/dunlinsaddle/policy/slots.py
+++ b/dunlinsaddle/policy/slots.py
@@ -160,10 +160,9 @@
         return Load(self.inflight, len(self.queue), self.limit, self._level.level)
 
     def _count(self, now: float, ticket: Ticket) -> None:
-        """Count the demand of a call, by the time for which it will hold a slot."""
-        amount = self._time(ticket.rule) / self._mean if self._mean else 1.0
-        if self._bound_by_rate():
-            amount = 1.0
+        """Count the demand of a call: by the time for which it holds a slot; one for a rate."""
+        alike = not self._mean or self._bound_by_rate()
+        amount = 1.0 if alike else self._time(ticket.rule) / self._mean
         self._level.arrived(ticket.level, amount)
         self._level.update(now, self._capacity(), self._idle(now))
 
