One count of a window and one bound for the soak and the tests; simulated targets by the queue that exists

The rule's window was counted in three places and its bound stood in two: `most_in_window` and `allowed` in the soak's own module serve all. Targets of `rated_load` repeated what `ByNode` does; it has a `release` of its own now. A run's variants are one type, where three signatures repeated them. One way to run a follower in a test, one to press an admission.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -90,24 +90,22 @@
     disturbed: list[Disturbed] = field(default_factory=list)
 
 
+class Variant(NamedTuple):
+    """What a run has beside the faults that its seed draws; these stay as they are."""
+
+    returns: bool = False  #: the store returns from copies meanwhile
+    says: bool = False  #: targets say something of themselves with their answers
+    copies: int = COPIES  #: machines of each kind
+
+
 class Soak:
     """One run."""
 
-    def __init__(
-        self,
-        fleet: MeshFleet,
-        seed: int,
-        *,
-        returns: bool = False,
-        says: bool = False,
-        copies: int = COPIES,
-    ) -> None:
+    def __init__(self, fleet: MeshFleet, seed: int, variant: Variant) -> None:
         self.fleet = fleet
         self.rng = Random(seed)
-        self.copies = copies
-        self.returns = returns  #: whether the store returns from copies meanwhile
-        self.returns_rng = Random(f'returns {seed}')  #: the other faults of a seed stay as they are
-        self.says = says  #: whether targets say something of themselves with their answers
+        self.variant = variant
+        self.returns_rng = Random(f'returns {seed}')
         self.says_rng = Random(f'says {seed}')
         self.record = Record()
         self.calling = True
@@ -116,7 +114,7 @@
     async def play(self, seconds: float) -> Record:
         """Start all, harm it for a while, heal it, and judge."""
         await self.fleet.configure(KINDS)
-        for copy in range(self.copies):
+        for copy in range(self.variant.copies):
             for what in KINDS:
                 await self.fleet.place(f'{what.service}-{copy}', f'd{copy % DOMAINS}', what)
         more = max(len(self.fleet.machines) - COPIES * len(KINDS), 0)
@@ -188,9 +186,9 @@
         # A harm that fails ends the others: one that starts a process after the fleet was ended
         # would leave it running, and the run would wait for its end.
         async with asyncio.TaskGroup() as group:
-            if self.returns:
+            if self.variant.returns:
                 group.create_task(self._return_store(until))
-            if self.says:
+            if self.variant.says:
                 group.create_task(self._let_say(until))
             while loop.time() < until:
                 group.create_task(self._harm())
@@ -370,18 +368,10 @@
     return findings
 
 
-async def run(
-    seed: int,
-    seconds: float,
-    *,
-    returns: bool = False,
-    says: bool = False,
-    copies: int = COPIES,
-) -> Record:
+async def run(seed: int, seconds: float, variant: Variant = Variant()) -> Record:  # noqa: B008
     """Play one seed."""
     async with MeshFleet(seed % 240 + 1) as fleet:
-        soak = Soak(fleet, seed, returns=returns, says=says, copies=copies)
-        return await soak.play(seconds)
+        return await Soak(fleet, seed, variant).play(seconds)
 
 
 def main() -> int:
@@ -397,11 +387,11 @@
     )
     parser.add_argument('--copies', type=int, default=COPIES, help='Machines of each kind.')
     args = parser.parse_args()
+    variant = Variant(args.returns, args.says, args.copies)
     first, _, last = args.seeds.partition('-')
     found = 0
     for seed in range(int(first), int(last or first) + 1):
-        playing = run(seed, args.seconds, returns=args.returns, says=args.says, copies=args.copies)
-        record = asyncio.run(playing)
+        record = asyncio.run(run(seed, args.seconds, variant))
         statuses = Counter(one.status for one in record.sent)
         line = {'seed': seed, 'statuses': dict(statuses), 'findings': record.findings}
         if record.findings:
--- a/standins/soak_says.py
+++ b/standins/soak_says.py
@@ -65,6 +65,23 @@
     return Arrival(target_id, float(when), request_id)
 
 
+def allowed(rate: float) -> float:
+    """Give how many requests a target that names a rate may get in a window."""
+    return EXCESS * rate * WINDOW + SPARE
+
+
+def most_in_window(whens: list[float], since: float) -> int:
+    """Give the most of these times in a window that ends when a rate named at ``since`` binds.
+
+    ``whens`` are in order.
+    """
+    first = bisect_left(whens, since + BINDS_AFTER)
+    return max(
+        (end - bisect_left(whens, whens[end] - WINDOW) + 1 for end in range(first, len(whens))),
+        default=0,
+    )
+
+
 def judge_rates(named: list[RateNamed], arrivals: list[Arrival]) -> list[str]:
     """Give a finding for each rate that a window has too many arrivals for."""
     times: dict[str, list[float]] = defaultdict(list)
@@ -74,17 +91,12 @@
     for one in named:
         held = times[one.target_id]
         held = held[bisect_left(held, one.since) : bisect_right(held, one.until)]
-        ends = [when for when in held if when >= one.since + BINDS_AFTER]
-        most = max((_within(held, end) for end in ends), default=0)
-        if most > EXCESS * one.rate * WINDOW + SPARE:
+        most = most_in_window(held, one.since)
+        if most > allowed(one.rate):
             findings.append(f'{one}: {most} requests in {WINDOW} s')
     return findings
 
 
-def _within(held: list[float], end: float) -> int:
-    return bisect_right(held, end) - bisect_left(held, end - WINDOW)
-
-
 def judge_leaving(
     passed: list[PassedOn],
     asked: list[Asked],
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,8 @@
 import io
 import json
 import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from heapq import heappop, heappush
 from random import Random
 from typing import Any
@@ -81,6 +83,17 @@
     )
 
 
+@asynccontextmanager
+async def running_follower(store: ObjectStore) -> AsyncIterator[ConfigFollower]:
+    """Give a follower that runs until the end of the block."""
+    follower = build_follower(store)
+    task = asyncio.create_task(follower.run())
+    try:
+        yield follower
+    finally:
+        task.cancel()
+
+
 def build_record_sync(store: ObjectStore) -> RecordSync:
     """Build that of a node that knows no other."""
     member = build_member()
--- a/tests/fakes/mesh_load.py
+++ b/tests/fakes/mesh_load.py
@@ -3,11 +3,11 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Iterable
 from random import Random
 from typing import Any, NamedTuple
 
 from dunlinsaddle.calls.http import HttpResponse
+from standins.soak_says import most_in_window
 from tests.builders import build_configuration, build_route
 from tests.fakes.mesh import Mesh, MeshTarget
 
@@ -18,8 +18,6 @@
 #: Entries, each of a service of its own, which tells where a request began; and three targets.
 ENTRIES = ('a:front-a:d', 'b:front-b:e', 'c:front-c:f')
 TARGETS = ('t:deep:d', 'u:deep:e', 'v:deep:f')
-WINDOW = 4.0  #: seconds over which requests to a target that names a rate are counted
-BINDS_AFTER = 3.0  #: seconds after a target first names a rate
 TOLD_BEFORE = 0.5  #: seconds since an instance passed on an answer that names it
 
 
@@ -62,9 +60,9 @@
         value = build_configuration('r9', routes)
         await self.mesh.store.put('config', 'main', value, held.version if held else 0)
 
-    async def ask_for(self, seconds: float, entries: Iterable[str] = 'abc') -> None:
+    async def ask_for(self, seconds: float) -> None:
         """Ask at all entries for a while."""
-        names = list(entries)
+        names = [entry.partition(':')[0] for entry in ENTRIES]
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
@@ -112,10 +110,4 @@
             for a in target.arrivals
             if a.when >= told.get(a.origin, float('inf')) + TOLD_BEFORE
         ]
-        ends = [when for when in counted if when >= named_at + BINDS_AFTER]
-        return max((sum(end - WINDOW <= w <= end for w in counted) for end in ends), default=0)
-
-
-def allowed(rate: float) -> float:
-    """Give how many requests a target that names a rate may get in a window."""
-    return 1.5 * rate * WINDOW + 5
+        return most_in_window(counted, named_at)
--- a/tests/fakes/rated_load.py
+++ b/tests/fakes/rated_load.py
@@ -5,15 +5,15 @@
 """
 
 from collections import Counter
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
-from dunlinsaddle.policy.admission import Load, Refuse, Run, Sample, Ticket, Wait
+from dunlinsaddle.policy.admission import Load, Sample, Ticket
 from dunlinsaddle.policy.rate import LEAST_RATE
 from dunlinsaddle.policy.route import Candidate, Router
-from dunlinsaddle.policy.slots import SlotAdmission
 from tests.builders import build_ticket
-from tests.fakes.slots_load import Events
+from tests.fakes.slots_load import ByNode, Events
 
 SLOTS = 40
 SECONDS = 0.1  #: for which a call holds a slot
@@ -32,13 +32,13 @@
     level: int
 
 
-class RatedTarget:
+class RatedTarget(ByNode):
     """A target behind its node."""
 
-    def __init__(self, name: str, rate: float | None) -> None:
-        self.candidate = Candidate(name, f'd{int(name[1:]) % DOMAINS}')
+    def __init__(self, load: 'RatedLoad', number: int, rate: float | None) -> None:
+        super().__init__(partial(load._start, self), partial(load._refuse, self))
+        self.candidate = Candidate(f't{number}', f'd{number % DOMAINS}')
         self.rate = rate
-        self.admission = SlotAdmission()
         self.admission.announce(SLOTS)
         self.starts: list[float] = []
         self.refused = 0
@@ -53,8 +53,9 @@
         super().__init__()
         self.rng = Random(seed)
         self.requests = requests
-        self.targets = {f't{n}': RatedTarget(f't{n}', rate) for n, rate in enumerate(rates)}
-        self.candidates = [target.candidate for target in self.targets.values()]
+        targets = [RatedTarget(self, number, rate) for number, rate in enumerate(rates)]
+        self.targets = {target.candidate.instance: target for target in targets}
+        self.candidates = [target.candidate for target in targets]
         self.routers = [Router(f'd{n % DOMAINS}', Random(seed + n)) for n in range(entries)]
         for router in self.routers:
             router.entries = entries
@@ -94,15 +95,8 @@
             deadline=out.began + 5.0,
             useful_until=out.began + OBJECTIVE,
         )
-        match target.admission.arrive(self.now, ticket):
-            case Run():
-                self._start(target, ticket)
-            case Refuse():
-                self._refuse(target, ticket)
-            case Wait(evicted):
-                if evicted is not None:
-                    self._refuse(target, evicted)
-                self._wake(target)
+        target.arrive(self.now, ticket)
+        self._wake(target)
 
     def _start(self, target: RatedTarget, ticket: Ticket) -> None:
         target.starts.append(self.now)
@@ -118,7 +112,7 @@
         self._reply(target, out, lambda: None)
         self._release(target)
 
-    def _refuse(self, target: RatedTarget, ticket: Ticket) -> None:
+    def _refuse(self, target: RatedTarget, ticket: Ticket, retry_after: float) -> None:
         target.refused += 1
         out = self._calls.pop(ticket.call_id)
         again = out._replace(tried=out.tried | {target.candidate.instance})
@@ -138,11 +132,7 @@
         self.at(self.now + WAY, heard)
 
     def _release(self, target: RatedTarget) -> None:
-        released = target.admission.release(self.now)
-        for ticket in released.started:
-            self._start(target, ticket)
-        for ticket in released.dropped:
-            self._refuse(target, ticket)
+        target.release(self.now)
         self._wake(target)
 
     def _wake(self, target: RatedTarget) -> None:
--- a/tests/fakes/slots_load.py
+++ b/tests/fakes/slots_load.py
@@ -105,6 +105,9 @@
 
     def finish(self, now: float, ticket: Ticket, seconds: float) -> None:
         self.admission.finish(now, ticket, Sample(ticket.rule, seconds, completed=True))
+        self.release(now)
+
+    def release(self, now: float) -> None:
         released = self.admission.release(now)
         for started in released.started:
             self.start(started)
--- a/tests/test_named_rate.py
+++ b/tests/test_named_rate.py
@@ -8,9 +8,10 @@
 from dunlinsaddle.mesh.news import TargetNews
 from dunlinsaddle.policy.slots import SlotAdmission
 from dunlinsaddle.settings import Address
+from standins.soak_says import allowed
 from tests.builders import build_logger
 from tests.clock import PausedClockTest
-from tests.fakes.mesh_load import ENTRIES, TARGETS, Callers, allowed
+from tests.fakes.mesh_load import ENTRIES, TARGETS, Callers
 from tests.mesh_case import MeshTest
 
 
--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -63,6 +63,17 @@
         admission.name_rate(0.0, rate)
         return admission
 
+    def press(self, admission, calls, every):
+        """Let far more calls of all levels arrive than the rate bears."""
+        for step in range(calls):
+            now = step * every
+            admission.arrive(now, build_ticket(step, level=step * 7 % 384, deadline=now + 0.3))
+            self.run_released(admission, now)
+
+    def run_released(self, admission, now):
+        for started in admission.release(now).started:
+            admission.finish(now, started, Sample('default', 0.1, True))
+
     def test_a_waiting_call_starts_when_the_rate_has_room_though_none_ends(self):
         """Where nothing ends for a second, what waits would wait for ever."""
         admission = self.admission(2.0)
@@ -89,11 +100,7 @@
     def test_free_slots_are_no_room_while_the_rate_has_none(self):
         """Taken for room, they open the level, and entries send all that the rate cannot bear."""
         admission = self.admission(10.0, slots=100)
-        for step in range(200):
-            now = step * 0.01
-            admission.arrive(now, build_ticket(step, level=step * 7 % 384, deadline=now + 0.3))
-            for started in admission.release(now).started:
-                admission.finish(now, started, Sample('default', 0.1, True))
+        self.press(admission, 200, every=0.01)
         self.assertLess(admission.load(2.0).level, 128)
 
     def test_a_rate_above_what_the_slots_bear_changes_nothing(self):
@@ -110,13 +117,8 @@
     def test_the_level_opens_at_once_when_the_rate_ends(self):
         """The next token of the old rate was seconds away, and entries refuse until then."""
         admission = self.admission(0.25)
-        for step in range(210):
-            now = step * 0.02
-            admission.arrive(now, build_ticket(step, level=step * 7 % 384, deadline=now + 0.3))
-            for started in admission.release(now).started:
-                admission.finish(now, started, Sample('default', 0.1, True))
+        self.press(admission, 210, every=0.02)
         self.assertLess(admission.load(4.2).level, 128)
         admission.name_rate(4.2, None)
-        for started in admission.release(4.2).started:
-            admission.finish(4.2, started, Sample('default', 0.1, True))
+        self.run_released(admission, 4.2)
         self.assertEqual(511, admission.load(4.4).level)
--- a/tests/test_rated_load.py
+++ b/tests/test_rated_load.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from tests.fakes.mesh_load import BINDS_AFTER, WINDOW, allowed
+from standins.soak_says import allowed, most_in_window
 from tests.fakes.rated_load import OBJECTIVE, RatedLoad
 
 FLEETS = (14, 82, 960)  #: entries
@@ -17,14 +17,10 @@
         load = RatedLoad(entries, rates, requests).run(SECONDS)
         for target in load.targets.values():
             if target.rate is not None:
-                self.assertLessEqual(self.most(target.starts), allowed(target.rate))
+                # All entries count as told from the start.
+                self.assertLessEqual(most_in_window(target.starts, 0.0), allowed(target.rate))
         return load
 
-    def most(self, starts):
-        """Give the most calls in a window; all entries count as told from the start."""
-        ends = [when for when in starts if when >= BINDS_AFTER]
-        return max((sum(end - WINDOW <= w <= end for w in starts) for end in ends), default=0)
-
     def check_served(self, load):
         self.assertGreaterEqual(load.ended['served'] / load.ended.total(), 0.99)
         self.assertLess(sorted(load.seconds)[int(0.99 * len(load.seconds))], OBJECTIVE)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -10,8 +10,8 @@
 from tests.builders import (
     build_configuration,
     build_document,
-    build_follower,
     build_record_sync,
+    running_follower,
 )
 from tests.mesh_case import SETTLED, MeshTest
 from tests.store_case import StoreCase
@@ -145,12 +145,8 @@
 class FollowTest(StoreCase):
     def follow(self, scenario):
         async def run(store, platform):
-            follower = build_follower(store)
-            task = asyncio.create_task(follower.run())
-            try:
+            async with running_follower(store) as follower:
                 return await scenario(platform, follower)
-            finally:
-                task.cancel()
 
         return self.with_platform(run)
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -8,7 +8,7 @@
 from dunlinsaddle.platform.store import WATCH_GRACE, Unavailable
 from dunlinsaddle.routes.models import Share
 from dunlinsaddle.routes.table import RouteTable, choose_service
-from tests.builders import build_configuration, build_follower, build_route
+from tests.builders import build_configuration, build_route, running_follower
 from tests.clock import PausedClockTest
 from tests.fakes.store import FakeStore
 
@@ -111,12 +111,8 @@
         store = store or FakeStore()
 
         async def run():
-            follower = build_follower(store)
-            task = asyncio.create_task(follower.run())
-            try:
+            async with running_follower(store) as follower:
                 return await scenario(store, follower)
-            finally:
-                task.cancel()
 
         return self.run_paused(run())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 from dunlinsaddle.calls.http import HttpResponse, json_response
 from standins.mesh import MeshFleet, NotWritten
-from standins.soak import Sent, judge, run
+from standins.soak import Sent, Variant, judge, run
 from standins.soak_says import (
     Arrival,
     Asked,
@@ -38,13 +38,13 @@
 
     def test_changes_are_in_force_though_the_store_returns_from_copies(self):
         """A machine that is not served by the newest route holds an old configuration."""
-        record = asyncio.run(run(RETURNS_SEED, RETURNS_SECONDS, returns=True))
+        record = asyncio.run(run(RETURNS_SEED, RETURNS_SECONDS, Variant(returns=True)))
         self.assertIn('return_store', record.faults)
         self.assertEqual([], record.findings, record.faults)
 
     def test_what_targets_say_with_their_answers_is_kept_to_while_processes_are_harmed(self):
         """A target that names a rate gets more, or one that leaves gets requests."""
-        record = asyncio.run(run(SAYS_SEED, SAYS_SECONDS, says=True))
+        record = asyncio.run(run(SAYS_SEED, SAYS_SECONDS, Variant(says=True)))
         self.assertTrue(record.named)
         self.assertTrue(record.passed_on)
         self.assertEqual([], record.findings, record.faults)
