Simulated fleets use the real client of the store and the stand-in

Two fakes of the store answered differently: the one of simulated fleets woke every watch when it was restored, never left a call without an answer and did not know epochs at the client. What it could not do, no test of a fleet could show. The nodes of a simulated fleet now each have a client of their own on the stand-in that processes use, without sockets; FakeStore stays with the product's own interface and loses its restore.

The stand-in can be as unkind as a store: a call that came while it was silent is never answered, nor is one whose answer is ready then, and a restore can leave the waiting watches without an answer (forgets_watches).

Ruled out: one fake for all tests. The stand-in removes what is deleted, as the platform does; FakeStore keeps a mark of it, and three tests of the product's own interface rest on that mark (a deleted map of key ranges, a record deleted while a domain is cut off).

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,12 +16,14 @@
 #: Revisions used by other writers between saving and restoring a copy, which are then reused.
 REUSED_REVISIONS = 20
 WRITE_METHODS = ('POST', 'PUT', 'DELETE')
+FIRST_REVISION = 1  #: of an empty store
 
 
 class Faults(TypedDict, total=False):
     """Faults of the store, set by ``POST /faults``."""
 
-    down: bool  #: requests get no response
+    down: bool  #: requests get no response, now or later
+    forgets_watches: bool  #: watches that wait during a restore get no response
     busy: bool  #: every request is refused with 503
     over_rate: bool  #: every request is refused with 429
     delay: float  #: seconds before each response
@@ -46,15 +48,19 @@
     revision: int
 
 
+#: Of a store that holds nothing.
+EMPTY_COPY = StoreCopy({}, FIRST_REVISION)
+
+
 class Platform:
     """Objects by kind and name, with one revision counter for all of them."""
 
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self.revision = 1
+        self.revision = FIRST_REVISION
         self.epoch = 0  #: increases with each restore; sent in every response
         self.events: list[tuple[str, WatchEvent]] = []
-        self.oldest_revision = 1  #: oldest revision from which a watch can start
+        self.oldest_revision = FIRST_REVISION  #: oldest revision from which a watch can start
         self.change_event = asyncio.Event()
         self.faults = Faults()
         self.read_count = 0
@@ -83,6 +89,8 @@
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Handle one request."""
         response = await self._dispatch(req)
+        if self.faults.get('down') and req.path.startswith('/objects/'):
+            await _never_respond()
         response.headers.append((b'store-era', str(self.epoch).encode()))
         return response
 
@@ -100,7 +108,7 @@
         if req.path == '/counts':
             return json_response({'reads': self.read_count, 'writes': self.write_count})
         if self.faults.get('down'):
-            await asyncio.sleep(3600)
+            await _never_respond()
         if self.faults.get('busy') or req.remote in self.faults.get('refused_hosts', []):
             return json_response({'error': 'busy'}, 503)
         if self.faults.get('over_rate'):
@@ -132,11 +140,11 @@
             task = asyncio.create_task(self._write_delayed(req, delay_seconds))
             self._delayed_writes.add(task)
             task.add_done_callback(self._delayed_writes.discard)
-            await asyncio.sleep(3600)
+            await _never_respond()
         response = self._write(req)
         if self.faults.get('lose_answers', 0) > 0:
             self.faults['lose_answers'] -= 1
-            await asyncio.sleep(3600)
+            await _never_respond()
         return response
 
     async def _write_delayed(self, req: HttpRequest, seconds: float) -> None:
@@ -163,6 +171,8 @@
             except TimeoutError:
                 break
         if self.epoch != epoch:
+            if self.faults.get('forgets_watches'):
+                await _never_respond()
             return json_response({'error': 'watch interrupted'}, 503)
         if not self._has_history(since):
             return json_response({'error': 'history no longer available'}, 410)
@@ -241,6 +251,10 @@
         self.change_event = asyncio.Event()
 
 
+async def _never_respond() -> None:
+    await asyncio.Event().wait()
+
+
 def _event_revision(entry: tuple[str, WatchEvent]) -> int:
     return int(entry[1]['object']['metadata']['revision'])
 
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -2,25 +2,22 @@
 
 import asyncio
 from collections import Counter
-from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
 import msgspec
-from result import Err
 
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
 from dunlinsaddle.calls.listener import HttpListener
-from dunlinsaddle.mesh.node import MeshNode
+from dunlinsaddle.mesh.node import STORE_TIMEOUT_SECONDS, MeshNode
 from dunlinsaddle.mesh.settings import DeploymentLimits, MeshSettings
-from dunlinsaddle.platform.store import Unavailable
 from dunlinsaddle.settings import Address
 from tests.builders import build_configuration, build_environment, build_logger, build_route
+from tests.fakes.fleet_store import STORE_ADDRESS, FleetStore
 from tests.fakes.network import current_network
 from tests.fakes.site import HOST, paused_wall_clock
-from tests.fakes.store import FakeStore
 
 LIMITS = DeploymentLimits(
     drain_seconds=2.0,
@@ -122,33 +119,11 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
 
-class NodeStore:
-    """The store as one node sees it: unavailable for nodes in ``Mesh.nodes_without_store``."""
-
-    def __init__(self, mesh: 'Mesh', name: str) -> None:
-        self.mesh = mesh
-        self.name = name
-
-    @property
-    def calls(self) -> int:
-        return self.mesh.store.calls
-
-    def __getattr__(self, method: str) -> Any:
-        return partial(self._call, method)
-
-    async def _call(self, method: str, *args: Any, **kwargs: Any) -> Any:
-        store = self.mesh.store
-        if self.name in self.mesh.nodes_without_store:
-            store.calls += 1
-            return Err(Unavailable('status 503'))
-        return await getattr(store, method)(*args, **kwargs)
-
-
 class Mesh:
     """A cluster of nodes by name, each with its own target."""
 
     def __init__(self, seed: int = 5) -> None:
-        self.store = FakeStore()
+        self.store = FleetStore()
         self.nodes_without_store: set[str] = set()  #: get status 503 from the store
         self.isolated: set[str] = set()  #: reachable only by their callers
         self.stopped: set[str] = set()
@@ -186,7 +161,6 @@
 
     def build_node(self, name: str, service: str, domain: str, port: int) -> MeshNode:
         addresses = [Address(HOST, port + n) for n in range(7)]
-        store = Address(HOST, 9)
         cfg = MeshSettings(
             name,
             domain,
@@ -194,12 +168,13 @@
             *addresses[:6],
             addresses[6],
             service,
-            store,
+            STORE_ADDRESS,
             LIMITS,
             self.first_start,
         )
         env = build_environment(rng=Random(self.rng.random()), wall_clock=paused_wall_clock)
-        node = MeshNode(cfg, env, build_logger(), NodeStore(self, name))
+        store = self.store.connect(lambda: name in self.nodes_without_store, STORE_TIMEOUT_SECONDS)
+        node = MeshNode(cfg, env, build_logger(), store)
         self._allow_isolation(name, node)
         self.nodes[name] = node
         return node
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -13,10 +13,7 @@
     Listing,
     StoredObject,
     StoreError,
-    StorePosition,
     Unavailable,
-    position_to_version,
-    version_to_position,
 )
 
 
@@ -33,7 +30,6 @@
         self.separate_revision = 0
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self.revision = 0
-        self.epoch = 0
         self.down = False
         self.delay = 0.0
         self.lose_answers = 0  #: number of writes that take effect but whose responses are lost
@@ -42,25 +38,10 @@
         self.call_times: list[float] = []
         self.changed = asyncio.Event()
 
-    def restore(self, objects: dict[tuple[str, str], StoredObject], revision: int) -> None:
-        """Restore a backup: later writes are lost and their revisions are reused."""
-        self.epoch += 1
-        self.revision = revision
-        self.objects = {
-            key: stored._replace(
-                version=self._version(version_to_position(stored.version).revision)
-            )
-            for key, stored in objects.items()
-        }
-        self._wake()
-
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _version(self, revision: int) -> int:
-        return position_to_version(StorePosition(self.epoch, revision))
-
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
         if await self._fails():
             return Err(Unavailable('down'))
@@ -128,11 +109,9 @@
             self.separate_revision += 1
             return self.separate_revision
         self.revision += 1
-        return self._version(self.revision)
+        return self.revision
 
     def _listing(self, kind: str, since: int) -> Listing:
         objects = [o for (k, _), o in self.objects.items() if k == kind and o.version > since]
-        version = (
-            self.separate_revision if kind in self.separate_kinds else self._version(self.revision)
-        )
+        version = self.separate_revision if kind in self.separate_kinds else self.revision
         return Listing(copy.deepcopy(objects), version)
--- a/tests/test_learned_state.py
+++ b/tests/test_learned_state.py
@@ -36,6 +36,7 @@
 from dunlinsaddle.policy.request_costs import RequestCosts
 from dunlinsaddle.policy.slots import SlotAdmission
 from dunlinsaddle.records.models import Rank
+from standins.platform import WRITE_METHODS
 from tests.builders import build_learned_state
 from tests.fakes.site import paused_wall_clock
 from tests.mesh_case import MeshTest
@@ -332,17 +333,12 @@
 class StoredObjectTest(LoadedMeshTest):
     def count_writes(self, scenario, **options):
         async def run(mesh):
-            times = []
-            put = mesh.store.put
-
-            async def counted(kind, *args):
-                if kind == learned_state.KIND:
-                    times.append(asyncio.get_running_loop().time())
-                return await put(kind, *args)
-
-            mesh.store.put = counted
             await scenario(mesh)
-            return times
+            return [
+                call.called_at
+                for call in mesh.store.call_log
+                if call.kind == learned_state.KIND and call.method in WRITE_METHODS
+            ]
 
         return self.run_mesh(run, targets=TARGETS, **options)
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.platform.store import ABSENT, Conflict, StorePosition, version_to_position
-from standins.platform import Platform
+from standins.platform import EMPTY_COPY, Platform
 from tests.builders import build_configuration, build_document, build_record_sync, running_follower
 from tests.mesh_case import SETTLE_SECONDS, MeshTest
 from tests.store_case import StoreClientTestCase
@@ -253,10 +253,10 @@
         """It reads r7 from the copy; its store version is above that of r9 in the earlier epoch."""
 
         async def scenario(mesh):
-            copy = dict(mesh.store.objects), mesh.store.revision
+            copy = mesh.store.platform.copy()
             await mesh.configure('r9')
             await asyncio.sleep(1)
-            mesh.store.restore(*copy)
+            mesh.store.platform.restore(copy)
             await mesh.kill('b')
             await mesh.restart('b')
             await asyncio.sleep(SETTLE_SECONDS)
@@ -272,7 +272,7 @@
 
         async def scenario(mesh):
             await asyncio.sleep(60)
-            mesh.store.restore({}, 0)
+            mesh.store.platform.restore(EMPTY_COPY)
             await mesh.configure('r7')
             await asyncio.sleep(EFFECTIVE_SECONDS)
             node = await mesh.add_node('f', 'front', port=2000)
@@ -285,11 +285,11 @@
         """The store versions of their peers are from another epoch than their own last one."""
 
         async def scenario(mesh):
-            copy = dict(mesh.store.objects), mesh.store.revision
+            copy = mesh.store.platform.copy()
             await mesh.configure('r9')
             await asyncio.sleep(1)
             mesh.nodes_without_store = {'a', 'c'}
-            mesh.store.restore(*copy)
+            mesh.store.platform.restore(copy)
             await mesh.configure('r12')
             await asyncio.sleep(EFFECTIVE_SECONDS)
             return {node.follower.version for node in mesh.nodes.values()}
--- a/tests/test_shared_watch.py
+++ b/tests/test_shared_watch.py
@@ -55,9 +55,9 @@
         # The platform counts each call, a pending watch as one, and its rate limits grow more
         # slowly than the fleet. With a watch at every node, calls were the largest daily cost.
         async def scenario(mesh):
-            before = mesh.store.calls
+            before = mesh.store.call_count
             await asyncio.sleep(60)
-            return mesh.store.calls - before
+            return mesh.store.call_count - before
 
         # Nine watches of five seconds, and two roster passes of nine coordinators.
         self.assertLessEqual(self.run_fleet(scenario), 9 * 60 / 5 + 9 * 4)
@@ -69,12 +69,12 @@
             mesh = Mesh()
             mesh.first_start = True
             await mesh.configure('r7')
-            before = mesh.store.calls
+            before = mesh.store.call_count
             for index in range(count):
                 await mesh.add_node(f'n{index:02}', 'front', domain_of(index))
             await asyncio.sleep(6)
             versions = {node.follower.version for node in mesh.nodes.values()}
-            calls = mesh.store.calls - before
+            calls = mesh.store.call_count - before
             await mesh.stop()
             return versions, calls
 
--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -50,8 +50,8 @@
 
     def test_all_leases_are_renewed_in_time_with_few_calls_to_the_store(self):
         async def scenario(mesh):
-            before = mesh.store.calls
-            return await self.max_lease_age(mesh, 60), mesh.store.calls - before
+            before = mesh.store.call_count
+            return await self.max_lease_age(mesh, 60), mesh.store.call_count - before
 
         oldest, calls = self.run_fleet(scenario)
         self.assertLess(oldest, EXPIRY_FRACTION * REVOCATION_SECONDS)
@@ -117,9 +117,9 @@
             mesh.store.down = True
             await asyncio.sleep(REVOCATION_SECONDS)
             refused = await self.statuses(mesh, NAMES)
-            before = mesh.store.calls
+            before = mesh.store.call_count
             await asyncio.sleep(10)
-            calls = mesh.store.calls - before
+            calls = mesh.store.call_count - before
             mesh.store.down = False
             await asyncio.sleep(2)
             return refused, calls, await self.statuses(mesh, NAMES)
