Logs tell nothing new from nothing heard

'store lost' and 'store regained' now name how long that call took and how long the store was not heard, 'configuration taken' and 'configuration passed over' the age of the last confirmation and the epoch of the store. The gauge of the age of beliefs has the configuration, too: until now it grew at a node whose calls hang and at one that simply was not a watcher alike, and only for the platform as a whole.

--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -214,7 +214,8 @@
         metrics.gauge(
             'dunlinsaddle.belief_age',
             's',
-            'Seconds since the latest word of the target and of the platform.',
+            'Seconds since the latest word of the target and of the platform, and since this node '
+            'or a peer asked the store whether the configuration is the newest.',
             self._ages,
         )
 
@@ -320,9 +321,9 @@
         match self.node.store:
             case HttpObjectStore(last_response_at=last_response_at):
                 last_message_at['platform'] = last_response_at
-        return [
-            (_now() - at, {'of': name}) for name, at in last_message_at.items() if at > -math.inf
-        ]
+        ages = {name: _now() - at for name, at in last_message_at.items()}
+        ages['configuration'] = self.node.configuration_lease.age
+        return [(age, {'of': name}) for name, age in ages.items() if age < math.inf]
 
 
 def _lowest_quotas(tokens: dict[str, float]) -> LabeledValues:
--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -109,6 +109,7 @@
         #: an older copy until the operators have written the configuration again.
         self._store_is_current = True
         self._reachable: bool | None = None
+        self._reachable_since = -math.inf  #: or unreachable since, as the status says
         self._fetch_task: asyncio.Task[None] | None = None
 
     @property
@@ -153,8 +154,8 @@
             match await self._watch(wait, grace):
                 case Ok():
                     grace = INITIAL_GRACE_SECONDS
-                    self._record_store_status(reachable=True, why='')
                     elapsed = self.now() - started_at
+                    self._record_store_status(reachable=True, call_seconds=elapsed)
                     if (
                         elapsed < min(wait, backoff.next_seconds)
                         and self._object_version == object_version
@@ -165,8 +166,9 @@
                     else:
                         backoff.reset()
                 case Err(Unavailable(detail)):
-                    self._record_store_status(reachable=False, why=detail)
-                    if self.now() - started_at >= wait + grace:
+                    elapsed = self.now() - started_at
+                    self._record_store_status(reachable=False, call_seconds=elapsed, why=detail)
+                    if elapsed >= wait + grace:
                         grace = min(grace * 2, MAX_GRACE_SECONDS)
                     await self._ask_random_peer()
                     await backoff.pause()
@@ -268,7 +270,7 @@
                 return None
             case Ok(configuration):
                 version = configuration.version
-        extra = {'version': version, 'source': source}
+        extra = {'version': version, 'source': source, **self._describe_confirmation()}
         if version <= self.version:
             self.logger.info('configuration passed over', extra={**extra, 'held': self.version})
             return version
@@ -280,6 +282,14 @@
         self.on_change(configuration)
         return version
 
+    def _describe_confirmation(self) -> dict[str, object]:
+        """Return log fields that tell "nothing new" from "nothing heard"."""
+        age = self.configuration_lease.age
+        return {
+            'epoch': version_to_position(self.store_version).epoch,
+            'confirmation_age': round(age, 3) if age < math.inf else None,
+        }
+
     def _log_partial(self, configuration: Configuration, extra: dict[str, object]) -> None:
         """Log the entries of a configuration that are handled as unknown or left out."""
         if configuration.unknown_kinds:
@@ -296,12 +306,16 @@
                 extra={**extra, 'count': count, 'entries': entries},
             )
 
-    def _record_store_status(self, *, reachable: bool, why: str) -> None:
+    def _record_store_status(self, *, reachable: bool, call_seconds: float, why: str = '') -> None:
         if reachable is self._reachable:
             return
         is_first_status = self._reachable is None
+        unreachable_seconds = self.now() - self._reachable_since
         self._reachable = reachable
+        self._reachable_since = self.now()
+        extra = {'call_seconds': round(call_seconds, 3)}
         if reachable and not is_first_status:
-            self.logger.info('store regained')
+            extra['unreachable_seconds'] = round(unreachable_seconds, 3)
+            self.logger.info('store regained', extra=extra)
         elif not reachable:
-            self.logger.warning('store lost', extra={'why': why})
+            self.logger.warning('store lost', extra={'why': why, **extra})
