A watch whose answer never comes no longer holds up a change

What callers saw: after the store had been silent for 12 s, requests were handled by routes up to 6.3 s old, the last of them 3.9 s after the store counted as stable again.

Cause: a node took silence for the absence of changes. Its only call was a watch of 5 s, then calls whose time was doubled up to 8 s, and one that the store would never answer held it up until the end. Nine watchers were worth one: each change ends all watches in the same millisecond, so they asked, waited and gave up in step. Where callers need keys a lease on the configuration is renewed by short requests beside the watch; where they need none, nothing asked.

Change: watchers renew the lease in every deployment, also while their watch waits, and a call that was not answered is followed by the next after one second, counted from its start, not its end. A confirmation is thus at most 1.5 s old at a watcher while the store answers, and a watcher alone hears it within 1.3 s of its return.

Ruled out: the gossip (4 ms from the first node to the last), the order of versions (no node held an older one than another).

--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -331,7 +331,7 @@
             cfg.instance,
             self._new_rng(),
         )
-        self._spawn(lease_renewer.run())
+        self._spawn(lease_renewer.run(membership_known_at))
         self._spawn(self.agent.run())
         return self.addresses
 
--- a/dunlinsaddle/routes/lease_renewal.py
+++ b/dunlinsaddle/routes/lease_renewal.py
@@ -1,4 +1,7 @@
-"""Renews the lease on a node's configuration with few calls to the store."""
+"""Renews the lease on a node's configuration with few calls to the store.
+
+Its age bounds how late a change may be, see docs/design/configuration.md.
+"""
 
 import asyncio
 import math
@@ -23,7 +26,7 @@
 OVERDUE_AGE_SECONDS = (
     STORE_POLL_AGE_SECONDS + 2 * WATCHER_STAGGER_SECONDS + RENEWAL_INTERVAL_SECONDS
 )
-#: Seconds for which a node does not call a store that did not answer it.
+#: Shortest time between two calls of a node to a store that does not answer it.
 STORE_RETRY_SECONDS = 1.0
 
 
@@ -31,7 +34,8 @@
     """Renews the configuration lease by asking the store or other nodes.
 
     A renewal is valid as of the time when its request was sent. A watch may be answered only after
-    seconds, which is too late for a renewal, so watchers also send short requests to the store.
+    seconds, or never, which looks the same as no change. So watchers also send short requests to
+    the store, whatever became of their watch.
     They pass the renewal on, with its age, to every node that asks. If the renewals of all watchers
     are overdue, for instance because the store refuses only them, a node asks any other node or the
     store. In each round about one node of a failure domain asks the store, however large the domain
@@ -53,24 +57,31 @@
         self.watchers = watchers
         self.instance = instance
         self.rng = rng
-        self._store_failed_at = -math.inf
+        self._unanswered_call_at = -math.inf
+
+    async def run(self, members_known_at: float = -math.inf) -> None:
+        """Renew the lease until cancelled, at watchers and where callers need keys.
 
-    async def run(self) -> None:
-        """Renew the lease until cancelled, while the configuration requires keys."""
+        Before ``members_known_at`` the node doesn't know whether it is a watcher.
+        """
         while True:
             await asyncio.sleep(RENEWAL_INTERVAL_SECONDS * self.rng.uniform(0.8, 1.2))
-            if (
-                self.follower.requires_keys
-                and self.configuration_lease.age >= PEER_POLL_AGE_SECONDS
+            if self.follower.requires_keys or (
+                self.now() >= members_known_at
+                and self.follower.version
+                and self.watchers.includes(self.instance)
             ):
-                await self._renew()
+                await self._renew_if_due()
 
-    async def _renew(self) -> None:
+    async def _renew_if_due(self) -> None:
+        age = self.configuration_lease.age
+        if age < PEER_POLL_AGE_SECONDS:
+            return
         if self._should_ask_store():
+            called_at = self.now()
             if not await self.follower.poll_store():
-                self._store_failed_at = self.now()
+                self._unanswered_call_at = called_at
             return
-        age = self.configuration_lease.age
         if age >= OVERDUE_AGE_SECONDS:
             await self._ask([m for m in self.view.members() if not m.is_gone])
         elif age >= STORE_POLL_AGE_SECONDS + WATCHER_STAGGER_SECONDS:
@@ -79,7 +90,7 @@
             await self._ask(self.watchers.members()[:1])
 
     def _should_ask_store(self) -> bool:
-        if self.now() - self._store_failed_at < STORE_RETRY_SECONDS:
+        if self.now() - self._unanswered_call_at < STORE_RETRY_SECONDS:
             return False
         age = self.configuration_lease.age
         for index, member in enumerate(self.watchers.members()):
