A record changes in time after an outage that left watches without an answer

Kin of the incident's cause, in the product's own interface: a watch that is not answered doubles the time of the next, up to 30 s, and both watchers of a failure domain wait in step. In larger domains those that poll when nothing was confirmed for 15 s heard it by chance.

Change: a watcher whose confirmation is overdue asks again beside its watch, about every two seconds and with the initial time for the answer. At rest nothing is added.

Ruled out: a shorter longest time; a platform that takes longer to answer would never be heard.

--- a/dunlinsaddle/records/sync.py
+++ b/dunlinsaddle/records/sync.py
@@ -77,6 +77,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._run_repeatedly(self._query_platform))
+                group.create_task(self._run_repeatedly(self._poll_if_overdue))
                 group.create_task(self._run_repeatedly(self._exchange_with_neighbour))
         finally:
             for task in self._push_tasks:
@@ -244,6 +245,20 @@
         if _now() - self.synced_at > self.timings.stale_after:
             await self._watch(0)
 
+    async def _poll_if_overdue(self) -> None:
+        """Query the platform beside a watch whose response is overdue and may never come."""
+        timings = self.timings
+        await asyncio.sleep(timings.overdue_poll_interval / 2)
+        is_overdue = _now() - self.synced_at > timings.watch_timeout + timings.watch_grace
+        if not is_overdue or self.local_member().instance not in self.watchers():
+            return
+        # The watchers of all domains notice an outage at the same time.
+        await asyncio.sleep(timings.overdue_poll_interval / 2 * self.rng.random())
+        since_version = self.record_cache.complete_version
+        result = await self.store.watch(RECORD_KIND, since_version, 0, timings.watch_grace)
+        if isinstance(result, Ok):
+            self._handle_listing(since_version, result.ok_value)
+
     async def _watch(self, timeout: float) -> None:
         since_version = self.record_cache.complete_version
         started_at = _now()
--- a/dunlinsaddle/records/sync_parts.py
+++ b/dunlinsaddle/records/sync_parts.py
@@ -22,6 +22,7 @@
     unresponsive_seconds: float = 4.0  #: for which a peer that did not respond is skipped
     startup_jitter: float = 0.3
     stale_after: float = 15.0
+    overdue_poll_interval: float = 2.0  #: of watchers whose watch is overdue
     poll_delay_per_member: float = 2.0  #: limits a domain to one poll in two seconds on average
 
 
--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -20,19 +20,28 @@
 
 
 class PartitionedStore:
-    """The store as seen by one node: while cut off, responses are lost and connections fail."""
+    """The store as seen by one node: while cut off, responses are lost and connections fail.
 
-    def __init__(self, store: FakeStore, is_disconnected: Callable[[], bool]) -> None:
+    While it is silent, connections hold and calls are never answered.
+    """
+
+    def __init__(
+        self, store: FakeStore, is_disconnected: Callable[[], bool], is_silent: Callable[[], bool]
+    ) -> None:
         self.store = store
         self.is_disconnected = is_disconnected
+        self.is_silent = is_silent
 
     async def watch(
         self, kind: str, since: int, timeout: float, grace: float
     ) -> Result[Listing, Unavailable]:
         loop = asyncio.get_running_loop()
-        if self.is_disconnected():
+        if self.is_disconnected() or self.is_silent():
             self.store.calls += 1
             self.store.call_times.append(loop.time())
+            if not self.is_disconnected():
+                await asyncio.sleep(timeout + grace)
+                return Err(Unavailable('no response in time'))
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
             return Err(Unavailable('no connection in time'))
         deadline = loop.time() + timeout + grace
@@ -55,7 +64,9 @@
         self.record_cache = RecordCache(newest_schema=newest_schema)
         self.view = MemberView()
         store = PartitionedStore(
-            fleet.store, lambda: member.domain in fleet.domains_without_platform
+            fleet.store,
+            lambda: member.domain in fleet.domains_without_platform,
+            lambda: fleet.is_platform_silent,
         )
         self.sync = RecordSync(
             self.record_cache,
@@ -123,6 +134,7 @@
         self.store = FakeStore()
         self.disconnected_pairs: set[frozenset[str]] = set()
         self.domains_without_platform: set[str] = set()
+        self.is_platform_silent = False
         self.pushed: list[RecordsPush] = []
         self.nodes: dict[Address, FakeNode] = {}
         for domain in domains:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 from random import Random
 
 from dunlinsaddle.calls.messages import RecordsPush, RecordsRequest
@@ -436,3 +437,24 @@
             elapsed, max_rate = self.run_paused(scenario(members))
             self.assertLess(elapsed, MAX_CATCH_UP_SECONDS)
             self.assertLess(max_rate, 25)
+
+    def test_change_after_a_platform_that_never_answers_the_calls_of_its_outage(self):
+        # Each watch waits longer than the one before it, up to half a minute. Both watchers of a
+        # domain would notice that long after the platform's return that there is a change.
+        async def scenario(members: int, outage_seconds: float):
+            fleet = FakeFleet(DOMAINS, members)
+            fleet.start()
+            await asyncio.sleep(10)
+            started_at = asyncio.get_running_loop().time()
+            fleet.is_platform_silent = True
+            await asyncio.sleep(outage_seconds)
+            fleet.is_platform_silent = False
+            version = await write(fleet, 2.0)
+            elapsed = await fleet.wait_for_version('cut-orders', version, [*fleet.nodes.values()])
+            await asyncio.sleep(20)
+            return elapsed, fleet.max_calls_in_one_second(started_at)
+
+        for members, outage_seconds in itertools.product((2, 5, 10), (14, 60, 120)):
+            elapsed, max_rate = self.run_paused(scenario(members, outage_seconds))
+            self.assertLess(elapsed, MAX_CATCH_UP_SECONDS)
+            self.assertLess(max_rate, 25)
