A change is fetched from the next peer that announced it if the first does not answer

All watchers announce a change in the same millisecond; a node fetches from the first and dropped the announcements of the others. If the link to the first was silent, it heard the version again with a later probe only.

The test fails on the code before: version 0 after .6 s.

Ruled out: asking all who announced at once, as each change would be sent three times to every node.

--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -51,6 +51,8 @@
 #: Seconds between two checks whether this node has to watch. A watcher that dies is suspected
 #: within three seconds; the two others of its failure domain watch meanwhile.
 WATCH_CHECK_SECONDS = 0.5
+#: Peers kept to fetch from if the first one does not answer: the watchers of three failure domains.
+MAX_FURTHER_SOURCES = 9
 MAX_LOGGED_ENTRIES = 5  #: unknown or unreadable entries named in one log line, to bound it
 #: Seconds for which a node without a configuration does not call the store. Its peers send their
 #: configuration version with the first answer to its gossip.
@@ -111,6 +113,8 @@
         self._reachable: bool | None = None
         self._reachable_since = -math.inf  #: or unreachable since, as the status says
         self._fetch_task: asyncio.Task[None] | None = None
+        #: Peers that announced a newer version during the fetch, with that version.
+        self._further_sources: dict[str, tuple[Member, int]] = {}
 
     @property
     def version(self) -> int:
@@ -196,17 +200,25 @@
         return RecordsResponse(frame.id, self.version, age, False, entries)
 
     def handle_peer_version(self, member: Member, version: int) -> None:
-        """Fetch a newer configuration from a peer; a failed fetch is retried on later gossip."""
+        """Fetch a newer configuration from a peer, or after a failure from the next to announce."""
         # A peer that started with the usable part of a configuration announces its version to
         # nodes that have rejected it. Without this check, they would fetch it with each message.
-        known_version = max(self.version, self._rejected_version)
-        if version <= known_version or self._fetch_task is not None:
+        if version <= max(self.version, self._rejected_version):
+            return
+        if self._fetch_task is not None:
+            if len(self._further_sources) < MAX_FURTHER_SOURCES:
+                self._further_sources[member.instance] = member, version
             return
         self._fetch_task = self.loop.create_task(self.ask_peer(member))
         self._fetch_task.add_done_callback(self._on_fetched)
 
     def _on_fetched(self, task: 'asyncio.Task[None]') -> None:
         self._fetch_task = None
+        sources, self._further_sources = self._further_sources, {}
+        if task.cancelled():
+            return
+        for member, version in sources.values():
+            self.handle_peer_version(member, version)
 
     async def _ask_random_peer(self) -> None:
         """Ask a random peer, so that a node that cannot reach the store stays up to date."""
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -4,11 +4,21 @@
 from result import Err, Ok
 from testtools import TestCase
 
+from dunlinsaddle.calls.messages import RecordsResponse
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.platform.store import WATCH_GRACE_SECONDS, Unavailable
+from dunlinsaddle.records.models import RecordEntry
+from dunlinsaddle.routes.config_follower import PEER_TIMEOUT_SECONDS
 from dunlinsaddle.routes.models import Limits, WeightedService
 from dunlinsaddle.routes.table import RouteTable, choose_service
-from tests.builders import build_configuration, build_route, build_tenant, running_follower
+from dunlinsaddle.settings import Address
+from tests.builders import (
+    build_configuration,
+    build_member,
+    build_route,
+    build_tenant,
+    running_follower,
+)
 from tests.clock import PausedClockTest
 from tests.fakes.store import FakeStore
 
@@ -166,6 +176,17 @@
         return await super().watch(kind, since, timeout, grace)
 
 
+class LinksToOneDeadPeer:
+    """Links of a node: the peer named dead never answers, all others hold r9."""
+
+    async def fetch_records(self, address, request, timeout):
+        if address.host == 'dead':
+            await asyncio.sleep(timeout)
+            return None
+        entry = RecordEntry('main', 9, build_configuration('r9'))
+        return RecordsResponse(0, 9, 0.0, False, [entry])
+
+
 class ConfigFollowerTest(PausedClockTest):
     def run_follower(self, scenario, store=None):
         store = store or FakeStore()
@@ -255,3 +276,17 @@
             return follower.version
 
         self.assertEqual(4, self.run_follower(scenario))
+
+    def test_change_announced_by_several_peers_is_fetched_although_the_first_does_not_answer(self):
+        # All watchers announce a change in the same millisecond. The node asks the first, whose
+        # link is silent, and would forget the others until the next probe, a second or two later.
+        async def scenario(store, follower):
+            store.down = True
+            follower.links = LinksToOneDeadPeer()
+            for name in ('dead', 'b', 'c'):
+                member = build_member(name, peers=Address(name, 1))
+                follower.handle_peer_version(member, 9)
+            await asyncio.sleep(PEER_TIMEOUT_SECONDS + 0.1)
+            return follower.version
+
+        self.assertEqual(9, self.run_follower(scenario))
