--- a/standins/soak.py
+++ b/standins/soak.py
@@ -57,6 +57,9 @@
 #: Time after the last fault within which every service must be reachable through every machine
 #: again. A member wrongly considered dead is probed each second, and a node needs one heartbeat.
 RECOVERY_SECONDS = 10.0
+#: Time after a restore of the store within which a change must be in force at every node.
+STORE_STABLE_SECONDS = 3.0
+MAX_SILENCE_SECONDS = 14.0  #: the longest of a node's timeouts has doubled to its maximum by then
 STORE_FAULTS: list[dict[str, Any]] = [
     {'down': True},
     {'busy': True},
@@ -132,6 +135,8 @@
         await self._inject_faults_for(seconds)
         self.services.append(f'r{self.fleet.accepted_version}')
         await self._wait_until_served('after the last fault', RECOVERY_SECONDS)
+        if self.variant.restores_store:
+            await self._check_changes_after_silence()
         self.is_calling = False
         await asyncio.gather(*workers)
         await asyncio.sleep(CALL_TIMEOUT_SECONDS)
@@ -300,6 +305,20 @@
             await self.fleet.rewrite_until_accepted(SERVICE_SPECS)
             await self._reconfigure('', 0.0)
 
+    async def _check_changes_after_silence(self) -> None:
+        """Check that no node waits for the answer to a call that the restored store lost."""
+        await self.fleet.save_copy()
+        await self._reconfigure('', 0.0)
+        await asyncio.sleep(self.restore_rng.uniform(0.0, 5.0))
+        await self.fleet.set_store_faults(down=True, forgets_watches=True)
+        await asyncio.sleep(self.restore_rng.uniform(0.0, MAX_SILENCE_SECONDS))
+        await self.fleet.restore_copy()
+        await self.fleet.set_store_faults()
+        await self.fleet.rewrite_until_accepted(SERVICE_SPECS)
+        await self.fleet.configure(SERVICE_SPECS)
+        self.services = [f'r{self.fleet.accepted_version}']
+        await self._wait_until_served('after a silent store was restored', STORE_STABLE_SECONDS)
+
     async def _announce_states(self, until: float) -> None:
         """Repeatedly let a target announce a rate for a while, or announce that it leaves."""
         loop, rng = asyncio.get_running_loop(), self.announcement_rng
