--- a/dunlinsaddle/routes/lease_renewal.py
+++ b/dunlinsaddle/routes/lease_renewal.py
@@ -1,6 +1,7 @@
 """Renews the lease on a node's configuration with few calls to the store.
 
-Its age bounds how late a change may be, see docs/design/configuration.md.
+The age of the lease at the watchers bounds how late a change may be.
+docs/design/configuration.md weighs the ways.
 """
 
 import asyncio
