An older valid version is fetched after newer ones were rejected

It remembers the rejected versions above its own now, not the highest of them, and still fetches none of them twice.

This test writes a configuration first.

The test fails on the code before: version 3 in force, 7 never asked for.

--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -105,8 +105,8 @@
         self.store_version = 0  #: the store's version up to which this node has read all changes
         self._entry: RecordEntry | None = None  #: in force here, with the operators' version
         self._object_version = 0  #: the store's version of the latest object read
-        #: The operators' version of the latest configuration from a peer that was invalid.
-        self._rejected_version = 0
+        #: Versions above the one in force that a peer sent and that were invalid here.
+        self._rejected_versions: set[int] = set()
         #: Whether the store holds a configuration as new as this node's. False from the restore of
         #: an older copy until the operators have written the configuration again.
         self._store_is_current = True
@@ -202,7 +202,7 @@
         """Fetch a newer configuration from a peer, or after a failure from the next to announce."""
         # A peer that started with the usable part of a configuration announces its version to
         # nodes that have rejected it. Without this check, they would fetch it with each message.
-        if version <= max(self.version, self._rejected_version):
+        if self._is_known(version):
             return
         if self._fetch_task is not None:
             if len(self._further_sources) < MAX_FURTHER_SOURCES:
@@ -241,7 +241,7 @@
             return
         for entry in answer.entries:
             self._apply_from_peer(entry, member.instance)
-        if max(self.version, self._rejected_version) >= answer.up_to_version:
+        if self._is_known(answer.up_to_version):
             self.configuration_lease.renew(started_at - answer.age_seconds)
 
     def _apply_listing(self, listing: Listing) -> None:
@@ -267,7 +267,10 @@
 
     def _apply_from_peer(self, entry: RecordEntry, source: str) -> None:
         if entry.version > self.version and self._apply(entry.doc, source) is None:
-            self._rejected_version = max(self._rejected_version, entry.version)
+            self._rejected_versions.add(entry.version)
+
+    def _is_known(self, version: int) -> bool:
+        return version <= self.version or version in self._rejected_versions
 
     def _apply(self, doc: JsonValue, source: str) -> int | None:
         """Apply a configuration if it is newer; return its version, None if it is invalid."""
@@ -288,6 +291,7 @@
         self.logger.info('configuration taken', extra=extra)
         log_partial(self.logger, configuration, extra)
         self._entry = RecordEntry(self.name, version, doc)
+        self._rejected_versions = {v for v in self._rejected_versions if v > version}
         self.table = RouteTable(configuration, self.table)
         self.configuration_lease.notify_waiters()
         self.on_change(configuration)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,5 +1,6 @@
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 from result import Err, Ok
 from testtools import TestCase
@@ -290,3 +291,31 @@
             return follower.version
 
         self.assertEqual(9, self.run_follower(scenario))
+
+    def test_an_older_valid_version_is_fetched_after_newer_ones_were_rejected(self):
+        # Peers of a newer build hold versions that this build cannot read. The node would stay
+        # behind the peers of its own build, and must not fetch what it rejected again and again.
+        held = {
+            '8': build_configuration('r8', tenants=[build_tenant('t', priority='x')]),
+            '9': build_configuration('r9', tenants=[build_tenant('t', priority='x')]),
+            '7': build_configuration('r7'),
+        }
+
+        async def scenario(store, follower):
+            await store.put('config', 'main', build_configuration('r3'), 0)
+            await asyncio.sleep(0.1)
+            requests = []
+
+            async def fetch_records(address, request, timeout):
+                requests.append(address.host)
+                entry = RecordEntry('main', int(address.host), held[address.host])
+                return RecordsResponse(0, entry.version, 0.0, False, [entry])
+
+            follower.links = SimpleNamespace(fetch_records=fetch_records)
+            for name in '898978':
+                member = build_member(name, peers=Address(name, 1))
+                follower.handle_peer_version(member, int(name))
+                await asyncio.sleep(0.1)
+            return requests, follower.version
+
+        self.assertEqual((['8', '9', '7'], 7), self.run_follower(scenario))
