A node that starts while the store is silent is configured soon after its return

After 5 to 30 s of silence a single node had its first configuration up to 8.1 s after the return, three nodes up to 3.75 s (nine outages each), while callers got 503. Larger fleets were saved by chance: nine nodes that start at different moments, one of which asks soon (1.8 s).

Change: such a node asks beside its call once that is overdue, as watchers do.

The test fails on the code before: a single node after 8 s of silence.

--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -111,6 +111,7 @@
         #: an older copy until the operators have written the configuration again.
         self._store_is_current = True
         self._platform = PlatformState()
+        self._answer_due_at = math.inf  #: of the call that is out
         self._fetch_task: asyncio.Task[None] | None = None
         #: Peers that announced a newer version during the fetch, with that version.
         self._further_sources: dict[str, tuple[Member, int]] = {}
@@ -153,8 +154,11 @@
             # on a closed connection, and a dead connection shows only when its answer is overdue.
             wait = WATCH_TIMEOUT_SECONDS if self.store_version and self._platform.reachable else 0.0
             started_at = self.now()
+            self._answer_due_at = started_at + wait + INITIAL_GRACE_SECONDS
             object_version = self._object_version
-            match await self._watch(wait, grace):
+            result = await self._watch(wait, grace)
+            self._answer_due_at = math.inf
+            match result:
                 case Ok():
                     grace = INITIAL_GRACE_SECONDS
                     elapsed = self.now() - started_at
@@ -176,6 +180,11 @@
                     await self._ask_random_peer()
                     await backoff.pause()
 
+    @property
+    def is_answer_overdue(self) -> bool:
+        """Whether the store usually answers sooner than it does now; it may never do."""
+        return self.now() > self._answer_due_at
+
     async def poll_store(self) -> bool:
         """Call the store once, even if this node is no watcher; return whether it answered."""
         return isinstance(await self._watch(0.0, INITIAL_GRACE_SECONDS), Ok)
--- a/dunlinsaddle/routes/lease_renewal.py
+++ b/dunlinsaddle/routes/lease_renewal.py
@@ -67,13 +67,17 @@
         """
         while True:
             await asyncio.sleep(RENEWAL_INTERVAL_SECONDS * self.rng.uniform(0.8, 1.2))
-            if self.follower.requires_keys or (
-                self.now() >= members_known_at
-                and self.follower.version
-                and self.watchers.includes(self.instance)
-            ):
+            if self._needs_lease(members_known_at):
                 await self._renew_if_due()
 
+    def _needs_lease(self, members_known_at: float) -> bool:
+        if not self.follower.version:
+            # The first call of a node that starts may be one that is never answered.
+            return self.follower.is_answer_overdue
+        if self.follower.requires_keys:
+            return True
+        return self.now() >= members_known_at and self.watchers.includes(self.instance)
+
     async def _renew_if_due(self) -> None:
         age = self.configuration_lease.age
         if age < PEER_POLL_AGE_SECONDS:
--- a/tests/test_changes_after_outages.py
+++ b/tests/test_changes_after_outages.py
@@ -1,6 +1,7 @@
 """Changes of the configuration take effect in time after outages and restores of the store."""
 
 import asyncio
+import itertools
 from typing import NamedTuple
 
 from standins.platform import Faults
@@ -92,3 +93,23 @@
                 for age in (0.5, 2.0, 4.0)
             )
         )
+
+    def test_nodes_that_start_during_a_silence_get_their_configuration_soon_after_its_end(self):
+        # A node asks for its first configuration with a call that is never answered, and with ever
+        # longer ones after it. Its callers get 503 until one of them expires.
+        async def find_configured(count: int, seconds: float) -> set[bool]:
+            mesh = Mesh()
+            await mesh.configure()
+            mesh.store.platform.faults = Faults(down=True)
+            for number in range(count):
+                await mesh.add_node(f'n{number}', 'front')
+            await asyncio.sleep(seconds)
+            mesh.store.platform.faults = Faults()
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            configured = {node.follower.version > 0 for node in mesh.nodes.values()}
+            await mesh.stop()
+            return configured
+
+        for count, seconds in itertools.product((1, 3), (2.0, 8.0, 20.0)):
+            configured = self.run_paused(find_configured(count, seconds))
+            self.assertEqual({True}, configured, (count, seconds))
