--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -37,9 +37,9 @@
 from dunlinsaddle.routes.partial_log import log_partial
 from dunlinsaddle.routes.table import RouteTable
 
-#: Duration of one watch. It bounds how long a change is missed if the answer to a watch is lost on
-#: an open connection, which cannot be detected otherwise. Shorter watches cost more calls: three
-#: watchers in each of five failure domains make three calls a second, out of thousands.
+#: Duration of one watch. Shorter watches cost more calls: three watchers in each of five failure
+#: domains make three calls a second, out of thousands. A watch that is never answered delays no
+#: change, as watchers also ask for the lease.
 WATCH_TIMEOUT_SECONDS = 5.0
 #: Extra seconds that the store may take to answer. The initial value is small, as a node without a
 #: configuration must ask its peers soon if the store does not answer. It is doubled after each
--- a/dunlinsaddle/routes/lease_renewal.py
+++ b/dunlinsaddle/routes/lease_renewal.py
@@ -36,11 +36,10 @@
 
     A renewal is valid as of the time when its request was sent. A watch may be answered only after
     seconds, or never, which looks the same as no change. So watchers also send short requests to
-    the store, whatever became of their watch.
-    They pass the renewal on, with its age, to every node that asks. If the renewals of all watchers
-    are overdue, for instance because the store refuses only them, a node asks any other node or the
-    store. In each round about one node of a failure domain asks the store, however large the domain
-    is, so that an overloaded store is not flooded.
+    the store, whatever became of their watch. They pass the renewal on, with its age, to every node
+    that asks. If the renewals of all watchers are overdue, for instance because the store refuses
+    only them, a node asks any other node or the store. In each round about one node of a failure
+    domain asks the store, however large the domain is, so that an overloaded store is not flooded.
     """
 
     def __init__(
