--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -34,7 +34,7 @@
 from dunlinsaddle.platform_state import PlatformState
 from dunlinsaddle.records.models import RecordEntry
 from dunlinsaddle.routes.models import Configuration, Organisation
-from dunlinsaddle.routes.partial_log import log_partial
+from dunlinsaddle.routes.partial_log import log_partial_configuration
 from dunlinsaddle.routes.table import RouteTable
 
 #: Duration of one watch. Shorter watches cost more calls: three watchers in each of five failure
@@ -298,7 +298,7 @@
             self.logger.info('configuration passed over', extra={**extra, 'held': self.version})
             return version
         self.logger.info('configuration taken', extra=extra)
-        log_partial(self.logger, configuration, extra)
+        log_partial_configuration(self.logger, configuration, extra)
         self._entry = RecordEntry(self.name, version, doc)
         self._rejected_versions = {v for v in self._rejected_versions if v > version}
         self.table = RouteTable(configuration, self.table)
--- a/dunlinsaddle/routes/partial_log.py
+++ b/dunlinsaddle/routes/partial_log.py
@@ -8,7 +8,7 @@
 MAX_LOGGED_ENTRIES = 5  #: unknown or unreadable entries named in one log line, to bound it
 
 
-def log_partial(
+def log_partial_configuration(
     logger: logging.Logger, configuration: Configuration, extra: dict[str, object]
 ) -> None:
     """Log the entries of a configuration that are handled as unknown or left out."""
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -296,24 +296,27 @@
         while loop.time() < until:
             await self.fleet.save_copy()
             await asyncio.sleep(rng.uniform(0.2, 2.0))
-            await self.fleet.set_store_faults(down=True)
-            await asyncio.sleep(rng.uniform(0.0, 0.5))
-            await self.fleet.restore_copy()
-            await self.fleet.set_store_faults()
+            await self._restore_after_silence(rng.uniform(0.0, 0.5))
             self.record.faults.append('return_store')
             await asyncio.sleep(rng.uniform(0.0, 0.5))
             await self.fleet.rewrite_until_accepted(SERVICE_SPECS)
             await self._reconfigure('', 0.0)
 
+    async def _restore_after_silence(
+        self, seconds: float, *, forgets_watches: bool = False
+    ) -> None:
+        await self.fleet.set_store_faults(down=True, forgets_watches=forgets_watches)
+        await asyncio.sleep(seconds)
+        await self.fleet.restore_copy()
+        await self.fleet.set_store_faults()
+
     async def _check_changes_after_silence(self) -> None:
         """Check that no node waits for the answer to a call that the restored store lost."""
         await self.fleet.save_copy()
         await self._reconfigure('', 0.0)
         await asyncio.sleep(self.restore_rng.uniform(0.0, 5.0))
-        await self.fleet.set_store_faults(down=True, forgets_watches=True)
-        await asyncio.sleep(self.restore_rng.uniform(0.0, MAX_SILENCE_SECONDS))
-        await self.fleet.restore_copy()
-        await self.fleet.set_store_faults()
+        seconds = self.restore_rng.uniform(0.0, MAX_SILENCE_SECONDS)
+        await self._restore_after_silence(seconds, forgets_watches=True)
         await self.fleet.rewrite_until_accepted(SERVICE_SPECS)
         await self.fleet.configure(SERVICE_SPECS)
         self.services = [f'r{self.fleet.accepted_version}']
--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -36,14 +36,14 @@
         self, kind: str, since: int, timeout: float, grace: float
     ) -> Result[Listing, Unavailable]:
         loop = asyncio.get_running_loop()
-        if self.is_disconnected() or self.is_silent():
-            self.store.calls += 1
-            self.store.call_times.append(loop.time())
-            if not self.is_disconnected():
-                await asyncio.sleep(timeout + grace)
-                return Err(Unavailable('no response in time'))
+        if self.is_disconnected():
+            self._record_call()
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
             return Err(Unavailable('no connection in time'))
+        if self.is_silent():
+            self._record_call()
+            await asyncio.sleep(timeout + grace)
+            return Err(Unavailable('no response in time'))
         deadline = loop.time() + timeout + grace
         result = await self.store.watch(kind, since, timeout, grace)
         if not self.is_disconnected():
@@ -51,6 +51,10 @@
         await asyncio.sleep(deadline - loop.time())
         return Err(Unavailable('no response in time'))
 
+    def _record_call(self) -> None:
+        self.store.calls += 1
+        self.store.call_times.append(asyncio.get_running_loop().time())
+
 
 class FakeNode:
     """The record synchronisation and record cache of one node."""
