--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import subprocess
 from pathlib import Path
 
 from standin.case import UnplayedError, run_case
@@ -14,6 +15,7 @@
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 RESTARTED = 3  #: machines of the first zone, one after the other
 RESTART_GAP_SECONDS = 1.0
+START_DELAY_SECONDS = 0.5  #: from the exit of a node to its next start
 CLIENTS = 4  #: on each machine of the first zone
 OUTSTANDING = 3  #: requests that a client has sent and that are not answered yet
 DEADLINE_SECONDS = 5.0
@@ -107,19 +109,31 @@
         writer.write(encode_request('GET', f'/status/{request_id}', headers))
 
 
-async def restart_nodes(deployment: Deployment, machines: list[Machine]) -> dict[str, float]:
-    """Send SIGTERM to one node after the other; return when, by the name of the machine."""
-    stopped = {}
-    for machine in machines:
-        machine.node.send_signal(signal.SIGTERM)
-        stopped[machine.name] = deployment.record.now()
-        deployment.record.add('sigterm', '', machine.name)
-        await asyncio.sleep(RESTART_GAP_SECONDS)
-    return stopped
+async def restart(deployment: Deployment, machine: Machine) -> None:
+    """Stop a node as the platform does, and start it again."""
+    deployment.record.add('sigterm', '', machine.name)
+    machine.node.send_signal(signal.SIGTERM)
+    try:
+        await asyncio.to_thread(machine.node.wait, GRACE_SECONDS)
+    except subprocess.TimeoutExpired:
+        machine.node.kill()
+        await asyncio.to_thread(machine.node.wait)
+    deployment.record.add('exit', '', machine.name)
+    await asyncio.sleep(START_DELAY_SECONDS)
+    deployment.start_again(machine)
 
 
-def find_lost(record: Record, stopped: dict[str, float]) -> list[str]:
+async def restart_in_turn(deployment: Deployment, machines: list[Machine]) -> None:
+    """Restart one node after the other, each a second after the one before it."""
+    async with asyncio.TaskGroup() as tasks:
+        for machine in machines:
+            tasks.create_task(restart(deployment, machine))
+            await asyncio.sleep(RESTART_GAP_SECONDS)
+
+
+def find_lost(record: Record) -> list[str]:
     """Return the requests that were passed on, and whose connection ended without an answer."""
+    stopped = {event.detail: event.at for event in record.of('sigterm')}
     ran = {event.request_id for event in record.of('run')}
     sent = {event.request_id: event.at for event in record.of('sent')}
     return [
@@ -153,12 +167,13 @@
         ]
         tasks = [asyncio.create_task(c.run(deployment.outbound(c.machine))) for c in clients]
         await asyncio.sleep(4.0)
-        stopped = await restart_nodes(deployment, machines) if HAS_TROUBLE else {}
-        await asyncio.sleep(GRACE_SECONDS + 2.0)
+        if HAS_TROUBLE:
+            await restart_in_turn(deployment, machines)
+        await asyncio.sleep(GRACE_SECONDS)
         for task in [*tasks, checks]:
             task.cancel()
         await asyncio.gather(*tasks, checks, return_exceptions=True)
-    lost = find_lost(record, stopped)
+    lost = find_lost(record)
     for request_id in lost:
         record.add('broken', request_id, 'LOST')
     record.write(Path(__file__).with_name('record.txt'))
--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -5,9 +5,11 @@
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import NoReturn
 
 MAX_SECONDS = 114.0
+MAX_THREADS = 32
 #: Exit statuses for run.sh. An interpreter that fails to start a case exits with 1.
 HELD, BROKEN, UNPLAYED = 10, 11, 12
 
@@ -17,6 +19,8 @@
 
 
 async def _play_in_time(play: Callable[[], Awaitable[bool]]) -> bool:
+    # The default has few threads on a machine with few processors.
+    asyncio.get_running_loop().set_default_executor(ThreadPoolExecutor(MAX_THREADS))
     async with asyncio.timeout(MAX_SECONDS):
         return await play()
 
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -138,16 +138,29 @@
     def _start_machine(self, number: int, service: str) -> Machine:
         host, zone = f'{self.subnet}.{10 + number}', self.zones[number]
         name = f'sidecar-{zone}-{number}'
-        path = Path(self.folder.name) / f'{name}.json'
-        path.write_text(json.dumps(self._settings(name, zone, host, service)))
+        self._settings_path(name).write_text(json.dumps(self._settings(name, zone, host, service)))
+        return Machine(name, service, host, zone, self._start_node(name), threading.Event())
+
+    def start_again(self, machine: Machine) -> Machine:
+        """Start the node of a machine again after it has ended."""
+        path = self._settings_path(machine.name)
+        path.write_text(json.dumps({**json.loads(path.read_text()), 'firstStart': False}))
+        started = machine._replace(node=self._start_node(machine.name))
+        self.machines[self.machines.index(machine)] = started
+        self.record.add('start', '', machine.name)
+        return started
+
+    def _settings_path(self, name: str) -> Path:
+        return Path(self.folder.name) / f'{name}.json'
+
+    def _start_node(self, name: str) -> subprocess.Popen[bytes]:
         environ = {key: os.environ[key] for key in ('PATH', 'HOME', 'LANG') if key in os.environ}
         environ |= {
             'PYTHONPATH': str(ROOT / 'target' / 'deps'),
             'PYTHONDONTWRITEBYTECODE': '1',
-            'DUNLINSADDLE_NODE_FILE': str(path),
+            'DUNLINSADDLE_NODE_FILE': str(self._settings_path(name)),
         }
-        node = subprocess.Popen(_node_command(), cwd=ROOT, env=environ, stdout=subprocess.DEVNULL)
-        return Machine(name, service, host, zone, node, threading.Event())
+        return subprocess.Popen(_node_command(), cwd=ROOT, env=environ, stdout=subprocess.DEVNULL)
 
     def _settings(self, name: str, zone: str, host: str, service: str) -> dict[str, Any]:
         ports = self.ports
