--- a/review/standin/backend.py
+++ b/review/standin/backend.py
@@ -24,6 +24,7 @@
     control_port: int
     slots: int
     work_seconds: float
+    work_spread: float  #: largest deviation of the work on one request, as a share of the usual
 
 
 class Backend:
@@ -104,7 +105,8 @@
         self.record.add('run', request_id, self.id)
         self.running += 1
         try:
-            await asyncio.sleep(self.spec.work_seconds)
+            spread = self.spec.work_spread * self.rng.uniform(-1, 1)
+            await asyncio.sleep(self.spec.work_seconds * (1 + spread))
         finally:
             self.running -= 1
         self.record.add('answered', request_id, self.id)
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -119,7 +119,9 @@
         """Return the address to which clients on a machine send their requests."""
         return machine.host, self.ports['outbound']
 
-    async def add_backend(self, machine: Machine, slots: int, work_seconds: float) -> Backend:
+    async def add_backend(
+        self, machine: Machine, slots: int, work_seconds: float, work_spread: float = 0.5
+    ) -> Backend:
         """Start the backend of a machine."""
         number = self.machines.index(machine)
         spec = BackendSpec(
@@ -130,6 +132,7 @@
             self.ports['control'],
             slots,
             work_seconds,
+            work_spread,
         )
         backend = Backend(spec, f'i-{number:08x}', self.record, seed=number)
         await backend.start()
