What a stopping node ends, and which answer came on which connection, in the log

The logs could not tell the hypotheses apart. "draining" and "stopped" look the same whether the listener goes on starting requests, requests run for too long, or calls of other nodes keep the node. A second refusal of a request looks the same whether the target refused twice or a copy of the first refusal arrived; skipped answers left no trace.

Added: "drain ended" with what is in progress and the ages of the oldest and newest request; "request refused by target" with connection and time; "answer skipped" and its counter. The wait for requests in progress, which stood in both nodes, has moved to calls/drain.py.

--- a/dunlinsaddle/calls/accepted_connection.py
+++ b/dunlinsaddle/calls/accepted_connection.py
@@ -66,10 +66,11 @@
 class _Exchange:
     """A completely read request and its response."""
 
-    __slots__ = ('keep_alive', 'method', 'response', 'task')
+    __slots__ = ('keep_alive', 'method', 'response', 'started_at', 'task')
 
-    def __init__(self, method: bytes, *, keep_alive: bool) -> None:
+    def __init__(self, method: bytes, started_at: float, *, keep_alive: bool) -> None:
         self.method = method
+        self.started_at = started_at  #: time of the event loop
         self.keep_alive = keep_alive
         self.task: asyncio.Task[None] | None = None
         self.response: HttpResponse | None = None  #: None until the handler has returned
@@ -301,7 +302,7 @@
     def _start_request(self, message: RequestMessage) -> None:
         self._stop_timer()
         self.has_sent_continue = False
-        exchange = _Exchange(message.method, keep_alive=message.keep_alive)
+        exchange = _Exchange(message.method, self.loop.time(), keep_alive=message.keep_alive)
         if len(message.target) > MAX_TARGET_BYTES:
             self._refuse(Failure(ErrorKind.URI_TOO_LONG))
             return
@@ -399,7 +400,7 @@
         self.discards_input = not self.reader.idle
         self.listener.on_refusal(self.reader.headers, failure)
         self._release_bodies()
-        exchange = _Exchange(b'', keep_alive=False)
+        exchange = _Exchange(b'', self.loop.time(), keep_alive=False)
         exchange.response = failure_response(failure)
         self.exchanges.append(exchange)
         self.is_ending = True
--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -12,7 +12,7 @@
     match_any_response,
 )
 from dunlinsaddle.calls.http import HttpRequest
-from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.messages import Headers, Lost, NotSent
 from dunlinsaddle.calls.pool import MAX_REUSE_IDLE_SECONDS, ConnectionPool
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
@@ -50,6 +50,8 @@
     ) -> None:
         self.max_body_bytes = max_body_bytes
         self.allow_close_delimited = allow_close_delimited
+        #: Called with the headers of each response to another request than the one in progress.
+        self.on_skipped: Callable[[Headers], None] = lambda headers: None
         self._pools: dict[Address, ConnectionPool] = {}
 
     async def send(
@@ -92,7 +94,9 @@
             ):
                 _, conn = await loop.create_connection(
                     lambda: ClientConnection(
-                        self.max_body_bytes, allow_close_delimited=self.allow_close_delimited
+                        self.max_body_bytes,
+                        allow_close_delimited=self.allow_close_delimited,
+                        on_skipped=self.on_skipped,
                     ),
                     address.host,
                     address.port,
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/connection.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP connection: sends a request and reports how the exchange ended."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -25,11 +26,15 @@
     """A whole response was received."""
 
     response: HttpResponse
+    connection: int = 0  #: number of the connection, unique in this process
+    earlier_responses: int = 0  #: that the connection received to earlier requests
 
 
 SendResult = Answered | NotSent | Lost
 ResponseMatcher = Callable[[Headers], bool]  #: whether a response belongs to the request sent
 
+_connection_numbers = itertools.count(1)
+
 
 def match_any_response(headers: Headers) -> bool:
     """Accept every response."""
@@ -39,8 +44,16 @@
 class ClientConnection(asyncio.Protocol):
     """A keep-alive connection that carries one request at a time."""
 
-    def __init__(self, max_body_bytes: int, *, allow_close_delimited: bool) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int,
+        *,
+        allow_close_delimited: bool,
+        on_skipped: Callable[[Headers], None] = lambda headers: None,
+    ) -> None:
+        self.number = next(_connection_numbers)
         self.max_body_bytes = max_body_bytes
+        self.on_skipped = on_skipped
         self.allow_close_delimited = allow_close_delimited
         self.loop = asyncio.get_running_loop()
         self.reader = ResponseReader(MAX_HEAD_BYTES, max_body_bytes)
@@ -130,6 +143,7 @@
             if self.matches_request(message.headers):
                 self._complete(message, has_extra=index + 1 < len(messages))
                 return
+            self.on_skipped(message.headers)
         if self.reader.broken:
             self.abort(Lost('bytes that are no answer', ErrorKind.INCOMPLETE_ANSWER))
         elif not self.allow_close_delimited and self.reader.is_close_delimited:
@@ -142,17 +156,19 @@
         # that responds before it has read the whole request may never read the next one.
         has_read_request = not self.transport.get_write_buffer_size()
         is_clean = not has_extra and not reader.broken and not reader.in_message
+        earlier_responses = self.response_count
         if message.keep_alive and is_clean and has_read_request:
             self.response_count += 1
             self.last_response_at = self.loop.time()
         else:
             self.transport.abort()
-        self._set_response(message)
+        self._set_response(message, earlier_responses)
 
-    def _set_response(self, message: ResponseMessage) -> None:
-        self.set_result(Answered(HttpResponse(message.status, message.headers, message.body)))
+    def _set_response(self, message: ResponseMessage, earlier_responses: int) -> None:
+        response = HttpResponse(message.status, message.headers, message.body)
+        self.set_result(Answered(response, self.number, earlier_responses))
 
     def _finish_close_delimited(self) -> None:
         message = self.reader.feed_eof() if self.allow_close_delimited else None
         if message is not None and self.matches_request(message.headers):
-            self._set_response(message)
+            self._set_response(message, self.response_count)
--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from dunlinsaddle.calls.call_state import PendingCall
+from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS
 from dunlinsaddle.calls.messages import Reply
 from dunlinsaddle.calls.target import AdvertisedState
@@ -29,6 +30,8 @@
     RESENT = 'request sent again'
     QUEUED = 'request queued'
     REFUSED = 'request refused'
+    REFUSED_BY_TARGET = 'request refused by target'
+    SKIPPED = 'answer skipped'
     ANSWERED = 'request answered'
     FAILED = 'request failed'
     CANCELLED = 'request cancelled'
@@ -42,7 +45,7 @@
 
 
 #: For each event. A line takes 23 us (of a failed request, written to a file that never blocks),
-#: so all 260 lines take 0.6 % of a core. Refusals come in bursts of hundreds; a sample
+#: so all 280 lines take 0.6 % of a core. Refusals come in bursts of hundreds; a sample
 #: of 50 is enough to show the cause.
 MAX_LINES_PER_SECOND = {
     Event.ROUTED: 4,
@@ -50,6 +53,8 @@
     Event.RESENT: 20,
     Event.QUEUED: 4,
     Event.REFUSED: 50,
+    Event.REFUSED_BY_TARGET: 10,
+    Event.SKIPPED: 10,
     Event.ANSWERED: 4,
     Event.FAILED: 100,
     Event.CANCELLED: 10,
@@ -175,6 +180,23 @@
                 seconds_left=_rounded(ctx.deadline - self.now()),
             )
 
+    def log_refused_by_target(self, ctx: CallContext, result: Answered, seconds: float) -> None:
+        """Log a refusal by the local target, the time it took, and the connection it came on."""
+        if self._try_acquire(Event.REFUSED_BY_TARGET):
+            self._write(
+                Event.REFUSED_BY_TARGET,
+                ctx,
+                status=result.response.status,
+                seconds=_rounded(seconds),
+                connection=result.connection,
+                earlier_responses=result.earlier_responses,
+            )
+
+    def log_skipped(self, request_id: str) -> None:
+        """Log a response that came to another request than it names; ``request_id`` is its own."""
+        if self._try_acquire(Event.SKIPPED):
+            self.logger.warning(Event.SKIPPED.value, extra={'request_id': request_id})
+
     def log_completed(self, call: PendingCall, reply: Reply, seconds: float, version: int) -> None:
         """Log the answer that the caller gets, with all attempts that led to it."""
         failed = reply.outcome is not Outcome.DONE or reply.status >= MIN_SERVER_ERROR_STATUS
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -24,7 +24,7 @@
 )
 from dunlinsaddle.calls.target import AdvertisedState, DefaultDialect, LocalTarget, TargetDialect
 from dunlinsaddle.calls.waiters import RETRY_AFTER_SECONDS, AdmissionFuture, Waiters
-from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.policy.admission import (
     AdmissionDecision,
@@ -316,6 +316,8 @@
             case Answered(response):
                 self._report_advertised_state(call, sent_at, response)
                 reply = self.dialect.read_reply(response)
+                if self.decisions is not None and reply.outcome is Outcome.NOT_RUN:
+                    self.decisions.log_refused_by_target(call.ctx, result, elapsed)
                 if not reply.kind:
                     reply.retry_after = downstream_retry_after(reply, running)
                 if reply.status >= MIN_SERVER_ERROR_STATUS:
--- a/dunlinsaddle/calls/listener.py
+++ b/dunlinsaddle/calls/listener.py
@@ -89,6 +89,11 @@
             self._idle.clear()
             await self._idle.wait()
 
+    def request_ages(self) -> list[float]:
+        """Return the seconds since the start of each request that is not answered yet."""
+        now = asyncio.get_running_loop().time()
+        return [now - e.started_at for conn in self.connections for e in conn.exchanges]
+
     def notify_idle_waiters(self) -> None:
         """Wake the tasks in ``wait_idle`` to check again."""
         self._idle.set()
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -18,6 +18,7 @@
 from dunlinsaddle.calls.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.drain import RequestDrain
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
@@ -191,6 +192,7 @@
     def _build_calls(self) -> None:
         cfg = self.settings
         self.client = HttpClient(MAX_BODY_BYTES, allow_close_delimited=True)
+        self.client.on_skipped = self._on_answer_skipped
         self.executor = Executor(
             self.target,
             self.admission,
@@ -337,20 +339,19 @@
 
     async def drain(self) -> None:
         """Stop new work at the target, wait for callers to leave, and finish running requests."""
-        loop = self.loop
-        kill_at = loop.time() + self.settings.limits.grace_seconds - KILL_MARGIN_SECONDS
+        started_at = self.now()
+        kill_at = started_at + self.settings.limits.grace_seconds - KILL_MARGIN_SECONDS
         self.is_stopping = True
         self.target.node_draining = True
         self._announce_self()
         self.executor.refuse_waiting()
         self.callers_listener.start_closing()
+        requests = RequestDrain(self.callers_listener, self.peer_server, self.running)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(kill_at):
                 await asyncio.sleep(CALLER_DRAIN_SECONDS)
-                self.callers_listener.stop_listening()
-                await self.callers_listener.wait_idle()
-                await self.peer_server.wait_idle()
-                await self.running.wait_idle()
+                await requests.finish()
+        requests.log_end(self.logger, self.now() - started_at)
 
     async def stop(self) -> None:
         """Cancel the tasks and close all listeners and connections."""
@@ -503,6 +504,10 @@
         self.stats.record_refusal(failure.kind.value)
         self.decisions.log_unread(read_request_id(headers), failure)
 
+    def _on_answer_skipped(self, headers: Headers) -> None:
+        self.stats.answers_skipped += 1
+        self.decisions.log_skipped(read_request_id(headers))
+
     def _on_peer_body_refused(self, call: Call, failure: Failure) -> None:
         self.stats.shed[ErrorKind.TOO_MANY_BODIES.value] += 1
         self.decisions.log_unread(call.request_id, failure)
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -13,6 +13,7 @@
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.dispatch import Dispatcher
+from dunlinsaddle.calls.drain import RequestDrain
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.handlers import CallerHandler, LocalTargetHandler
@@ -246,7 +247,10 @@
         """Stop accepting new work, notify the other nodes, and wait for running calls."""
         self.target.node_draining = True
         self.local_handler.target_changed.set()
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         self.callers_listener.start_closing()
+        requests = RequestDrain(self.callers_listener, self.peer_server, self.running)
         # Not awaited here, so that an unavailable platform does not delay the drain.
         releasing_ranges = asyncio.create_task(self.range_updater.update())
         with contextlib.suppress(TimeoutError):
@@ -254,11 +258,8 @@
                 # Callers and routers with an outdated view still send calls here for a moment.
                 # The open listener can refer them to another node; a closed port cannot.
                 await asyncio.sleep(DRAIN_NOTICE_SECONDS)
-                self.callers_listener.stop_listening()
                 self.executor.refuse_waiting()
-                await self.callers_listener.wait_idle()
-                await self.peer_server.wait_idle()
-                await self.running.wait_idle()
+                await requests.finish()
                 await self.idempotency_router.wait_idle()
                 await releasing_ranges
                 self.range_manager.close()
@@ -268,6 +269,7 @@
                 )
                 log_handover(self.logger, result)
                 await self.local_listener.wait_idle()
+        requests.log_end(self.logger, loop.time() - started_at)
 
     async def stop(self) -> None:
         """Cancel the background tasks and close all connections and listeners."""
--- a/dunlinsaddle/stats.py
+++ b/dunlinsaddle/stats.py
@@ -62,6 +62,7 @@
         self.latency_buckets = {hop: [0] * (len(LATENCY_BOUNDS) + 1) for hop in Hop}
         self.added_time = 0.0
         self.answered = 0
+        self.answers_skipped = 0
         self.faults = 0
 
     def record_call(self, label: CallLabel) -> None:
