A stopping node ends each connection behind a last request

Cause: the close is announced with an answer behind which nothing is in progress. A caller that always has a request in progress never gets that answer, and the listener went on starting what came until the process ended.

Evidence: "drain ended" on the code before has 12 requests on three connections, the newest begun 2 ms before the end. Ruled out: slow requests (none older than .4 s) and calls of other nodes (none).

Change: after the 2.5 s in which callers still come, a connection starts no request behind one in progress, and the last one in progress carries the close; what stands behind it counts as not read. The same cause on other paths, each with a test that failed before: - after the last answer the connection is half closed and read on for up to a second: closed at once, it was reset under a caller that still sent, and the answer was lost with it (real sockets); - a request that is complete later than half of the grace time, mostly an upload, was started and cut off; now 503, not run, Retry-After; - the listener closed while requests still ran at the target, whose own calls then failed; it now stays open for them; - a connection that was accepted just before the listener closed was served.

Why it is enough: each connection starts at most the requests that are in progress at one moment, so that it comes to its end whatever its caller does, and a node starts nothing in the second half of the grace time.

--- a/dunlinsaddle/calls/accepted_connection.py
+++ b/dunlinsaddle/calls/accepted_connection.py
@@ -34,8 +34,8 @@
 #: sender that trickles bytes would hold the connection forever. A link that has narrowed to a
 #: fiftieth of its usual rate still carries several times as much.
 MIN_BODY_BYTES_PER_SECOND = 1024.0
-#: Time for which input is read and discarded after a refusal. If the connection were closed while
-#: the caller still sends, it would be reset, and the caller could lose the response.
+#: Time for which input is read and discarded after the last response. If the connection were closed
+#: while the caller still sends, it would be reset, and the caller could lose that response.
 LINGER_SECONDS = 1.0
 #: Retry-After of a request for whose body there is no memory; most bodies are held for less.
 BODY_MEMORY_RETRY_SECONDS = 1.0
@@ -57,7 +57,9 @@
     on_refusal: Callable[[Headers, Failure], None]
     body_memory: BodyMemory
     connections: 'set[AcceptedConnection]'
+    accepting: bool
     closing: bool
+    finishing: bool
 
     def notify_idle_waiters(self) -> None:
         """Wake the tasks that wait until no request is in progress."""
@@ -107,7 +109,8 @@
         self.read_started_at = 0.0
         self.body_started_at = math.inf
         self.is_ending = False
-        self.discards_input = False  #: set by a refusal; see LINGER_SECONDS
+        self.discards_input = False  #: nothing more is answered; see LINGER_SECONDS
+        self.awaits_close = False  #: the end was announced, and the caller may not know it yet
         self.is_write_paused = False
         self.remote = ''
 
@@ -121,6 +124,10 @@
         enable_keepalive(transport)
         name = transport.get_extra_info('peername')
         self.remote = str(name[0]) if isinstance(name, tuple) else ''
+        if not self.listener.accepting:
+            # It was accepted just before the listener stopped: its requests would be cut off.
+            self.transport.close()
+            return
         self.listener.connections.add(self)
         if len(self.listener.connections) > self.listener.limits.max_connections:
             self._refuse(Failure(ErrorKind.TOO_MANY_CONNECTIONS, retry_after=1.0))
@@ -163,15 +170,18 @@
         """Send the next response and process the input that waited for it."""
         self.is_write_paused = False
         self.listener.notify_idle_waiters()
+        if self.discards_input:
+            self._set_timer(LINGER_SECONDS)
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or answered, or a response is still being sent."""
+        """Whether a request is being read or answered, or a response may not have arrived yet."""
         has_pending_input = not self.is_ending and self._has_pending_input()
-        return bool(self.exchanges) or has_pending_input or self.is_write_paused
+        is_sending = self.is_write_paused or self.awaits_close
+        return bool(self.exchanges) or has_pending_input or is_sending
 
     def _has_pending_input(self) -> bool:
         return bool(self.unread or self.unstarted) or not self.reader.idle
@@ -212,11 +222,12 @@
         self._cancel_requests()
         if self.discards_input and self.transport.can_write_eof():
             self.transport.write_eof()
-            self._set_timer(LINGER_SECONDS)
-            self.listener.notify_idle_waiters()
-            return
-        self.transport.close()
-        self._set_timer(self.listener.limits.header_timeout)
+            self.transport.resume_reading()
+        else:
+            self.transport.close()
+        is_sent = self.discards_input and not self.is_write_paused
+        self._set_timer(LINGER_SECONDS if is_sent else self.listener.limits.header_timeout)
+        self.listener.notify_idle_waiters()
 
     def _cancel_requests(self) -> None:
         """Cancel all requests; clients consider those after a ``Connection: close`` unprocessed."""
@@ -230,10 +241,18 @@
         """Return whether a request may run concurrently with those in progress."""
         if not self.exchanges:
             return True
-        if len(self.exchanges) >= self.listener.pipeline:
-            return False
         # RFC 9112, 9.3.2: an unsafe request waits for the requests before it.
-        return method in SAFE_METHODS and self.exchanges[-1].method in SAFE_METHODS
+        is_safe = method in SAFE_METHODS and self.exchanges[-1].method in SAFE_METHODS
+        return is_safe and self._has_room()
+
+    def _has_room(self) -> bool:
+        """Return whether the connection may have one more request in progress.
+
+        A caller that always has requests in progress would otherwise never get the answer behind
+        which there is none, so that its connection would be served until the process ends.
+        """
+        limit = 1 if self.listener.finishing else self.listener.pipeline
+        return len(self.exchanges) < limit
 
     def _process_input(self) -> None:
         """Start the requests that may run, and parse more input once all of them have started."""
@@ -242,7 +261,7 @@
                 if not self._can_start(self.unstarted[0].method):
                     break
                 self._start_request(self.unstarted.popleft())
-            elif self.unread and len(self.exchanges) < self.listener.pipeline:
+            elif self.unread and self._has_room():
                 self._parse_input()
             else:
                 break
@@ -368,10 +387,14 @@
 
     def _encode_response(self, exchange: _Exchange) -> bytes:
         assert exchange.response is not None
-        if self.listener.closing and not self.exchanges and not self.unstarted:
+        listener = self.listener
+        may_end = not self.exchanges and (listener.finishing or not self.unstarted)
+        if listener.closing and may_end:
             # Announce the close only with the last response: clients consider requests behind a
             # ``Connection: close`` as unprocessed, but these have already been passed on.
             exchange.keep_alive = False
+            self.awaits_close = self.discards_input = True
+            self.unread = b''
         try:
             return self._serialize(exchange, exchange.response)
         except ValueError:
--- a/dunlinsaddle/calls/drain.py
+++ b/dunlinsaddle/calls/drain.py
@@ -27,6 +27,15 @@
         self.peers = peers
         self.running = running
 
+    async def finish_target(self) -> None:
+        """Wait until the target has ended its calls, and serve those that it makes meanwhile.
+
+        It makes them through the listener. If that were closed, a request that still runs at the
+        target would fail for want of them.
+        """
+        self.callers.finish_connections()
+        await self.running.wait_idle()
+
     async def finish(self) -> None:
         """Accept no new connections, and wait until no request and no call is in progress."""
         self.callers.stop_listening()
--- a/dunlinsaddle/calls/listener.py
+++ b/dunlinsaddle/calls/listener.py
@@ -49,7 +49,9 @@
         self.on_refusal = on_refusal
         self.body_memory = body_memory or BodyMemory()
         self.connections: set[AcceptedConnection] = set()
+        self.accepting = True
         self.closing = False
+        self.finishing = False
         self._server: asyncio.Server | None = None
         self._idle = asyncio.Event()
 
@@ -74,9 +76,14 @@
         """Send ``Connection: close`` with each response, but keep listening."""
         self.closing = True
 
+    def finish_connections(self) -> None:
+        """Start no request behind one in progress, so that each connection comes to its end."""
+        self.closing = self.finishing = True
+
     def stop_listening(self) -> None:
         """Accept no new connections and close those without a request in progress."""
-        self.closing = True
+        self.finish_connections()
+        self.accepting = False
         if self._server is not None:
             self._server.close()
         for conn in list(self.connections):
--- a/dunlinsaddle/mesh/ingress.py
+++ b/dunlinsaddle/mesh/ingress.py
@@ -52,6 +52,8 @@
 MIN_RETRY_AFTER_SECONDS = 0.3
 #: Retry-After while the node has no configuration; a new node usually gets one within a second.
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
+#: Retry-After of a request that reaches a stopping node too late: it is back about then.
+STOPPING_RETRY_SECONDS = 1.0
 #: Retry-After of a request whose route cannot be read: operators have to write a new configuration.
 UNREADABLE_ROUTE_RETRY_SECONDS = 10.0
 #: Retry-After of a request whose deadline passed while its body arrived, mostly over a slow link.
@@ -89,6 +91,8 @@
         self.on_end = on_end
         #: Called with the service of a call that a repeated run makes.
         self.on_repeat: Callable[[str], None] = lambda service: None
+        #: Time of the event loop from which only calls of the local target are started.
+        self.refuses_from = math.inf
         self.request_costs = RequestCosts()
         self.failure_throttle = FailureThrottle()
         self.refused_calls = RefusedCallReporter(dispatcher.refused_shares, budget)
@@ -168,6 +172,10 @@
             failure = Failure(kind, route.name, UNREADABLE_ROUTE_RETRY_SECONDS)
             self._log_denied(request_id, route.name, failure)
             return Err(failure)
+        if self.now() >= self.refuses_from and self.running.find_parent(request_id) is None:
+            failure = Failure(ErrorKind.DRAINING, 'the node stops', STOPPING_RETRY_SECONDS)
+            self._log_denied(request_id, route.name, failure)
+            return Err(failure)
         return Ok(route)
 
     async def _dispatch(
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -87,6 +87,9 @@
 #: Share of the drain time in which calls may still wait for a draining target. The rest is for
 #: calls in flight, and for refused calls to be served by other targets.
 DRAIN_WAIT_SHARE = 0.5
+#: Share of the grace time in which a stopping node starts requests: later ones, such as uploads
+#: that were still arriving, would mostly be cut off at its end, and are refused as not run.
+LATEST_START_SHARE = 0.5
 #: Time before the kill at which a stopping node ends the requests that still run.
 KILL_MARGIN_SECONDS = 0.4
 #: The platform provides no secret, and its network is closed: the key only rejects connections
@@ -340,8 +343,10 @@
     async def drain(self) -> None:
         """Stop new work at the target, wait for callers to leave, and finish running requests."""
         started_at = self.now()
-        kill_at = started_at + self.settings.limits.grace_seconds - KILL_MARGIN_SECONDS
+        grace_seconds = self.settings.limits.grace_seconds
+        kill_at = started_at + grace_seconds - KILL_MARGIN_SECONDS
         self.is_stopping = True
+        self.ingress.refuses_from = started_at + grace_seconds * LATEST_START_SHARE
         self.target.node_draining = True
         self._announce_self()
         self.executor.refuse_waiting()
@@ -349,7 +354,8 @@
         requests = RequestDrain(self.callers_listener, self.peer_server, self.running)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(kill_at):
-                await asyncio.sleep(CALLER_DRAIN_SECONDS)
+                await asyncio.sleep(min(CALLER_DRAIN_SECONDS, grace_seconds * LATEST_START_SHARE))
+                await requests.finish_target()
                 await requests.finish()
         requests.log_end(self.logger, self.now() - started_at)
 
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -1,5 +1,7 @@
 import asyncio
 
+from testtools import TestCase
+
 from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.listener import HttpListener
@@ -368,6 +370,92 @@
         self.assertGreater(size, 400_000)
 
 
+class FinishTest(ListenerTest):
+    """Connections of a listener that starts no request behind one in progress."""
+
+    def finish_with(self, requests, sent_later=b''):
+        async def scenario():
+            listener = HttpListener(self.handle, LIMITS, pipeline=8)
+            await listener.listen(ADDRESS)
+            reader, writer = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
+            writer.write(requests)
+            await asyncio.sleep(0.5)
+            listener.finish_connections()
+            writer.write(sent_later)
+            responses = await asyncio.wait_for(reader.read(), 10)
+            is_busy = [conn.is_busy for conn in listener.connections]
+            writer.close()
+            await asyncio.wait_for(listener.wait_idle(), 0.5)
+            listener.close()
+            return responses, is_busy
+
+        return self.run_paused(scenario())
+
+    # A connection with requests behind those in progress did not come to its end.
+    def test_requests_behind_those_in_progress_are_left_unread(self):
+        get = b'GET /%d HTTP/1.1\r\nhost: a\r\nsleep: %d\r\n\r\n'
+        post = b'POST /9 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n'
+        for behind, later in ((get % (3, 1), b''), (post + b'abc', b''), (post, b'abc')):
+            self.handled.clear()
+            responses, is_busy = self.finish_with(get % (1, 2) + get % (2, 1) + behind, later)
+            started = [req.path for req in self.handled if req.method == 'GET']
+            self.assertEqual(len(started), responses.count(b'HTTP/1.1 200'))
+            self.assertEqual(1, responses.count(b'connection: close'))
+            self.assertNotIn('/9', {req.path for req in self.handled})
+            # The drain waits until the caller has read the last response.
+            self.assertEqual([True], is_busy)
+
+    def test_a_body_that_arrives_alone_is_read_and_answered(self):
+        head = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n'
+        responses, _ = self.finish_with(head, b'abc')
+        self.assertEqual(1, responses.count(b'HTTP/1.1 200'))
+        self.assertEqual(1, responses.count(b'connection: close'))
+
+    # A connection that was being set up when the listener stopped was served and then cut off.
+    def test_a_connection_accepted_before_the_stop_is_not_served_after_it(self):
+        async def scenario():
+            listener = HttpListener(self.handle, LIMITS)
+            await listener.listen(ADDRESS)
+            reader, writer = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
+            listener.stop_listening()
+            writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            try:
+                return await asyncio.wait_for(reader.read(), 1)
+            finally:
+                writer.close()
+
+        self.assertEqual((b'', []), (self.run_paused(scenario()), self.handled))
+
+
+class ResetTest(TestCase):
+    """The end of a connection over real sockets."""
+
+    # The node's close reset the connection of a caller that still sent, before it read the answer.
+    def test_a_caller_that_still_sends_gets_the_last_response(self):
+        async def handle(req):
+            await asyncio.sleep(0.05)
+            return HttpResponse(200, [], b'x' * 200_000)
+
+        async def scenario():
+            listener = HttpListener(handle, LIMITS, pipeline=8)
+            address = await listener.listen(Address('127.0.0.1', 0))
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n' * 2)
+            await asyncio.sleep(0.02)
+            listener.finish_connections()
+            for _ in range(20):
+                writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                await asyncio.sleep(0.01)
+            responses = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            listener.close()
+            return responses
+
+        responses = asyncio.run(scenario())
+        self.assertEqual(2, responses.count(b'HTTP/1.1 200'))
+        self.assertEqual(400_000, responses.count(b'x'))
+
+
 class PipeliningTest(ListenerTest):
     def test_safe_requests_run_concurrently_and_are_answered_in_order(self):
         async def handle(req):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,4 +1,5 @@
 import asyncio
+from random import Random
 
 from prometheus_client.parser import text_string_to_metric_families
 
@@ -6,6 +7,7 @@
 from dunlinsaddle.membership.view import State
 from tests.builders import build_configuration, build_route
 from tests.fakes.mesh import Mesh
+from tests.fakes.pipelining import PipeliningCaller
 from tests.mesh_case import MeshTest
 
 
@@ -196,6 +198,81 @@
 
         self.assertEqual((503, 200, b'close', [200] * 5), self.run_mesh(scenario))
 
+    # A connection that was never idle was served until the node ended, and then cut off.
+    def test_callers_that_always_have_requests_in_progress_lose_none(self):
+        for outstanding, seconds in ((4, 0.35), (2, 0.6), (12, 0.15), (4, 1.3), (16, 0.02)):
+            callers = self.stop_under_pipelined_load(outstanding, seconds)
+            for caller in callers:
+                started = {r.header(b'request-id') for r in self.requests}
+                self.assertEqual(set(), started & {*caller.lost, *caller.unread}, outstanding)
+                self.assertTrue(caller.answers[-1].closes)
+
+    def stop_under_pipelined_load(self, outstanding, response_seconds):
+        rng = Random(3)
+
+        async def scenario(mesh):
+            target = mesh.targets['b']
+
+            async def respond(req):
+                await asyncio.sleep(response_seconds * rng.uniform(0.5, 1.5))
+                return target.signed_response(req)
+
+            target.respond, target.slots = respond, 200
+            address = mesh.nodes['a'].settings.callers
+            callers = [PipeliningCaller(f'c{n}', address, '/deep/x', outstanding) for n in range(4)]
+            tasks = [asyncio.create_task(caller.run()) for caller in callers]
+            await asyncio.sleep(1.0)
+            await mesh.nodes['a'].drain()
+            await mesh.kill('a')
+            await asyncio.sleep(0.1)
+            self.requests = target.requests
+            for task in tasks:
+                task.cancel()
+            return callers
+
+        return self.run_mesh(scenario)
+
+    # The listener closed while a request ran at the target, so that its calls failed.
+    def test_the_target_of_a_stopping_node_can_make_calls_until_its_requests_end(self):
+        async def scenario(mesh):
+            target = mesh.targets['a']
+
+            async def respond(req):
+                await asyncio.sleep(3.5)
+                call = await mesh.call('a', '/deep/x', request_id=f'{req.header(b"request-id")}.1')
+                return target.signed_response(req, call.status)
+
+            target.respond = respond
+            request = asyncio.create_task(mesh.call('b', '/front/x'))
+            await asyncio.sleep(0.1)
+            await mesh.nodes['a'].drain()
+            return (await request).status
+
+        self.assertEqual(200, self.run_mesh(scenario, timeout='5000ms'))
+
+    # A request that was complete just before the end of the node was started and cut off.
+    def test_a_request_that_arrives_too_late_is_refused_as_not_run(self):
+        async def scenario(mesh):
+            mesh.targets['b'].response_seconds = 1.5
+            node = mesh.nodes['a']
+            address = node.settings.callers
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            drain = asyncio.create_task(node.drain())
+            await asyncio.sleep(2.0)
+            writer.write(b'POST /deep/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: q\r\n')
+            writer.write(b'content-length: 3\r\n\r\n')
+            await asyncio.sleep(2.5)
+            writer.write(b'abc')
+            answer = await reader.read()
+            writer.close()
+            await drain
+            return answer, mesh.targets['b'].runs
+
+        answer, runs = self.run_mesh(scenario)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503'), answer)
+        self.assertIn(b'retry-after', answer)
+        self.assertEqual({}, runs)
+
     def test_other_nodes_stop_using_the_target_of_a_stopping_node(self):
         async def scenario(mesh):
             drain = asyncio.create_task(mesh.nodes['b'].drain())
