A connection carries a request once, so that a late copy of its answer ends no other send

Cause: an answer names its request, and a request has several sends. After a refusal the node sends it to the same target again, on the connection that was used last, which is the one that brought the refusal. If the target sends its refusal twice, the copy arrives there as the answer to the second send, which runs.

Ruled out: a repeat after a lost answer (each was sent again after "target-refused"), two nodes or tries at the same time (one node, the second send after the first was answered).

Change: a connection remembers the requests that it has carried, until their deadlines, and never carries one of them again. A copy then meets only sends of other requests, which skip it, whatever the order: at once, after other requests, two copies, a copy of a repeat's refusal, or of an old success.

Looked at: frames between nodes carry a number for each send; the store's client gives up a connection whose answer it no longer waits for; nothing checks health over the same connections; the second send of an overdue request opens a connection of its own.

The fakes of the client in test_dispatch take any option.

Why it is enough: to be taken for an answer, a copy must arrive on a connection with a send of its own request, and its own connection never has another.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -33,6 +33,7 @@
     deadline: float
     allow_resend: Callable[[], bool] | None
     matches_request: ResponseMatcher
+    request_id: str
 
 
 class HttpClient(LoopBound):
@@ -62,6 +63,7 @@
         *,
         allow_resend: Callable[[], bool] | None = None,
         matches_request: ResponseMatcher = match_any_response,
+        request_id: str = '',
     ) -> SendResult:
         """Send a request and wait at most ``timeout`` seconds for the whole response.
 
@@ -69,16 +71,17 @@
         reused connection is overdue while later requests were answered, and returns whether to
         send the request again on a new connection; the first response counts.
         ``matches_request`` checks the headers of a response: responses to other requests are
-        skipped.
+        skipped. With a ``request_id``, a connection carries the request once at most, so that a
+        late copy of the response to one send is not taken for the response to another.
         """
-        deadline = self.now() + timeout
-        pending = _PendingRequest(address, req, deadline, allow_resend, matches_request)
+        now = self.now()
+        deadline = now + timeout
+        pending = _PendingRequest(address, req, deadline, allow_resend, matches_request, request_id)
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ConnectionPool(address)
-        conn = pool.acquire(
-            MAX_REUSE_IDLE_SECONDS if allow_resend else NON_IDEMPOTENT_REUSE_SECONDS
-        )
+        max_idle_seconds = MAX_REUSE_IDLE_SECONDS if allow_resend else NON_IDEMPOTENT_REUSE_SECONDS
+        conn = pool.acquire(now, max_idle_seconds, request_id)
         if conn is None:
             return await self._send_on_new_connection(pending, pool)
         return await self._send_on(conn, pending, pool)
@@ -108,9 +111,11 @@
     async def _send_on(
         self, conn: ClientConnection, pending: _PendingRequest, pool: ConnectionPool
     ) -> SendResult:
-        if conn.loop.time() >= pending.deadline:
+        now = conn.loop.time()
+        if now >= pending.deadline:
             conn.transport.abort()
             return NotSent('the deadline passed before it was sent')
+        conn.sent_requests.add(now, pending.request_id, pending.deadline)
         try:
             future = conn.send(pending.req, pool.host, pending.matches_request)
         except ValueError as exc:
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/connection.py
@@ -16,6 +16,7 @@
 )
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers, Lost, NotSent
+from dunlinsaddle.calls.sent_requests import SentRequests
 from dunlinsaddle.errors import ErrorKind
 
 MAX_HEAD_BYTES = 1 << 16  #: of a response; common servers send a few hundred bytes
@@ -62,6 +63,7 @@
         self.received_data = False  #: since the current request was sent
         self.closed = False
         self.response_count = 0
+        self.sent_requests = SentRequests()
         self.timer: asyncio.TimerHandle | None = None
         self.resend_task: asyncio.Task[None] | None = None
         self.last_response_at = 0.0
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -307,6 +307,7 @@
             budget,
             allow_resend=allow_resend,
             matches_request=partial(self.dialect.matches_request, call),
+            request_id=call.ctx.request_id,
         )
         elapsed = loop.time() - sent_at
         self.stats.record_latency(Hop.TARGET, elapsed)
--- a/dunlinsaddle/calls/pool.py
+++ b/dunlinsaddle/calls/pool.py
@@ -27,13 +27,22 @@
         self.last_answered_sent_at = 0.0  #: when the latest request that was answered was sent
         self._renewed_at = -math.inf
 
-    def acquire(self, max_idle_seconds: float) -> ClientConnection | None:
-        """Return the most recently used connection, or None if it has been idle for too long."""
+    def acquire(
+        self, now: float, max_idle_seconds: float, request_id: str = ''
+    ) -> ClientConnection | None:
+        """Return the most recently used connection that may carry the request, or None.
+
+        A connection that has been idle for longer than ``max_idle_seconds`` is not returned.
+        """
         while self.idle and not self.idle[-1].is_reusable(MAX_REUSE_IDLE_SECONDS):
             self.idle.pop().transport.abort()
-        if not self.idle or not self.idle[-1].is_reusable(max_idle_seconds):
-            return None
-        return self.idle.pop()
+        for index in reversed(range(len(self.idle))):
+            conn = self.idle[index]
+            if now - conn.last_response_at > max_idle_seconds:
+                return None
+            if not conn.closed and conn.sent_requests.allows(now, request_id):
+                return self.idle.pop(index)
+        return None
 
     def _prune(self) -> None:
         """Close expired connections, oldest first: they count against the target's limit."""
--- a/tests/fakes/target.py
+++ b/tests/fakes/target.py
@@ -1,6 +1,7 @@
 """A target whose script writes raw bytes, to simulate misbehaving servers."""
 
 import asyncio
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 
 from dunlinsaddle.settings import Address
@@ -55,3 +56,40 @@
             self.connection_closed.set()
             self.closed_count += 1
             writer.close()
+
+
+class RepeatingTarget:
+    """A target that sends each refusal twice: the copy where a later response is expected.
+
+    The first ``refusals`` sends of each request are refused. The copy comes before the response to
+    the next request on its connection, after ``gap`` others.
+    """
+
+    def __init__(self, refusals: int, *, status: int = 503, gap: int = 0) -> None:
+        self.refusals = refusals
+        self.status = status
+        self.gap = gap
+        self.sends: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.server = ScriptedTarget(self._respond)
+        self._copies: dict[ScriptedConnection, deque[bytes]] = {}
+
+    async def _respond(self, connection: ScriptedConnection, data: bytes) -> None:
+        head = data.partition(b'\r\n\r\n')[0].lower()
+        request_id = head.partition(b'\r\nrequest-id: ')[2].partition(b'\r\n')[0].decode()
+        copies = self._copies.setdefault(connection, deque([b''] * self.gap))
+        connection.write(copies.popleft() if copies else b'')
+        self.sends[request_id] += 1
+        if self.sends[request_id] <= self.refusals:
+            refusal = self._encode(request_id, self.status, b'not-executed: 1\r\n')
+            copies.append(refusal)
+            connection.write(refusal)
+            return
+        copies.append(b'')
+        self.runs[request_id] += 1
+        await asyncio.sleep(0.05)
+        connection.write(self._encode(request_id, 200, b'server-signature: s\r\n'))
+
+    def _encode(self, request_id: str, status: int, header: bytes) -> bytes:
+        head = b'HTTP/1.1 %d \r\nrequest-id: %s\r\n' % (status, request_id.encode())
+        return head + header + b'content-length: 0\r\n\r\n'
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,9 +1,12 @@
 import asyncio
 
+from testtools import TestCase
+
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.sent_requests import MAX_REMEMBERED_REQUESTS, SentRequests
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.platform.client import CALL_TIMEOUT_SECONDS, HttpObjectStore
 from dunlinsaddle.settings import Address
@@ -219,6 +222,23 @@
 
         self.assertEqual(b'new', self.run_with_target(script, use).response.body)
 
+    # A copy of the response to one send of a request was taken for the response to the next one.
+    def test_a_connection_carries_a_request_once(self):
+        async def script(connection, data):
+            connection.write(ok_response(b'%d' % connection.number))
+
+        async def use(client, target):
+            async def send(request_id):
+                result = await client.send(TARGET, get_request(), 5, request_id=request_id)
+                return int(result.response.body)
+
+            numbers = [await send(request_id) for request_id in ('a', 'b', 'a', 'b', 'a', 'c')]
+            await asyncio.sleep(0.2)
+            return [*numbers, await send('')]
+
+        # The second send of "a" opens a connection, which "b" may then use, the third one another.
+        self.assertEqual([1, 1, 2, 2, 3, 3, 3], self.run_with_target(script, use))
+
     def test_a_close_delimited_response_is_accepted_only_where_allowed(self):
         async def script(connection, data):
             connection.write(b'HTTP/1.1 200 OK\r\n\r\nwhole')
@@ -235,6 +255,27 @@
         self.assertEqual(b'whole', permissive.response.body)
 
 
+class SentRequestsTest(TestCase):
+    def test_requests_are_remembered_until_their_deadline(self):
+        sent = SentRequests()
+        sent.add(0.0, 'a', 5.0)
+        sent.add(1.0, 'b', 2.0)
+        self.assertFalse(sent.allows(4.9, 'a'))
+        self.assertTrue(sent.allows(5.0, 'a'))
+        self.assertEqual(0, len(sent))
+
+    # A hundred requests a second, each with a deadline of a day: the memory would grow for good.
+    def test_a_connection_that_can_remember_no_more_carries_no_more(self):
+        sent = SentRequests()
+        carried = 0
+        while carried < 10_000 and sent.allows(carried / 100, str(carried)):
+            sent.add(carried / 100, str(carried), 86_400.0)
+            carried += 1
+        self.assertEqual(MAX_REMEMBERED_REQUESTS, carried)
+        self.assertFalse(sent.allows(1e4, 'other'))
+        self.assertTrue(sent.allows(86_400.0, 'other'))
+
+
 class SilentConnectionTest(ClientTest):
     async def drop_first_connection(self, connection, data):
         """Answer one request on the first connection, then none; other connections work."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -45,7 +45,7 @@
 class CrashingTarget(HttpClient):
     """A target that crashes on every call and accepts no connection afterwards."""
 
-    async def send(self, address, req, timeout, *, allow_resend=None, matches_request=None):
+    async def send(self, address, req, timeout, **options):
         return Lost('the connection ended', ErrorKind.TARGET_LOST)
 
     async def can_connect(self, address):
@@ -57,7 +57,7 @@
 
     running: RunningCalls
 
-    async def send(self, address, req, timeout, *, allow_resend=None, matches_request=None):
+    async def send(self, address, req, timeout, **options):
         running_call = self.running.find(dict(req.headers)[b'dunlinsaddle-call'].decode())
         running_call.downstream_retry_after = 2.0
         return Answered(HttpResponse(502, [], b''))
@@ -66,7 +66,7 @@
 class FakeTarget(HttpClient):
     """A target that answers every call."""
 
-    async def send(self, address, req, timeout, *, allow_resend=None, matches_request=None):
+    async def send(self, address, req, timeout, **options):
         await asyncio.sleep(0.01)
         return Answered(HttpResponse(200, [], b'ok'))
 
--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -1,9 +1,12 @@
 """Failures of targets and nodes, as callers see them."""
 
 import asyncio
+import itertools
+from functools import partial
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
 from dunlinsaddle.calls.listener import HttpListener
+from tests.fakes.target import RepeatingTarget
 from tests.mesh_case import MeshTest
 
 
@@ -90,6 +93,29 @@
         self.assertEqual((200, 4), (status, sum(arrivals)))
         self.assertEqual(1, arrivals.count(0))
 
+    # A late copy of a refusal was taken for the answer to the next send, which the target ran.
+    def test_a_late_copy_of_a_refusal_does_not_end_the_next_send(self):
+        for status, gap, refusals in itertools.product((503, 421), (0, 1, 2), (1, 2, 3)):
+            target = RepeatingTarget(refusals, status=status, gap=gap)
+            statuses = self.run_mesh(partial(self.send_to, target), kind='unsafe', attempts=1)
+            message = f'{status}, {gap} others, {refusals} refusals: {statuses}'
+            # A target that answers 421 is another one, and gets the request no second time.
+            self.assertEqual(status == 503, bool(target.runs), message)
+            self.assertEqual(len(target.runs), sum(target.runs.values()), message)
+            self.assertEqual(len(target.runs), statuses.count(200), message)
+            self.assertEqual(30, statuses.count(200) + statuses.count(503), message)
+
+    async def send_to(self, repeating, mesh):
+        """Put a target in the place of b's, and return the statuses of thirty requests to it."""
+        mesh.targets['b'].listener.close()
+        await repeating.server.listen(mesh.nodes['b'].settings.target)
+        statuses = []
+        for _ in range(10):
+            calls = [mesh.call('a', '/deep/x', 'POST') for _ in range(3)]
+            statuses += [response.status for response in await asyncio.gather(*calls)]
+        repeating.server.server.close()
+        return statuses
+
     def test_an_idempotent_request_whose_responses_are_lost_succeeds_at_the_third_send(self):
         # Targets run the request and reset the connection, in two of ten cases twice in a row. The
         # route allows two targets, and a third send to one of them succeeds.
