Suspected requests that wait for another are refused when their target drains

Callers saw nothing yet: the review read it in the code and did not run it. A target that leaves would get requests after it was told that none follow, and cut them off as it exits.

Cause: a request that was in progress at a crash runs beside no other such request, and waits for a lock. A drain refuses what waits for a slot, but not what waits for this lock, and nothing looked at the target again once the lock was there.

Evidence: three suspects at a target that needs a second each; it drains at .5 s. On the code before all three run, the last until 3 s. Ruled out: the queue for slots, which is refused (drain and leaving tests).

Change: a drain ends the waits for the lock, and who gets it asks once more whether the target is still there.

Result: the one that runs is answered, two are refused as not run at .5 s, so that their entries can send them elsewhere. Enough, as each way to the target now passes the check after its last wait.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -86,6 +86,7 @@
         self._ticket_count = 0
         self._unadmitted_ids: set[int] = set()
         self._suspect_lock = asyncio.Lock()
+        self._suspect_waits: set[asyncio.Timeout] = set()  #: of suspected requests, for the lock
         self._ticket_count_at_tick = 0  #: value of ``_ticket_count`` at the last tick
         self._is_tick_scheduled = False
 
@@ -115,15 +116,23 @@
 
         If the target crashes again, this request caused it.
         """
-        time_left = call.ctx.deadline - self.now()
+        # Not wait_for: in Python 3.11, a timeout that coincides with the acquisition would leave
+        # the lock held forever.
+        wait = asyncio.timeout_at(call.ctx.deadline)
+        self._suspect_waits.add(wait)
         try:
-            # Not wait_for: in Python 3.11, a timeout that coincides with the acquisition would
-            # leave the lock held forever.
-            async with asyncio.timeout(max(time_left, 0)):
+            async with wait:
                 await self._suspect_lock.acquire()
         except TimeoutError:
-            return self._refuse(Failure(ErrorKind.TOO_LATE_TO_START, '', RETRY_AFTER_SECONDS), call)
+            too_late = Failure(ErrorKind.TOO_LATE_TO_START, '', RETRY_AFTER_SECONDS)
+            return self._refuse(self._check_target(call.ctx) or too_late, call)
+        finally:
+            self._suspect_waits.discard(wait)
         try:
+            # The target may have begun to drain meanwhile.
+            failure = self._check_target(call.ctx)
+            if failure is not None:
+                return self._refuse(failure, call)
             return await self._admit_and_run(call)
         finally:
             self._suspect_lock.release()
@@ -233,6 +242,10 @@
     def refuse_waiting(self) -> None:
         """Refuse all waiting calls of a draining target: they did not run and can be resent."""
         self._waiters.refuse_all(Failure(ErrorKind.DRAINING, retry_after=RETRY_AFTER_SECONDS))
+        now = self.now()
+        for wait in self._suspect_waits:
+            if not wait.expired():
+                wait.reschedule(now)
 
     def _end_wait(self, ticket: Ticket, failure: Failure | None) -> None:
         self._unadmitted_ids.discard(ticket.call_id)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -266,6 +266,30 @@
         self.assertAlmostEqual(1.01, elapsed, places=6)
         self.assertEqual(1, refused)
 
+    # A suspected request that waited for another one reached its target long after the drain.
+    def test_suspects_that_wait_are_refused_when_the_target_drains(self):
+        async def scenario() -> tuple[list[str], list[float]]:
+            executor = build_executor(SlowTarget(), Quarantine())
+            loop = asyncio.get_running_loop()
+            ended_at = []
+
+            async def execute(number: int) -> str:
+                reply = await executor.execute(
+                    build_pending_call(fingerprint=number, crash_count=1)
+                )
+                ended_at.append(loop.time())
+                return reply.kind
+
+            suspects = [loop.create_task(execute(number)) for number in range(3)]
+            await asyncio.sleep(0.5)
+            executor.target.drain()
+            executor.refuse_waiting()
+            return await asyncio.gather(*suspects), ended_at
+
+        kinds, ended_at = self.run_paused(scenario())
+        self.assertEqual(['', 'draining', 'draining'], kinds)
+        self.assertEqual([0.5, 0.5, 1.01], [round(at, 3) for at in ended_at])
+
     def test_observe_mode_counts_refusals_and_runs_the_call(self):
         # An older system still protects the service, so a refusal must only be counted: if both
         # systems refused calls, the targets would get too few.
