After an answer that names no request, its connection is given up

Callers would see: an unsafe request answered 503 that runs, or one that runs twice, where a target sends a refusal without the request's id, and sends it again late.

An answer without an id counted for whatever request was in progress, so that a copy of one ended any other request on its connection.

Ruled out: to take no answer without an id for an answer. The first one on a connection belongs to its request, and the request would wait in vain.

Change: the client is told how an answer names its request; after one that does not, the connection is not used again. The fakes of targets, which had left the id out of their refusals, name it now.

Result: none run twice, none refused and run. Enough, as the copy arrives on a connection on which nothing is sent any more.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -8,6 +8,7 @@
     Answered,
     ClientConnection,
     ResponseMatcher,
+    ResponseRules,
     SendResult,
     match_any_response,
 )
@@ -37,20 +38,16 @@
 
 
 class HttpClient(LoopBound):
-    """Sends requests, one at a time per connection, and keeps intact connections for reuse.
-
-    ``allow_close_delimited`` accepts responses whose body ends with the connection, for servers
-    that guarantee to reset the connection of an incomplete response.
-    """
+    """Sends requests, one at a time per connection, and keeps intact connections for reuse."""
 
     def __init__(
         self,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         *,
         allow_close_delimited: bool = False,
+        names_request: Callable[[Headers], bool] = match_any_response,
     ) -> None:
-        self.max_body_bytes = max_body_bytes
-        self.allow_close_delimited = allow_close_delimited
+        self.rules = ResponseRules(max_body_bytes, allow_close_delimited, names_request)
         #: Called with the headers of each response to another request than the one in progress.
         self.on_skipped: Callable[[Headers], None] = lambda headers: None
         self._pools: dict[Address, ConnectionPool] = {}
@@ -96,11 +93,7 @@
                 min(loop.time() + CONNECT_TIMEOUT_SECONDS, pending.deadline)
             ):
                 _, conn = await loop.create_connection(
-                    lambda: ClientConnection(
-                        self.max_body_bytes,
-                        allow_close_delimited=self.allow_close_delimited,
-                        on_skipped=self.on_skipped,
-                    ),
+                    lambda: ClientConnection(self.rules, self.on_skipped),
                     address.host,
                     address.port,
                 )
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/connection.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
+from typing import NamedTuple, cast
 
 from dunlinsaddle.calls.http import HOP_BY_HOP, HttpRequest, HttpResponse
 from dunlinsaddle.calls.http_codec import (
@@ -42,22 +42,31 @@
     return True
 
 
+class ResponseRules(NamedTuple):
+    """What a client expects of the responses of its servers."""
+
+    max_body_bytes: int
+    #: Accept a body that ends with the connection, from servers that reset the connection of an
+    #: incomplete response.
+    allow_close_delimited: bool = False
+    #: Whether a response names its request, or need not in the protocol of the server. After one
+    #: that does not, the connection is given up: a late copy could not be recognised there.
+    names_request: Callable[[Headers], bool] = match_any_response
+
+
 class ClientConnection(asyncio.Protocol):
     """A keep-alive connection that carries one request at a time."""
 
     def __init__(
         self,
-        max_body_bytes: int,
-        *,
-        allow_close_delimited: bool,
+        rules: ResponseRules,
         on_skipped: Callable[[Headers], None] = lambda headers: None,
     ) -> None:
         self.number = next(_connection_numbers)
-        self.max_body_bytes = max_body_bytes
+        self.rules = rules
         self.on_skipped = on_skipped
-        self.allow_close_delimited = allow_close_delimited
         self.loop = asyncio.get_running_loop()
-        self.reader = ResponseReader(MAX_HEAD_BYTES, max_body_bytes)
+        self.reader = ResponseReader(MAX_HEAD_BYTES, rules.max_body_bytes)
         self.transport: asyncio.Transport
         self.result_future: asyncio.Future[SendResult] | None = None
         self.received_data = False  #: since the current request was sent
@@ -95,7 +104,7 @@
         try:
             messages = self.reader.feed(data)
         except BodyTooLarge:
-            detail = f'the answer is larger than {self.max_body_bytes} bytes'
+            detail = f'the answer is larger than {self.rules.max_body_bytes} bytes'
             self.abort(Lost(detail, ErrorKind.OUTCOME_UNKNOWN))
         except MalformedMessage as exc:
             self.abort(Lost(str(exc), ErrorKind.INCOMPLETE_ANSWER))
@@ -148,7 +157,7 @@
             self.on_skipped(message.headers)
         if self.reader.broken:
             self.abort(Lost('bytes that are no answer', ErrorKind.INCOMPLETE_ANSWER))
-        elif not self.allow_close_delimited and self.reader.is_close_delimited:
+        elif not self.rules.allow_close_delimited and self.reader.is_close_delimited:
             # A truncated body could not be distinguished from a complete one.
             self.abort(Lost('the answer has no length', ErrorKind.OUTCOME_UNKNOWN))
 
@@ -159,7 +168,8 @@
         has_read_request = not self.transport.get_write_buffer_size()
         is_clean = not has_extra and not reader.broken and not reader.in_message
         earlier_responses = self.response_count
-        if message.keep_alive and is_clean and has_read_request:
+        is_attributable = self.rules.names_request(message.headers)
+        if message.keep_alive and is_clean and has_read_request and is_attributable:
             self.response_count += 1
             self.last_response_at = self.loop.time()
         else:
@@ -171,6 +181,6 @@
         self.set_result(Answered(response, self.number, earlier_responses))
 
     def _finish_close_delimited(self) -> None:
-        message = self.reader.feed_eof() if self.allow_close_delimited else None
+        message = self.reader.feed_eof() if self.rules.allow_close_delimited else None
         if message is not None and self.matches_request(message.headers):
             self._set_response(message, self.response_count)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -55,7 +55,7 @@
 from dunlinsaddle.mesh.target_status import TargetStatus
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
-from dunlinsaddle.platform.requests import read_request_id
+from dunlinsaddle.platform.requests import names_request, read_request_id
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.quota import QuotaLedger
@@ -194,7 +194,9 @@
 
     def _build_calls(self) -> None:
         cfg = self.settings
-        self.client = HttpClient(MAX_BODY_BYTES, allow_close_delimited=True)
+        self.client = HttpClient(
+            MAX_BODY_BYTES, allow_close_delimited=True, names_request=names_request
+        )
         self.client.on_skipped = self._on_answer_skipped
         self.executor = Executor(
             self.target,
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -79,6 +79,11 @@
     return [*headers, *added]
 
 
+def names_request(headers: Headers) -> bool:
+    """Return whether a response names the request that it belongs to."""
+    return any(name == names.REQUEST_ID for name, _ in headers)
+
+
 def matches_request(request_id: str, headers: Headers) -> bool:
     """Return whether a response belongs to a request, or has no request ID at all."""
     for name, value in headers:
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -39,6 +39,12 @@
     request_id: str
 
 
+def build_refusal(req: HttpRequest, status: int = 503) -> HttpResponse:
+    """Build the response of a target that does not run a request."""
+    names = [(b'request-id', req.header(b'request-id').encode()), (b'not-executed', b'1')]
+    return HttpResponse(status, names, b'')
+
+
 class MeshTarget:
     """A target that sends heartbeats, checks the expected instance, and signs its responses."""
 
@@ -65,7 +71,7 @@
         now = asyncio.get_running_loop().time()
         self.arrivals.append(Arrival(now, req.header(b'caller-service'), request_id))
         if req.header(b'expected-instance') not in ('', self.target_id):
-            return HttpResponse(421, [], b'')
+            return build_refusal(req, 421)
         self.runs[request_id] += 1
         self.requests.append(req)
         if self.respond is not None:
--- a/tests/fakes/target.py
+++ b/tests/fakes/target.py
@@ -62,13 +62,17 @@
     """A target that sends each refusal twice: the copy where a later response is expected.
 
     The first ``refusals`` sends of each request are refused. The copy comes before the response to
-    the next request on its connection, after ``gap`` others.
+    the next request on its connection, after ``gap`` others. Without ``is_named``, refusals do not
+    name their request.
     """
 
-    def __init__(self, refusals: int, *, status: int = 503, gap: int = 0) -> None:
+    def __init__(
+        self, refusals: int, *, status: int = 503, gap: int = 0, is_named: bool = True
+    ) -> None:
         self.refusals = refusals
         self.status = status
         self.gap = gap
+        self.is_named = is_named
         self.sends: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
         self.server = ScriptedTarget(self._respond)
@@ -81,7 +85,8 @@
         connection.write(copies.popleft() if copies else b'')
         self.sends[request_id] += 1
         if self.sends[request_id] <= self.refusals:
-            refusal = self._encode(request_id, self.status, b'not-executed: 1\r\n')
+            name = request_id if self.is_named else ''
+            refusal = self._encode(name, self.status, b'not-executed: 1\r\n')
             copies.append(refusal)
             connection.write(refusal)
             return
@@ -91,5 +96,5 @@
         connection.write(self._encode(request_id, 200, b'server-signature: s\r\n'))
 
     def _encode(self, request_id: str, status: int, header: bytes) -> bytes:
-        head = b'HTTP/1.1 %d \r\nrequest-id: %s\r\n' % (status, request_id.encode())
-        return head + header + b'content-length: 0\r\n\r\n'
+        name = b'request-id: %s\r\n' % request_id.encode() if request_id else b''
+        return b'HTTP/1.1 %d \r\n' % status + name + header + b'content-length: 0\r\n\r\n'
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,10 +4,9 @@
 import os
 
 from dunlinsaddle.calls.decisions import MAX_LINES_PER_SECOND, Event
-from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.logs import MAX_BUFFERED_LINES, NonBlockingStream, create_logger
 from tests.clock import PausedClockTest
-from tests.fakes.mesh import Mesh
+from tests.fakes.mesh import Mesh, build_refusal
 from tests.utils import run_cli
 
 SETTLE_SECONDS = 4.0  #: until the nodes know each other
@@ -53,7 +52,7 @@
         # Without them nobody can tell which node sent more repeats than its part, and why.
         async def scenario(mesh):
             async def refuse(req):
-                return HttpResponse(503, [(b'not-executed', b'1')], b'')
+                return build_refusal(req)
 
             mesh.targets['c'].respond = mesh.targets['d'].respond = refuse
             for _ in range(3):
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -11,7 +11,7 @@
 from dunlinsaddle.policy.carried_requests import Verdict
 from dunlinsaddle.policy.retry_budget import EXTRA_SHARE, RepeatKind
 from tests.builders import build_pending_call
-from tests.fakes.mesh import LIMITS
+from tests.fakes.mesh import LIMITS, build_refusal
 from tests.mesh_case import MeshTest
 
 
@@ -186,7 +186,7 @@
     def test_calls_of_a_request_that_was_refused_before_count_as_retries(self):
         # Otherwise two services that refuse calls get more repeats than the budget of the second.
         def refuse(target, req):
-            return HttpResponse(503, [(b'not-executed', b'1')], b'')
+            return build_refusal(req)
 
         self.assertGreater(self.count_repeated_calls(refuse), 0)
 
@@ -265,7 +265,7 @@
 
         async def refuse_some(req):
             if rng.random() < b.refused_share:
-                return HttpResponse(503, [(b'not-executed', b'1')], b'')
+                return build_refusal(req)
             return b.signed_response(req)
 
         a.respond, b.respond = respond, refuse_some
--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -6,6 +6,7 @@
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
 from dunlinsaddle.calls.listener import HttpListener
+from tests.fakes.mesh import build_refusal
 from tests.fakes.target import RepeatingTarget
 from tests.mesh_case import MeshTest
 
@@ -40,7 +41,7 @@
     def test_a_request_that_a_target_did_not_execute_is_sent_to_another_target(self):
         async def scenario(mesh):
             async def refuse(req):
-                return HttpResponse(503, [(b'not-executed', b'1')], b'')
+                return build_refusal(req)
 
             mesh.targets['b'].respond = refuse
             return {(await mesh.call('a', '/deep/x', 'POST')).status for _ in range(10)}
@@ -54,7 +55,7 @@
         # calls were sent to it first.
         async def scenario(mesh):
             async def refuse(req):
-                return HttpResponse(503, [(b'not-executed', b'1')], b'')
+                return build_refusal(req)
 
             mesh.targets['b'].respond = refuse
             for target in mesh.targets.values():
@@ -97,13 +98,22 @@
     def test_a_late_copy_of_a_refusal_does_not_end_the_next_send(self):
         for status, gap, refusals in itertools.product((503, 421), (0, 1, 2), (1, 2, 3)):
             target = RepeatingTarget(refusals, status=status, gap=gap)
-            statuses = self.run_mesh(partial(self.send_to, target), kind='unsafe', attempts=1)
-            message = f'{status}, {gap} others, {refusals} refusals: {statuses}'
-            # A target that answers 421 is another one, and gets the request no second time.
-            self.assertEqual(status == 503, bool(target.runs), message)
-            self.assertEqual(len(target.runs), sum(target.runs.values()), message)
-            self.assertEqual(len(target.runs), statuses.count(200), message)
-            self.assertEqual(30, statuses.count(200) + statuses.count(503), message)
+            self.assert_runs_are_answered(target, f'{status}, {gap} others, {refusals} refusals')
+
+    # A late copy of a refusal that names no request was taken for the answer to any other one.
+    def test_a_late_copy_of_a_refusal_that_names_no_request_ends_no_other_request(self):
+        for status, gap in itertools.product((503, 421), (0, 1, 2)):
+            target = RepeatingTarget(1, status=status, gap=gap, is_named=False)
+            self.assert_runs_are_answered(target, f'{status}, {gap} others')
+
+    def assert_runs_are_answered(self, target, case):
+        statuses = self.run_mesh(partial(self.send_to, target), kind='unsafe', attempts=1)
+        message = f'{case}: {statuses}'
+        # A target that answers 421 is another one, and gets the request no second time.
+        self.assertEqual(target.status == 503, bool(target.runs), message)
+        self.assertEqual(len(target.runs), sum(target.runs.values()), message)
+        self.assertEqual(len(target.runs), statuses.count(200), message)
+        self.assertEqual(30, statuses.count(200) + statuses.count(503), message)
 
     async def send_to(self, repeating, mesh):
         """Put a target in the place of b's, and return the statuses of thirty requests to it."""
