--- a/dunlinsaddle/calls/accepted_connection.py
+++ b/dunlinsaddle/calls/accepted_connection.py
@@ -27,6 +27,7 @@
 )
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers
+from dunlinsaddle.calls.movable_timer import MovableTimer
 from dunlinsaddle.errors import ErrorKind, Failure
 
 MAX_TARGET_BYTES = 8192  #: of a path with its query; RFC 9110, 4.1 asks for at least 8,000
@@ -39,7 +40,6 @@
 LINGER_SECONDS = 1.0
 #: Retry-After of a request for whose body there is no memory; most bodies are held for less.
 BODY_MEMORY_RETRY_SECONDS = 1.0
-TIMER_RESOLUTION_SECONDS = 0.001  #: an event loop may run a timer early by less than that
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 #: Pipelined requests of these methods may run concurrently (RFC 9112, 9.3.2).
 SAFE_METHODS = frozenset({b'GET', b'HEAD', b'OPTIONS'})
@@ -94,8 +94,7 @@
         self.listener = listener
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport
-        self.timer: asyncio.TimerHandle | None = None
-        self.timeout_at = math.inf
+        self.timer = MovableTimer(self.loop, self._handle_timeout)
         self.reader = RequestReader(
             listener.limits.max_header_bytes,
             listener.limits.max_body_bytes,
@@ -132,14 +131,12 @@
         if len(self.listener.connections) > self.listener.limits.max_connections:
             self._refuse(Failure(ErrorKind.TOO_MANY_CONNECTIONS, retry_after=1.0))
             return
-        self._set_timer(self.listener.limits.header_timeout)
+        self.timer.set(self.listener.limits.header_timeout)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress: their responses can no longer be delivered."""
         self.listener.connections.discard(self)
-        self._stop_timer()
-        if self.timer is not None:
-            self.timer.cancel()
+        self.timer.close()
         self._cancel_requests()
         self._release_bodies()
         self.listener.notify_idle_waiters()
@@ -171,7 +168,7 @@
         self.is_write_paused = False
         self.listener.notify_idle_waiters()
         if self.discards_input:
-            self._set_timer(LINGER_SECONDS)
+            self.timer.set(LINGER_SECONDS)
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
@@ -186,26 +183,6 @@
     def _has_pending_input(self) -> bool:
         return bool(self.unread or self.unstarted) or not self.reader.idle
 
-    def _set_timer(self, timeout: float) -> None:
-        # The timeout changes several times per request and mostly moves later. A timer that
-        # fires early and is set again costs less than cancelling one at each change.
-        self.timeout_at = self.loop.time() + timeout
-        if self.timer is not None:
-            if self.timer.when() <= self.timeout_at:
-                return
-            self.timer.cancel()
-        self.timer = self.loop.call_at(self.timeout_at, self._check_timeout)
-
-    def _stop_timer(self) -> None:
-        self.timeout_at = math.inf
-
-    def _check_timeout(self) -> None:
-        self.timer = None
-        if self.timeout_at <= self.loop.time() + TIMER_RESOLUTION_SECONDS:
-            self._handle_timeout()
-        elif self.timeout_at < math.inf:
-            self.timer = self.loop.call_at(self.timeout_at, self._check_timeout)
-
     def _handle_timeout(self) -> None:
         if self.is_write_paused or self.transport.is_closing():
             self.transport.abort()
@@ -226,7 +203,7 @@
         else:
             self.transport.close()
         is_sent = self.discards_input and not self.is_write_paused
-        self._set_timer(LINGER_SECONDS if is_sent else self.listener.limits.header_timeout)
+        self.timer.set(LINGER_SECONDS if is_sent else self.listener.limits.header_timeout)
         self.listener.notify_idle_waiters()
 
     def _cancel_requests(self) -> None:
@@ -276,7 +253,7 @@
         if self.reader.idle:
             # The timeout covers the whole head, not the gap between two bytes: a sender that
             # trickles bytes would otherwise hold the connection forever.
-            self._set_timer(self.listener.limits.header_timeout)
+            self.timer.set(self.listener.limits.header_timeout)
             self.read_started_at = now
             self.body_started_at = math.inf
         try:
@@ -306,7 +283,7 @@
             # The next request has begun in the same data.
             self.read_started_at = now
             self.body_started_at = math.inf
-            self._set_timer(self.listener.limits.header_timeout)
+            self.timer.set(self.listener.limits.header_timeout)
 
     def _extend_body_timeout(self, now: float) -> None:
         """Allow a body that makes progress to arrive in full, however large it is."""
@@ -316,10 +293,10 @@
         self.body_started_at = min(self.body_started_at, now)
         header_timeout = self.listener.limits.header_timeout
         allowed_seconds = header_timeout + self.reader.body_size / MIN_BODY_BYTES_PER_SECOND
-        self._set_timer(min(header_timeout, self.body_started_at + allowed_seconds - now))
+        self.timer.set(min(header_timeout, self.body_started_at + allowed_seconds - now))
 
     def _start_request(self, message: RequestMessage) -> None:
-        self._stop_timer()
+        self.timer.stop()
         self.has_sent_continue = False
         exchange = _Exchange(message.method, self.loop.time(), keep_alive=message.keep_alive)
         if len(message.target) > MAX_TARGET_BYTES:
@@ -413,12 +390,12 @@
         if self.exchanges or self.is_ending:
             return
         limits = self.listener.limits
-        self._set_timer(limits.header_timeout if self._has_pending_input() else limits.idle_timeout)
+        self.timer.set(limits.header_timeout if self._has_pending_input() else limits.idle_timeout)
         self.listener.notify_idle_waiters()
 
     def _refuse(self, failure: Failure) -> None:
         """Answer a request that cannot be processed, after the responses before it, and close."""
-        self._stop_timer()
+        self.timer.stop()
         self.unread = b''
         self.discards_input = not self.reader.idle
         self.listener.on_refusal(self.reader.headers, failure)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -1,7 +1,6 @@
 """A node on the users' platform: creates its components, connects them and runs their tasks."""
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Callable, Coroutine
 from functools import partial
@@ -13,7 +12,7 @@
 from dunlinsaddle.access.peers import GossipPeers
 from dunlinsaddle.access.quotas import QuotaCoordinator
 from dunlinsaddle.calls.body_memory import BodyMemory
-from dunlinsaddle.calls.call_state import PendingCall, RunningCalls, read_call_frame
+from dunlinsaddle.calls.call_state import RunningCalls, read_call_frame
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.decisions import DecisionLog
@@ -26,7 +25,6 @@
 from dunlinsaddle.calls.listener import HttpListener
 from dunlinsaddle.calls.messages import (
     Call,
-    Headers,
     RecordFrame,
     RecordsRequest,
     RecordsResponse,
@@ -35,7 +33,6 @@
 from dunlinsaddle.calls.peer_server import PeerServer
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.environment import Environment
-from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.membership.agent import GossipAgent
 from dunlinsaddle.membership.coordinators import StoreWatchers
@@ -48,14 +45,16 @@
 from dunlinsaddle.mesh.ingress import IngressHandler
 from dunlinsaddle.mesh.learned_state import LearnedStateExchange, Sources
 from dunlinsaddle.mesh.level_gossip import LevelGossip
+from dunlinsaddle.mesh.reports import RequestReports
 from dunlinsaddle.mesh.retries import BudgetedRetries
 from dunlinsaddle.mesh.settings import DeploymentLimits, MeshSettings
+from dunlinsaddle.mesh.shutdown import drain_requests, shutdown_times
 from dunlinsaddle.mesh.startup import startup_delays
 from dunlinsaddle.mesh.target_protocol import MeshTargetProtocol
 from dunlinsaddle.mesh.target_status import TargetStatus
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
-from dunlinsaddle.platform.requests import names_request, read_request_id
+from dunlinsaddle.platform.requests import names_request
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.quota import QuotaLedger
@@ -66,7 +65,7 @@
 from dunlinsaddle.routes.lease_renewal import LeaseRenewer
 from dunlinsaddle.routes.models import Configuration
 from dunlinsaddle.settings import Address
-from dunlinsaddle.stats import CallLabel, Hop, Stats
+from dunlinsaddle.stats import Stats
 
 if TYPE_CHECKING:
     from dunlinsaddle.mesh.metrics import MeshMetrics
@@ -79,19 +78,11 @@
 MAX_HELD_BODY_BYTES = MAX_BODY_BYTES
 #: Requests of one connection that run at the same time. Callers that pipeline send a few.
 MAX_PIPELINED_REQUESTS = 16
-#: Time for which a stopping node still accepts requests. Callers learn that it is not ready from
-#: two readiness checks, a second apart, and requests already sent arrive after that.
-CALLER_DRAIN_SECONDS = 2.5
 #: Timeout of one call to the store. It responds in 4 ms, and in about 400 ms when impaired.
 STORE_TIMEOUT_SECONDS = 2.0
 #: Share of the drain time in which calls may still wait for a draining target. The rest is for
 #: calls in flight, and for refused calls to be served by other targets.
 DRAIN_WAIT_SHARE = 0.5
-#: Share of the grace time in which a stopping node starts requests: later ones, such as uploads
-#: that were still arriving, would mostly be cut off at its end, and are refused as not run.
-LATEST_START_SHARE = 0.5
-#: Time before the kill at which a stopping node ends the requests that still run.
-KILL_MARGIN_SECONDS = 0.4
 #: The platform provides no secret, and its network is closed: the key only rejects connections
 #: that reach the peer and gossip ports by mistake.
 PEER_KEY = 'dunlinsaddle on the platform'
@@ -128,6 +119,7 @@
         self.incarnation = int(env.wall_clock() * 1000)
         self.stats = Stats()
         self.decisions = DecisionLog(logger)
+        self.reports = RequestReports(self.stats, self.decisions, logger)
         self.is_stopping = False
         self.target = LocalTarget()
         self.running = RunningCalls()
@@ -155,9 +147,9 @@
         self.agent = GossipAgent(self.view, PEER_KEY, self._new_rng(), times=GOSSIP_TIMES)
         self.links = PeerLinks(PEER_KEY, cfg.instance, limits)
         self.peer_server = PeerServer(
-            PEER_KEY, self._serve_peer, limits, self._handle_peer_exception, self.body_memory
+            PEER_KEY, self._serve_peer, limits, self.reports.peer_fault, self.body_memory
         )
-        self.peer_server.on_body_refused = self._on_peer_body_refused
+        self.peer_server.on_body_refused = self.reports.peer_body_refused
         self.configuration_lease = ConfigurationLease(
             self.env.boottime_clock, cfg.limits.revocation_seconds
         )
@@ -197,7 +189,7 @@
         self.client = HttpClient(
             MAX_BODY_BYTES, allow_close_delimited=True, names_request=names_request
         )
-        self.client.on_skipped = self._on_answer_skipped
+        self.client.on_skipped = self.reports.answer_skipped
         self.executor = Executor(
             self.target,
             self.admission,
@@ -253,7 +245,7 @@
             self.running,
             self._new_rng(),
             self.decisions,
-            self._on_request_end,
+            self.reports.request_ended,
             self.quotas,
         )
         self.ingress.on_repeat = self.budget_lending.handle_repeat
@@ -289,20 +281,20 @@
         self.callers_listener = HttpListener(
             self.ingress.handle,
             limits,
-            self._handle_exception,
+            self.reports.request_fault,
             pipeline=MAX_PIPELINED_REQUESTS,
             body_memory=self.body_memory,
-            on_refusal=self._on_listener_refusal,
+            on_refusal=self.reports.request_refused_unread,
         )
         self.heartbeat_listener = HttpListener(
-            self.heartbeat_endpoint.handle, HttpLimits(), self._handle_exception
+            self.heartbeat_endpoint.handle, HttpLimits(), self.reports.request_fault
         )
         self.readiness_listener = HttpListener(
-            self._handle_readiness, HttpLimits(), self._handle_exception
+            self._handle_readiness, HttpLimits(), self.reports.request_fault
         )
         self.metrics: MeshMetrics | None = None  #: created on the first request for metrics
         self.metrics_listener = HttpListener(
-            self._handle_metrics, HttpLimits(), self._handle_exception
+            self._handle_metrics, HttpLimits(), self.reports.request_fault
         )
 
     async def start(self) -> ListenAddresses:
@@ -344,22 +336,15 @@
 
     async def drain(self) -> None:
         """Stop new work at the target, wait for callers to leave, and finish running requests."""
-        started_at = self.now()
-        grace_seconds = self.settings.limits.grace_seconds
-        kill_at = started_at + grace_seconds - KILL_MARGIN_SECONDS
+        times = shutdown_times(self.now(), self.settings.limits.grace_seconds)
         self.is_stopping = True
-        self.ingress.refuses_from = started_at + grace_seconds * LATEST_START_SHARE
+        self.ingress.refuses_from = times.refuse_at
         self.target.node_draining = True
         self._announce_self()
         self.executor.refuse_waiting()
         self.callers_listener.start_closing()
         requests = RequestDrain(self.callers_listener, self.peer_server, self.running)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(kill_at):
-                await asyncio.sleep(min(CALLER_DRAIN_SECONDS, grace_seconds * LATEST_START_SHARE))
-                await requests.finish_target()
-                await requests.finish()
-        requests.log_end(self.logger, self.now() - started_at)
+        await drain_requests(requests, times, self.logger)
 
     async def stop(self) -> None:
         """Cancel the tasks and close all listeners and connections."""
@@ -477,13 +462,6 @@
         if self.target.draining and self.target.incarnation == incarnation:
             self.executor.refuse_waiting()
 
-    def _on_request_end(self, call: PendingCall, reply: Reply, elapsed: float) -> None:
-        rank = call.ctx.priority.rank.name.lower()
-        self.stats.record_call(CallLabel(call.ctx.service, rank, reply.outcome.value, reply.kind))
-        self.stats.record_latency(Hop.WHOLE, elapsed)
-        if reply.kind and reply.outcome is Outcome.NOT_RUN and not call.ctx.hop:
-            self.stats.record_refusal(reply.kind, rank, call.ctx.organisation)
-
     def _answer_records(self, frame: RecordFrame) -> RecordsResponse | None:
         response = self.follower.answer_peer(frame)
         if response is not None and isinstance(frame, RecordsRequest) and frame.wants_learned_state:
@@ -494,32 +472,6 @@
         self.target_status.restore(call.request_id, call.target_state)
         return await self.executor.execute(read_call_frame(call, self.now()))
 
-    def _handle_peer_exception(self, call: Call) -> None:
-        self.stats.faults += 1
-        self.logger.exception(
-            'unhandled exception while answering a peer', extra={'service': call.service}
-        )
-
-    def _handle_exception(self, req: HttpRequest) -> None:
-        self.stats.faults += 1
-        self.logger.exception(
-            'unhandled exception while answering a request', extra={'path': req.path}
-        )
-
-    def _on_listener_refusal(self, headers: Headers, failure: Failure) -> None:
-        if failure.kind is ErrorKind.TOO_MANY_BODIES:
-            self.stats.shed[failure.kind.value] += 1
-        self.stats.record_refusal(failure.kind.value)
-        self.decisions.log_unread(read_request_id(headers), failure)
-
-    def _on_answer_skipped(self, headers: Headers) -> None:
-        self.stats.answers_skipped += 1
-        self.decisions.log_skipped(read_request_id(headers))
-
-    def _on_peer_body_refused(self, call: Call, failure: Failure) -> None:
-        self.stats.shed[ErrorKind.TOO_MANY_BODIES.value] += 1
-        self.decisions.log_unread(call.request_id, failure)
-
     def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(coro)
         self._tasks.add(task)
