Soak: full pipes through stops, refusals, and answers that come twice

The stand-in now refuses and repeats a share of its answers, and names the request as targets do; a caller on each machine may keep a pipe full; what ran and whose connection ended without an answer is a finding, and a stop is no excuse.

--- a/dunlinsaddle/calls/listener.py
+++ b/dunlinsaddle/calls/listener.py
@@ -4,6 +4,7 @@
 import os
 import socket
 from collections.abc import Callable
+from functools import partial
 
 from dunlinsaddle.calls.accepted_connection import AcceptedConnection, Handler
 from dunlinsaddle.calls.body_memory import BodyMemory
@@ -49,6 +50,8 @@
         self.on_refusal = on_refusal
         self.body_memory = body_memory or BodyMemory()
         self.connections: set[AcceptedConnection] = set()
+        #: Creates the protocol of each accepted connection.
+        self.new_connection: Callable[[], AcceptedConnection] = partial(AcceptedConnection, self)
         self.accepting = True
         self.closing = False
         self.finishing = False
@@ -59,7 +62,7 @@
         """Start listening and return the bound address. Raises OSError if it is in use."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: AcceptedConnection(self),
+            self.new_connection,
             address.host,
             address.port,
             backlog=MAX_ACCEPTS_PER_EVENT,
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -60,6 +60,8 @@
     service_seconds: float = 0.02
     downstream_paths: tuple[str, ...] = ()
     kind: str = 'safe'
+    refused_share: float = 0.0  #: of the requests
+    repeated_share: float = 0.0  #: of the answers, sent once more where the next is expected
 
 
 class UnconfirmedWriteError(Exception):
@@ -240,6 +242,7 @@
         f'{host}:{LISTENER_PORTS["outbound"]}',
     ]
     argv += ['--slots', str(spec.slots), '--seconds', str(spec.service_seconds)]
+    argv += ['--refuse', str(spec.refused_share), '--repeat', str(spec.repeated_share)]
     for path in spec.downstream_paths:
         argv += ['--call', path]
     return argv
--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -5,10 +5,14 @@
 import contextlib
 import signal
 import time
+from functools import partial
+from random import Random
+from typing import Any, cast
 
 import msgspec
 import uuid6
 
+from dunlinsaddle.calls.accepted_connection import AcceptedConnection
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
@@ -30,6 +34,48 @@
     leaving: bool = False
 
 
+class _RepeatingTransport:
+    """Keeps a copy of a share of what is written, and delegates all else to a transport."""
+
+    def __init__(self, transport: asyncio.BaseTransport, rng: Random, share: float) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._rng = rng
+        self._share = share
+        self._copy = b''
+
+    def write(self, data: bytes) -> None:
+        """Write a response, which is kept if it is to be repeated."""
+        self._copy = data if self._rng.random() < self._share else b''
+        self._transport.write(data)
+
+    def write_copy(self) -> None:
+        """Write the kept response once more, if there is one."""
+        copy, self._copy = self._copy, b''
+        if copy:
+            self._transport.write(copy)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+
+class RepeatingConnection(AcceptedConnection):
+    """Sends a share of its responses twice, the copy where the next response is expected."""
+
+    def __init__(self, listener: HttpListener, rng: Random, share: float) -> None:
+        super().__init__(listener)
+        self._new_transport = partial(_RepeatingTransport, rng=rng, share=share)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to read."""
+        self._repeating = self._new_transport(transport)
+        super().connection_made(cast(asyncio.Transport, self._repeating))
+
+    def data_received(self, data: bytes) -> None:
+        """Repeat the last response before the next request is read."""
+        self._repeating.write_copy()
+        super().data_received(data)
+
+
 class MeshTarget:
     """Runs requests addressed to its id, at most ``slots`` at once, and reports which it ran."""
 
@@ -41,6 +87,7 @@
         self.draining = False
         self.state = AdvertisedState()
         self.running_count = 0
+        self.rng = Random(self.started_at_ms)
         self.run_counts: dict[str, int] = {}
         self.client = HttpClient()
 
@@ -57,11 +104,12 @@
         request_id = req.header(names.REQUEST_ID)
         print(f'got {self.target_id} {time.monotonic():.4f} {request_id}', flush=True)  # noqa: T201
         if req.header(names.EXPECTED_TARGET) != self.target_id:
-            return HttpResponse(
-                MISDIRECTED_REQUEST, [(names.TARGET_ID, self.target_id.encode())], b''
-            )
-        if self.running_count >= self.options.slots:
-            return HttpResponse(503, [(names.NOT_EXECUTED, b'1'), *self._state_headers()], b'')
+            headers = [_name(req), (names.TARGET_ID, self.target_id.encode())]
+            return HttpResponse(MISDIRECTED_REQUEST, headers, b'')
+        is_refused = self.rng.random() < self.options.refuse
+        if is_refused or self.running_count >= self.options.slots:
+            headers = [_name(req), (names.NOT_EXECUTED, b'1'), *self._state_headers()]
+            return HttpResponse(503, headers, b'')
         self.running_count += 1
         try:
             return await self._run(req)
@@ -77,7 +125,7 @@
         succeeded = [await self._call(path, request_id) for path in self.options.call]
         status = 200 if all(succeeded) else 500
         headers = [
-            (names.REQUEST_ID, request_id.encode()),
+            _name(req),
             (names.SERVER_SIGNATURE, self.target_id.encode()),
             *self._state_headers(),
         ]
@@ -122,6 +170,11 @@
         return isinstance(exchange, Answered) and exchange.response.status == 200
 
 
+def _name(req: HttpRequest) -> tuple[bytes, bytes]:
+    """Return the header by which a response names its request."""
+    return names.REQUEST_ID, req.header(names.REQUEST_ID).encode()
+
+
 async def _send_heartbeats(target: MeshTarget) -> None:
     while True:
         await target.send_heartbeat()
@@ -134,6 +187,7 @@
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     listener = HttpListener(target.handle, HttpLimits())
+    listener.new_connection = partial(RepeatingConnection, listener, target.rng, options.repeat)
     print(await listener.listen(options.listen), flush=True)  # noqa: T201
     heartbeat_task = asyncio.create_task(_send_heartbeats(target))
     await stop.wait()
@@ -158,6 +212,8 @@
     parser.add_argument('--seconds', type=float, default=0.02)
     parser.add_argument('--drain', type=float, default=1.0)
     parser.add_argument('--call', action='append', default=[])
+    parser.add_argument('--refuse', type=float, default=0.0, help='Share of the requests.')
+    parser.add_argument('--repeat', type=float, default=0.0, help='Share of the answers.')
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(serve(parser.parse_args()))
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -9,12 +9,14 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import queue
 import signal
 import subprocess
 import sys
 from collections import Counter
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, NamedTuple
@@ -28,7 +30,9 @@
 from dunlinsaddle.platform import headers as names
 from standins.mesh import MeshFleet, ServiceSpec, UnconfirmedWriteError, build_call_headers
 from standins.mesh_target import AdvertisedState
+from standins.pipelining import LostRequest, PipeliningCaller
 from standins.proxy import ProxyFault
+from standins.soak_cuts import find_cut_requests
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
@@ -92,6 +96,7 @@
     announced_rates: list[AnnouncedRate] = field(default_factory=list)
     relayed_leaving: list[RelayedLeaving] = field(default_factory=list)
     disruptions: list[NodeDisruption] = field(default_factory=list)
+    lost: list[LostRequest] = field(default_factory=list)
 
 
 class Variant(NamedTuple):
@@ -100,6 +105,9 @@
     restores_store: bool = False  #: the store is restored from copies during the run
     announces_state: bool = False  #: targets advertise rates and that they are leaving
     machines_per_service: int = MACHINES_PER_SERVICE
+    refused_share: float = 0.0  #: of the requests, which targets do not run
+    repeated_share: float = 0.0  #: of the answers, which targets send once more, late
+    outstanding: int = 0  #: requests of callers that always have some in progress; 0 for none
 
 
 class Soak:
@@ -117,11 +125,15 @@
 
     async def run(self, seconds: float) -> RunRecord:
         """Start the processes, inject faults for ``seconds``, clear them, and check the results."""
+        variant = self.variant
         await self.fleet.configure(SERVICE_SPECS)
-        for number in range(self.variant.machines_per_service):
+        for number in range(variant.machines_per_service):
             for spec in SERVICE_SPECS:
+                faulty = spec._replace(
+                    refused_share=variant.refused_share, repeated_share=variant.repeated_share
+                )
                 await self.fleet.start_machine(
-                    f'{spec.service}-{number}', f'd{number % MAX_DOMAINS}', spec
+                    f'{spec.service}-{number}', f'd{number % MAX_DOMAINS}', faulty
                 )
         extra_machines = max(
             len(self.fleet.machines) - MACHINES_PER_SERVICE * len(SERVICE_SPECS), 0
@@ -132,7 +144,8 @@
         workers = [
             asyncio.create_task(self._send_requests(number)) for number in range(WORKER_COUNT)
         ]
-        await self._inject_faults_for(seconds)
+        async with self._pipelining_callers():
+            await self._inject_faults_for(seconds)
         self.services.append(f'r{self.fleet.accepted_version}')
         await self._wait_until_served('after the last fault', RECOVERY_SECONDS)
         if self.variant.restores_store:
@@ -143,6 +156,7 @@
         run_counts, arrivals = self._read_target_output()
         record = self.record
         record.findings += find_violations(record.requests, run_counts)
+        record.findings += find_cut_requests(record.lost, run_counts, record.disruptions)
         record.findings += find_rate_violations(record.announced_rates, arrivals)
         sent = [
             CallerRequest(request.request_id, request.ingress, request.sent_at)
@@ -153,6 +167,22 @@
         )
         return record
 
+    @contextlib.asynccontextmanager
+    async def _pipelining_callers(self) -> AsyncIterator[None]:
+        """Let a caller on each machine keep requests in progress all the time."""
+        outstanding = self.variant.outstanding
+        callers = [
+            PipeliningCaller(name, machine.outbound_address, '/views/x', outstanding)
+            for name, machine in self.fleet.machines.items()
+            if outstanding
+        ]
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        yield
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.record.lost = [lost for caller in callers for lost in caller.lost]
+
     async def _send_requests(self, number: int) -> None:
         client = HttpClient()
         rng = Random(self.rng.random())
@@ -345,11 +375,12 @@
         self.record.announced_rates.append(AnnouncedRate(target_id, rate, since, loop.time()))
         await self.fleet.set_advertised_state(name, AdvertisedState())
 
-    def _record_disruption(self, name: str) -> None:
-        self.record.disruptions.append(NodeDisruption(name, asyncio.get_running_loop().time()))
+    def _record_disruption(self, name: str, *, is_planned: bool = False) -> None:
+        now = asyncio.get_running_loop().time()
+        self.record.disruptions.append(NodeDisruption(name, now, is_planned))
 
     async def _end_node(self, name: str, signum: signal.Signals) -> None:
-        self._record_disruption(name)
+        self._record_disruption(name, is_planned=signum is signal.SIGTERM)
         node = self.fleet.machines[name].node
         node.kill(signal.SIGCONT)
         await _end(node.popen, signum)
@@ -437,11 +468,22 @@
     parser.add_argument(
         '--says', action='store_true', help='Let targets advertise rates and that they are leaving.'
     )
+    parser.add_argument(
+        '--refuse', type=float, default=0.0, help='Share of the requests that targets refuse.'
+    )
+    parser.add_argument(
+        '--repeat', type=float, default=0.0, help='Share of the answers that targets send twice.'
+    )
+    parser.add_argument(
+        '--outstanding', type=int, default=0, help='Requests that callers keep in progress.'
+    )
     parser.add_argument(
         '--copies', type=int, default=MACHINES_PER_SERVICE, help='Machines per service.'
     )
     args = parser.parse_args()
-    variant = Variant(args.returns, args.says, args.copies)
+    variant = Variant(
+        args.returns, args.says, args.copies, args.refuse, args.repeat, args.outstanding
+    )
     first, _, last = args.seeds.partition('-')
     failed_seeds = 0
     for seed in range(int(first), int(last or first) + 1):
--- a/standins/soak_says.py
+++ b/standins/soak_says.py
@@ -55,6 +55,7 @@
 
     node: str
     at: float
+    is_planned: bool = False  #: stopped by SIGTERM
 
 
 def parse_arrival(line: str) -> Arrival | None:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,9 +5,9 @@
 
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.membership.view import State
+from standins.pipelining import PipeliningCaller
 from tests.builders import build_configuration, build_route
 from tests.fakes.mesh import Mesh
-from tests.fakes.pipelining import PipeliningCaller
 from tests.mesh_case import MeshTest
 
 
@@ -204,7 +204,8 @@
             callers = self.stop_under_pipelined_load(outstanding, seconds)
             for caller in callers:
                 started = {r.header(b'request-id') for r in self.requests}
-                self.assertEqual(set(), started & {*caller.lost, *caller.unread}, outstanding)
+                left = {*(lost.request_id for lost in caller.lost), *caller.unread}
+                self.assertEqual(set(), started & left, outstanding)
                 self.assertTrue(caller.answers[-1].closes)
 
     def stop_under_pipelined_load(self, outstanding, response_seconds):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,9 @@
 
 from dunlinsaddle.calls.http import HttpResponse, json_response
 from standins.mesh import MeshFleet, UnconfirmedWriteError
+from standins.pipelining import LostRequest
 from standins.soak import SentRequest, Variant, find_violations, run_seed
+from standins.soak_cuts import find_cut_requests
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
@@ -26,6 +28,8 @@
 RESTORES_SEED, RESTORES_SECONDS = 3, 4.0
 #: Nodes that do not read advertised states from responses fail this run.
 ADVERTISED_SEED, ADVERTISED_SECONDS = 1, 10.0
+#: Nodes that serve full pipes until they end fail this run.
+PIPES_SEED, PIPES_SECONDS = 101, 6.0
 
 
 class SoakTest(TestCase):
@@ -53,6 +57,12 @@
         self.assertTrue(record.relayed_leaving)
         self.assertEqual([], record.findings, record.faults)
 
+    # Stopping nodes cut off callers with a full pipe; late copies of refusals ended other sends.
+    def test_full_pipes_and_repeated_answers_lose_nothing_and_run_nothing_twice(self):
+        variant = Variant(refused_share=0.25, repeated_share=0.1, outstanding=4)
+        record = asyncio.run(run_seed(PIPES_SEED, PIPES_SECONDS, variant))
+        self.assertEqual([], record.findings, record.faults)
+
 
 class ConfigureTest(PausedClockTest):
     def configure(self, *responses: HttpResponse | None) -> tuple[list[str], list[Any]]:
@@ -106,6 +116,20 @@
         self.assertEqual(1, self.count_findings({'q': 1}, status=404))
 
 
+class CutRequestsTest(TestCase):
+    def test_a_stop_is_no_excuse_for_a_request_that_ran(self):
+        lost = [LostRequest('q', 'a', 10.0, 11.0)]
+        for counts, disruption, expected in (
+            ({'q': 1}, NodeDisruption('a', 9.0, is_planned=True), 1),
+            ({'q': 1}, NodeDisruption('a', 9.0), 0),
+            ({'q': 1}, NodeDisruption('a', 6.0), 1),
+            ({'q': 1}, NodeDisruption('b', 9.0), 1),
+            ({}, NodeDisruption('b', 9.0), 0),
+        ):
+            findings = find_cut_requests(lost, Counter(counts), [disruption])
+            self.assertEqual(expected, len(findings), disruption)
+
+
 class AdvertisedStateTest(TestCase):
     def count_rate_findings(self, count, since=10.0, until=20.0):
         arrivals = [Arrival('t', 14.0 + n * 0.01, f'q{n}') for n in range(count)]
