The test of a connection that is set up after the stop fails without its mend

The test now stops the listener between the accept and the set-up, over real sockets. Without the check of `accepting` the request is served, 200, by a listener that has stopped and that nobody waits for any more; with it the connection is closed and nothing runs.

Three tests of pipelines use the scenario of the other tests of the listener in place of a copy.

--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -1,7 +1,9 @@
 import asyncio
+import contextlib
 
 from testtools import TestCase
 
+from dunlinsaddle.calls.accepted_connection import AcceptedConnection
 from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.listener import HttpListener
@@ -30,9 +32,9 @@
             raise
         return self.response
 
-    def run_with_listener(self, use):
+    def run_with_listener(self, use, pipeline=1):
         async def scenario():
-            listener = HttpListener(self.handle, self.limits)
+            listener = HttpListener(self.handle, self.limits, pipeline=pipeline)
             await listener.listen(ADDRESS)
             reader, writer = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
             try:
@@ -374,10 +376,7 @@
     """Connections of a listener that starts no request behind one in progress."""
 
     def finish_with(self, requests, sent_later=b''):
-        async def scenario():
-            listener = HttpListener(self.handle, LIMITS, pipeline=8)
-            await listener.listen(ADDRESS)
-            reader, writer = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
+        async def use(listener, reader, writer):
             writer.write(requests)
             await asyncio.sleep(0.5)
             listener.finish_connections()
@@ -386,10 +385,9 @@
             is_busy = [conn.is_busy for conn in listener.connections]
             writer.close()
             await asyncio.wait_for(listener.wait_idle(), 0.5)
-            listener.close()
             return responses, is_busy
 
-        return self.run_paused(scenario())
+        return self.run_with_listener(use, pipeline=8)
 
     # A connection with requests behind those in progress did not come to its end.
     def test_requests_behind_those_in_progress_are_left_unread(self):
@@ -411,21 +409,6 @@
         self.assertEqual(1, responses.count(b'HTTP/1.1 200'))
         self.assertEqual(1, responses.count(b'connection: close'))
 
-    # A connection that was being set up when the listener stopped was served and then cut off.
-    def test_a_connection_accepted_before_the_stop_is_not_served_after_it(self):
-        async def scenario():
-            listener = HttpListener(self.handle, LIMITS)
-            await listener.listen(ADDRESS)
-            reader, writer = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
-            listener.stop_listening()
-            writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
-            try:
-                return await asyncio.wait_for(reader.read(), 1)
-            finally:
-                writer.close()
-
-        self.assertEqual((b'', []), (self.run_paused(scenario()), self.handled))
-
 
 class ResetTest(TestCase):
     """The end of a connection over real sockets."""
@@ -455,6 +438,32 @@
         self.assertEqual(2, responses.count(b'HTTP/1.1 200'))
         self.assertEqual(400_000, responses.count(b'x'))
 
+    # A connection that was being set up when the listener stopped was served and then cut off.
+    def test_a_connection_accepted_before_the_stop_is_not_served_after_it(self):
+        handled = []
+
+        async def handle(req):
+            handled.append(req)
+            return HttpResponse(200, [], b'')
+
+        async def scenario():
+            listener = HttpListener(handle, LIMITS)
+
+            def stop_and_create():
+                asyncio.get_running_loop().call_soon(listener.stop_listening)
+                return AcceptedConnection(listener)
+
+            listener.new_connection = stop_and_create
+            address = await listener.listen(Address('127.0.0.1', 0))
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            with contextlib.suppress(ConnectionError):
+                self.assertEqual(b'', await asyncio.wait_for(reader.read(), 5))
+            writer.close()
+
+        asyncio.run(scenario())
+        self.assertEqual([], handled)
+
 
 class PipeliningTest(ListenerTest):
     def test_safe_requests_run_concurrently_and_are_answered_in_order(self):
@@ -490,20 +499,14 @@
     def test_closing_waits_for_all_started_requests(self):
         # The listener starts closing while three requests of one connection run. Each may have
         # been forwarded already, so each is answered; the last response announces the close.
-        async def scenario():
-            listener = HttpListener(self.handle, LIMITS, pipeline=8)
-            await listener.listen(ADDRESS)
-            reader, writer = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
+        async def use(listener, reader, writer):
             for seconds in (b'1', b'2', b'3'):
                 writer.write(b'GET / HTTP/1.1\r\nhost: a\r\nsleep: %s\r\n\r\n' % seconds)
             await asyncio.sleep(0.5)
             listener.start_closing()
-            responses = await asyncio.wait_for(reader.read(), 10)
-            writer.close()
-            listener.close()
-            return responses
+            return await asyncio.wait_for(reader.read(), 10)
 
-        responses = self.run_paused(scenario())
+        responses = self.run_with_listener(use, pipeline=8)
         self.assertEqual(3, responses.count(b'HTTP/1.1 200'))
         self.assertEqual(1, responses.count(b'connection: close'))
         self.assertEqual(0, self.cancelled)
