--- a/standins/soak.py
+++ b/standins/soak.py
@@ -108,6 +108,7 @@
     refused_share: float = 0.0  #: of the requests, which targets do not run
     repeated_share: float = 0.0  #: of the answers, which targets send once more, late
     outstanding: int = 0  #: requests of callers that always have some in progress; 0 for none
+    keeps_refusing: bool = False  #: targets refuse and repeat after the last fault, too
 
 
 class Soak:
@@ -253,7 +254,8 @@
         for name, machine in self.fleet.machines.items():
             machine.target_proxy.set_fault(ProxyFault.NONE)
             machine.store_proxy.set_fault(ProxyFault.NONE)
-            await self.fleet.set_target_faults(name, TargetFaults())
+            if not self.variant.keeps_refusing:
+                await self.fleet.set_target_faults(name, TargetFaults())
         await self.fleet.set_store_faults()
 
     async def _inject_fault(self) -> None:
@@ -478,12 +480,21 @@
     parser.add_argument(
         '--outstanding', type=int, default=0, help='Requests that callers keep in progress.'
     )
+    parser.add_argument(
+        '--keep-refusing', action='store_true', help='Let --refuse and --repeat never end.'
+    )
     parser.add_argument(
         '--copies', type=int, default=MACHINES_PER_SERVICE, help='Machines per service.'
     )
     args = parser.parse_args()
     variant = Variant(
-        args.returns, args.says, args.copies, args.refuse, args.repeat, args.outstanding
+        args.returns,
+        args.says,
+        args.copies,
+        args.refuse,
+        args.repeat,
+        args.outstanding,
+        args.keep_refusing,
     )
     first, _, last = args.seeds.partition('-')
     failed_seeds = 0
