--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,7 +4,7 @@
 
 Each run draws its faults from its seed: signals to nodes and targets, faults on the connections
 to targets and to the store, faults of the store, and changes of the configuration. Faults may
-overlap. Callers keep their connections open. ``find_violations`` and ``soak_says`` hold the checks.
+overlap. Callers keep their connections open. ``soak_checks`` and ``soak_says`` hold the checks.
 """
 
 import argparse
@@ -21,18 +21,23 @@
 from random import Random
 from typing import Any, NamedTuple
 
-import msgspec
 import uuid6
 
 from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.connection import Answered
-from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.platform import headers as names
 from standins.mesh import MeshFleet, ServiceSpec, UnconfirmedWriteError, build_call_headers
 from standins.mesh_target import AdvertisedState, TargetFaults
 from standins.pipelining import LostRequest, PipeliningCaller
 from standins.proxy import ProxyFault
-from standins.soak_cuts import find_cut_requests
+from standins.soak_checks import (
+    SERVICES,
+    SentRequest,
+    find_cut_requests,
+    find_violations,
+    is_valid_response,
+)
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
@@ -49,7 +54,6 @@
     ServiceSpec('orders', downstream_paths=('/deep/x',), kind='unsafe'),
     ServiceSpec('deep', slots=40, service_seconds=0.01),
 ]
-SERVICES = ('views', 'orders')  #: services that callers send requests to
 MACHINES_PER_SERVICE = 2  #: unless a run specifies another number
 #: Start time allowed per machine beyond the default number: processes start one after the other,
 #: and each takes most of a second of a core.
@@ -70,20 +74,6 @@
     {'delay': 0.3},
     {'lose_answers': 3},
 ]
-#: Statuses that promise that the request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
-
-class SentRequest(NamedTuple):
-    """A request of a caller and its result; status 0 if there is no complete response."""
-
-    request_id: str
-    service: str
-    ingress: str
-    status: int
-    is_valid: bool  #: the response is signed and belongs to this request
-    response_seconds: float
-    sent_at: float = 0.0  #: from the host's monotonic clock
 
 
 @dataclass
@@ -178,10 +168,12 @@
             if outstanding
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
-        yield
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
         self.record.lost = [lost for caller in callers for lost in caller.lost]
 
     async def _send_requests(self, number: int) -> None:
@@ -208,7 +200,7 @@
         if not isinstance(exchange, Answered):
             return SentRequest(request_id, service, ingress, 0, True, response_seconds, sent_at)
         response = exchange.response
-        is_valid = response.status != 200 or _is_valid_response(response, request_id)
+        is_valid = response.status != 200 or is_valid_response(response, request_id)
         response_headers = dict(response.headers)
         if response_headers.get(names.SERVER_LEAVING) == b'1':
             target_id = response_headers.get(names.SERVER_SIGNATURE, b'').decode()
@@ -419,39 +411,6 @@
     await asyncio.to_thread(popen.wait)
 
 
-def _is_valid_response(response: HttpResponse, request_id: str) -> bool:
-    headers = dict(response.headers)
-    if (
-        names.SERVER_SIGNATURE not in headers
-        or headers.get(names.REQUEST_ID) != request_id.encode()
-    ):
-        return False
-    try:
-        return bool(msgspec.json.decode(response.body)['id'] == request_id)
-    except (msgspec.MsgspecError, KeyError):
-        return False
-
-
-def find_violations(requests: list[SentRequest], run_counts: Counter[str]) -> list[str]:
-    """Check the documented guarantees against the results of callers and the runs at targets."""
-    findings = []
-    for request in requests:
-        run_count = run_counts[request.request_id]
-        if not request.is_valid:
-            findings.append(f'{request}: the response is unsigned or belongs to another request')
-        if request.service == 'orders' and run_count > 1:
-            findings.append(f'{request}: ran {run_count} times')
-        if request.service == 'orders' and request.status in NOT_RUN_STATUSES and run_count:
-            findings.append(f'{request}: ran although the status promises that it did not')
-        # A node may not know a new route yet; ``_wait_until_served`` limits for how long.
-        is_new = request.service not in SERVICES and request.status == 404
-        if 400 <= request.status < 500 and request.status not in NOT_RUN_STATUSES and not is_new:
-            findings.append(f'{request}: refused although it is valid')
-    if not any(request.status == 200 for request in requests):
-        findings.append('no request was served')
-    return findings
-
-
 async def run_seed(seed: int, seconds: float, variant: Variant = Variant()) -> RunRecord:  # noqa: B008
     """Run one seed."""
     async with MeshFleet(seed % 240 + 1) as fleet:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,8 @@
 from dunlinsaddle.calls.http import HttpResponse, json_response
 from standins.mesh import MeshFleet, UnconfirmedWriteError
 from standins.pipelining import LostRequest
-from standins.soak import SentRequest, Variant, find_violations, run_seed
-from standins.soak_cuts import find_cut_requests
+from standins.soak import Variant, run_seed
+from standins.soak_checks import SentRequest, find_cut_requests, find_violations
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
