Soak: a caller that fails is a finding

Found when the change was read once more: the callers with a full pipe were gathered with their exceptions, and the exceptions dropped. One that failed in the middle of a run, say over bytes that are no answer, would have found nothing for the rest of it, and the run would have counted as clean.

Now its exception is a finding (test: a_caller_that_fails_is_a_finding, fails without the change).

Nothing of the product changes.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -173,8 +173,14 @@
         finally:
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            ends = await asyncio.gather(*tasks, return_exceptions=True)
         self.record.lost = [lost for caller in callers for lost in caller.lost]
+        # One that has failed would find nothing for the rest of the run.
+        self.record.findings += [
+            f'the caller at {caller.name} failed: {end!r}'
+            for caller, end in zip(callers, ends, strict=True)
+            if isinstance(end, Exception)
+        ]
 
     async def _send_requests(self, number: int) -> None:
         client = HttpClient()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,14 @@
 import json
 from collections import Counter
 from typing import Any
+from unittest import mock
 
 from testtools import TestCase
 
 from dunlinsaddle.calls.http import HttpResponse, json_response
 from standins.mesh import MeshFleet, UnconfirmedWriteError
-from standins.pipelining import LostRequest
-from standins.soak import Variant, run_seed
+from standins.pipelining import LostRequest, PipeliningCaller
+from standins.soak import Soak, Variant, run_seed
 from standins.soak_checks import SentRequest, find_cut_requests, find_violations
 from standins.soak_says import (
     AnnouncedRate,
@@ -117,6 +118,20 @@
 
 
 class CutRequestsTest(TestCase):
+    # A caller that had failed found nothing for the rest of the run, and nobody noticed.
+    def test_a_caller_that_fails_is_a_finding(self):
+        async def scenario():
+            fleet = MeshFleet(0)
+            fleet.machines['a'] = mock.Mock()
+            soak = Soak(fleet, 1, Variant(outstanding=4))
+            with mock.patch.object(PipeliningCaller, 'run', side_effect=ValueError('odd')):
+                async with soak._pipelining_callers():
+                    await asyncio.sleep(0)
+            fleet.temp_dir.cleanup()
+            return soak.record.findings
+
+        self.assertEqual(["the caller at a failed: ValueError('odd')"], asyncio.run(scenario()))
+
     def test_a_stop_is_no_excuse_for_a_request_that_ran(self):
         lost = [LostRequest('q', 'a', 10.0, 11.0)]
         for counts, disruption, expected in (
