--- a/dunlinsaddle/mesh/heartbeats.py
+++ b/dunlinsaddle/mesh/heartbeats.py
@@ -1,5 +1,6 @@
 """Heartbeat messages of the local target, and the check that rejects stale ones."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
 #: Deregistered ids that are remembered, the latest ones: a bound on memory. A target gets a new id
@@ -26,6 +27,14 @@
     target_id: str
 
 
+class Staleness(StrEnum):
+    """Why a heartbeat is acknowledged but not applied."""
+
+    OLD_SEQUENCE = 'old-sequence'  #: a later heartbeat of the same start was applied
+    FORMER_START = 'former-start'  #: the current target started later
+    DEREGISTERED = 'deregistered'  #: its start was deregistered
+
+
 class HeartbeatTracker:
     """Tracks the current incarnation and rejects stale heartbeats.
 
@@ -40,14 +49,25 @@
 
     def accept(self, heartbeat: Heartbeat) -> bool:
         """Record a heartbeat; return False if it is stale and was ignored."""
-        if self._is_deregistered(heartbeat):
-            return False
-        current = self.current
-        if current is not None and not _is_newer(heartbeat, current):
+        if self.find_staleness(heartbeat) is not None:
             return False
         self.current = heartbeat
         return True
 
+    def find_staleness(self, heartbeat: Heartbeat) -> Staleness | None:
+        """Return why a heartbeat is stale, None if it is to be applied."""
+        if self._is_deregistered(heartbeat):
+            return Staleness.DEREGISTERED
+        current = self.current
+        if current is None or _is_newer(heartbeat, current):
+            return None
+        if (heartbeat.target_id, heartbeat.started_at_ms) == (
+            current.target_id,
+            current.started_at_ms,
+        ):
+            return Staleness.OLD_SEQUENCE
+        return Staleness.FORMER_START
+
     def deregister(self, deregistration: Deregistration) -> bool:
         """Record a deregistration; return whether it is from the current incarnation."""
         current = self.current
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -16,6 +16,7 @@
 from dunlinsaddle.access.quotas import QuotaCoordinator
 from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response
+from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.mesh.heartbeat_endpoint import HeartbeatEndpoint
@@ -53,6 +54,7 @@
     store: ObjectStore
     configuration_lease: ConfigurationLease
     ledger: QuotaLedger
+    target: LocalTarget
     target_status: TargetStatus
     quotas: QuotaCoordinator
     body_memory: BodyMemory
@@ -237,6 +239,21 @@
             'Starts of the target that were announced to this node.',
             lambda: [(node.heartbeat_endpoint.starts, {})],
         )
+        metrics.counter(
+            'dunlinsaddle.heartbeats',
+            '{message}',
+            'Heartbeats and deregistrations of the target, by their effect here.',
+            lambda: [
+                (count, {'effect': effect.value})
+                for effect, count in node.heartbeat_endpoint.effects.items()
+            ],
+        )
+        metrics.gauge(
+            'dunlinsaddle.target_draining',
+            '1',
+            'Whether the target gets no new work, as it or its node leaves.',
+            lambda: [(int(node.target.draining), {})],
+        )
         metrics.gauge(
             'dunlinsaddle.target_leaving',
             '1',
