Gossip: a target announced just after a restart is told to members found later

What callers saw: after a restart of all nodes, one of them refuses requests for up to two seconds for lack of a target that the others know.

Cause: a node sends its new target directly to the members that it knows. One that has just started knows some of them only; the rest wait for rumors, whose byte budget the updates of all members use up.

Ruled out: more rumors (bytes at 960 nodes), a delay of the announcement.

--- a/dunlinsaddle/membership/agent.py
+++ b/dunlinsaddle/membership/agent.py
@@ -72,6 +72,10 @@
         self.gossip.announce(me)
         self._send(self.gossip.announce_target() if is_new_target else self.gossip.send_rumors())
 
+    def introduce_target(self, member: Member) -> None:
+        """Tell a member that was unknown so far of the target beside this node."""
+        self._send(self.gossip.introduce_target(member))
+
     def announce_configuration(self, version: int, members: Iterable[Member]) -> None:
         """Announce at once that this node holds a newer configuration."""
         self._send(self.gossip.announce_configuration(version, members))
--- a/dunlinsaddle/membership/protocol.py
+++ b/dunlinsaddle/membership/protocol.py
@@ -72,6 +72,7 @@
         self.tombstones = Tombstones(view, times.tombstone_ttl)
         self.pending_probes = PendingProbes(rng, times)
         self.sync_responder = SyncResponder(view, rng, self.budget, self.tombstones, limits)
+        self._introductions_left = 0  #: see introduce_target
         self._probe_at = self._dead_probe_at = self._last_tick = 0.0
 
     def start(self, now: float, me: Member) -> None:
@@ -104,8 +105,20 @@
         budget, and nodes learn of a target up to a second after it was announced.
         """
         members = self._random_members(self.limits.target_fanout)
+        self._introductions_left = self.limits.target_fanout - len(members)
         return [OutgoingMessage(m.gossip, self._build_rumor([update_of(self.me)])) for m in members]
 
+    def introduce_target(self, member: Member) -> list[OutgoingMessage]:
+        """Send this node's own entry, with its target, to a member that was unknown so far.
+
+        Just after a restart, a node knows only some of the members to which it would have sent its
+        target directly. The others would learn of it from rumors alone, up to a second later.
+        """
+        if not self.me.service or self._introductions_left <= 0:
+            return []
+        self._introductions_left -= 1
+        return [OutgoingMessage(member.gossip, self._build_rumor([update_of(self.me)]))]
+
     def leave(self) -> list[OutgoingMessage]:
         """Leave the group; return messages to a few members, which spread the update."""
         self.announce(self.me._replace(state=State.LEFT))
