What is acknowledged of a target is applied, and a start gets work once it confirms that it serves

Cause: a 2xx was given for what was not applied, or was forgotten. The node ordered messages by numbers of their sender: start time, then sequence. Both begin anew with each start, the clock may be set back, and a node that was restarted has heard none. So - a deregistration within 10 s of a start under the same id was acknowledged and ignored as one of the former start; - all heartbeats of a start with the same or an earlier start time were acknowledged and ignored as old, `draining` too, for as long as it lived; - a restarted node took a late `ready` of a target that had left for a fresh one.

Which of the three ways was the users' is not known: their record has no line of the node in question.

Ruled out: calls in line, repeats and late news between nodes as the reason of hundreds of requests; the memory of peers, the store, a second heartbeat as proof (docs/design/on-the-platform.md says why each is not enough).

Change: a departure is applied before it is acknowledged, without proof. A start that is not the current one, that left, or that the node does not know gets work once the target confirms at its health path that it serves, asked after the latest departure on a connection of its own. What cannot be applied is answered 503, and its sender repeats it. A call in progress is not sent again to a target that has deregistered.

Why it is enough: the target's own word is the only one that cannot be late, and it can be asked whatever the node has forgotten and whoever it is cut off from.

The order by numbers is still tested, for targets without a health path. Stand-ins answer at that path.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -366,8 +366,8 @@
         return is_alive
 
     def _try_spend_resend(self, call: PendingCall) -> bool:
-        # No call is sent to a draining target, not even one that was sent to it before.
-        return not self.target.draining and call.allowance.spend()
+        # No call is sent to a target that leaves, not even one that was sent to it before.
+        return self.target.accepts_work and call.allowance.spend()
 
     def _finish(self, ticket: Ticket, sample: Sample, now: float) -> None:
         if ticket.call_id in self._unadmitted_ids:
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -1,6 +1,7 @@
 """The target beside a node: its state, and the protocol between the node and the target."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
 import xxhash
@@ -31,6 +32,35 @@
 NOTHING_ADVERTISED = AdvertisedState()
 
 
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """The target says that it serves."""
+
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotServing:
+    """The target says that it leaves or fails, or nothing listens at its address."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class HealthUnknown:
+    """There was no answer, or the target was too busy for one."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoHealthPath:
+    """The target has no path at which its health can be asked."""
+
+
+TargetHealth = Serving | NotServing | HealthUnknown | NoHealthPath
+
+
 class TargetDialect(Protocol):
     """The protocol between a node and a target: request headers and meaning of responses."""
 
@@ -92,6 +122,11 @@
         """Whether the target must get no new work."""
         return self._is_draining or self.node_draining
 
+    @property
+    def accepts_work(self) -> bool:
+        """Whether a target is announced that may get new work."""
+        return self.address is not None and not self.draining
+
     def announce(self, service: str, address: Address) -> None:
         """Handle an announcement; a new target ends the drain of the previous one.
 
--- a/dunlinsaddle/mesh/heartbeats.py
+++ b/dunlinsaddle/mesh/heartbeats.py
@@ -1,11 +1,18 @@
-"""Heartbeat messages of the local target, and the check that rejects stale ones."""
+"""Heartbeat messages of the local target, and the decision which of them to apply."""
 
 from enum import StrEnum
 from typing import NamedTuple
 
-#: Deregistered ids that are remembered, the latest ones: a bound on memory. A target gets a new id
-#: with each deployment, and late heartbeats arrive within minutes.
-MAX_DEREGISTERED_IDS = 1000
+#: Starts that are remembered of those that left, and of those that were replaced: a bound on
+#: memory. Late heartbeats arrive within minutes.
+MAX_FORMER_STARTS = 1000
+
+
+class Start(NamedTuple):
+    """Identifies one start of a target, which may start again under its id."""
+
+    target_id: str
+    started_at_ms: int  #: by the target's clock, which may be set back between two starts
 
 
 class Heartbeat(NamedTuple):
@@ -20,6 +27,11 @@
     started_at_ms: int  #: Unix milliseconds, 0 if the target does not report its start time
     sequence: int  #: increases with each heartbeat of one incarnation
 
+    @property
+    def start(self) -> Start:
+        """The start of the target that sent this heartbeat."""
+        return Start(self.target_id, self.started_at_ms)
+
 
 class Deregistration(NamedTuple):
     """A report in which a target announces that it terminates."""
@@ -27,74 +39,120 @@
     target_id: str
 
 
-class Staleness(StrEnum):
-    """Why a heartbeat is acknowledged but not applied."""
+class Verdict(StrEnum):
+    """What to do with a heartbeat."""
 
-    OLD_SEQUENCE = 'old-sequence'  #: a later heartbeat of the same start was applied
-    FORMER_START = 'former-start'  #: the current target started later
-    DEREGISTERED = 'deregistered'  #: its start was deregistered
+    APPLY = 'apply'
+    #: Apply it if the target confirms that it serves.
+    APPLY_IF_SERVING = 'apply-if-serving'
+    #: Apply it unless the target says that it serves.
+    APPLY_UNLESS_SERVING = 'apply-unless-serving'
+    OLD_SEQUENCE = 'old-sequence'  #: ignore it: a later heartbeat of its start was applied
+    FORMER_START = 'former-start'  #: ignore it: another start has replaced its start
+    GONE = 'gone'  #: ignore it: its start gets no work, and leaves
 
 
 class HeartbeatTracker:
-    """Tracks the current incarnation and rejects stale heartbeats.
-
-    A network partition can delay a heartbeat until its sender has crashed and the next
-    incarnation has announced itself at the same address. If the delayed heartbeat were
-    accepted, requests would be sent to an incarnation that no longer exists.
+    """Tracks the current start of the target and decides which heartbeats to apply.
+
+    A network partition can delay a heartbeat until its sender has left or crashed and the next
+    incarnation has announced itself at the same address. Neither sequence numbers nor start times
+    tell such a heartbeat from a fresh one in all cases: both begin anew with the target, its clock
+    may have been set back, and a node that was restarted has seen none. If a late heartbeat were
+    applied, requests would be sent to a target that has left; if a fresh one were ignored, the node
+    would miss that the target leaves.
+
+    So the two directions differ. A departure is applied without proof, as a live target returns
+    within seconds. A start that is not the current one, or that has left, gets work only after
+    the target itself has confirmed that it serves.
     """
 
     def __init__(self) -> None:
         self.current: Heartbeat | None = None
-        self._deregistered: dict[str, int] = {}  #: start time of each deregistered incarnation
+        self._replaced: dict[Start, None] = {}
+        self._departed: dict[str, int] = {}  #: start time of each departed start, by id
 
-    def accept(self, heartbeat: Heartbeat) -> bool:
-        """Record a heartbeat; return False if it is stale and was ignored."""
-        if self.find_staleness(heartbeat) is not None:
-            return False
+    def judge(self, heartbeat: Heartbeat) -> Verdict:
+        """Return what to do with a heartbeat."""
+        if heartbeat.draining:
+            return self._judge_departure(heartbeat)
+        current = self.current
+        if current is None or current.draining:
+            return Verdict.APPLY_IF_SERVING
+        if heartbeat.start == current.start:
+            is_newer = heartbeat.sequence > current.sequence
+            return Verdict.APPLY if is_newer else Verdict.OLD_SEQUENCE
+        if heartbeat.start in self._replaced:
+            return Verdict.FORMER_START
+        return Verdict.APPLY_IF_SERVING
+
+    def _judge_departure(self, heartbeat: Heartbeat) -> Verdict:
+        current = self.current
+        if current is None:
+            return Verdict.GONE if self._is_departed(heartbeat) else Verdict.APPLY
+        if heartbeat.target_id != current.target_id:
+            # The target at the address refuses requests that name the current one.
+            return Verdict.GONE
+        if heartbeat.started_at_ms >= current.started_at_ms:
+            return Verdict.APPLY
+        return Verdict.APPLY_UNLESS_SERVING
+
+    def apply(self, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat of the current start, or one that begins another start."""
+        current = self.current
+        self._departed.pop(heartbeat.target_id, None)
+        self._replaced.pop(heartbeat.start, None)
+        if current is not None and current.start == heartbeat.start and heartbeat.draining:
+            # A departure is final, also if an earlier heartbeat arrives after it.
+            heartbeat = heartbeat._replace(sequence=max(heartbeat.sequence, current.sequence))
+        elif current is not None and current.start != heartbeat.start:
+            self._replaced[current.start] = None
+            _discard_first(self._replaced)
         self.current = heartbeat
-        return True
 
-    def find_staleness(self, heartbeat: Heartbeat) -> Staleness | None:
-        """Return why a heartbeat is stale, None if it is to be applied."""
-        if self._is_deregistered(heartbeat):
-            return Staleness.DEREGISTERED
-        current = self.current
-        if current is None or _is_newer(heartbeat, current):
-            return None
-        if (heartbeat.target_id, heartbeat.started_at_ms) == (
-            current.target_id,
-            current.started_at_ms,
-        ):
-            return Staleness.OLD_SEQUENCE
-        return Staleness.FORMER_START
+    def depart(self, heartbeat: Heartbeat) -> None:
+        """Record that a start leaves that is not the current one."""
+        self._record_departed(heartbeat.target_id, heartbeat.started_at_ms)
 
     def deregister(self, deregistration: Deregistration) -> bool:
         """Record a deregistration; return whether it is from the current incarnation."""
         current = self.current
         if current is None or current.target_id != deregistration.target_id:
-            started_at_ms = self._deregistered.get(deregistration.target_id, 0)
-            self._record_deregistered(deregistration.target_id, started_at_ms)
+            started_at_ms = self._departed.get(deregistration.target_id, 0)
+            self._record_departed(deregistration.target_id, started_at_ms)
             return False
-        self._record_deregistered(current.target_id, current.started_at_ms)
+        self._record_departed(current.target_id, current.started_at_ms)
         self.current = None
         return True
 
-    def _record_deregistered(self, target_id: str, started_at_ms: int) -> None:
-        self._deregistered.pop(target_id, None)
-        self._deregistered[target_id] = started_at_ms
-        if len(self._deregistered) > MAX_DEREGISTERED_IDS:
-            del self._deregistered[next(iter(self._deregistered))]
+    def is_newer(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a heartbeat is newer than all that is known, by its own numbers.
 
-    def _is_deregistered(self, heartbeat: Heartbeat) -> bool:
-        started_at_ms = self._deregistered.get(heartbeat.target_id)
+        For targets that cannot be asked; see the class for the cases in which this is wrong.
+        """
+        current = self.current
+        if self._is_departed(heartbeat):
+            return False
+        if current is None:
+            return True
+        if heartbeat.target_id == current.target_id:
+            return (heartbeat.started_at_ms, heartbeat.sequence) > (
+                current.started_at_ms,
+                current.sequence,
+            )
+        # If neither incarnation reports its start time, the one received later is the newer.
+        return heartbeat.started_at_ms >= current.started_at_ms
+
+    def _record_departed(self, target_id: str, started_at_ms: int) -> None:
+        self._departed.pop(target_id, None)
+        self._departed[target_id] = started_at_ms
+        _discard_first(self._departed)
+
+    def _is_departed(self, heartbeat: Heartbeat) -> bool:
+        started_at_ms = self._departed.get(heartbeat.target_id)
         return started_at_ms is not None and heartbeat.started_at_ms <= started_at_ms
 
 
-def _is_newer(heartbeat: Heartbeat, current: Heartbeat) -> bool:
-    if heartbeat.target_id == current.target_id:
-        return (heartbeat.started_at_ms, heartbeat.sequence) > (
-            current.started_at_ms,
-            current.sequence,
-        )
-    # If neither incarnation reports its start time, the one received later is the newer.
-    return heartbeat.started_at_ms >= current.started_at_ms
+def _discard_first(starts: dict[Start, None] | dict[str, int]) -> None:
+    if len(starts) > MAX_FORMER_STARTS:
+        del starts[next(iter(starts))]  # type: ignore[arg-type]
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -248,6 +248,12 @@
                 for effect, count in node.heartbeat_endpoint.effects.items()
             ],
         )
+        metrics.counter(
+            'dunlinsaddle.target_health_checks',
+            '{check}',
+            'Health checks sent to the target, to confirm that it serves.',
+            lambda: [(node.heartbeat_endpoint.probe.sent, {})],
+        )
         metrics.gauge(
             'dunlinsaddle.target_draining',
             '1',
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -50,6 +50,7 @@
 from dunlinsaddle.mesh.settings import DeploymentLimits, MeshSettings
 from dunlinsaddle.mesh.shutdown import drain_requests, shutdown_times
 from dunlinsaddle.mesh.startup import startup_delays
+from dunlinsaddle.mesh.target_probe import TargetProbe
 from dunlinsaddle.mesh.target_protocol import MeshTargetProtocol
 from dunlinsaddle.mesh.target_status import TargetStatus
 from dunlinsaddle.platform import configuration
@@ -271,9 +272,9 @@
         self.learned_state.coordinators = self.watchers.members
         self.heartbeat_endpoint = HeartbeatEndpoint(
             cfg.service,
-            cfg.target,
             self.target,
             self.admission,
+            TargetProbe(cfg.target, self._find_health_path),
             self._announce_self,
             self.logger,
         )
@@ -361,6 +362,7 @@
             listener.close()
         if self.metrics is not None:
             self.metrics.close()
+        self.heartbeat_endpoint.close()
         self.agent.leave()
         self.crash_notifier.close()
         self.peer_server.close()
@@ -418,6 +420,13 @@
             idle_timeout=limits.idle_timeout,
         )
 
+    def _find_health_path(self) -> str | None:
+        table = self.follower.table
+        if table is None:
+            return None
+        service = table.configuration.services.get(self.settings.service)
+        return service.health_path if service is not None else ''
+
     def _announce_self(self) -> None:
         self.agent.announce(self.local_member())
 
@@ -431,6 +440,8 @@
             self.logger.info('target of a member restarted', extra=extra)
         if member.service and member.state is State.ALIVE:
             self.executor.levels.record_available(self.now(), member.service)
+        if previous is None and member.instance != self.settings.instance:
+            self.agent.introduce_target(member)
         if previous is not None and previous.state is member.state:
             return
         self.quotas.on_members_change()
--- a/dunlinsaddle/platform/heartbeats.py
+++ b/dunlinsaddle/platform/heartbeats.py
@@ -65,6 +65,11 @@
     return json_response({})
 
 
+def deferral() -> HttpResponse:
+    """Return the response to a message that was not applied; its sender sends it again."""
+    return json_response({'error': 'not applied'}, 503)
+
+
 def rejection(reason: str) -> HttpResponse:
     """Return the response to an invalid request."""
     return json_response({'error': reason}, 400)
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -7,7 +7,15 @@
 from dunlinsaddle.access.keys import key_digest
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
-from dunlinsaddle.calls.target import AdvertisedLoad, AdvertisedState
+from dunlinsaddle.calls.target import (
+    AdvertisedLoad,
+    AdvertisedState,
+    HealthUnknown,
+    NoHealthPath,
+    NotServing,
+    Serving,
+    TargetHealth,
+)
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.platform import headers as names
 
@@ -23,6 +31,7 @@
 _SEPARATOR = re.compile(r'[ \t]*,[ \t]*|[ \t]+')  #: of the figures of a load
 _USUAL_SLOWDOWN = 100.0  #: figure for work that takes as long as usual
 _MAX_LOGGED_CHARS = 40  #: of an invalid value
+HEALTHY_STATUS, UNHEALTHY_STATUS = 200, 503  #: of the health path
 MIN_SUCCESS_STATUS, MAX_SUCCESS_STATUS = 200, 299
 
 
@@ -116,6 +125,19 @@
     return Reply(0, response.status, kept, response.body, Outcome.DONE)
 
 
+def read_health(response: HttpResponse) -> TargetHealth:
+    """Convert the response of a target's health path."""
+    headers_by_name = dict(response.headers)
+    if names.NOT_EXECUTED in headers_by_name:
+        # A full target rejects health checks as it does requests.
+        return HealthUnknown(f'the target rejected the health check: {response.status}')
+    if response.status == UNHEALTHY_STATUS or headers_by_name.get(names.SERVER_LEAVING) == b'1':
+        return NotServing(f'the target answered {response.status}')
+    if response.status != HEALTHY_STATUS:
+        return NoHealthPath()
+    return Serving(headers_by_name.get(names.TARGET_ID, b'').decode('latin-1'))
+
+
 def read_advertised_state(response: HttpResponse, target_id: str) -> AdvertisedState | None:
     """Return the state that a target advertises in a response.
 
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -29,6 +29,7 @@
     revocation_seconds=5.0,
 )
 HEARTBEAT_INTERVAL_SECONDS = 1.5
+HEALTH_PATH = '/health'
 
 
 class Arrival(NamedTuple):
@@ -63,10 +64,16 @@
         self.respond: Any = None  #: handler that replaces the default response
         self.extra_headers: list[tuple[bytes, bytes]] = []  #: added to each signed response
         self.arrivals: list[Arrival] = []
+        self.is_leaving = False  #: reported at the health path; it still serves
+        self.is_full = (
+            False  #: rejects health checks, as any other request, without an answer to them
+        )
         self.node: MeshNode
         self.listener = HttpListener(self.handle, HttpLimits())
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
+        if req.path == HEALTH_PATH:
+            return self._health_response(req)
         request_id = req.header(b'request-id')
         now = asyncio.get_running_loop().time()
         self.arrivals.append(Arrival(now, req.header(b'caller-service'), request_id))
@@ -83,6 +90,12 @@
             raise
         return self.signed_response(req)
 
+    def _health_response(self, req: HttpRequest) -> HttpResponse:
+        if self.is_full:
+            return build_refusal(req)
+        status = 503 if self.is_leaving or self.state == 'draining' else 200
+        return HttpResponse(status, [(b'instance', self.target_id.encode())], b'')
+
     def signed_response(
         self, req: HttpRequest, status: int = 200, body: bytes = b'ok'
     ) -> HttpResponse:
--- a/tests/test_mesh_heartbeats.py
+++ b/tests/test_mesh_heartbeats.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dunlinsaddle.calls.http import HttpRequest
 from tests.mesh_case import MeshTest
 
 
@@ -121,3 +122,58 @@
 
         usual, slow = self.run_mesh(scenario)
         self.assertGreater(slow, 1.2 * usual)
+
+    # Guards against a restarted node that gives work to a target it knows nothing of, and against
+    # one that never does because the target was too busy to be asked.
+    def test_a_restarted_node_gives_work_to_its_target_once_that_confirms_that_it_serves(self):
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            b.is_full = True
+            await mesh.kill('b')
+            await mesh.restart('b')
+            await asyncio.sleep(2)
+            while_full = mesh.nodes['b'].target.address
+            b.is_full = False
+            await asyncio.sleep(0.2)
+            return while_full, mesh.nodes['b'].target.accepts_work
+
+        self.assertEqual((None, True), self.run_mesh(scenario))
+
+    # Guards against a health check that was answered before the departure and read after it.
+    def test_a_health_check_sent_before_a_departure_confirms_nothing(self):
+        async def scenario(mesh):
+            b, endpoint = mesh.targets['b'], mesh.nodes['b'].heartbeat_endpoint
+            b.heartbeats_enabled = False
+            late = b.build_heartbeat()
+            answered, probe = [], endpoint.probe.ask
+
+            async def ask_slowly():
+                answered.append(health := await probe())
+                await asyncio.sleep(0.2)
+                return health
+
+            endpoint.probe.ask = ask_slowly
+            await endpoint.handle(HttpRequest('DELETE', late.path, [], b'', ''))
+            first = asyncio.create_task(endpoint.handle(late))
+            await asyncio.sleep(0.1)
+            b.is_leaving = True
+            await endpoint.handle(HttpRequest('DELETE', late.path, [], b'', ''))
+            second = await endpoint.handle(late)
+            statuses = (await first).status, second.status
+            return statuses, len(answered), mesh.nodes['b'].target.address
+
+        self.assertEqual(((503, 503), 2, None), self.run_mesh(scenario))
+
+    def test_a_target_that_cannot_be_asked_is_ordered_by_its_own_numbers(self):
+        # Its health path is unknown here: a heartbeat after the deregistration is still refused.
+        async def scenario(mesh):
+            b, endpoint = mesh.targets['b'], mesh.nodes['b'].heartbeat_endpoint
+            b.heartbeats_enabled = False
+            endpoint.probe.find_health_path = lambda: ''
+            late = b.build_heartbeat()
+            await endpoint.handle(HttpRequest('DELETE', late.path, [], b'', ''))
+            refused = (await endpoint.handle(late)).status
+            b.started_at_ms = 9000
+            return refused, await b.send_heartbeat(mesh.client)
+
+        self.assertEqual((503, 200), self.run_mesh(scenario))
