A connection that is not set up in time does not end a drain

On the product's own interface a target that has asked for its drain could get new calls again while it still drains.

Cause: any call that could not be sent counted as a refused connection, and with that the next announcement of a draining target as one of a new target. A busy target whose queue of connections is full accepts in a second or two.

Change: only a refused connection counts, at the health check of a target, too. The handling of a complete answer is a function of its own.

Looked at and left: the check whether a silent target is gone takes a connection that is not accepted for a second as gone; a target that is silent and does not accept gets no calls in any case, but its next announcement ends its drain.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -98,7 +98,8 @@
                     address.port,
                 )
         except (OSError, TimeoutError) as exc:
-            return NotSent(f'{address}: {exc or "no connection in time"}')
+            is_refused = isinstance(exc, ConnectionRefusedError)
+            return NotSent(f'{address}: {exc or "no connection in time"}', is_refused)
         return await self._send_on(conn, pending, pool)
 
     async def _send_on(
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -329,16 +329,11 @@
         match result:
             case Answered(response):
                 self._report_advertised_state(call, sent_at, response)
-                reply = self.dialect.read_reply(response)
-                if self.decisions is not None and reply.outcome is Outcome.NOT_RUN:
-                    self.decisions.log_refused_by_target(call.ctx, result, elapsed)
-                if not reply.kind:
-                    reply.retry_after = downstream_retry_after(reply, running)
-                if reply.status >= MIN_SERVER_ERROR_STATUS:
-                    reply.cause = running.downstream_failure
-                return reply
-            case NotSent(detail):
-                self.target.record_connection_refused()
+                return self._read_reply(call, running, result, elapsed)
+            case NotSent(detail, is_refused):
+                # A busy target may not accept in time, too; one that drains would count as new.
+                if is_refused:
+                    self.target.record_connection_refused()
                 return refusal(Failure(ErrorKind.NO_TARGET, detail, RETRY_AFTER_SECONDS))
             case Lost(detail, kind):
                 reply = refusal(Failure(kind, detail))
@@ -348,6 +343,18 @@
                     self.on_target_crash(call.ctx.fingerprint, reply.crash_count)
                 return reply
 
+    def _read_reply(
+        self, call: PendingCall, running: RunningCall, answered: Answered, elapsed: float
+    ) -> Reply:
+        reply = self.dialect.read_reply(answered.response)
+        if self.decisions is not None and reply.outcome is Outcome.NOT_RUN:
+            self.decisions.log_refused_by_target(call.ctx, answered, elapsed)
+        if not reply.kind:
+            reply.retry_after = downstream_retry_after(reply, running)
+        if reply.status >= MIN_SERVER_ERROR_STATUS:
+            reply.cause = running.downstream_failure
+        return reply
+
     def _report_advertised_state(
         self, call: PendingCall, sent_at: float, response: HttpResponse
     ) -> None:
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -156,6 +156,7 @@
     """The call was never sent, so it did not run."""
 
     detail: str
+    is_refused: bool = False  #: nothing listens at the address
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunlinsaddle/mesh/target_probe.py
+++ b/dunlinsaddle/mesh/target_probe.py
@@ -45,6 +45,6 @@
         match result:
             case Answered(response):
                 return read_health(response)
-            case NotSent(detail):
+            case NotSent(detail, is_refused=True):
                 return NotServing(detail)
         return HealthUnknown(result.detail)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.messages import NotSent
 from dunlinsaddle.settings import Address
 from tests.clock import PausedClockTest
 from tests.fakes.pair import NodePair, SleepingTarget
@@ -96,6 +97,24 @@
 
         self.assertEqual(200, self.with_pair(use))
 
+    # Guards against a drain that ends because one connection was not accepted in time: the next
+    # announcement of the target would count as one of a new target.
+    def test_a_connection_that_is_not_accepted_in_time_does_not_end_a_drain(self):
+        async def use(pair):
+            async def send_slowly(*args, **options):
+                await asyncio.sleep(1)
+                return NotSent('no connection in time')
+
+            pair.target_node.client.send = send_slowly
+            call = asyncio.create_task(pair.call(pair.target_node))
+            await asyncio.sleep(0.5)
+            await pair.send(pair.target_node.addresses.local, 'POST', '/-/drain')
+            await call
+            await asyncio.sleep(5)
+            return pair.target_node.target.draining
+
+        self.assertTrue(self.with_pair(use))
+
     def test_drain_waits_for_calls_that_run_on_other_nodes(self):
         # The entry node drains. It has no target, but one of its callers waits for a call that
         # runs on another node: closing now would cut the response.
