Bytes without end from a target fail their call alone, and take bounded memory

A target sends bytes that are no answer, in a head or a body, until its caller closes the connection.

Cause: the parser reports a line only when it ends, and chunk extensions, empty lines and trailers never; bodies were bounded each, but not together; the bodies of answers to other requests were kept, too.

A node has 300 MB.

Two ways weighed for the memory of all answers: to stop reading while the bound is met keeps the memory and holds up the calls beside it until the deadlines; to fail the call that asks for more would fail small ones. So the answer that holds the most is given up.

Change: a bound over all incomplete answers (64 MiB, one of the largest always fits); bytes that belong to no body may be as many as the bodies' and a head's beside; both count from the send on, whatever the bytes belong to. Bodies of other requests' answers are not kept, small parts are joined as they arrive. The bound on framing holds for requests, too. An answer over the limit counts as an error of its target, and is not fetched from another as before.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from dunlinsaddle.calls.answer_memory import AnswerMemory
 from dunlinsaddle.calls.connection import (
     Answered,
     ClientConnection,
@@ -46,7 +47,9 @@
         *,
         allow_close_delimited: bool = False,
         names_request: Callable[[Headers], bool] = match_any_response,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
+        self.answer_memory = answer_memory or AnswerMemory()
         self.rules = ResponseRules(max_body_bytes, allow_close_delimited, names_request)
         #: Called with the headers of each response to another request than the one in progress.
         self.on_skipped: Callable[[Headers], None] = lambda headers: None
@@ -93,7 +96,7 @@
                 min(loop.time() + CONNECT_TIMEOUT_SECONDS, pending.deadline)
             ):
                 _, conn = await loop.create_connection(
-                    lambda: ClientConnection(self.rules, self.on_skipped),
+                    lambda: ClientConnection(self.rules, self.on_skipped, self.answer_memory),
                     address.host,
                     address.port,
                 )
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/connection.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, cast
 
+from dunlinsaddle.calls.answer_memory import AnswerMemory
 from dunlinsaddle.calls.http import HOP_BY_HOP, HttpRequest, HttpResponse
 from dunlinsaddle.calls.http_codec import (
     BodyTooLarge,
@@ -61,7 +62,9 @@
         self,
         rules: ResponseRules,
         on_skipped: Callable[[Headers], None] = lambda headers: None,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
+        self.answer_memory = answer_memory or AnswerMemory()
         self.number = next(_connection_numbers)
         self.rules = rules
         self.on_skipped = on_skipped
@@ -110,6 +113,13 @@
             self.abort(Lost(str(exc), ErrorKind.INCOMPLETE_ANSWER))
         else:
             self._handle_messages(messages)
+        if self.result_future is not None:
+            self.answer_memory.set(self, self.reader.held_bytes)
+
+    def give_up(self) -> None:
+        """Abort the connection: its response holds the most memory, and there is no more."""
+        detail = f'the answers in progress are larger than {self.answer_memory.limit} bytes'
+        self.abort(Lost(detail, ErrorKind.INCOMPLETE_ANSWER))
 
     def send(
         self, req: HttpRequest, default_host: bytes, matches_request: 'ResponseMatcher'
@@ -125,7 +135,7 @@
         self.result_future = self.loop.create_future()
         self.matches_request = matches_request
         self.received_data = False
-        self.reader.expects_no_body = req.method == 'HEAD'
+        self.reader.begin(matches_request, expects_no_body=req.method == 'HEAD')
         self.transport.write(data)
         return self.result_future
 
@@ -136,6 +146,7 @@
 
     def set_result(self, result: SendResult) -> None:
         """Complete the pending request, if there is one."""
+        self.answer_memory.release(self)
         future, self.result_future = self.result_future, None
         if future is not None and not future.done():
             future.set_result(result)
@@ -144,6 +155,7 @@
         """Abort the connection and complete the pending request; later data is discarded."""
         self.transport.abort()
         self.set_result(result)
+        self.reader.discard_body()
 
     def _handle_messages(self, messages: list[ResponseMessage]) -> None:
         """Complete the request with the response that belongs to it, if it was received.
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -332,7 +332,9 @@
         # A target that rejects calls has the fewest in flight. Without counting its rejections
         # as errors, it would attract ever more calls.
         is_rejected = reply.kind == ErrorKind.TARGET_REFUSED.value
-        error = is_rejected or (failed and reply.retry_after <= 0)
+        # An answer over the limit, which may be one without end, is no better than a lost one.
+        is_unusable = reply.kind == ErrorKind.OUTCOME_UNKNOWN.value
+        error = is_rejected or is_unusable or (failed and reply.retry_after <= 0)
         self.router.record_answer(
             now, member.instance, reply.load, error=error, rule=rule, speed=reply.speed
         )
--- a/dunlinsaddle/calls/http_codec.py
+++ b/dunlinsaddle/calls/http_codec.py
@@ -15,6 +15,11 @@
 FRAMING_HEADERS = frozenset({b'content-length', b'transfer-encoding'})
 BODILESS_STATUSES = frozenset({204, 304})
 MIN_FINAL_STATUS = 200
+#: Bytes of framing that a message may have for each byte of its body, besides the size of a head.
+#: Chunks of five bytes have as many; smaller ones take long to parse.
+FRAMING_BYTES_PER_BODY_BYTE = 1
+#: Smaller parts of a body are joined as they arrive: a part of one byte takes the memory of fifty.
+MIN_PART_BYTES = 4096
 
 
 class MalformedMessage(Exception):
@@ -86,7 +91,20 @@
         self.body_size += len(body)
         if self.body_size > self.max_body_bytes:
             self.fail(BodyTooLarge('the body is too large'))
-        self.chunks.append(body)
+        if self.chunks and len(self.chunks[-1]) + len(body) < MIN_PART_BYTES:
+            self.chunks[-1] += body
+        else:
+            self.chunks.append(body)
+
+    def check_framing(self, bytes_read: int, body_bytes: int) -> None:
+        """Raise HeadTooLarge if too many of the bytes read are no part of a body.
+
+        The parser reports neither a line before its end nor chunk extensions, empty lines and
+        trailers. A sender of any of these without end would be read until the deadline.
+        """
+        limit = self.max_header_bytes + FRAMING_BYTES_PER_BODY_BYTE * body_bytes
+        if bytes_read - body_bytes > limit:
+            raise HeadTooLarge('the head or the framing of the body is too large')
 
     def fail(self, exc: Exception) -> None:
         """Abort parsing; the parser wraps errors of callbacks, so the original is kept."""
@@ -100,6 +118,10 @@
                 return int(value) if value.isdigit() else 0
         return 0
 
+    def discard_body(self) -> None:
+        """Free the memory of a body that is not read to its end."""
+        self.chunks = []
+
     def take_body(self) -> bytes:
         chunks, self.chunks = self.chunks, []
         return chunks[0] if len(chunks) == 1 else b''.join(chunks)
@@ -137,6 +159,7 @@
     def feed(self, data: bytes) -> list[RequestMessage]:
         """Parse data and return the requests that it completes. Raises MalformedMessage."""
         self.messages = []
+        self.check_framing(self.bytes_fed, self.body_size)
         self.bytes_fed += len(data)
         try:
             self.parser.feed_data(data)
@@ -219,7 +242,10 @@
 
 
 class ResponseReader(_MessageReader):
-    """Parses the responses of one connection; each should belong to the latest request."""
+    """Parses the responses of one connection; each should belong to the latest request.
+
+    The limits apply to all that is read since that request was sent, whatever it belongs to.
+    """
 
     def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
         super().__init__(max_header_bytes, max_body_bytes)
@@ -228,6 +254,29 @@
         self.expects_no_body = False  #: the request was a HEAD
         self.in_message = False
         self.broken = False  #: bytes were received that are not a valid response
+        self.is_wanted: Callable[[Headers], bool] = lambda headers: True
+        self._keeps_body = True
+        self._bytes_read = 0  #: since the latest request was sent
+        self._body_bytes_read = 0  #: the part of them that belongs to bodies
+
+    def begin(self, is_wanted: Callable[[Headers], bool], *, expects_no_body: bool) -> None:
+        """Expect the response to a request; only the bodies of wanted responses are kept."""
+        self.is_wanted = is_wanted
+        self.expects_no_body = expects_no_body
+        self._bytes_read = self._body_bytes_read = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the part of a body that is kept until the response is complete."""
+        return self.body_size if self.chunks else 0
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+        self._body_bytes_read += len(body)
+        if self._body_bytes_read > self.max_body_bytes:
+            self.fail(BodyTooLarge('the body is too large'))
+        if self._keeps_body:
+            super().on_body(body)
 
     def feed(self, data: bytes) -> list[ResponseMessage]:
         """Parse data and return the responses that it completes.
@@ -235,6 +284,8 @@
         Raises MalformedMessage if parsing fails before any response is complete.
         """
         self.messages = []
+        self.check_framing(self._bytes_read, self._body_bytes_read)
+        self._bytes_read += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, MalformedMessage) as exc:
@@ -271,6 +322,7 @@
             self.fail(
                 MalformedMessage('Content-Length and Transfer-Encoding, or one of them twice')
             )
+        self._keeps_body = self.is_wanted(self.headers)
         if self.content_length() > self.max_body_bytes and not self.expects_no_body:
             self.fail(BodyTooLarge('the body is too large'))
         if self.expects_no_body and self.parser.get_status_code() >= MIN_FINAL_STATUS:
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -15,6 +15,7 @@
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
 from dunlinsaddle.access.quotas import QuotaCoordinator
 from dunlinsaddle.calls.body_memory import BodyMemory
+from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.errors import ErrorKind, Failure
@@ -47,6 +48,7 @@
     settings: MeshSettings
     stats: Stats
     admission: SlotAdmission
+    client: HttpClient
     view: MemberView
     budget: RetryBudget
     follower: ConfigFollower
@@ -130,6 +132,23 @@
                 (node.body_memory.limit, {'of': 'limit'}),
             ],
         )
+        answers = node.client.answer_memory
+        metrics.gauge(
+            'dunlinsaddle.answer_bytes',
+            'By',
+            'Bytes of incomplete answers of the target held here, the most so far, and the limit.',
+            lambda: [
+                (answers.held, {'of': 'held'}),
+                (answers.most_held, {'of': 'most'}),
+                (answers.limit, {'of': 'limit'}),
+            ],
+        )
+        metrics.counter(
+            'dunlinsaddle.answers_given_up',
+            '{answer}',
+            'Answers of the target that were given up as they held the most memory.',
+            lambda: [(answers.given_up_count, {})],
+        )
         metrics.counter(
             'dunlinsaddle.repeats',
             '{call}',
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -11,6 +11,7 @@
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
 from dunlinsaddle.access.peers import GossipPeers
 from dunlinsaddle.access.quotas import QuotaCoordinator
+from dunlinsaddle.calls.answer_memory import AnswerMemory
 from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.call_state import RunningCalls, read_call_frame
 from dunlinsaddle.calls.client import HttpClient
@@ -77,6 +78,8 @@
 #: Request bodies of callers and peers held at the same time. One of the largest size always fits.
 #: Beside it, each link from a peer may hold the part of one call that has arrived.
 MAX_HELD_BODY_BYTES = MAX_BODY_BYTES
+#: Incomplete answers of the target held at the same time. One of the largest size always fits.
+MAX_HELD_ANSWER_BYTES = MAX_BODY_BYTES
 #: Requests of one connection that run at the same time. Callers that pipeline send a few.
 MAX_PIPELINED_REQUESTS = 16
 #: Timeout of one call to the store. It responds in 4 ms, and in about 400 ms when impaired.
@@ -188,7 +191,10 @@
     def _build_calls(self) -> None:
         cfg = self.settings
         self.client = HttpClient(
-            MAX_BODY_BYTES, allow_close_delimited=True, names_request=names_request
+            MAX_BODY_BYTES,
+            allow_close_delimited=True,
+            names_request=names_request,
+            answer_memory=AnswerMemory(MAX_HELD_ANSWER_BYTES),
         )
         self.client.on_skipped = self.reports.answer_skipped
         self.executor = Executor(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -187,6 +187,16 @@
             shares = [router.report(0.0, name, 'bangor-hall')['error_share'] for name in names]
             self.assertEqual(retry_after == 0, any(shares))
 
+    # Guards against a target that goes on getting its full share while its answers have no end.
+    def test_an_answer_over_the_limit_counts_as_error_of_the_target(self):
+        router = Router('bangor-hall', Random(1))
+        failure = Failure(ErrorKind.OUTCOME_UNKNOWN, 'the answer is too large')
+        links = FakeLinks(refusal(failure))
+        self.dispatch(links, router=router)
+        names = ('bangor-1', 'menai-1', 'caernarfon-1')
+        shares = [router.report(0.0, name, 'bangor-hall')['error_share'] for name in names]
+        self.assertEqual((1, True), (len(links.calls), any(shares)))
+
     def test_number_of_attempts_is_limited_by_the_allowance(self):
         links = FakeLinks(*[NotSent('refused')] * 10)
         self.dispatch(links, tokens=1)
