The endpoint for metrics and the overview has a module of its own

mesh/node.py wires the parts of a node; what it answered itself to those who observe it moves out, with the delayed import of the exporters.

--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from functools import partial
 from random import Random
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
 from dunlinsaddle.access.authentication import Authenticator
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
@@ -40,12 +40,12 @@
 from dunlinsaddle.membership.roster import Bootstrap, RosterStore
 from dunlinsaddle.membership.tuning import GossipTimes
 from dunlinsaddle.membership.view import Member, MemberView, State
-from dunlinsaddle.mesh import overview
 from dunlinsaddle.mesh.budget_lending import BudgetLending
 from dunlinsaddle.mesh.heartbeat_endpoint import HeartbeatEndpoint
 from dunlinsaddle.mesh.ingress import IngressHandler
 from dunlinsaddle.mesh.learned_state import LearnedStateExchange, Sources
 from dunlinsaddle.mesh.level_gossip import LevelGossip
+from dunlinsaddle.mesh.observation import ObservationEndpoint
 from dunlinsaddle.mesh.reports import RequestReports
 from dunlinsaddle.mesh.retries import BudgetedRetries
 from dunlinsaddle.mesh.settings import DeploymentLimits, MeshSettings
@@ -69,9 +69,6 @@
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
 
-if TYPE_CHECKING:
-    from dunlinsaddle.mesh.metrics import MeshMetrics
-
 #: Largest body of a request or of a response of the store. The operators set a lower limit for
 #: requests of callers.
 MAX_BODY_BYTES = 1 << 26
@@ -299,9 +296,9 @@
         self.readiness_listener = HttpListener(
             self._handle_readiness, HttpLimits(), self.reports.request_fault
         )
-        self.metrics: MeshMetrics | None = None  #: created on the first request for metrics
+        self.observation = ObservationEndpoint(self)
         self.metrics_listener = HttpListener(
-            self._handle_metrics, HttpLimits(), self.reports.request_fault
+            self.observation.handle, HttpLimits(), self.reports.request_fault
         )
 
     async def start(self) -> ListenAddresses:
@@ -366,8 +363,7 @@
         )
         for listener in listeners:
             listener.close()
-        if self.metrics is not None:
-            self.metrics.close()
+        self.observation.close()
         self.heartbeat_endpoint.close()
         self.agent.leave()
         self.crash_notifier.close()
@@ -394,18 +390,6 @@
         ready = self.follower.version > 0 and self.bootstrap.is_settled and not self.is_stopping
         return HttpResponse(200 if ready else 503, [], b'')
 
-    async def _handle_metrics(self, req: HttpRequest) -> HttpResponse:
-        if req.path.partition('?')[0] == overview.PATH and req.method == 'GET':
-            return overview.overview_response(self)
-        # The import of the exporters takes as long as that of all other modules, so it is delayed
-        # until the first request for metrics. A node that starts after a power failure serves its
-        # callers a tenth sooner.
-        if self.metrics is None:
-            from dunlinsaddle.mesh.metrics import MeshMetrics
-
-            self.metrics = MeshMetrics(self)
-        return await self.metrics.handle(req)
-
     def _is_watcher(self) -> bool:
         return self.watchers.includes(self.settings.instance)
 
