Soak: targets start again under their id with other clocks, and leave both ways

Each start of a target has its own output, so that requests are counted for the start that they reach. A departure is followed by a heartbeat from before it, and the node is killed while the target serves on.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from types import TracebackType
 from typing import Any, NamedTuple
@@ -83,6 +84,8 @@
         self._revision = 0
         self._node_environ: dict[str, dict[str, str]] = {}
         self._target_commands: dict[str, list[str]] = {}
+        #: Returns further options for the next start of the target of a machine.
+        self.target_options: Callable[[str], list[str]] = lambda name: []
 
     async def __aenter__(self) -> 'MeshFleet':
         store = self._start(
@@ -131,7 +134,7 @@
 
     def start_target(self, name: str) -> Process:
         """Start a machine's target."""
-        return self._start(self._target_commands[name])
+        return self._start([*self._target_commands[name], *self.target_options(name)])
 
     def restart_processes(self, name: str, *, node: bool = False, target: bool = False) -> None:
         """Start the node, the target, or both of a machine again after they have exited."""
--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -24,6 +24,7 @@
 
 HEARTBEAT_SECONDS = 0.5  #: a third of the platform's interval, to keep trials short
 CALL_TIMEOUT_SECONDS = 2.0
+MAX_LEAVE_ATTEMPTS = 4  #: a target that is not acknowledged exits anyway
 STATE_PATH = '/-/says'  #: sets the state that the target advertises in its responses
 FAULTS_PATH = '/-/faults'
 MISDIRECTED_REQUEST = 421
@@ -89,10 +90,11 @@
 
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
-        self.target_id = f'i-{uuid6.uuid7().hex[-12:]}'
-        self.started_at_ms = int(time.time() * 1000)
+        self.target_id = options.id or f'i-{uuid6.uuid7().hex[-12:]}'
+        self.started_at_ms = int((time.time() + options.clock_step) * 1000)
         self.sequence = 0
         self.draining = False
+        self.deregistered = False
         self.state = AdvertisedState()
         self.faults = TargetFaults(options.refuse, options.repeat)
         self.running_count = 0
@@ -112,7 +114,8 @@
             return json_response({'target': self.target_id})
         if req.path == '/health':
             headers = [(names.TARGET_ID, self.target_id.encode())]
-            return HttpResponse(503 if self.draining else 200, headers, b'')
+            is_leaving = self.draining or self.deregistered
+            return HttpResponse(503 if is_leaving else 200, headers, b'')
         request_id = req.header(names.REQUEST_ID)
         print(f'got {self.target_id} {time.monotonic():.4f} {request_id}', flush=True)  # noqa: T201
         if req.header(names.EXPECTED_TARGET) != self.target_id:
@@ -168,6 +171,15 @@
 
     async def send_heartbeat(self) -> bool:
         """Send one heartbeat; return whether it was acknowledged."""
+        return await self.send(self.build_heartbeat())
+
+    async def send(self, req: HttpRequest) -> bool:
+        """Send a message to the node; return whether it was acknowledged."""
+        exchange = await self.client.send(self.options.control, req, 1.0)
+        return isinstance(exchange, Answered) and exchange.response.status == 200
+
+    def build_heartbeat(self) -> HttpRequest:
+        """Return the next heartbeat."""
         self.sequence += 1
         heartbeat = {
             'service': self.options.service,
@@ -181,9 +193,24 @@
             'born': self.started_at_ms,
         }
         body = msgspec.json.encode(heartbeat)
-        req = HttpRequest('PUT', f'{INSTANCES_PATH}{self.target_id}', [], body, '')
-        exchange = await self.client.send(self.options.control, req, 1.0)
-        return isinstance(exchange, Answered) and exchange.response.status == 200
+        return HttpRequest('PUT', f'{INSTANCES_PATH}{self.target_id}', [], body, '')
+
+    def build_deregistration(self) -> HttpRequest:
+        """Return the message that this target terminates."""
+        return HttpRequest('DELETE', f'{INSTANCES_PATH}{self.target_id}', [], b'', '')
+
+    async def leave(self, *, by_deregistration: bool) -> None:
+        """Announce the departure until it is acknowledged, and print when it was."""
+        self.draining, self.deregistered = not by_deregistration, by_deregistration
+        for _ in range(MAX_LEAVE_ATTEMPTS):
+            if by_deregistration:
+                is_acknowledged = await self.send(self.build_deregistration())
+            else:
+                is_acknowledged = await self.send_heartbeat()
+            if is_acknowledged:
+                print(f'left {self.target_id} {time.monotonic():.4f}', flush=True)  # noqa: T201
+                return
+            await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
 def _name(req: HttpRequest) -> tuple[bytes, bytes]:
@@ -207,12 +234,16 @@
     print(await listener.listen(options.listen), flush=True)  # noqa: T201
     heartbeat_task = asyncio.create_task(_send_heartbeats(target))
     await stop.wait()
-    target.draining = True
-    await target.send_heartbeat()
-    await asyncio.sleep(options.drain)
+    late_heartbeat = target.build_heartbeat()
+    if options.deregister_first:
+        heartbeat_task.cancel()
+    await target.leave(by_deregistration=options.deregister_first)
+    await asyncio.sleep(options.drain / 2)
+    if options.late:
+        await target.send(late_heartbeat)
+    await asyncio.sleep(options.drain / 2)
     heartbeat_task.cancel()
-    deregistration = HttpRequest('DELETE', f'{INSTANCES_PATH}{target.target_id}', [], b'', '')
-    await target.client.send(options.control, deregistration, 1.0)
+    await target.send(target.build_deregistration())
     listener.close()
 
 
@@ -230,6 +261,14 @@
     parser.add_argument('--call', action='append', default=[])
     parser.add_argument('--refuse', type=float, default=0.0, help='Share of the requests.')
     parser.add_argument('--repeat', type=float, default=0.0, help='Share of the answers.')
+    parser.add_argument('--id', default='', help='Default: a new one.')
+    parser.add_argument('--clock-step', type=float, default=0.0, help='Of its clock, in seconds.')
+    parser.add_argument(
+        '--deregister-first', action='store_true', help='Leave without reporting "draining".'
+    )
+    parser.add_argument(
+        '--late', action='store_true', help='After leaving, send a heartbeat from before.'
+    )
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(serve(parser.parse_args()))
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -18,6 +18,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
@@ -38,6 +39,7 @@
     find_violations,
     is_valid_response,
 )
+from standins.soak_departures import find_late_arrivals, target_options
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
@@ -99,6 +101,7 @@
     repeated_share: float = 0.0  #: of the answers, which targets send once more, late
     outstanding: int = 0  #: requests of callers that always have some in progress; 0 for none
     keeps_refusing: bool = False  #: targets refuse and repeat after the last fault, too
+    reuses_ids: bool = False  #: targets start again under their id, and leave in different ways
 
 
 class Soak:
@@ -110,6 +113,7 @@
         self.variant = variant
         self.restore_rng = Random(f'returns {seed}')
         self.announcement_rng = Random(f'says {seed}')
+        self.departure_rng = Random(f'leaves {seed}')
         self.record = RunRecord()
         self.is_calling = True
         self.services = list(SERVICES)  #: later also the newest configuration's route
@@ -117,6 +121,8 @@
     async def run(self, seconds: float) -> RunRecord:
         """Start the processes, inject faults for ``seconds``, clear them, and check the results."""
         variant = self.variant
+        if variant.reuses_ids:
+            self.fleet.target_options = partial(target_options, rng=self.departure_rng)
         await self.fleet.configure(SERVICE_SPECS)
         for number in range(variant.machines_per_service):
             for spec in SERVICE_SPECS:
@@ -246,6 +252,8 @@
                 group.create_task(self._return_store(until))
             if self.variant.announces_state:
                 group.create_task(self._announce_states(until))
+            if self.variant.reuses_ids:
+                group.create_task(self._replace_targets(until))
             while loop.time() < until:
                 group.create_task(self._inject_fault())
                 await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -367,6 +375,23 @@
                 await asyncio.sleep(hold_seconds)
                 await self._replace_target(name, hold_seconds)
 
+    async def _replace_targets(self, until: float) -> None:
+        """Repeatedly let a target leave or crash; its node may be killed while it serves on."""
+        loop, rng = asyncio.get_running_loop(), self.departure_rng
+        while loop.time() < until:
+            name = rng.choice(list(self.fleet.machines))
+            if rng.random() < 0.3:
+                self.record.faults.append(f'crash {name}')
+                await self._kill_target(name, 0.1)
+                continue
+            node_delay = rng.uniform(0.0, 2.0) if rng.random() < 0.6 else None
+            self.record.faults.append(f'leave {name} node killed after {node_delay}')
+            replacement = asyncio.create_task(self._replace_target(name, 0.0))
+            if node_delay is not None:
+                await asyncio.sleep(node_delay)
+                await self._kill_node(name, 0.1)
+            await replacement
+
     async def _announce_rate(self, name: str, rate: float, hold_seconds: float) -> None:
         self.record.faults.append(f'name_rate {name} {rate:.1f} {hold_seconds:.1f}')
         loop = asyncio.get_running_loop()
@@ -397,11 +422,9 @@
         run_counts: Counter[str] = Counter()
         arrivals = []
         for proc in self.fleet.processes:
-            while True:
-                try:
-                    line = proc.stdout_lines.get_nowait()
-                except queue.Empty:
-                    break
+            lines = _read_available(proc.stdout_lines)
+            self.record.findings += find_late_arrivals(lines)
+            for line in lines:
                 event, _, request_id = line.partition(' ')
                 if event == 'run':
                     run_counts[request_id] += 1
@@ -411,6 +434,14 @@
         return run_counts, arrivals
 
 
+def _read_available(lines: 'queue.Queue[str]') -> list[str]:
+    available = []
+    with contextlib.suppress(queue.Empty):
+        while True:
+            available.append(lines.get_nowait())
+    return available
+
+
 async def _end(popen: 'subprocess.Popen[str]', signum: signal.Signals) -> None:
     if popen.poll() is None:
         popen.send_signal(signum)
@@ -448,6 +479,11 @@
     parser.add_argument(
         '--keep-refusing', action='store_true', help='Let --refuse and --repeat never end.'
     )
+    parser.add_argument(
+        '--reuse-ids',
+        action='store_true',
+        help='Let targets start again under their id, with other clocks, and leave both ways.',
+    )
     parser.add_argument(
         '--copies', type=int, default=MACHINES_PER_SERVICE, help='Machines per service.'
     )
@@ -460,6 +496,7 @@
         args.repeat,
         args.outstanding,
         args.keep_refusing,
+        args.reuse_ids,
     )
     first, _, last = args.seeds.partition('-')
     failed_seeds = 0
