--- a/standins/soak.py
+++ b/standins/soak.py
@@ -17,10 +17,9 @@
 import sys
 from collections import Counter
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
 from functools import partial
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 import uuid6
 
@@ -30,7 +29,7 @@
 from dunlinsaddle.platform import headers as names
 from standins.mesh import MeshFleet, ServiceSpec, UnconfirmedWriteError, build_call_headers
 from standins.mesh_target import AdvertisedState, TargetFaults
-from standins.pipelining import LostRequest, PipeliningCaller
+from standins.pipelining import PipeliningCaller
 from standins.proxy import ProxyFault
 from standins.soak_checks import (
     SERVICES,
@@ -40,6 +39,7 @@
     is_valid_response,
 )
 from standins.soak_departures import find_late_arrivals, target_options
+from standins.soak_run import MACHINES_PER_SERVICE, RunRecord, Variant
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
@@ -56,7 +56,6 @@
     ServiceSpec('orders', downstream_paths=('/deep/x',), kind='unsafe'),
     ServiceSpec('deep', slots=40, service_seconds=0.01),
 ]
-MACHINES_PER_SERVICE = 2  #: unless a run specifies another number
 #: Start time allowed per machine beyond the default number: processes start one after the other,
 #: and each takes most of a second of a core.
 START_SECONDS_PER_MACHINE = 1.0
@@ -78,32 +77,6 @@
 ]
 
 
-@dataclass
-class RunRecord:
-    """Requests, injected faults and findings of a run."""
-
-    requests: list[SentRequest] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
-    findings: list[str] = field(default_factory=list)
-    announced_rates: list[AnnouncedRate] = field(default_factory=list)
-    relayed_leaving: list[RelayedLeaving] = field(default_factory=list)
-    disruptions: list[NodeDisruption] = field(default_factory=list)
-    lost: list[LostRequest] = field(default_factory=list)
-
-
-class Variant(NamedTuple):
-    """Options of a run; they do not change which other faults the seed draws."""
-
-    restores_store: bool = False  #: the store is restored from copies during the run
-    announces_state: bool = False  #: targets advertise rates and that they are leaving
-    machines_per_service: int = MACHINES_PER_SERVICE
-    refused_share: float = 0.0  #: of the requests, which targets do not run
-    repeated_share: float = 0.0  #: of the answers, which targets send once more, late
-    outstanding: int = 0  #: requests of callers that always have some in progress; 0 for none
-    keeps_refusing: bool = False  #: targets refuse and repeat after the last fault, too
-    reuses_ids: bool = False  #: targets start again under their id, and leave in different ways
-
-
 class Soak:
     """Runs callers and injects faults, for one seed."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,10 @@
 from dunlinsaddle.calls.http import HttpResponse, json_response
 from standins.mesh import MeshFleet, UnconfirmedWriteError
 from standins.pipelining import LostRequest, PipeliningCaller
-from standins.soak import Soak, Variant, run_seed
+from standins.soak import Soak, run_seed
 from standins.soak_checks import SentRequest, find_cut_requests, find_violations
+from standins.soak_departures import find_late_arrivals
+from standins.soak_run import Variant
 from standins.soak_says import (
     AnnouncedRate,
     Arrival,
@@ -31,6 +33,8 @@
 ADVERTISED_SEED, ADVERTISED_SECONDS = 1, 10.0
 #: Nodes that serve full pipes until they end fail this run.
 PIPES_SEED, PIPES_SECONDS = 101, 6.0
+#: Nodes that order heartbeats by their numbers fail this run.
+DEPARTURES_SEED, DEPARTURES_SECONDS = 907, 12.0
 
 
 class SoakTest(TestCase):
@@ -64,6 +68,23 @@
         record = asyncio.run(run_seed(PIPES_SEED, PIPES_SECONDS, variant))
         self.assertEqual([], record.findings, record.faults)
 
+    # Guards against requests to a target whose departure was acknowledged, while targets start
+    # again under their id with other clocks, leave both ways, and nodes are killed.
+    def test_departures_bind_while_targets_and_nodes_start_again(self):
+        record = asyncio.run(
+            run_seed(DEPARTURES_SEED, DEPARTURES_SECONDS, Variant(reuses_ids=True))
+        )
+        self.assertTrue(any(fault.startswith('leave') for fault in record.faults))
+        self.assertEqual([], record.findings, record.faults)
+
+
+class LateArrivalsTest(TestCase):
+    def test_requests_later_than_the_drain_time_after_a_departure_are_found(self):
+        lines = ['got i-1 5.0 r-1', 'left i-1 6.0', 'got i-1 7.9 r-2', 'got i-1 8.1 r-3']
+        self.assertEqual([], find_late_arrivals(lines[:3]))
+        self.assertEqual([], find_late_arrivals([lines[0], lines[3]]))
+        self.assertEqual(1, len(find_late_arrivals(lines)))
+
 
 class ConfigureTest(PausedClockTest):
     def configure(self, *responses: HttpResponse | None) -> tuple[list[str], list[Any]]:
