The first target of a first start needs no confirmation

What callers saw: nothing.

Change: a node that is told of the first start, and has heard of no target, takes its first one as it says. From the first message on all is as before.

Ruled out: an id on health checks, which a target without the path would run as a request.

Measured: tests/test_departures.py, tests/test_platform_formats.py and the others of heartbeats pass; the orders are those of nodes that know of no first start.

--- a/dunlinsaddle/mesh/heartbeat_endpoint.py
+++ b/dunlinsaddle/mesh/heartbeat_endpoint.py
@@ -71,6 +71,8 @@
         probe: TargetProbe,
         on_change: Callable[[], None],
         logger: logging.Logger,
+        *,
+        is_first_start: bool = False,
     ) -> None:
         self.service = service
         self.address: Address = probe.address
@@ -79,7 +81,7 @@
         self.probe = probe
         self.on_change = on_change
         self.logger = logger
-        self.tracker = HeartbeatTracker()
+        self.tracker = HeartbeatTracker(is_first_start=is_first_start)
         self.last_heartbeat_at = -math.inf  #: loop time of the latest accepted heartbeat
         self.starts = 0  #: incarnations that were announced
         self.effects: Counter[Effect] = Counter()  #: messages by their effect
--- a/dunlinsaddle/mesh/heartbeats.py
+++ b/dunlinsaddle/mesh/heartbeats.py
@@ -67,8 +67,11 @@
     the target itself has confirmed that it serves.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_first_start: bool = False) -> None:
         self.current: Heartbeat | None = None
+        #: Whether the whole deployment starts now and no target has been heard yet: then there is
+        #: no departure that a restart of this node could have forgotten.
+        self._is_first = is_first_start
         self._replaced: dict[Start, None] = {}
         self._departed: dict[str, int] = {}  #: start time of each departed start, by id
 
@@ -78,7 +81,7 @@
             return self._judge_departure(heartbeat)
         current = self.current
         if current is None or current.draining:
-            return Verdict.APPLY_IF_SERVING
+            return Verdict.APPLY if self._is_first else Verdict.APPLY_IF_SERVING
         if heartbeat.start == current.start:
             is_newer = heartbeat.sequence > current.sequence
             return Verdict.APPLY if is_newer else Verdict.OLD_SEQUENCE
@@ -100,6 +103,7 @@
     def apply(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat of the current start, or one that begins another start."""
         current = self.current
+        self._is_first = False
         self._departed.pop(heartbeat.target_id, None)
         self._replaced.pop(heartbeat.start, None)
         if current is not None and current.start == heartbeat.start and heartbeat.draining:
@@ -144,6 +148,7 @@
         return heartbeat.started_at_ms >= current.started_at_ms
 
     def _record_departed(self, target_id: str, started_at_ms: int) -> None:
+        self._is_first = False
         self._departed.pop(target_id, None)
         self._departed[target_id] = started_at_ms
         _discard_first(self._departed)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -280,6 +280,7 @@
             TargetProbe(cfg.target, self._find_health_path),
             self._announce_self,
             self.logger,
+            is_first_start=cfg.first_start,
         )
         limits = HttpLimits(max_body_bytes=MAX_BODY_BYTES)
         self.callers_listener = HttpListener(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -174,6 +174,18 @@
         self.assertFalse(tracker.is_newer(self.beat(sequence=9)))
         self.assertTrue(tracker.is_newer(self.beat(started_at_ms=2)))
 
+    # Guards against a first start of a whole deployment in which no target gets work before its
+    # node knows the configuration, and against a node that has heard of a departure and forgets it.
+    def test_only_the_first_target_of_a_first_start_needs_no_confirmation(self):
+        tracker = HeartbeatTracker(is_first_start=True)
+        self.assertEqual(Verdict.APPLY, tracker.judge(self.beat()))
+        tracker.apply(self.beat())
+        tracker.deregister(Deregistration('i-1'))
+        self.assertEqual(Verdict.APPLY_IF_SERVING, tracker.judge(self.beat('i-2')))
+        tracker = HeartbeatTracker(is_first_start=True)
+        tracker.deregister(Deregistration('i-2'))
+        self.assertEqual(Verdict.APPLY_IF_SERVING, tracker.judge(self.beat()))
+
     def test_former_starts_take_bounded_memory(self):
         tracker = HeartbeatTracker()
         for number in range(MAX_FORMER_STARTS + 10):
