--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -92,6 +92,8 @@
         self.options = options
         self.target_id = options.id or f'i-{uuid6.uuid7().hex[-12:]}'
         self.started_at_ms = int((time.time() + options.clock_step) * 1000)
+        #: Identifies this start in all output; the next one may have the same id.
+        self.start_name = f'{self.target_id}@{self.started_at_ms}'
         self.sequence = 0
         self.draining = False
         self.deregistered = False
@@ -108,16 +110,16 @@
             return json_response(self.run_counts)
         if req.path == STATE_PATH:
             self.state = msgspec.json.decode(req.body, type=AdvertisedState)
-            return json_response({'target': self.target_id})
+            return json_response({'target': self.start_name})
         if req.path == FAULTS_PATH:
             self.faults = msgspec.json.decode(req.body, type=TargetFaults)
-            return json_response({'target': self.target_id})
+            return json_response({'target': self.start_name})
         if req.path == '/health':
             headers = [(names.TARGET_ID, self.target_id.encode())]
             is_leaving = self.draining or self.deregistered
             return HttpResponse(503 if is_leaving else 200, headers, b'')
         request_id = req.header(names.REQUEST_ID)
-        print(f'got {self.target_id} {time.monotonic():.4f} {request_id}', flush=True)  # noqa: T201
+        print(f'got {self.start_name} {time.monotonic():.4f} {request_id}', flush=True)  # noqa: T201
         if req.header(names.EXPECTED_TARGET) != self.target_id:
             headers = [_name(req), (names.TARGET_ID, self.target_id.encode())]
             return HttpResponse(MISDIRECTED_REQUEST, headers, b'')
@@ -145,7 +147,7 @@
         status = 200 if all(succeeded) else 500
         headers = [
             _name(req),
-            (names.SERVER_SIGNATURE, self.target_id.encode()),
+            (names.SERVER_SIGNATURE, self.start_name.encode()),
             *self._state_headers(),
         ]
         body = msgspec.json.encode({'id': request_id, 'path': req.path})
@@ -208,7 +210,7 @@
             else:
                 is_acknowledged = await self.send_heartbeat()
             if is_acknowledged:
-                print(f'left {self.target_id} {time.monotonic():.4f}', flush=True)  # noqa: T201
+                print(f'left {self.start_name} {time.monotonic():.4f}', flush=True)  # noqa: T201
                 return
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
