--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,4 +1,4 @@
-"""Backends of one service crash, a few seconds apart, while clients look up one popular page."""
+"""A backend crashes while clients, and the backends of another service, look up one page."""
 
 import asyncio
 import collections
@@ -11,16 +11,18 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.standin2.cluster import Answer, Cluster, Machine, Record, Route
+from review.standin2.cluster import OUTBOUND, Answer, Cluster, Machine, Record, Route
 
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-SERVICE, CALLER_SERVICE, PREFIX = 'transfers', 'balances', '/tiye233/'
+SERVICE, PREFIX = 'transfers', '/tiye233/'  #: of the lookups, which are ``safe``
+CLAIM_SERVICE, CLAIM_PREFIX = 'retirements', '/wude451/'  #: of the claims, which are ``unsafe``
 BACKENDS = 4  #: of the service; one at a time crashes
 ZONES = ('erie-a', 'erie-b', 'huron-n')
 POPULAR_PATH = f'{PREFIX}quotes/today'  #: half of the lookups; each other one has its own path
 POPULAR_SHARE = 0.5
 WORK_MS = 360  #: of a ``trade-quote``, as its rate and its deadline are
 REQUESTS_PER_SECOND = 42.7
+CLAIM_SHARE = 0.1  #: of the requests; each claim calls for the popular page
 DEADLINE_MS = 4000
 CRASH_AT = (5.0, 14.0, 23.0)  #: seconds; each a different backend
 MIN_IN_PROGRESS = 2  #: requests for the popular page at the backend that crashes
@@ -48,10 +50,13 @@
 
     async def request(self, machine: Machine) -> None:
         """Send one request at a machine."""
-        is_popular = self.rng.random() < POPULAR_SHARE
-        path = POPULAR_PATH if is_popular else f'{PREFIX}{secrets.token_hex(4)}'
         sent_at = self.seconds
-        answer = await self.cluster.call(machine, path, deadline_ms=DEADLINE_MS)
+        path, method = f'{PREFIX}{secrets.token_hex(4)}', 'GET'
+        if self.rng.random() < CLAIM_SHARE:
+            path, method = f'{CLAIM_PREFIX}{secrets.token_hex(4)}', 'POST'
+        elif self.rng.random() < POPULAR_SHARE:
+            path = POPULAR_PATH
+        answer = await self.cluster.call(machine, path, method=method, deadline_ms=DEADLINE_MS)
         self.results.append((sent_at, path, answer))
 
     async def crash(self, machine: Machine) -> None:
@@ -117,13 +122,19 @@
         self.record.line('crashes at', [f'{at:.2f}' for at in self.crash_times])
         last = max(self.crash_times, default=0.0) + DOWN_SECONDS + STABILITY_SECONDS
         late = [at for at, path, _ in self.results if at > last and path == POPULAR_PATH]
+        claims = [
+            answer.status == 200
+            for at, path, answer in self.results
+            if at > last and path.startswith(CLAIM_PREFIX)
+        ]
         late_denied = [at for at, _ in denied if at > last]
         self.record.line(f'{len(denied)} of {len(self.results)} denied; {allowed:.1f} are allowed')
         popular = sum(path == POPULAR_PATH for _, path in denied)
         self.record.line(f'{popular} of the denied requests are for {POPULAR_PATH}')
         self.record.line(
             f'later than {STABILITY_SECONDS:.0f} s after the last crashed backend is back:',
-            f'{len(late_denied)} of {len(late)} requests for that page denied',
+            f'{len(late_denied)} of {len(late)} requests for that page denied,',
+            f'{sum(claims)} of {len(claims)} claims completed',
         )
         return len(denied) > allowed
 
@@ -131,12 +142,18 @@
 async def play() -> int:
     """Return the exit status."""
     record = Record(Path(__file__).parent / 'record.txt')
-    services = [SERVICE] * BACKENDS + [CALLER_SERVICE] * 2
+    services = [SERVICE] * BACKENDS + [CLAIM_SERVICE] * 2
     machines = [(ZONES[index % len(ZONES)], service) for index, service in enumerate(services)]
-    routes = [Route('r-quote', PREFIX, SERVICE, timeout='4000ms')]
+    routes = [
+        Route('r-quote', PREFIX, SERVICE, timeout='4000ms'),
+        Route('r-claim', CLAIM_PREFIX, CLAIM_SERVICE, kind='unsafe', timeout='4000ms', priority=0),
+    ]
     cluster = Cluster(machines, routes, record)
     for machine in cluster.machines:
         machine.backend_options = ['--work-ms', str(WORK_MS), '--slots', '22']
+        if machine.service == CLAIM_SERVICE:
+            machine.backend_options = ['--work-ms', '120', '--slots', '116', '--call', POPULAR_PATH]
+            machine.backend_options += ['--outbound', f'{machine.host}:{OUTBOUND}']
     async with cluster:
         await asyncio.sleep(4.0)  # longer than stabilityWindow after the start
         play = Play(record, cluster)
--- a/review/standin2/backend.py
+++ b/review/standin2/backend.py
@@ -117,11 +117,33 @@
             if reader.at_eof():
                 self.report('gone', request_id)
                 raise ConnectionResetError
+        if self.options.call and not await self.call_service(headers):
+            self.report('end', request_id, 500)
+            signature = ('Server-Signature', f'{self.id}.0')
+            await self.write(writer, 500, [*extra, signature], b'a call failed')
+            return
         size = self.options.answer_bytes
         content = (f'{target} {request_id} '.encode() * (size // 16 + 1))[:size]
         self.report('end', request_id, 200)
         await self.write(writer, 200, [*extra, ('Server-Signature', f'{self.id}.1')], content)
 
+    async def call_service(self, headers: dict[str, str]) -> bool:
+        """Make the call that each run needs, through the node; return whether it succeeded."""
+        host, port = parse_address(self.options.outbound)
+        seconds = int(headers.get('deadline-milliseconds', '1000')) / 1000
+        lines = [f'GET {self.options.call} HTTP/1.1', f'Host: {headers["host"]}']
+        lines.append(f'Request-Id: {headers["request-id"]}.{secrets.token_hex(4)}')
+        lines.append(f'Deadline-Milliseconds: {int(seconds * 1000)}')
+        try:
+            async with asyncio.timeout(seconds):
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+                line = await reader.readline()
+                writer.close()
+                return line.split(b' ')[1:2] == [b'200']
+        except (OSError, TimeoutError):
+            return False
+
     async def write(
         self,
         writer: asyncio.StreamWriter,
@@ -200,6 +222,8 @@
     parser = argparse.ArgumentParser(description="Stand-in for a backend of the users' platform.")
     parser.add_argument('--address', required=True)
     parser.add_argument('--control', required=True)
+    parser.add_argument('--outbound', default='', help='Where the backend makes its calls.')
+    parser.add_argument('--call', default='', help='Path of a call that each run makes.')
     parser.add_argument('--service', required=True)
     parser.add_argument('--zone', required=True)
     parser.add_argument('--id', default='')
