Each send of a request in the log: connection, answer, what it was taken for

Callers saw requests that ran after a refusal. With the id of such a request nobody could tell which of its sends had run: only refusals by the target had a line with a connection, ten a second; sends that were lost or answered had none, and the list of attempts in the ingress's line had no connection. "answer skipped" named only the answer.

Now the node beside the target logs the end of each send that was refused or lost, and of each answered send of a request that was sent before. The ingress's line lists for each send the outcome it was taken for, the connection and how many answers that had brought; answers to requests that were sent more than once are logged at up to 50 a second, others sampled at 4 as before. "answer skipped" has the connection and the request in progress. Replies between nodes carry two more numbers at their end, which older builds do not read.

One test states the lines of a trace in full; it now has the new one. No logic changed.

--- a/dunlinsaddle/calls/call_state.py
+++ b/dunlinsaddle/calls/call_state.py
@@ -42,6 +42,9 @@
     kind: str  #: the error kind, empty when the target answered
     status: int
     seconds: float
+    outcome: str  #: what the result was taken for
+    connection: int  #: of the instance to its target, 0 if the target got nothing
+    earlier_answers: int  #: that the connection had brought before
 
 
 class PendingCall(NamedTuple):
--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import NamedTuple
 
 from dunlinsaddle.calls.answer_memory import AnswerMemory
@@ -11,6 +12,7 @@
     ResponseMatcher,
     ResponseRules,
     SendResult,
+    SkippedResponse,
     match_any_response,
 )
 from dunlinsaddle.calls.http import HttpRequest
@@ -51,8 +53,8 @@
     ) -> None:
         self.answer_memory = answer_memory or AnswerMemory()
         self.rules = ResponseRules(max_body_bytes, allow_close_delimited, names_request)
-        #: Called with the headers of each response to another request than the one in progress.
-        self.on_skipped: Callable[[Headers], None] = lambda headers: None
+        #: Called with each response to another request than the one in progress.
+        self.on_skipped: Callable[[SkippedResponse], None] = lambda skipped: None
         self._pools: dict[Address, ConnectionPool] = {}
 
     async def send(
@@ -113,6 +115,7 @@
             conn.transport.abort()
             return NotSent('the deadline passed before it was sent')
         conn.sent_requests.add(now, pending.request_id, pending.deadline)
+        conn.request_id = pending.request_id
         try:
             future = conn.send(pending.req, pool.host, pending.matches_request)
         except ValueError as exc:
@@ -149,8 +152,11 @@
             conn.timer.cancel()
             if conn.resend_task is not None:
                 conn.resend_task.cancel()
-        if isinstance(result, Answered):
-            pool.release(conn, sent_at)
+        match result:
+            case Answered():
+                pool.release(conn, sent_at)
+            case Lost():
+                return replace(result, connection=conn.number, earlier_answers=conn.response_count)
         return result
 
     async def can_connect(self, address: Address) -> bool:
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/connection.py
@@ -32,6 +32,15 @@
     earlier_responses: int = 0  #: that the connection received to earlier requests
 
 
+class SkippedResponse(NamedTuple):
+    """A response that was not taken for the one to the request in progress."""
+
+    headers: Headers
+    status: int
+    connection: int  #: number of the connection
+    in_progress: str  #: id of the request in progress, empty if it is not known
+
+
 SendResult = Answered | NotSent | Lost
 ResponseMatcher = Callable[[Headers], bool]  #: whether a response belongs to the request sent
 
@@ -61,7 +70,7 @@
     def __init__(
         self,
         rules: ResponseRules,
-        on_skipped: Callable[[Headers], None] = lambda headers: None,
+        on_skipped: Callable[[SkippedResponse], None] = lambda skipped: None,
         answer_memory: AnswerMemory | None = None,
     ) -> None:
         self.answer_memory = answer_memory or AnswerMemory()
@@ -76,6 +85,7 @@
         self.closed = False
         self.response_count = 0
         self.sent_requests = SentRequests()
+        self.request_id = ''  #: of the latest request, empty if it is not known
         self.timer: asyncio.TimerHandle | None = None
         self.resend_task: asyncio.Task[None] | None = None
         self.last_response_at = 0.0
@@ -166,7 +176,9 @@
             if self.matches_request(message.headers):
                 self._complete(message, has_extra=index + 1 < len(messages))
                 return
-            self.on_skipped(message.headers)
+            self.on_skipped(
+                SkippedResponse(message.headers, message.status, self.number, self.request_id)
+            )
         if self.reader.broken:
             self.abort(Lost('bytes that are no answer', ErrorKind.INCOMPLETE_ANSWER))
         elif not self.rules.allow_close_delimited and self.reader.is_close_delimited:
--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 
 from dunlinsaddle.calls.call_state import PendingCall
-from dunlinsaddle.calls.connection import Answered
+from dunlinsaddle.calls.connection import SkippedResponse
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS
 from dunlinsaddle.calls.messages import Reply
 from dunlinsaddle.calls.target import AdvertisedState
@@ -31,6 +31,8 @@
     QUEUED = 'request queued'
     REFUSED = 'request refused'
     REFUSED_BY_TARGET = 'request refused by target'
+    LOST_AT_TARGET = 'request lost at target'
+    ANSWERED_BY_TARGET = 'request answered by target'
     SKIPPED = 'answer skipped'
     ANSWERED = 'request answered'
     FAILED = 'request failed'
@@ -45,7 +47,7 @@
 
 
 #: For each event. A line takes 23 us (of a failed request, written to a file that never blocks),
-#: so all 280 lines take 0.6 % of a core. Refusals come in bursts of hundreds; a sample
+#: so all 466 lines take 1.1 % of a core. Refusals come in bursts of hundreds; a sample
 #: of 50 is enough to show the cause.
 MAX_LINES_PER_SECOND = {
     Event.ROUTED: 4,
@@ -53,7 +55,9 @@
     Event.RESENT: 20,
     Event.QUEUED: 4,
     Event.REFUSED: 50,
-    Event.REFUSED_BY_TARGET: 10,
+    Event.REFUSED_BY_TARGET: 50,
+    Event.LOST_AT_TARGET: 50,
+    Event.ANSWERED_BY_TARGET: 50,
     Event.SKIPPED: 10,
     Event.ANSWERED: 4,
     Event.FAILED: 100,
@@ -65,6 +69,8 @@
     Event.CARRIED: 10,
     Event.BUDGET: 10,
 }
+#: Of answers to requests that were sent more than once, which are few.
+MAX_RESENT_ANSWERS_PER_SECOND = 50
 
 
 class DecisionLog(LoopBound):
@@ -180,28 +186,44 @@
                 seconds_left=_rounded(ctx.deadline - self.now()),
             )
 
-    def log_refused_by_target(self, ctx: CallContext, result: Answered, seconds: float) -> None:
-        """Log a refusal by the local target, the time it took, and the connection it came on."""
-        if self._try_acquire(Event.REFUSED_BY_TARGET):
+    def log_send_ended(self, ctx: CallContext, reply: Reply, status: int, seconds: float) -> None:
+        """Log how a send to the local target ended: its connection, and what it was taken for.
+
+        ``status`` is that of the target's answer, 0 without an answer. The only send of a request
+        that the target answers is left out: the line of the request's ingress tells of it.
+        """
+        event = _send_event(reply)
+        if event is Event.ANSWERED_BY_TARGET and not ctx.is_resend:
+            return
+        if self._try_acquire(event):
             self._write(
-                Event.REFUSED_BY_TARGET,
+                event,
                 ctx,
-                status=result.response.status,
+                status=status,
+                kind=reply.kind,
+                outcome=reply.outcome.value,
                 seconds=_rounded(seconds),
-                connection=result.connection,
-                earlier_responses=result.earlier_responses,
+                connection=reply.connection,
+                earlier_responses=reply.earlier_answers,
             )
 
-    def log_skipped(self, request_id: str) -> None:
-        """Log a response that came to another request than it names; ``request_id`` is its own."""
+    def log_skipped(self, request_id: str, skipped: SkippedResponse) -> None:
+        """Log a response to another request; ``request_id`` is its own, empty if it names none."""
         if self._try_acquire(Event.SKIPPED):
-            self.logger.warning(Event.SKIPPED.value, extra={'request_id': request_id})
+            extra = {
+                'request_id': request_id,
+                'status': skipped.status,
+                'connection': skipped.connection,
+                'in_progress': skipped.in_progress,
+            }
+            self.logger.warning(Event.SKIPPED.value, extra=extra)
 
     def log_completed(self, call: PendingCall, reply: Reply, seconds: float, version: int) -> None:
         """Log the answer that the caller gets, with all attempts that led to it."""
         failed = reply.outcome is not Outcome.DONE or reply.status >= MIN_SERVER_ERROR_STATUS
         event = Event.FAILED if failed else Event.ANSWERED
-        if self._try_acquire(event):
+        was_resent = len(call.attempts or ()) > 1
+        if self._try_acquire(event, MAX_RESENT_ANSWERS_PER_SECOND if was_resent else 0):
             self._write(
                 event,
                 call.ctx,
@@ -264,13 +286,13 @@
         }
         self.logger.info(Event.TARGET_STATE.value, extra=extra)
 
-    def _try_acquire(self, event: Event) -> bool:
+    def _try_acquire(self, event: Event, min_limit: int = 0) -> bool:
         second = int(self.now())
         if second != self._second:
             self._second = second
             self._log_omitted()
             self._written.clear()
-        if self._written[event] >= MAX_LINES_PER_SECOND[event]:
+        if self._written[event] >= max(MAX_LINES_PER_SECOND[event], min_limit):
             self._omitted[event] += 1
             return False
         self._written[event] += 1
@@ -291,5 +313,14 @@
         self.logger.log(level, event.value, extra={**common, **fields})
 
 
+def _send_event(reply: Reply) -> Event:
+    match reply.outcome:
+        case Outcome.DONE:
+            return Event.ANSWERED_BY_TARGET
+        case Outcome.NOT_RUN:
+            return Event.REFUSED_BY_TARGET
+    return Event.LOST_AT_TARGET
+
+
 def _rounded(seconds: float) -> float:
     return round(seconds, 4)
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -286,7 +286,7 @@
             self._record_duration(call.ctx, member, started_at, is_success=_is_success(reply))
         if call.attempts is not None:
             elapsed = round(self.now() - started_at, 4)
-            call.attempts.append(Attempt(member.instance, reply.kind, reply.status, elapsed))
+            call.attempts.append(_build_attempt(member, reply, elapsed))
         return reply
 
     def _record_duration(
@@ -416,6 +416,18 @@
             return refusal(Failure(kind, detail))
 
 
+def _build_attempt(member: Member, reply: Reply, seconds: float) -> Attempt:
+    return Attempt(
+        member.instance,
+        reply.kind,
+        reply.status,
+        seconds,
+        reply.outcome.value,
+        reply.connection,
+        reply.earlier_answers,
+    )
+
+
 def _is_success(reply: Reply) -> bool:
     return not reply.kind and reply.status < MIN_SERVER_ERROR_STATUS
 
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -11,7 +11,7 @@
     downstream_retry_after,
 )
 from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
+from dunlinsaddle.calls.connection import Answered, SendResult
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS, HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import (
@@ -24,7 +24,7 @@
 )
 from dunlinsaddle.calls.target import AdvertisedState, DefaultDialect, LocalTarget, TargetDialect
 from dunlinsaddle.calls.waiters import RETRY_AFTER_SECONDS, AdmissionFuture, Waiters
-from dunlinsaddle.errors import ErrorKind, Failure, Outcome
+from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.policy.admission import (
     AdmissionDecision,
@@ -326,29 +326,37 @@
         self.stats.record_latency(Hop.TARGET, elapsed)
         if call.wait_time is not None:
             call.wait_time.seconds += elapsed
+        reply = await self._to_reply(call, running, sent_at, result)
+        if self.decisions is not None:
+            status = result.response.status if isinstance(result, Answered) else 0
+            self.decisions.log_send_ended(call.ctx, reply, status, elapsed)
+        return reply
+
+    async def _to_reply(
+        self, call: PendingCall, running: RunningCall, sent_at: float, result: SendResult
+    ) -> Reply:
+        """Return the reply to a call that was sent to the target at ``sent_at``."""
         match result:
-            case Answered(response):
+            case Answered(response, connection, earlier_responses):
                 self._report_advertised_state(call, sent_at, response)
-                return self._read_reply(call, running, result, elapsed)
+                reply = self._read_reply(running, response)
+                reply.connection, reply.earlier_answers = connection, earlier_responses
             case NotSent(detail, is_refused):
                 # A busy target may not accept in time, too; one that drains would count as new.
                 if is_refused:
                     self.target.record_connection_refused()
-                return refusal(Failure(ErrorKind.NO_TARGET, detail, RETRY_AFTER_SECONDS))
-            case Lost(detail, kind):
+                reply = refusal(Failure(ErrorKind.NO_TARGET, detail, RETRY_AFTER_SECONDS))
+            case Lost(detail, kind, connection, earlier_answers):
                 reply = refusal(Failure(kind, detail))
+                reply.connection, reply.earlier_answers = connection, earlier_answers
                 if kind is ErrorKind.TARGET_LOST and not await self._is_target_alive():
                     now = self.now()
                     reply.crash_count = self.quarantine.record_crash(now, call.ctx.fingerprint)
                     self.on_target_crash(call.ctx.fingerprint, reply.crash_count)
-                return reply
+        return reply
 
-    def _read_reply(
-        self, call: PendingCall, running: RunningCall, answered: Answered, elapsed: float
-    ) -> Reply:
-        reply = self.dialect.read_reply(answered.response)
-        if self.decisions is not None and reply.outcome is Outcome.NOT_RUN:
-            self.decisions.log_refused_by_target(call.ctx, answered, elapsed)
+    def _read_reply(self, running: RunningCall, response: HttpResponse) -> Reply:
+        reply = self.dialect.read_reply(response)
         if not reply.kind:
             reply.retry_after = downstream_retry_after(reply, running)
         if reply.status >= MIN_SERVER_ERROR_STATUS:
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -126,6 +126,9 @@
     #: Whether a target got the call, although the kind is one of those by which nodes refuse calls.
     #: False from older builds.
     reached_target: bool = False
+    #: Number of the connection of the target's node that carried the call; 0 if none did.
+    connection: int = 0
+    earlier_answers: int = 0  #: that this connection had brought to earlier calls
 
     @property
     def size(self) -> int:
@@ -165,6 +168,8 @@
 
     detail: str
     kind: ErrorKind = ErrorKind.PEER_LOST
+    connection: int = 0  #: number of the connection to the target; 0 for a link to a node
+    earlier_answers: int = 0  #: that the connection had brought to earlier calls
 
 
 def refusal(failure: Failure, *, call_id: int = 0, load: Load | None = None) -> Reply:
--- a/dunlinsaddle/mesh/reports.py
+++ b/dunlinsaddle/mesh/reports.py
@@ -3,6 +3,7 @@
 import logging
 
 from dunlinsaddle.calls.call_state import PendingCall
+from dunlinsaddle.calls.connection import SkippedResponse
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Call, Headers, Reply
@@ -39,10 +40,10 @@
         self.stats.shed[ErrorKind.TOO_MANY_BODIES.value] += 1
         self.decisions.log_unread(call.request_id, failure)
 
-    def answer_skipped(self, headers: Headers) -> None:
+    def answer_skipped(self, skipped: SkippedResponse) -> None:
         """Count and log a response of the target to another request than the one in progress."""
         self.stats.answers_skipped += 1
-        self.decisions.log_skipped(read_request_id(headers))
+        self.decisions.log_skipped(read_request_id(skipped.headers), skipped)
 
     def request_fault(self, req: HttpRequest) -> None:
         """Count and log the exception that is handled now, raised by the handler of a request."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,6 +4,7 @@
 import os
 
 from dunlinsaddle.calls.decisions import MAX_LINES_PER_SECOND, Event
+from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.logs import MAX_BUFFERED_LINES, NonBlockingStream, create_logger
 from tests.clock import PausedClockTest
 from tests.fakes.mesh import Mesh, build_refusal
@@ -87,6 +88,32 @@
         self.assertEqual(4, len(failed['attempts']))
         self.assertEqual(3, len(self.lines_of(lines, Event.RESENT)))
 
+    # A request ran after it had been refused, and no line told which of its sends had run.
+    def test_each_send_of_a_request_shows_its_connection_and_what_it_was_taken_for(self):
+        async def scenario(mesh):
+            async def respond(req):
+                arrivals = sum(t.runs[req.header(b'request-id')] for t in mesh.targets.values())
+                if arrivals == 1:
+                    return build_refusal(req)
+                return HttpResponse(200, [], b'') if arrivals == 2 else target.signed_response(req)
+
+            target = mesh.targets['b']
+            mesh.targets['b'].respond = mesh.targets['c'].respond = respond
+            await mesh.call('a', '/deep/x', request_id='r-1')
+
+        _, lines = self.run_and_read_log(scenario, ('a:front', 'b:deep', 'c:deep'))
+        (answered,) = self.lines_of(lines, Event.ANSWERED)
+        taken_for = [attempt['outcome'] for attempt in answered['attempts']]
+        self.assertEqual(['not-run', 'unknown', 'done'], taken_for)
+        self.assertTrue(all(attempt['connection'] for attempt in answered['attempts']))
+        events = (Event.REFUSED_BY_TARGET, Event.LOST_AT_TARGET, Event.ANSWERED_BY_TARGET)
+        at_targets = [self.lines_of(lines, event)[0] for event in events]
+        self.assertEqual([503, 200, 200], [line['status'] for line in at_targets])
+        self.assertEqual(
+            [attempt['connection'] for attempt in answered['attempts']],
+            [line['connection'] for line in at_targets],
+        )
+
     def test_a_refusal_logs_the_load_that_caused_it(self):
         async def scenario(mesh):
             mesh.targets['b'].state = 'draining'
@@ -149,7 +176,8 @@
         lines = run_cli('trace', 'r-1', '--json', stdin=text).json['lines']
         messages = [line['message'] for line in lines]
         expected = ['request routed', 'request sent', 'request sent again', 'request sent']
-        self.assertEqual([*expected, 'request answered'], messages)
+        expected += ['request answered by target', 'request answered']
+        self.assertEqual(expected, messages)
         first, second = lines[-1]['attempts']
         self.assertEqual(('peer-lost', ''), (first['kind'], second['kind']))
         self.assertNotEqual(first['instance'], second['instance'])
