An answer that names no request proves nothing

Callers were told that a request had not run, and it ran; others ran twice. A target that sends additional bytes after an answer can leave a refusal on the connection that names no request, as its headers were lost. It was taken for the answer to whatever was sent next there: as a refusal, so that the request was sent again or refused to its caller while the target ran it. Any request could meet it, not only one that had been refused before. An extra failure without a name went to a caller whose request had succeeded.

Cause: "no name" counted as "names this request", both where answers are matched and where a refusal is believed.

What it costs: where the right answer itself has lost its name, a request that may run once at most is answered 504 at its deadline in place of 502 at once. A request that may be repeated is sent again, as before. On a new connection nothing can be left over, and the request fails at once.

--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/client.py
@@ -16,7 +16,7 @@
     match_any_response,
 )
 from dunlinsaddle.calls.http import HttpRequest
-from dunlinsaddle.calls.messages import Headers, Lost, NotSent
+from dunlinsaddle.calls.messages import Lost, NotSent
 from dunlinsaddle.calls.pool import MAX_REUSE_IDLE_SECONDS, ConnectionPool
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
@@ -48,11 +48,11 @@
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         *,
         allow_close_delimited: bool = False,
-        names_request: Callable[[Headers], bool] = match_any_response,
+        requires_name: bool = False,
         answer_memory: AnswerMemory | None = None,
     ) -> None:
         self.answer_memory = answer_memory or AnswerMemory()
-        self.rules = ResponseRules(max_body_bytes, allow_close_delimited, names_request)
+        self.rules = ResponseRules(max_body_bytes, allow_close_delimited, requires_name)
         #: Called with each response to another request than the one in progress.
         self.on_skipped: Callable[[SkippedResponse], None] = lambda skipped: None
         self._pools: dict[Address, ConnectionPool] = {}
@@ -72,9 +72,9 @@
         Pass ``allow_resend`` for an idempotent request. It is called when the response on a
         reused connection is overdue while later requests were answered, and returns whether to
         send the request again on a new connection; the first response counts.
-        ``matches_request`` checks the headers of a response: responses to other requests are
-        skipped. With a ``request_id``, a connection carries the request once at most, so that a
-        late copy of the response to one send is not taken for the response to another.
+        ``matches_request`` compares the headers of a response with the request: responses to
+        others are skipped. With a ``request_id``, a connection carries the request once at most,
+        so that a late copy of the response to one send is not taken for the response to another.
         """
         now = self.now()
         deadline = now + timeout
@@ -116,6 +116,7 @@
             return NotSent('the deadline passed before it was sent')
         conn.sent_requests.add(now, pending.request_id, pending.deadline)
         conn.request_id = pending.request_id
+        conn.may_repeat = pending.allow_resend is not None
         try:
             future = conn.send(pending.req, pool.host, pending.matches_request)
         except ValueError as exc:
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/connection.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import NamedTuple, cast
 
 from dunlinsaddle.calls.answer_memory import AnswerMemory
@@ -42,14 +43,24 @@
 
 
 SendResult = Answered | NotSent | Lost
-ResponseMatcher = Callable[[Headers], bool]  #: whether a response belongs to the request sent
+
+
+class Match(Enum):
+    """What the headers of a response say of the request that it belongs to."""
+
+    OWN = 'the request in progress'
+    OTHER = 'another request'
+    UNNAMED = 'nothing'
+
+
+ResponseMatcher = Callable[[Headers], Match]  #: compares a response with the request in progress
 
 _connection_numbers = itertools.count(1)
 
 
-def match_any_response(headers: Headers) -> bool:
+def match_any_response(headers: Headers) -> Match:
     """Accept every response."""
-    return True
+    return Match.OWN
 
 
 class ResponseRules(NamedTuple):
@@ -59,9 +70,10 @@
     #: Accept a body that ends with the connection, from servers that reset the connection of an
     #: incomplete response.
     allow_close_delimited: bool = False
-    #: Whether a response names its request, or need not in the protocol of the server. After one
-    #: that does not, the connection is given up: a late copy could not be recognised there.
-    names_request: Callable[[Headers], bool] = match_any_response
+    #: A response that names no request proves nothing: it may be a rest of an earlier exchange, or
+    #: have lost its headers. Otherwise it is accepted, and the connection is given up, as a late
+    #: copy of it could not be recognised there.
+    requires_name: bool = False
 
 
 class ClientConnection(asyncio.Protocol):
@@ -86,6 +98,7 @@
         self.response_count = 0
         self.sent_requests = SentRequests()
         self.request_id = ''  #: of the latest request, empty if it is not known
+        self.may_repeat = False  #: whether the latest request may be sent again if it is lost
         self.timer: asyncio.TimerHandle | None = None
         self.resend_task: asyncio.Task[None] | None = None
         self.last_response_at = 0.0
@@ -145,7 +158,7 @@
         self.result_future = self.loop.create_future()
         self.matches_request = matches_request
         self.received_data = False
-        self.reader.begin(matches_request, expects_no_body=req.method == 'HEAD')
+        self.reader.begin(self._accepts, expects_no_body=req.method == 'HEAD')
         self.transport.write(data)
         return self.result_future
 
@@ -167,15 +180,28 @@
         self.set_result(result)
         self.reader.discard_body()
 
+    def _accepts(self, headers: Headers) -> bool:
+        """Return whether a response with these headers is taken for the one that is awaited."""
+        match self.matches_request(headers):
+            case Match.OWN:
+                return True
+            case Match.OTHER:
+                return False
+        return not self.rules.requires_name
+
     def _handle_messages(self, messages: list[ResponseMessage]) -> None:
         """Complete the request with the response that belongs to it, if it was received.
 
-        Responses to earlier requests are skipped: the right one may follow.
+        Others are skipped: the right one may follow.
         """
         for index, message in enumerate(messages):
-            if self.matches_request(message.headers):
+            if self._accepts(message.headers):
                 self._complete(message, has_extra=index + 1 < len(messages))
                 return
+            is_unnamed = self.matches_request(message.headers) is Match.UNNAMED
+            if is_unnamed and not self._may_be_left_over():
+                self.abort(Lost('the answer names no request', ErrorKind.INCOMPLETE_ANSWER))
+                return
             self.on_skipped(
                 SkippedResponse(message.headers, message.status, self.number, self.request_id)
             )
@@ -185,6 +211,14 @@
             # A truncated body could not be distinguished from a complete one.
             self.abort(Lost('the answer has no length', ErrorKind.OUTCOME_UNKNOWN))
 
+    def _may_be_left_over(self) -> bool:
+        """Return whether to await another response after one that names no request.
+
+        An earlier exchange may have left it here, in which case the right one follows. A request
+        that may be repeated is better sent again; for another the right one is all there is.
+        """
+        return bool(self.response_count) and not self.may_repeat
+
     def _complete(self, message: ResponseMessage, *, has_extra: bool) -> None:
         reader = self.reader
         # Bytes after the response, as of a duplicate, would be read as the next response. A server
@@ -192,8 +226,8 @@
         has_read_request = not self.transport.get_write_buffer_size()
         is_clean = not has_extra and not reader.broken and not reader.in_message
         earlier_responses = self.response_count
-        is_attributable = self.rules.names_request(message.headers)
-        if message.keep_alive and is_clean and has_read_request and is_attributable:
+        is_named = self.matches_request(message.headers) is Match.OWN
+        if message.keep_alive and is_clean and has_read_request and is_named:
             self.response_count += 1
             self.last_response_at = self.loop.time()
         else:
@@ -206,5 +240,5 @@
 
     def _finish_close_delimited(self) -> None:
         message = self.reader.feed_eof() if self.rules.allow_close_delimited else None
-        if message is not None and self.matches_request(message.headers):
+        if message is not None and self._accepts(message.headers):
             self._set_response(message, self.response_count)
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from dunlinsaddle.calls.call_state import PendingCall, RunningCall
+from dunlinsaddle.calls.connection import Match
 from dunlinsaddle.calls.http import HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply
 from dunlinsaddle.errors import Outcome
@@ -67,7 +68,7 @@
     def request_headers(self, call: PendingCall, running: RunningCall, seconds: float) -> Headers:
         """Return the request headers of a call that has ``seconds`` until its deadline."""
 
-    def matches_request(self, call: PendingCall, headers: Headers) -> bool:
+    def match_response(self, call: PendingCall, headers: Headers) -> Match:
         """Return whether a response with these headers belongs to this call."""
 
     def read_reply(self, response: HttpResponse) -> Reply:
@@ -89,9 +90,9 @@
             (b'dunlinsaddle-request', call.ctx.request_id.encode()),
         ]
 
-    def matches_request(self, call: PendingCall, headers: Headers) -> bool:
+    def match_response(self, call: PendingCall, headers: Headers) -> Match:
         """Accept every response: in this dialect responses do not name their request."""
-        return True
+        return Match.OWN
 
     def read_reply(self, response: HttpResponse) -> Reply:
         """Return a reply with the outcome "done" for every complete response."""
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -56,7 +56,6 @@
 from dunlinsaddle.mesh.target_status import TargetStatus
 from dunlinsaddle.platform import configuration
 from dunlinsaddle.platform.client import HttpObjectStore
-from dunlinsaddle.platform.requests import names_request
 from dunlinsaddle.platform.store import ObjectStore
 from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.quota import QuotaLedger
@@ -190,7 +189,7 @@
         self.client = HttpClient(
             MAX_BODY_BYTES,
             allow_close_delimited=True,
-            names_request=names_request,
+            requires_name=True,
             answer_memory=AnswerMemory(MAX_HELD_ANSWER_BYTES),
         )
         self.client.on_skipped = self.reports.answer_skipped
--- a/dunlinsaddle/mesh/target_protocol.py
+++ b/dunlinsaddle/mesh/target_protocol.py
@@ -1,13 +1,14 @@
 """HTTP protocol that the platform's targets expect: request headers and response checks."""
 
 from dunlinsaddle.calls.call_state import PendingCall, RunningCall
+from dunlinsaddle.calls.connection import Match
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Headers, Reply
 from dunlinsaddle.calls.target import AdvertisedState, LocalTarget
 from dunlinsaddle.platform.requests import (
     build_attempt_headers,
     decode_reply,
-    matches_request,
+    match_response,
     read_advertised_state,
 )
 
@@ -23,9 +24,9 @@
         organisation = call.ctx.organisation
         return build_attempt_headers(call.headers, seconds, self.target.target_id, organisation)
 
-    def matches_request(self, call: PendingCall, headers: Headers) -> bool:
-        """Return whether a response names this request, or no request at all."""
-        return matches_request(call.ctx.request_id, headers)
+    def match_response(self, call: PendingCall, headers: Headers) -> Match:
+        """Return whether a response names this request."""
+        return match_response(call.ctx.request_id, headers)
 
     def read_reply(self, response: HttpResponse) -> Reply:
         """Convert a complete response to a reply."""
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from dunlinsaddle.access.keys import key_digest
+from dunlinsaddle.calls.connection import Match
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
 from dunlinsaddle.calls.target import (
@@ -88,17 +89,12 @@
     return [*headers, *added]
 
 
-def names_request(headers: Headers) -> bool:
-    """Return whether a response names the request that it belongs to."""
-    return any(name == names.REQUEST_ID for name, _ in headers)
-
-
-def matches_request(request_id: str, headers: Headers) -> bool:
-    """Return whether a response belongs to a request, or has no request ID at all."""
+def match_response(request_id: str, headers: Headers) -> Match:
+    """Compare the request that a response names, if any, with the one in progress."""
     for name, value in headers:
         if name == names.REQUEST_ID:
-            return value == request_id.encode('latin-1')
-    return True
+            return Match.OWN if value == request_id.encode('latin-1') else Match.OTHER
+    return Match.UNNAMED
 
 
 def decode_reply(response: HttpResponse) -> Reply:
