A target's failure does not promise the caller that its request has not run

A target that fails with 503, 429 or 408 of its own, without saying that it has not run the request, was answered to the caller as it was. To callers these statuses promise "not run, and never will be": they send the request again, and what must run once runs twice. The same happens to a failure with such a status that has lost the header which says so; there the promise is true, but nobody can know.

For requests that may run once at most such a failure is now answered 502 (outcome-unknown), without the target's signature, as the status is not the target's. Requests that may be repeated get the target's answer unchanged.

The test fails before (408, 429 and 503 came back signed).

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -339,7 +339,7 @@
         match result:
             case Answered(response, connection, earlier_responses):
                 self._report_advertised_state(call, sent_at, response)
-                reply = self._read_reply(running, response)
+                reply = self._read_reply(call, running, response)
                 reply.connection, reply.earlier_answers = connection, earlier_responses
             case NotSent(detail, is_refused):
                 # A busy target may not accept in time, too; one that drains would count as new.
@@ -355,8 +355,8 @@
                     self.on_target_crash(call.ctx.fingerprint, reply.crash_count)
         return reply
 
-    def _read_reply(self, running: RunningCall, response: HttpResponse) -> Reply:
-        reply = self.dialect.read_reply(response)
+    def _read_reply(self, call: PendingCall, running: RunningCall, response: HttpResponse) -> Reply:
+        reply = self.dialect.read_reply(call, response)
         if not reply.kind:
             reply.retry_after = downstream_retry_after(reply, running)
         if reply.status >= MIN_SERVER_ERROR_STATUS:
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -71,7 +71,7 @@
     def match_response(self, call: PendingCall, headers: Headers) -> Match:
         """Return whether a response with these headers belongs to this call."""
 
-    def read_reply(self, response: HttpResponse) -> Reply:
+    def read_reply(self, call: PendingCall, response: HttpResponse) -> Reply:
         """Convert a complete response to the reply to the call."""
 
     def read_advertised_state(self, response: HttpResponse) -> AdvertisedState | None:
@@ -94,7 +94,7 @@
         """Accept every response: in this dialect responses do not name their request."""
         return Match.OWN
 
-    def read_reply(self, response: HttpResponse) -> Reply:
+    def read_reply(self, call: PendingCall, response: HttpResponse) -> Reply:
         """Return a reply with the outcome "done" for every complete response."""
         headers = forwarded_headers(response.headers)
         return Reply(0, response.status, headers, response.body, Outcome.DONE)
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -28,6 +28,8 @@
 _REPLACED_HEADERS_WITH_KEYS = _REPLACED_HEADERS | {names.AUTHORIZATION, names.ORGANISATION}
 _BEARER = 'bearer '
 WRONG_TARGET_STATUS = 421
+#: Each tells a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, WRONG_TARGET_STATUS, 429, 503})
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?', re.ASCII)
 _SEPARATOR = re.compile(r'[ \t]*,[ \t]*|[ \t]+')  #: of the figures of a load
 _USUAL_SLOWDOWN = 100.0  #: figure for work that takes as long as usual
--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -107,6 +107,28 @@
             self.assertEqual([502] * 30, statuses, f'{status}, {gap} others')
             self.assertEqual(1, max(target.sends.values()))
 
+    # A request that ran was answered 503, as its target had failed with that status.
+    def test_a_failure_of_a_target_does_not_promise_that_the_request_has_not_run(self):
+        async def scenario(mesh):
+            b = mesh.targets['b']
+            responses = {}
+            for status in (408, 429, 503, 500, 504):
+
+                async def fail(req, status=status):
+                    return b.signed_response(req, status=status)
+
+                b.respond = fail
+                response = await mesh.call('a', '/deep/x', 'POST')
+                is_signed = b'server-signature' in dict(response.headers)
+                responses[status] = (response.status, is_signed)
+            return responses
+
+        unknown = (502, False)
+        expected = {408: unknown, 429: unknown, 503: unknown, 500: (500, True), 504: (504, True)}
+        self.assertEqual(expected, self.run_mesh(scenario, kind='unsafe'))
+        unchanged = {status: (status, True) for status in expected}
+        self.assertEqual(unchanged, self.run_mesh(scenario, kind='safe'))
+
     def assert_runs_are_answered(self, target, case):
         statuses = self.run_mesh(partial(self.send_to, target), kind='unsafe', attempts=1)
         message = f'{case}: {statuses}'
