A request without an id is malformed

Targets refuse such a request for that, and their refusal was taken for one of load, so that the request was sent again and its caller got 503 with a Retry-After. Now the ingress answers 400 at once, after the route is found.

The test fails before (the request reached the target).

--- a/dunlinsaddle/mesh/ingress.py
+++ b/dunlinsaddle/mesh/ingress.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from random import Random
 
-import uuid6
 from result import Err, Ok, Result
 
 from dunlinsaddle.access.authentication import (
@@ -172,6 +171,11 @@
             failure = Failure(kind, route.name, UNREADABLE_ROUTE_RETRY_SECONDS)
             self._log_denied(request_id, route.name, failure)
             return Err(failure)
+        if not request_id:
+            # No answer of a target could name it, and the target refuses it for that.
+            failure = Failure(ErrorKind.MALFORMED_REQUEST, 'it has no id')
+            self._log_denied(request_id, route.name, failure)
+            return Err(failure)
         if self.now() >= self.refuses_from and self.running.find_parent(request_id) is None:
             failure = Failure(ErrorKind.DRAINING, 'the node stops', STOPPING_RETRY_SECONDS)
             self._log_denied(request_id, route.name, failure)
@@ -291,7 +295,7 @@
         )
         timeout = math.inf if route.timeout is None else route.timeout
         service = choose_service(route.weighted_services, self.rng)
-        request_id = caller_headers.request_id or str(uuid6.uuid7())
+        request_id = caller_headers.request_id
         if parent is None:
             priority = priority_of(effective_rank(route, holder), request_id)
             priority = self.request_costs.adjust_priority(now, route.name, priority)
--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -129,6 +129,15 @@
         unchanged = {status: (status, True) for status in expected}
         self.assertEqual(unchanged, self.run_mesh(scenario, kind='safe'))
 
+    # A request without an id was sent on, although targets refuse it and cannot say for which.
+    def test_a_request_without_an_id_is_malformed(self):
+        async def scenario(mesh):
+            statuses = [(await mesh.call('a', '/deep/x', request_id='')).status]
+            statuses.append((await mesh.call('a', '/nowhere/x', request_id='')).status)
+            return statuses, len(mesh.targets['b'].requests)
+
+        self.assertEqual(([400, 404], 0), self.run_mesh(scenario))
+
     def assert_runs_are_answered(self, target, case):
         statuses = self.run_mesh(partial(self.send_to, target), kind='unsafe', attempts=1)
         message = f'{case}: {statuses}'
