Own interface: the response to a call is told by its token, and a late copy goes to nobody

Targets of the product's own interface name nothing in their answers, so that a late copy of an answer went to the next caller on that connection, its own answer to the one after, and so on.

The node has always sent a token with each call, one for each send. A target may now copy it to its response. A response with another token is skipped; after one without a token the connection is given up, so that no copy of it can meet another call. Callers do not get the header.

Weighed: to give up a connection after a refusal is nothing here, as targets refuse nothing by protocol; after an answer that was followed by bytes misses the copies that come with the next answer; for calls that must run once alone leaves wrong answers to all others. To give it up after each response is whole, and is what targets that copy nothing get.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -319,7 +319,7 @@
             req,
             budget,
             allow_resend=allow_resend,
-            matches_request=partial(self.dialect.match_response, call),
+            matches_request=partial(self.dialect.match_response, running),
             request_id=call.ctx.request_id,
         )
         elapsed = loop.time() - sent_at
--- a/dunlinsaddle/calls/handlers.py
+++ b/dunlinsaddle/calls/handlers.py
@@ -25,7 +25,7 @@
     response_from_reply,
 )
 from dunlinsaddle.calls.messages import Reply, refusal
-from dunlinsaddle.calls.target import LocalTarget
+from dunlinsaddle.calls.target import TOKEN_HEADER, LocalTarget
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.classify import classify
 from dunlinsaddle.policy.context import MAX_HOPS, CallContext, inherit_priority, priority_of
@@ -246,7 +246,7 @@
         record = self.record_cache.find(path['service'])
         if record is None:
             return failure_response(Failure(ErrorKind.UNKNOWN_SERVICE, path['service']))
-        parent = self.running.find(req.header(b'dunlinsaddle-call'))
+        parent = self.running.find(req.header(TOKEN_HEADER))
         call = self._build_call(req, record, path['rest'], parent)
         if call.ctx.hop > MAX_HOPS:
             return failure_response(Failure(ErrorKind.TOO_DEEP))
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -13,6 +13,8 @@
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.settings import Address
 
+TOKEN_HEADER = b'dunlinsaddle-call'  #: names one send of a call to a target
+
 
 class AdvertisedLoad(NamedTuple):
     """The load that a target reports itself; None for each figure that it does not report."""
@@ -68,7 +70,7 @@
     def request_headers(self, call: PendingCall, running: RunningCall, seconds: float) -> Headers:
         """Return the request headers of a call that has ``seconds`` until its deadline."""
 
-    def match_response(self, call: PendingCall, headers: Headers) -> Match:
+    def match_response(self, running: RunningCall, headers: Headers) -> Match:
         """Return whether a response with these headers belongs to this call."""
 
     def read_reply(self, call: PendingCall, response: HttpResponse) -> Reply:
@@ -79,24 +81,31 @@
 
 
 class DefaultDialect:
-    """The default dialect: a target passes a token on with the calls that it makes."""
+    """The default dialect: a target passes a token on with the calls that it makes.
+
+    It may copy the token to its response, which names the send that way. A connection is kept only
+    after such responses, as a late copy of any other could not be told from the next response.
+    """
 
     def request_headers(self, call: PendingCall, running: RunningCall, seconds: float) -> Headers:
         """Return the forwarded headers of the caller, the time left, and the token."""
         return [
             *((n, v) for n, v in forwarded_headers(call.headers) if n != b'request-timeout'),
             (b'request-timeout', f'{seconds:.3f}'.encode()),
-            (b'dunlinsaddle-call', running.token.encode()),
+            (TOKEN_HEADER, running.token.encode()),
             (b'dunlinsaddle-request', call.ctx.request_id.encode()),
         ]
 
-    def match_response(self, call: PendingCall, headers: Headers) -> Match:
-        """Accept every response: in this dialect responses do not name their request."""
-        return Match.OWN
+    def match_response(self, running: RunningCall, headers: Headers) -> Match:
+        """Compare the token in a response, if it has one, with that of the call."""
+        for name, value in headers:
+            if name == TOKEN_HEADER:
+                return Match.OWN if value == running.token.encode() else Match.OTHER
+        return Match.UNNAMED
 
     def read_reply(self, call: PendingCall, response: HttpResponse) -> Reply:
         """Return a reply with the outcome "done" for every complete response."""
-        headers = forwarded_headers(response.headers)
+        headers = [(n, v) for n, v in forwarded_headers(response.headers) if n != TOKEN_HEADER]
         return Reply(0, response.status, headers, response.body, Outcome.DONE)
 
     def read_advertised_state(self, response: HttpResponse) -> AdvertisedState | None:
--- a/dunlinsaddle/mesh/target_protocol.py
+++ b/dunlinsaddle/mesh/target_protocol.py
@@ -26,9 +26,9 @@
         organisation = call.ctx.organisation
         return build_attempt_headers(call.headers, seconds, self.target.target_id, organisation)
 
-    def match_response(self, call: PendingCall, headers: Headers) -> Match:
+    def match_response(self, running: RunningCall, headers: Headers) -> Match:
         """Return whether a response names this request."""
-        return match_response(call.ctx.request_id, headers)
+        return match_response(running.call.ctx.request_id, headers)
 
     def read_reply(self, call: PendingCall, response: HttpResponse) -> Reply:
         """Convert a complete response to a reply.
--- a/standins/latency.py
+++ b/standins/latency.py
@@ -151,9 +151,13 @@
     parser.add_argument('--rounds', default=10, type=int)
     parser.add_argument('--count', default=300, type=int, help='calls of a path per round')
     parser.add_argument('--profile', default='', help='folder for the cProfile output of each node')
+    parser.add_argument('--unnamed', action='store_true', help='responses name no call')
     args = parser.parse_args()
     with Fleet(args.profile) as fleet, tempfile.TemporaryDirectory() as folder:
-        target = fleet.deploy('bangor-1', TargetSpec('templates', 'bangor-hall', 140, 0.0))
+        spec = TargetSpec('templates', 'bangor-hall', 140, 0.0)
+        if args.unnamed:
+            spec = spec._replace(extra_args=('--unnamed',))
+        target = fleet.deploy('bangor-1', spec)
         # The target of this node runs another service, so it forwards all calls to the first node.
         ingress = fleet.deploy('menai-1', TargetSpec('slab-stock', 'menai-hall', 140, 0.0))
         record = Path(folder) / 'templates.json'
--- a/standins/target.py
+++ b/standins/target.py
@@ -12,6 +12,7 @@
 from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
 from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.target import TOKEN_HEADER
 from dunlinsaddle.settings import Address, parse_address
 
 ANNOUNCE_SECONDS = 2.0
@@ -32,7 +33,9 @@
         *,
         frees_slots: bool = False,
         retries: int = 0,
+        names_calls: bool = True,
     ) -> None:
+        self.names_calls = names_calls
         self.name = name
         self.service = service
         self.node_address = node_address
@@ -46,7 +49,13 @@
         self.run_counts: dict[str, int] = {}
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
-        """Handle one call."""
+        """Handle one call, and name it in the response."""
+        response = await self._respond(req)
+        if self.names_calls:
+            response.headers.append(_token(req))
+        return response
+
+    async def _respond(self, req: HttpRequest) -> HttpResponse:
         if req.path == '/-/runs':
             return json_response(self.run_counts)
         if req.path == '/-/begun':
@@ -74,8 +83,7 @@
         return await self._call_once(path, req)
 
     async def _call_once(self, path: str, req: HttpRequest) -> int:
-        headers = [(b'dunlinsaddle-call', req.header(b'dunlinsaddle-call').encode())]
-        request = HttpRequest('GET', path, headers, b'', '')
+        request = HttpRequest('GET', path, [_token(req)], b'', '')
         exchange = await self.client.send(self.node_address, request, CALL_TIMEOUT_SECONDS)
         return exchange.response.status if isinstance(exchange, Answered) else 0
 
@@ -88,6 +96,10 @@
             await asyncio.sleep(ANNOUNCE_SECONDS)
 
 
+def _token(req: HttpRequest) -> tuple[bytes, bytes]:
+    return TOKEN_HEADER, req.header(TOKEN_HEADER).encode()
+
+
 async def serve(target: Target, address: Address) -> None:
     """Print the address, and serve until SIGTERM."""
     listener = HttpListener(target.handle, HttpLimits(max_connections=100_000))
@@ -115,6 +127,7 @@
     parser.add_argument('--call', action='append', default=[], help='/service/path to call')
     parser.add_argument('--frees-slots', action='store_true', help='during downstream calls')
     parser.add_argument('--retries', default=0, type=int, help='of each failed downstream call')
+    parser.add_argument('--unnamed', action='store_true', help='no token in responses')
     args = parser.parse_args()
     target = Target(
         args.name,
@@ -125,6 +138,7 @@
         args.call,
         frees_slots=args.frees_slots,
         retries=args.retries,
+        names_calls=not args.unnamed,
     )
     asyncio.run(serve(target, args.listen))
 
