calls/: who sends, who answers and who remembers have rooms of their own

Thirty modules lay in one folder. Connections to targets and links to nodes are in calls/outbound/, listeners in calls/inbound/, keys that run at most once in calls/at_most_once/; the path between them, and the messages, stay. Names of modules and their contents are unchanged but for imports.

--- a/dunlinsaddle/calls/handover.py
+++ b/dunlinsaddle/calls/at_most_once/handover.py
@@ -12,8 +12,8 @@
 from result import Ok
 
 from dunlinsaddle.batches import split_into_batches
-from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import FinishedKey, KeysPush, Reply
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.key_ownership.range_manager import RangeManager
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.policy.key_table import KeyRecord, KeyTable
--- a/dunlinsaddle/calls/idempotency.py
+++ b/dunlinsaddle/calls/at_most_once/idempotency.py
@@ -7,13 +7,13 @@
 
 from result import Err
 
+from dunlinsaddle.calls.at_most_once.handover import find_next_owner, has_owner_ended
+from dunlinsaddle.calls.at_most_once.owned_keys import OwnedKeys
 from dunlinsaddle.calls.call_state import PendingCall, read_call_frame
 from dunlinsaddle.calls.execute import Executor
-from dunlinsaddle.calls.handover import find_next_owner, has_owner_ended
-from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.member_calls import MemberCaller, to_candidates
 from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
-from dunlinsaddle.calls.owned_keys import OwnedKeys
+from dunlinsaddle.calls.outbound.link import PeerLinks
+from dunlinsaddle.calls.outbound.member_calls import MemberCaller, to_candidates
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.key_ownership.claims import claim_key
 from dunlinsaddle.key_ownership.range_manager import RangeManager
--- a/dunlinsaddle/calls/owned_keys.py
+++ b/dunlinsaddle/calls/at_most_once/owned_keys.py
@@ -7,8 +7,8 @@
 
 from dunlinsaddle.calls.call_state import PendingCall
 from dunlinsaddle.calls.execute import Executor
-from dunlinsaddle.calls.member_calls import MemberCaller, to_candidates
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.outbound.member_calls import MemberCaller, to_candidates
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.policy.key_table import KeyRefused, KeyTable, StoredAnswer
--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -10,9 +10,9 @@
 from enum import StrEnum
 
 from dunlinsaddle.calls.call_state import PendingCall
-from dunlinsaddle.calls.connection import SkippedResponse
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS
 from dunlinsaddle.calls.messages import Reply
+from dunlinsaddle.calls.outbound.connection import SkippedResponse
 from dunlinsaddle.calls.target import AdvertisedState
 from dunlinsaddle.errors import Failure, Outcome
 from dunlinsaddle.loops import LoopBound
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -7,9 +7,9 @@
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS
-from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.member_calls import to_candidates
 from dunlinsaddle.calls.messages import Lost, NotSent, RelayedTargetState, Reply, refusal
+from dunlinsaddle.calls.outbound.link import PeerLinks
+from dunlinsaddle.calls.outbound.member_calls import to_candidates
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.membership.view import Member, MemberView
@@ -21,7 +21,7 @@
 from dunlinsaddle.stats import Stats
 
 if TYPE_CHECKING:
-    from dunlinsaddle.calls.idempotency import IdempotencyRouter
+    from dunlinsaddle.calls.at_most_once.idempotency import IdempotencyRouter
 
 #: Minimum time until the deadline for a resend. With less, an answer in time is unlikely, and a
 #: call that provably has not run would be started in vain.
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -10,8 +10,6 @@
     RunningCalls,
     downstream_retry_after,
 )
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered, SendResult
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS, HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import (
@@ -22,6 +20,8 @@
     Reply,
     refusal,
 )
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered, SendResult
 from dunlinsaddle.calls.target import AdvertisedState, DefaultDialect, LocalTarget, TargetDialect
 from dunlinsaddle.calls.waiters import RETRY_AFTER_SECONDS, AdmissionFuture, Waiters
 from dunlinsaddle.errors import ErrorKind, Failure
--- a/dunlinsaddle/calls/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -7,7 +7,6 @@
 from functools import partial
 from typing import Protocol, cast
 
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.http import (
     HOP_BY_HOP,
     HttpLimits,
@@ -25,9 +24,10 @@
     RequestReader,
     encode_response,
 )
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
+from dunlinsaddle.calls.inbound.movable_timer import MovableTimer
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers
-from dunlinsaddle.calls.movable_timer import MovableTimer
 from dunlinsaddle.errors import ErrorKind, Failure
 
 MAX_TARGET_BYTES = 8192  #: of a path with its query; RFC 9110, 4.1 asks for at least 8,000
--- a/dunlinsaddle/calls/drain.py
+++ b/dunlinsaddle/calls/inbound/drain.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from dunlinsaddle.calls.call_state import RunningCalls
-from dunlinsaddle.calls.listener import HttpListener
-from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.inbound.peer_server import PeerServer
 
 
 class Unfinished(NamedTuple):
--- a/dunlinsaddle/calls/listener.py
+++ b/dunlinsaddle/calls/inbound/listener.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from dunlinsaddle.calls.accepted_connection import AcceptedConnection, Handler
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest
+from dunlinsaddle.calls.inbound.accepted_connection import AcceptedConnection, Handler
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.errors import Failure
 from dunlinsaddle.settings import Address
--- a/dunlinsaddle/calls/peer_server.py
+++ b/dunlinsaddle/calls/inbound/peer_server.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Awaitable, Callable
 
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.frames import (
     HANDSHAKE_TIMEOUT_SECONDS,
     NONCE_BYTES,
@@ -15,6 +14,7 @@
     is_valid_proof,
     make_proof,
 )
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.calls.messages import (
     Call,
     Cancel,
--- a/dunlinsaddle/calls/client.py
+++ b/dunlinsaddle/calls/outbound/client.py
@@ -5,8 +5,10 @@
 from dataclasses import replace
 from typing import NamedTuple
 
-from dunlinsaddle.calls.answer_memory import AnswerMemory
-from dunlinsaddle.calls.connection import (
+from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
+from dunlinsaddle.calls.outbound.connection import (
     Answered,
     ClientConnection,
     ResponseMatcher,
@@ -15,9 +17,7 @@
     SkippedResponse,
     match_any_response,
 )
-from dunlinsaddle.calls.http import HttpRequest
-from dunlinsaddle.calls.messages import Lost, NotSent
-from dunlinsaddle.calls.pool import MAX_REUSE_IDLE_SECONDS, ConnectionPool
+from dunlinsaddle.calls.outbound.pool import MAX_REUSE_IDLE_SECONDS, ConnectionPool
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.settings import Address
--- a/dunlinsaddle/calls/connection.py
+++ b/dunlinsaddle/calls/outbound/connection.py
@@ -7,7 +7,6 @@
 from enum import Enum
 from typing import NamedTuple, cast
 
-from dunlinsaddle.calls.answer_memory import AnswerMemory
 from dunlinsaddle.calls.http import HOP_BY_HOP, HttpRequest, HttpResponse
 from dunlinsaddle.calls.http_codec import (
     BodyTooLarge,
@@ -18,7 +17,8 @@
 )
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers, Lost, NotSent
-from dunlinsaddle.calls.sent_requests import SentRequests
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
+from dunlinsaddle.calls.outbound.sent_requests import SentRequests
 from dunlinsaddle.errors import ErrorKind
 
 MAX_HEAD_BYTES = 1 << 16  #: of a response; common servers send a few hundred bytes
--- a/dunlinsaddle/calls/crash_notifier.py
+++ b/dunlinsaddle/calls/outbound/crash_notifier.py
@@ -4,8 +4,8 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import TargetCrashes
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.membership.view import Member
 from dunlinsaddle.policy.quarantine import Quarantine
--- a/dunlinsaddle/calls/member_calls.py
+++ b/dunlinsaddle/calls/outbound/member_calls.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 
 from dunlinsaddle.calls.call_state import PendingCall, build_call_frame
-from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import Lost, NotSent, Reply
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.membership.view import Member, State
 from dunlinsaddle.policy.route import Candidate, Router
 
--- a/dunlinsaddle/calls/pool.py
+++ b/dunlinsaddle/calls/outbound/pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 
-from dunlinsaddle.calls.connection import ClientConnection
+from dunlinsaddle.calls.outbound.connection import ClientConnection
 from dunlinsaddle.settings import Address
 
 MAX_IDLE_CONNECTIONS = 64  #: per address; more would use up the target's connection limit
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -7,9 +7,9 @@
 import xxhash
 
 from dunlinsaddle.calls.call_state import PendingCall, RunningCall
-from dunlinsaddle.calls.connection import Match
 from dunlinsaddle.calls.http import HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply
+from dunlinsaddle.calls.outbound.connection import Match
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.settings import Address
 
--- a/dunlinsaddle/cli/client.py
+++ b/dunlinsaddle/cli/client.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from dunlinsaddle.admin import LISTENER_HEADER
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Headers
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.cli.constants import REQUEST_TIMEOUT_SECONDS
 from dunlinsaddle.cli.exceptions import CommandError
 from dunlinsaddle.exit_status import ExitStatus
--- a/dunlinsaddle/managed_node.py
+++ b/dunlinsaddle/managed_node.py
@@ -3,9 +3,9 @@
 import logging
 from typing import NamedTuple, Protocol
 
+from dunlinsaddle.calls.at_most_once.idempotency import IdempotencyRouter
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
-from dunlinsaddle.calls.idempotency import IdempotencyRouter
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.metrics import Metrics
--- a/dunlinsaddle/mesh/ingress.py
+++ b/dunlinsaddle/mesh/ingress.py
@@ -17,8 +17,8 @@
 from dunlinsaddle.calls.call_state import PendingCall, RunningCall, RunningCalls, WaitTime
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import NO_REPEATS_CAUSE, Dispatcher
-from dunlinsaddle.calls.handlers import request_fingerprint
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS, HttpRequest, HttpResponse
+from dunlinsaddle.calls.inbound.handlers import request_fingerprint
 from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import LoopBound
--- a/dunlinsaddle/mesh/learned_state.py
+++ b/dunlinsaddle/mesh/learned_state.py
@@ -10,8 +10,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import RecordsRequest
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.membership.view import Member, MemberView
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -14,9 +14,9 @@
 
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
 from dunlinsaddle.access.quotas import QuotaCoordinator
-from dunlinsaddle.calls.body_memory import BodyMemory
-from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, failure_response
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
+from dunlinsaddle.calls.outbound.client import HttpClient
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.membership.view import MemberView
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -11,19 +11,16 @@
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
 from dunlinsaddle.access.peers import GossipPeers
 from dunlinsaddle.access.quotas import QuotaCoordinator
-from dunlinsaddle.calls.answer_memory import AnswerMemory
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.call_state import RunningCalls, read_call_frame
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.dispatch import Dispatcher
-from dunlinsaddle.calls.drain import RequestDrain
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
-from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
+from dunlinsaddle.calls.inbound.drain import RequestDrain
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import (
     Call,
     RecordFrame,
@@ -31,7 +28,10 @@
     RecordsResponse,
     Reply,
 )
-from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.crash_notifier import CrashNotifier
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.loops import LoopBound
--- a/dunlinsaddle/mesh/overview.py
+++ b/dunlinsaddle/mesh/overview.py
@@ -6,9 +6,9 @@
 from typing import Any, Protocol
 
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.http import HttpResponse, json_response
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.mesh.heartbeat_endpoint import HeartbeatEndpoint
--- a/dunlinsaddle/mesh/reports.py
+++ b/dunlinsaddle/mesh/reports.py
@@ -3,10 +3,10 @@
 import logging
 
 from dunlinsaddle.calls.call_state import PendingCall
-from dunlinsaddle.calls.connection import SkippedResponse
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Call, Headers, Reply
+from dunlinsaddle.calls.outbound.connection import SkippedResponse
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.platform.requests import read_request_id
 from dunlinsaddle.stats import CallLabel, Hop, Stats
--- a/dunlinsaddle/mesh/shutdown.py
+++ b/dunlinsaddle/mesh/shutdown.py
@@ -5,7 +5,7 @@
 import logging
 from typing import NamedTuple
 
-from dunlinsaddle.calls.drain import RequestDrain
+from dunlinsaddle.calls.inbound.drain import RequestDrain
 
 #: Time for which a stopping node still accepts requests. Callers learn that it is not ready from
 #: two readiness checks, a second apart, and requests already sent arrive after that.
--- a/dunlinsaddle/mesh/target_probe.py
+++ b/dunlinsaddle/mesh/target_probe.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import NotSent
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.calls.target import HealthUnknown, NoHealthPath, NotServing, TargetHealth
 from dunlinsaddle.platform.requests import read_health
 from dunlinsaddle.settings import Address
--- a/dunlinsaddle/mesh/target_protocol.py
+++ b/dunlinsaddle/mesh/target_protocol.py
@@ -1,9 +1,9 @@
 """HTTP protocol that the platform's targets expect: request headers and response checks."""
 
 from dunlinsaddle.calls.call_state import PendingCall, RunningCall
-from dunlinsaddle.calls.connection import Match
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
+from dunlinsaddle.calls.outbound.connection import Match
 from dunlinsaddle.calls.target import AdvertisedState, LocalTarget
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.platform.requests import (
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -16,7 +16,7 @@
 from opentelemetry.sdk.resources import Resource
 
 from dunlinsaddle import __version__
-from dunlinsaddle.calls.idempotency import IdempotencyRouter
+from dunlinsaddle.calls.at_most_once.idempotency import IdempotencyRouter
 from dunlinsaddle.records.record_cache import RecordCache
 from dunlinsaddle.stats import QUEUE_TIME_BOUNDS, Stats
 
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -9,21 +9,21 @@
 from typing import Any
 
 from dunlinsaddle.admin import OperatorHandler
+from dunlinsaddle.calls.at_most_once.handover import hand_over_keys, log_handover, take_over_keys
+from dunlinsaddle.calls.at_most_once.idempotency import IdempotencyRouter
 from dunlinsaddle.calls.call_state import RunningCalls, read_call_frame, record_added_latency
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.dispatch import Dispatcher
-from dunlinsaddle.calls.drain import RequestDrain
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
-from dunlinsaddle.calls.handlers import CallerHandler, LocalTargetHandler
-from dunlinsaddle.calls.handover import hand_over_keys, log_handover, take_over_keys
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest
-from dunlinsaddle.calls.idempotency import IdempotencyRouter
-from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.drain import RequestDrain
+from dunlinsaddle.calls.inbound.handlers import CallerHandler, LocalTargetHandler
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import Call, Reply
-from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.crash_notifier import CrashNotifier
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.key_ownership.host_identity import host_identity
--- a/dunlinsaddle/platform/client.py
+++ b/dunlinsaddle/platform/client.py
@@ -9,9 +9,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.platform.store import (
     ABSENT,
     WATCH_GRACE_SECONDS,
--- a/dunlinsaddle/platform/requests.py
+++ b/dunlinsaddle/platform/requests.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from dunlinsaddle.access.keys import key_digest
-from dunlinsaddle.calls.connection import Match
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse, forwarded_headers
 from dunlinsaddle.calls.messages import Headers, Reply, refusal
+from dunlinsaddle.calls.outbound.connection import Match
 from dunlinsaddle.calls.target import (
     AdvertisedLoad,
     AdvertisedState,
--- a/dunlinsaddle/routes/config_follower.py
+++ b/dunlinsaddle/routes/config_follower.py
@@ -14,13 +14,13 @@
 from result import Err, Ok, Result
 
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
-from dunlinsaddle.calls.link import PeerLinks
 from dunlinsaddle.calls.messages import (
     MAX_TIMEOUT_SECONDS,
     RecordFrame,
     RecordsRequest,
     RecordsResponse,
 )
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.loops import Backoff, LoopBound
 from dunlinsaddle.membership.view import Member
 from dunlinsaddle.platform.store import (
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Headers
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.settings import Address
 
 REFUSAL_PAUSE_SECONDS = 0.1  #: the caller ignores Retry-After
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.platform import headers as names
 from dunlinsaddle.settings import Address
 from standins.fleet import START_TIMEOUT_SECONDS, Process
--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -13,11 +13,11 @@
 import msgspec
 import uuid6
 
-from dunlinsaddle.calls.accepted_connection import AcceptedConnection
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.accepted_connection import AcceptedConnection
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.platform import headers as names
 from dunlinsaddle.platform.heartbeats import INSTANCES_PATH
 from dunlinsaddle.settings import parse_address
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.settings import Address, parse_address
 
 MAX_VALUE_BYTES = 1 << 20
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -23,9 +23,9 @@
 
 import uuid6
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.platform import headers as names
 from standins.mesh import MeshFleet, ServiceSpec, UnconfirmedWriteError, build_call_headers
 from standins.mesh_target import AdvertisedState, TargetFaults
--- a/standins/stages.py
+++ b/standins/stages.py
@@ -19,7 +19,7 @@
 
 from dunlinsaddle.calls.frames import _decoder, _encoder
 from dunlinsaddle.calls.http import HttpLimits
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.calls.messages import Call
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.node import Node
--- a/standins/stories.py
+++ b/standins/stories.py
@@ -13,9 +13,9 @@
 
 import uuid6
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.settings import Address
 from standins.mesh import MeshFleet, ServiceSpec, build_call_headers
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse, json_response
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.calls.target import TOKEN_HEADER
 from dunlinsaddle.settings import Address, parse_address
 
--- a/standins/ways.py
+++ b/standins/ways.py
@@ -14,13 +14,13 @@
 import pynng
 from hdrh.histogram import HdrHistogram
 
-from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.frames import LinkLimits
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
-from dunlinsaddle.calls.link import PeerLinks
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import Call, Reply
-from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.settings import Address, parse_address
 from standins.demo import print_line
--- a/tests/fakes/departures.py
+++ b/tests/fakes/departures.py
@@ -6,9 +6,9 @@
 from enum import Enum
 from typing import NamedTuple
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from tests.fakes.mesh import LIMITS, Mesh, MeshTarget
 
 FIRST_START_MS = 5000
--- a/tests/fakes/fleet_store.py
+++ b/tests/fakes/fleet_store.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-from dunlinsaddle.calls.connection import Answered, SendResult
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.outbound.connection import Answered, SendResult
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.platform.store import StoredObject, StorePosition, position_to_version
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.mesh.node import STORE_TIMEOUT_SECONDS, MeshNode
 from dunlinsaddle.mesh.settings import DeploymentLimits, MeshSettings
 from dunlinsaddle.settings import Address
--- a/tests/fakes/pair.py
+++ b/tests/fakes/pair.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.calls.messages import Lost, NotSent
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.changes import RECORD_KIND
 from dunlinsaddle.settings import Address
--- a/tests/fakes/records.py
+++ b/tests/fakes/records.py
@@ -6,8 +6,8 @@
 
 from result import Err, Result
 
-from dunlinsaddle.calls.client import CONNECT_TIMEOUT_SECONDS
 from dunlinsaddle.calls.messages import RecordFrame, RecordsPush, RecordsRequest, RecordsResponse
+from dunlinsaddle.calls.outbound.client import CONNECT_TIMEOUT_SECONDS
 from dunlinsaddle.membership.view import Member, MemberView
 from dunlinsaddle.platform.store import Listing, Unavailable
 from dunlinsaddle.records.record_cache import RecordCache
--- a/tests/fakes/restart_load.py
+++ b/tests/fakes/restart_load.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.platform.store import ABSENT
 from tests.builders import build_configuration, build_route, build_tenant
 from tests.fakes.mesh import Mesh
--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -11,11 +11,11 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.calls.messages import Lost, Reply
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.membership.roster import ROSTER_KIND
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.changes import RECORD_KIND
--- a/tests/once_cluster.py
+++ b/tests/once_cluster.py
@@ -9,9 +9,9 @@
 import msgspec
 from result import Err
 
+from dunlinsaddle.calls.at_most_once.handover import hand_over_keys, take_over_keys
+from dunlinsaddle.calls.at_most_once.idempotency import IdempotencyRouter
 from dunlinsaddle.calls.call_state import PendingCall, read_call_frame
-from dunlinsaddle.calls.handover import hand_over_keys, take_over_keys
-from dunlinsaddle.calls.idempotency import IdempotencyRouter
 from dunlinsaddle.calls.messages import Call, KeysPush, Lost, NotSent, Reply, refusal
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.key_ownership.range_manager import MonotonicWallClock, RangeManager
--- a/tests/store_case.py
+++ b/tests/store_case.py
@@ -1,8 +1,8 @@
 """Base class of tests of the store client against a simulated platform, with a paused clock."""
 
-from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.http import HttpLimits
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.outbound.client import HttpClient
 from dunlinsaddle.platform.client import HttpObjectStore
 from dunlinsaddle.settings import Address
 from standins.platform import MAX_VALUE_BYTES, Platform
--- a/tests/test_accept_flood.py
+++ b/tests/test_accept_flood.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.settings import Address
 
 CONNECTIONS = 300
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,9 +4,9 @@
 import msgspec
 
 from dunlinsaddle.admin import MAX_CHANGE_BYTES
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.membership.roster import ROSTER_KIND
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.history import RECORD_KIND
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -2,11 +2,11 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered, Match
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Lost, NotSent
-from dunlinsaddle.calls.sent_requests import MAX_REMEMBERED_REQUESTS, SentRequests
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered, Match
+from dunlinsaddle.calls.outbound.sent_requests import MAX_REMEMBERED_REQUESTS, SentRequests
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.platform.client import CALL_TIMEOUT_SECONDS, HttpObjectStore
 from dunlinsaddle.settings import Address
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,12 +2,12 @@
 from random import Random
 
 from dunlinsaddle.calls.call_state import PendingCall, RunningCalls
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.http import HttpResponse
 from dunlinsaddle.calls.messages import Call, Lost, NotSent, Reply, refusal
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import MemberView
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,11 +8,11 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.calls.answer_memory import AnswerMemory
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered, SendResult
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import Lost
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered, SendResult
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.mesh.node import MAX_BODY_BYTES, MAX_HELD_ANSWER_BYTES
 from dunlinsaddle.platform.requests import match_response
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -6,8 +6,8 @@
 from functools import partial
 
 from dunlinsaddle.calls.call_state import RunningCalls
-from dunlinsaddle.calls.client import HttpClient
 from dunlinsaddle.calls.execute import Executor
+from dunlinsaddle.calls.outbound.client import HttpClient
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.policy.admission import Admission
 from dunlinsaddle.policy.quarantine import Quarantine
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
 from dunlinsaddle.calls.messages import NotSent
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.settings import parse_address
 from tests.fleet_case import DOMAINS, FleetCase
 
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -1,7 +1,7 @@
 import asyncio
 
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.http import HttpResponse, forwarded_headers
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.errors import ErrorKind
 from tests.listener_case import ADDRESS, LIMITS, ListenerTest
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,9 +3,9 @@
 
 import msgspec
 
-from dunlinsaddle.calls.body_memory import BodyMemory
 from dunlinsaddle.calls.frames import LinkLimits, Role, make_proof
-from dunlinsaddle.calls.link import PeerLinks
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
+from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import (
     Call,
     Challenge,
@@ -16,7 +16,7 @@
     Reply,
     Welcome,
 )
-from dunlinsaddle.calls.peer_server import PeerServer
+from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.errors import ErrorKind, Outcome
 from dunlinsaddle.settings import Address
 from tests.builders import PEER_KEY, build_call, build_reply
--- a/tests/test_listener_close.py
+++ b/tests/test_listener_close.py
@@ -3,9 +3,9 @@
 
 from testtools import TestCase
 
-from dunlinsaddle.calls.accepted_connection import AcceptedConnection
 from dunlinsaddle.calls.http import HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.accepted_connection import AcceptedConnection
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.settings import Address
 from tests.listener_case import ADDRESS, LIMITS, ListenerTest
 
--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from tests.fakes.mesh import build_refusal
 from tests.fakes.target import RepeatingTarget
 from tests.mesh_case import MeshTest
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.metrics import Metrics, observe_stats
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import MAX_REFUSAL_LABELS, CallLabel, Stats
--- a/tests/test_node_paused.py
+++ b/tests/test_node_paused.py
@@ -1,8 +1,8 @@
 import asyncio
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.node import Node
 from dunlinsaddle.records.changes import RECORD_KIND
 from tests.builders import build_document, build_environment, build_logger, build_settings
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -2,8 +2,8 @@
 from typing import Any
 
 from dunlinsaddle.calls.call_state import PendingCall
-from dunlinsaddle.calls.handlers import CallerHandler
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.inbound.handlers import CallerHandler
 from dunlinsaddle.calls.messages import Reply, refusal
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.membership.view import State
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -8,8 +8,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 from testtools import TestCase
 
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.platform.configuration import read_configuration
 from dunlinsaddle.records.models import Rank
 from tests.builders import build_configuration, build_route, build_tenant
--- a/tests/test_overview.py
+++ b/tests/test_overview.py
@@ -6,9 +6,9 @@
 import msgspec
 from testtools import TestCase
 
-from dunlinsaddle.calls.client import HttpClient
-from dunlinsaddle.calls.connection import Answered
 from dunlinsaddle.calls.http import HttpRequest, HttpResponse
+from dunlinsaddle.calls.outbound.client import HttpClient
+from dunlinsaddle.calls.outbound.connection import Answered
 from dunlinsaddle.exit_status import ExitStatus
 from dunlinsaddle.mesh.overview import LISTENER_HEADER, PATH
 from dunlinsaddle.policy.context import LOWEST_LEVEL
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
-from dunlinsaddle.calls.listener import HttpListener
+from dunlinsaddle.calls.inbound.listener import HttpListener
 from tests.mesh_case import MeshTest
 
 
