The listeners of a node on the platform have a module of their own

mesh/node.py created, limited and closed four listeners one by one among forty other parts. They are now one object, with the handlers as a typed tuple. Behaviour unchanged.

--- /dev/null
+++ b/dunlinsaddle/mesh/listeners.py
@@ -0,0 +1,60 @@
+"""The HTTP listeners of a node on the platform."""
+
+from typing import NamedTuple
+
+from dunlinsaddle.calls.http import HttpLimits
+from dunlinsaddle.calls.inbound.accepted_connection import Handler
+from dunlinsaddle.calls.inbound.body_memory import BodyMemory
+from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.mesh.reports import RequestReports
+from dunlinsaddle.routes.models import Limits
+
+#: Requests of one connection that run at the same time. Callers that pipeline send a few.
+MAX_PIPELINED_REQUESTS = 16
+
+
+class Handlers(NamedTuple):
+    """What answers the requests of each listener."""
+
+    callers: Handler
+    heartbeats: Handler
+    readiness: Handler
+    metrics: Handler
+
+
+class NodeListeners:
+    """The listeners for callers, heartbeats of the target, readiness checks and metrics."""
+
+    def __init__(
+        self,
+        handlers: Handlers,
+        reports: RequestReports,
+        body_memory: BodyMemory,
+        max_body_bytes: int,
+    ) -> None:
+        self.max_body_bytes = max_body_bytes  #: of a request, whatever the configuration allows
+        self.callers = HttpListener(
+            handlers.callers,
+            HttpLimits(max_body_bytes=max_body_bytes),
+            reports.request_fault,
+            pipeline=MAX_PIPELINED_REQUESTS,
+            body_memory=body_memory,
+            on_refusal=reports.request_refused_unread,
+        )
+        self.heartbeats = HttpListener(handlers.heartbeats, HttpLimits(), reports.request_fault)
+        self.readiness = HttpListener(handlers.readiness, HttpLimits(), reports.request_fault)
+        self.metrics = HttpListener(handlers.metrics, HttpLimits(), reports.request_fault)
+
+    def set_limits(self, limits: Limits) -> None:
+        """Apply the limits of a configuration to the requests of callers."""
+        self.callers.limits = HttpLimits(
+            limits.header_bytes,
+            min(limits.body_bytes, self.max_body_bytes),
+            header_timeout=limits.header_timeout,
+            idle_timeout=limits.idle_timeout,
+        )
+
+    def close(self) -> None:
+        """Stop listening and abort all connections."""
+        for listener in (self.callers, self.heartbeats, self.readiness, self.metrics):
+            listener.close()
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -16,10 +16,9 @@
 from dunlinsaddle.calls.dispatch import Dispatcher
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.frames import LinkLimits
-from dunlinsaddle.calls.http import HttpLimits, HttpRequest, HttpResponse
+from dunlinsaddle.calls.http import HttpRequest, HttpResponse
 from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.calls.inbound.drain import RequestDrain
-from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import (
     Call,
@@ -45,6 +44,7 @@
 from dunlinsaddle.mesh.ingress import IngressHandler
 from dunlinsaddle.mesh.learned_state import LearnedStateExchange, Sources
 from dunlinsaddle.mesh.level_gossip import LevelGossip
+from dunlinsaddle.mesh.listeners import Handlers, NodeListeners
 from dunlinsaddle.mesh.observation import ObservationEndpoint
 from dunlinsaddle.mesh.reports import RequestReports
 from dunlinsaddle.mesh.retries import BudgetedRetries
@@ -76,8 +76,6 @@
 MAX_HELD_BODY_BYTES = MAX_BODY_BYTES
 #: Incomplete answers of the target held at the same time. One of the largest size always fits.
 MAX_HELD_ANSWER_BYTES = MAX_BODY_BYTES
-#: Requests of one connection that run at the same time. Callers that pipeline send a few.
-MAX_PIPELINED_REQUESTS = 16
 #: Timeout of one call to the store. It responds in 4 ms, and in about 400 ms when impaired.
 STORE_TIMEOUT_SECONDS = 2.0
 #: Share of the drain time in which calls may still wait for a draining target. The rest is for
@@ -281,36 +279,25 @@
             self.logger,
             is_first_start=cfg.first_start,
         )
-        limits = HttpLimits(max_body_bytes=MAX_BODY_BYTES)
-        self.callers_listener = HttpListener(
-            self.ingress.handle,
-            limits,
-            self.reports.request_fault,
-            pipeline=MAX_PIPELINED_REQUESTS,
-            body_memory=self.body_memory,
-            on_refusal=self.reports.request_refused_unread,
-        )
-        self.heartbeat_listener = HttpListener(
-            self.heartbeat_endpoint.handle, HttpLimits(), self.reports.request_fault
-        )
-        self.readiness_listener = HttpListener(
-            self._handle_readiness, HttpLimits(), self.reports.request_fault
-        )
         self.observation = ObservationEndpoint(self)
-        self.metrics_listener = HttpListener(
-            self.observation.handle, HttpLimits(), self.reports.request_fault
+        handlers = Handlers(
+            callers=self.ingress.handle,
+            heartbeats=self.heartbeat_endpoint.handle,
+            readiness=self._handle_readiness,
+            metrics=self.observation.handle,
         )
+        self.listeners = NodeListeners(handlers, self.reports, self.body_memory, MAX_BODY_BYTES)
 
     async def start(self) -> ListenAddresses:
         """Open all listeners and start the tasks. Raises OSError if an address is in use."""
         cfg = self.settings
         self.addresses = ListenAddresses(
-            await self.callers_listener.listen(cfg.callers),
-            await self.heartbeat_listener.listen(cfg.announce),
-            await self.readiness_listener.listen(cfg.ready),
+            await self.listeners.callers.listen(cfg.callers),
+            await self.listeners.heartbeats.listen(cfg.announce),
+            await self.listeners.readiness.listen(cfg.ready),
             await self.peer_server.listen(cfg.peers),
             await self.agent.listen(self.env.open_gossip, cfg.gossip),
-            await self.metrics_listener.listen(cfg.metrics),
+            await self.listeners.metrics.listen(cfg.metrics),
         )
         self.agent.start(self.local_member())
         if not cfg.first_start:
@@ -346,8 +333,8 @@
         self.target.node_draining = True
         self._announce_self()
         self.executor.refuse_waiting()
-        self.callers_listener.start_closing()
-        requests = RequestDrain(self.callers_listener, self.peer_server, self.running)
+        self.listeners.callers.start_closing()
+        requests = RequestDrain(self.listeners.callers, self.peer_server, self.running)
         await drain_requests(requests, times, self.logger)
 
     async def stop(self) -> None:
@@ -355,14 +342,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        listeners = (
-            self.callers_listener,
-            self.heartbeat_listener,
-            self.readiness_listener,
-            self.metrics_listener,
-        )
-        for listener in listeners:
-            listener.close()
+        self.listeners.close()
         self.observation.close()
         self.heartbeat_endpoint.close()
         self.agent.leave()
@@ -402,13 +382,7 @@
         domain = self.settings.domain if self._is_watcher() else None
         domain_members = [m for m in self._other_members() if m.domain == domain]
         self.agent.announce_configuration(new_configuration.version, domain_members)
-        limits = new_configuration.limits
-        self.callers_listener.limits = HttpLimits(
-            limits.header_bytes,
-            min(limits.body_bytes, MAX_BODY_BYTES),
-            header_timeout=limits.header_timeout,
-            idle_timeout=limits.idle_timeout,
-        )
+        self.listeners.set_limits(new_configuration.limits)
 
     def _find_health_path(self) -> str | None:
         table = self.follower.table
