--- a/standins/mesh_target.py
+++ b/standins/mesh_target.py
@@ -28,6 +28,7 @@
 STATE_PATH = '/-/says'  #: sets the state that the target advertises in its responses
 FAULTS_PATH = '/-/faults'
 MISDIRECTED_REQUEST = 421
+NAMED_COPIES_SHARE = 0.5  #: of the answers that are sent again; the others have lost their name
 
 
 class AdvertisedState(msgspec.Struct):
@@ -45,16 +46,18 @@
 
 
 class _RepeatingTransport:
-    """Keeps a copy of a share of what is written, and delegates all else to a transport."""
+    """Keeps copies of some of what is written, and delegates all else to a transport."""
 
-    def __init__(self, transport: asyncio.BaseTransport, is_repeated: Callable[[], bool]) -> None:
+    def __init__(
+        self, transport: asyncio.BaseTransport, make_copy: Callable[[bytes], bytes]
+    ) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self._is_repeated = is_repeated
+        self._make_copy = make_copy
         self._copy = b''
 
     def write(self, data: bytes) -> None:
-        """Write a response, which is kept if it is to be repeated."""
-        self._copy = data if self._is_repeated() else b''
+        """Write a response, and keep a copy if it is to be repeated."""
+        self._copy = self._make_copy(data)
         self._transport.write(data)
 
     def write_copy(self) -> None:
@@ -70,13 +73,13 @@
 class RepeatingConnection(AcceptedConnection):
     """Sends a share of its responses twice, the copy where the next response is expected."""
 
-    def __init__(self, listener: HttpListener, is_repeated: Callable[[], bool]) -> None:
+    def __init__(self, listener: HttpListener, make_copy: Callable[[bytes], bytes]) -> None:
         super().__init__(listener)
-        self._is_repeated = is_repeated
+        self._make_copy = make_copy
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to read."""
-        self._repeating = _RepeatingTransport(transport, self._is_repeated)
+        self._repeating = _RepeatingTransport(transport, self._make_copy)
         super().connection_made(cast(asyncio.Transport, self._repeating))
 
     def data_received(self, data: bytes) -> None:
@@ -133,9 +136,12 @@
         finally:
             self.running_count -= 1
 
-    def is_repeated(self) -> bool:
-        """Draw whether an answer is sent twice."""
-        return self.rng.random() < self.faults.repeated_share
+    def make_copy(self, response: bytes) -> bytes:
+        """Return what is sent again of a response, mostly nothing; some copies name no request."""
+        if self.rng.random() >= self.faults.repeated_share:
+            return b''
+        is_named = self.rng.random() < NAMED_COPIES_SHARE
+        return response if is_named else _without_name(response)
 
     async def _run(self, req: HttpRequest) -> HttpResponse:
         request_id = req.header(names.REQUEST_ID)
@@ -215,6 +221,12 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
+def _without_name(response: bytes) -> bytes:
+    head, end, body = response.partition(b'\r\n\r\n')
+    lines = [line for line in head.split(b'\r\n') if not line.startswith(names.REQUEST_ID + b':')]
+    return b'\r\n'.join(lines) + end + body
+
+
 def _name(req: HttpRequest) -> tuple[bytes, bytes]:
     """Return the header by which a response names its request."""
     return names.REQUEST_ID, req.header(names.REQUEST_ID).encode()
@@ -232,7 +244,7 @@
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     listener = HttpListener(target.handle, HttpLimits())
-    listener.new_connection = partial(RepeatingConnection, listener, target.is_repeated)
+    listener.new_connection = partial(RepeatingConnection, listener, target.make_copy)
     print(await listener.listen(options.listen), flush=True)  # noqa: T201
     heartbeat_task = asyncio.create_task(_send_heartbeats(target))
     await stop.wait()
