A crash of a target has a name, counts once, and is taken back by a completion

One target of four crashes while it runs two lookups of a page that half of the lookups ask for.

Cause, by the nodes' logs: a crash was no event, but a number for each request. Each lost call added one, so that the two equal calls that one end cut off made two crashes, 0.9 ms apart. Nothing took the number back: only a call that itself carried a count cleared anything, at one node. Ruled out: two targets that crashed, and a count told by another node.

The node beside the target names the crash, once for each start of it; all reports of it are one event. A crash makes suspects of what was in progress. A suspect runs as a trial, at one target of the fleet that all nodes choose alike, alone among suspects; equal calls wait for at most a second. Only a crash in a trial confirms the request; if its target had completed an equal one before, two, at least two seconds apart, as all targets may crash of another cause. A completion of an equal request anywhere takes back the crashes that its node knows, by name, and tells the others: a late report of one of them changes nothing. After a confirmed crash the next trial comes after 30 s, then four times as long each time. Nodes of older builds are told a number as before, and their numbers make suspects only. A call that a target makes has a fingerprint of its own: the calls for a request complete, and that says nothing of it. A port that takes a connection and ends it at once is asked again.

In test_dispatch.py counts became named crashes.

--- a/dunlinsaddle/calls/call_state.py
+++ b/dunlinsaddle/calls/call_state.py
@@ -17,6 +17,7 @@
 )
 from dunlinsaddle.errors import Outcome
 from dunlinsaddle.policy.context import CallContext, Priority
+from dunlinsaddle.policy.quarantine import crashes_by_number, number_of_crashes
 from dunlinsaddle.policy.retry import RetryAllowance
 from dunlinsaddle.records.models import Rank
 from dunlinsaddle.stats import Stats
@@ -83,7 +84,9 @@
         idempotent=ctx.idempotent,
         idempotency_key=ctx.key,
         fingerprint=ctx.fingerprint,
-        crash_count=ctx.crash_count,
+        crash_count=number_of_crashes(ctx.crashes),
+        crashes=list(ctx.crashes),
+        own_fingerprint=ctx.own_fingerprint,
         useful_seconds=min(max(ctx.useful_until - now, 0.0), MAX_TIMEOUT_SECONDS),
         resent=ctx.is_resend,
         organisation=ctx.organisation,
@@ -105,7 +108,8 @@
         idempotent=frame.idempotent,
         key=frame.idempotency_key,
         fingerprint=frame.fingerprint,
-        crash_count=frame.crash_count,
+        own_fingerprint=frame.own_fingerprint,
+        crashes=tuple(frame.crashes) or crashes_by_number(frame.crash_count),
         useful_until=now + frame.useful_seconds,
         is_resend=frame.resent,
         organisation=frame.organisation,
@@ -226,6 +230,10 @@
         """
         return self._by_request.get(_parent_id(request_id))
 
+    def fingerprints(self) -> set[int]:
+        """Return the fingerprints of all calls in progress."""
+        return {running.call.ctx.run_fingerprint for running in self._by_token.values()}
+
     def __len__(self) -> int:
         return len(self._by_token)
 
--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -12,9 +12,15 @@
 from dunlinsaddle.calls.outbound.member_calls import to_candidates
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import LoopBound
-from dunlinsaddle.membership.view import Member, MemberView
+from dunlinsaddle.membership.view import Member, MemberView, State
 from dunlinsaddle.policy.context import CallContext
-from dunlinsaddle.policy.quarantine import CRASHES_TO_QUARANTINE, Quarantine
+from dunlinsaddle.policy.quarantine import (
+    Paused,
+    Quarantine,
+    Quarantined,
+    choose_trial_instance,
+    crashes_by_number,
+)
 from dunlinsaddle.policy.refused_share import RefusedShares
 from dunlinsaddle.policy.retry import LOST_ANSWER_KINDS, REFUSED_BY_NODE, RetryAllowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
@@ -153,8 +159,8 @@
         return self.find_early_refusal(call) or await self.send(call)
 
     def find_early_refusal(self, call: PendingCall) -> Reply | None:
-        """Return the refusal of a call that a downstream service would refuse, or None."""
-        failure = self._check_downstream_levels(call.ctx)
+        """Return the refusal of a call that would be refused further down, or None."""
+        failure = self._check_quarantine(call.ctx) or self._check_downstream_levels(call.ctx)
         return None if failure is None else self._refuse_early(call, failure)
 
     def refuse_failing_rule(self, call: PendingCall, cause: str = RULE_FAILING_CAUSE) -> Reply:
@@ -172,6 +178,7 @@
 
     async def send(self, call: PendingCall) -> Reply:
         """Send a call to one target after another, without a check for an early refusal."""
+        call = self._add_known_crashes(call)
         tried_instances: set[str] = set()
         delivered_to: set[str] = set()
         last_reply: Reply | None = None
@@ -189,7 +196,8 @@
                 call = self.resend_policy.prepare_resend(call, last_reply)
             tried_instances.add(member.instance)
             last_reply = await self._send_to(call, member)
-            call = self._record_crashes(call, last_reply)
+            self._record_crashes(call.ctx, last_reply)
+            call = self._add_known_crashes(call)
             may_have_run = may_have_run or last_reply.outcome is not Outcome.NOT_RUN
             if not last_reply.kind:
                 target_reply = last_reply
@@ -213,7 +221,7 @@
     ) -> Member | None:
         service = call.ctx.service
         if not delivered_to or not self.resend_policy.is_limited_to_tried_targets(call):
-            member = self.choose_member(service, tried_instances, call.ctx.rule)
+            member = self._choose_for(call.ctx, tried_instances)
             if member is not None or last_reply is None:
                 return member
             refused = last_reply.kind == ErrorKind.TARGET_REFUSED.value
@@ -225,6 +233,16 @@
         not_delivered_to = {m.instance for m in self.view.serving_members(service)} - delivered_to
         return self.choose_member(service, not_delivered_to, call.ctx.rule)
 
+    def _choose_for(self, ctx: CallContext, tried_instances: set[str]) -> Member | None:
+        """Return the member to send a call to: for a suspected request, the one of its trial."""
+        if not ctx.crashes or self.executor.is_observe_only(ctx.service):
+            return self.choose_member(ctx.service, tried_instances, ctx.rule)
+        serving = self.view.serving_members(ctx.service)
+        members = {m.instance: m for m in serving if m.instance not in tried_instances}
+        alive = [name for name, member in members.items() if member.state is State.ALIVE]
+        chosen = choose_trial_instance(ctx.run_fingerprint, alive or members)
+        return None if chosen is None else members[chosen]
+
     def _record_resend(self, call: PendingCall, last_reply: Reply, attempts: int) -> None:
         self.stats.retries += 1
         if self.decisions is not None:
@@ -236,11 +254,24 @@
         A key that is resent may have run before. Only its owner knows, so no other node may
         answer that it did not run.
         """
+        call = self._add_known_crashes(call)
         reply = await router.handle(call)
         self._record_level(self.now(), call, reply)
-        self._record_crashes(call, reply)
+        self._record_crashes(call.ctx, reply)
         return reply
 
+    def _check_quarantine(self, ctx: CallContext) -> Failure | None:
+        """Return the failure for a request that may crash its targets, or None.
+
+        The nodes beside the targets refuse it as well, but one that has restarted may not know.
+        """
+        state = self.quarantine.check(self.now(), ctx.run_fingerprint)
+        if isinstance(state, Paused | Quarantined) and not self.executor.is_observe_only(
+            ctx.service
+        ):
+            return state.failure
+        return None
+
     def _check_downstream_levels(self, ctx: CallContext) -> Failure | None:
         now = self.now()
         levels, level = self.executor.levels, ctx.priority.level
@@ -379,15 +410,19 @@
             _has_rate_limit(states.get(m.instance)) for m in self.view.serving_members(service)
         )
 
-    def _record_crashes(self, call: PendingCall, reply: Reply) -> PendingCall:
-        """Record the crashes that a reply reports, and return the call with their number."""
-        if not reply.crash_count:
+    def _add_known_crashes(self, call: PendingCall) -> PendingCall:
+        """Return the call with what is known of its request, for the node beside the target."""
+        crashes = self.quarantine.crashes(self.now(), call.ctx.run_fingerprint)
+        if crashes == call.ctx.crashes:
             return call
-        now = self.now()
-        crash_count = self.quarantine.merge_crash_count(
-            now, call.ctx.fingerprint, reply.crash_count
-        )
-        return call._replace(ctx=call.ctx._replace(crash_count=crash_count))
+        return call._replace(ctx=call.ctx._replace(crashes=crashes))
+
+    def _record_crashes(self, ctx: CallContext, reply: Reply) -> None:
+        """Record the crashes that a reply reports, or that a completion takes them back."""
+        crashes = tuple(reply.crashes) or crashes_by_number(reply.crash_count)
+        self.quarantine.record(self.now(), ctx.run_fingerprint, crashes)
+        if ctx.crashes:
+            self.executor.suspects.record_answer(ctx, reply)
 
     def _no_target_reply(self, ctx: CallContext) -> Reply:
         now = self.now()
@@ -396,7 +431,7 @@
         return refusal(Failure(ErrorKind.NO_TARGET, detail, NO_TARGET_RETRY_AFTER_SECONDS))
 
     def _may_resend(self, call: PendingCall, reply: Reply) -> bool:
-        if call.ctx.crash_count >= CRASHES_TO_QUARANTINE:
+        if self._check_quarantine(call.ctx) is not None:
             return False
         if call.ctx.deadline - self.now() < MIN_RESEND_SECONDS:
             return False
--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -22,7 +22,9 @@
 )
 from dunlinsaddle.calls.outbound.client import HttpClient
 from dunlinsaddle.calls.outbound.connection import Answered, SendResult
+from dunlinsaddle.calls.suspects import CrashReports, Suspects
 from dunlinsaddle.calls.target import AdvertisedState, DefaultDialect, LocalTarget, TargetDialect
+from dunlinsaddle.calls.trials import Refused, RunAsTrial, WaitedTooLong
 from dunlinsaddle.calls.waiters import RETRY_AFTER_SECONDS, AdmissionFuture, Waiters
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.loops import LoopBound
@@ -38,13 +40,11 @@
 )
 from dunlinsaddle.policy.context import CallContext
 from dunlinsaddle.policy.level import UPDATE_INTERVAL_SECONDS, ChainLevels
-from dunlinsaddle.policy.quarantine import Quarantine, Quarantined, Suspected
+from dunlinsaddle.policy.quarantine import Paused, Quarantine, Quarantined, Suspected
 from dunlinsaddle.stats import Hop, Stats
 
 #: Slightly longer than the interval, so that the update is due when the timer fires.
 TICK_INTERVAL_SECONDS = UPDATE_INTERVAL_SECONDS + 0.0001
-
-
 #: Called with a request id, the time at which that request was sent, and the state that the target
 #: advertised in its response.
 OnAdvertisedState = Callable[[str, float, AdvertisedState], None]
@@ -62,7 +62,7 @@
         stats: Stats,
         quarantine: Quarantine,
         is_observe_only: Callable[[str], bool] = lambda service: False,
-        on_target_crash: Callable[[int, int], None] = lambda fingerprint, crash_count: None,
+        crash_reports: CrashReports | None = None,
         levels: ChainLevels | None = None,
         dialect: TargetDialect | None = None,
     ) -> None:
@@ -74,7 +74,7 @@
         self.stats = stats
         self.quarantine = quarantine
         self.is_observe_only = is_observe_only
-        self.on_target_crash = on_target_crash
+        self.suspects = Suspects(quarantine, target, client, running, crash_reports)
         self.levels = levels or ChainLevels()
         self.decisions: DecisionLog | None = None
         self.on_advertised_state: OnAdvertisedState = lambda request_id, sent_at, state: None
@@ -85,8 +85,6 @@
         self._waiters = Waiters(admission, self._release)
         self._ticket_count = 0
         self._unadmitted_ids: set[int] = set()
-        self._suspect_lock = asyncio.Lock()
-        self._suspect_waits: set[asyncio.Timeout] = set()  #: of suspected requests, for the lock
         self._ticket_count_at_tick = 0  #: value of ``_ticket_count`` at the last tick
         self._is_tick_scheduled = False
 
@@ -101,33 +99,25 @@
             return self._refuse(failure, call)
         ctx = call.ctx
         now = self.now()
-        self.quarantine.merge_crash_count(now, ctx.fingerprint, ctx.crash_count)
-        match self.quarantine.check(now, ctx.fingerprint):
-            case Quarantined(failure) if self.is_observe_only(ctx.service):
+        self.quarantine.record(now, ctx.run_fingerprint, ctx.crashes)
+        match self.quarantine.check(now, ctx.run_fingerprint):
+            case Paused(failure) | Quarantined(failure) if self.is_observe_only(ctx.service):
                 self.stats.observed_refusals[failure.kind.value] += 1
-            case Quarantined(failure):
+            case Paused(failure) | Quarantined(failure):
                 return self._refuse(failure, call)
             case Suspected() if not self.is_observe_only(ctx.service):
-                return await self._run_alone(call)
+                return await self._run_suspect(call)
         return await self._admit_and_run(call)
 
-    async def _run_alone(self, call: PendingCall) -> Reply:
-        """Run a suspected request while no other suspected request runs.
-
-        If the target crashes again, this request caused it.
-        """
-        # Not wait_for: in Python 3.11, a timeout that coincides with the acquisition would leave
-        # the lock held forever.
-        wait = asyncio.timeout_at(call.ctx.deadline)
-        self._suspect_waits.add(wait)
-        try:
-            async with wait:
-                await self._suspect_lock.acquire()
-        except TimeoutError:
-            too_late = Failure(ErrorKind.TOO_LATE_TO_START, '', RETRY_AFTER_SECONDS)
-            return self._refuse(self._check_target(call.ctx) or too_late, call)
-        finally:
-            self._suspect_waits.discard(wait)
+    async def _run_suspect(self, call: PendingCall) -> Reply:
+        """Run a suspected request as a trial, or as any other once it is no suspect any more."""
+        turn = await self.suspects.trials.wait_turn(call)
+        match turn:
+            case Refused(confirmed):
+                return self._refuse(confirmed, call)
+            case WaitedTooLong():
+                too_late = Failure(ErrorKind.TOO_LATE_TO_START, '', RETRY_AFTER_SECONDS)
+                return self._refuse(self._check_target(call.ctx) or too_late, call)
         try:
             # The target may have begun to drain meanwhile.
             failure = self._check_target(call.ctx)
@@ -135,7 +125,8 @@
                 return self._refuse(failure, call)
             return await self._admit_and_run(call)
         finally:
-            self._suspect_lock.release()
+            if isinstance(turn, RunAsTrial):
+                self.suspects.trials.end()
 
     async def _admit_and_run(self, call: PendingCall) -> Reply:
         ticket = self._build_ticket(call.ctx)
@@ -242,10 +233,7 @@
     def refuse_waiting(self) -> None:
         """Refuse all waiting calls of a draining target: they did not run and can be resent."""
         self._waiters.refuse_all(Failure(ErrorKind.DRAINING, retry_after=RETRY_AFTER_SECONDS))
-        now = self.now()
-        for wait in self._suspect_waits:
-            if not wait.expired():
-                wait.reschedule(now)
+        self.suspects.trials.refuse_waiting()
 
     def _end_wait(self, ticket: Ticket, failure: Failure | None) -> None:
         self._unadmitted_ids.discard(ticket.call_id)
@@ -259,8 +247,7 @@
         try:
             reply = await self._call_target(call, running)
             completed = reply.kind == ''
-            if completed and call.ctx.crash_count:
-                self.quarantine.record_completion(loop.time(), call.ctx.fingerprint)
+            self.suspects.record_answer(call.ctx, reply)
         except asyncio.CancelledError:
             self.stats.wasted += 1
             raise
@@ -314,6 +301,7 @@
         allow_resend = partial(self._try_spend_resend, call) if call.ctx.idempotent else None
         loop = self.loop
         sent_at = loop.time()
+        start_number = self.target.start_number
         result = await self.client.send(
             address,
             req,
@@ -326,13 +314,14 @@
         self.stats.record_latency(Hop.TARGET, elapsed)
         if call.wait_time is not None:
             call.wait_time.seconds += elapsed
-        reply = await self._to_reply(call, running, sent_at, result)
+        reply = self._to_reply(call, running, sent_at, result)
+        await self.suspects.record_lost(call, start_number, reply)
         if self.decisions is not None:
             status = result.response.status if isinstance(result, Answered) else 0
             self.decisions.log_send_ended(call.ctx, reply, status, elapsed)
         return reply
 
-    async def _to_reply(
+    def _to_reply(
         self, call: PendingCall, running: RunningCall, sent_at: float, result: SendResult
     ) -> Reply:
         """Return the reply to a call that was sent to the target at ``sent_at``."""
@@ -349,10 +338,6 @@
             case Lost(detail, kind, connection, earlier_answers):
                 reply = refusal(Failure(kind, detail))
                 reply.connection, reply.earlier_answers = connection, earlier_answers
-                if kind is ErrorKind.TARGET_LOST and not await self._is_target_alive():
-                    now = self.now()
-                    reply.crash_count = self.quarantine.record_crash(now, call.ctx.fingerprint)
-                    self.on_target_crash(call.ctx.fingerprint, reply.crash_count)
         return reply
 
     def _read_reply(self, call: PendingCall, running: RunningCall, response: HttpResponse) -> Reply:
@@ -370,16 +355,6 @@
         if state is not None:
             self.on_advertised_state(call.ctx.request_id, sent_at, state)
 
-    async def _is_target_alive(self) -> bool:
-        """Return whether the target accepts connections: a dead one refuses them at once."""
-        address = self.target.address
-        if address is None:
-            return False
-        is_alive = await self.client.can_connect(address)
-        if not is_alive:
-            self.target.record_connection_refused()
-        return is_alive
-
     def _try_spend_resend(self, call: PendingCall) -> bool:
         # No call is sent to a target that leaves, not even one that was sent to it before.
         return self.target.accepts_work and call.allowance.spend()
@@ -408,5 +383,7 @@
             self.decisions.log_refused(call.ctx, failure, load)
         reply = refusal(failure, load=load)
         self._add_target_report(call.ctx, reply)
+        # The sender may have restarted, and would send the request to other targets.
+        self.suspects.add_crashes(call.ctx, reply)
         reply.unspent_retry_tokens = call.allowance.tokens
         return reply
--- a/dunlinsaddle/calls/inbound/handlers.py
+++ b/dunlinsaddle/calls/inbound/handlers.py
@@ -296,6 +296,7 @@
             idempotent=rule.idempotent,
             key=req.header(b'idempotency-key')[:MAX_ID_LENGTH],
             fingerprint=root.fingerprint if root else request_fingerprint(req, record.service),
+            own_fingerprint=request_fingerprint(req, record.service) if root else 0,
         )
         return PendingCall(ctx, req.method, rest, headers, req.body, allowance)
 
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -9,6 +9,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome, problem_document
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.context import MAX_HOPS, SLOTS_PER_RANK
+from dunlinsaddle.policy.quarantine import MAX_CLEARED, MAX_CRASHES, Crash
 from dunlinsaddle.policy.target_speed import TargetSpeed
 from dunlinsaddle.records.models import Rank, RecordEntry
 from dunlinsaddle.records.schema import MAX_RETRY_BOUND
@@ -31,6 +32,7 @@
 #: A share; the decoder also rejects NaN, which would never leave a moving average.
 Share = Annotated[float, Meta(ge=0, le=1)]
 MAX_CALLS = 1_000_000  #: of one request, only to reject absurd values
+Crashes = Annotated[list[Crash], Meta(max_length=MAX_CRASHES)]
 StatusCode = Annotated[int, Meta(ge=200, le=599)]
 
 
@@ -86,13 +88,15 @@
     idempotent: bool
     idempotency_key: str = ''
     fingerprint: int = 0
-    crash_count: int = 0
+    crash_count: int = 0  #: for older builds
     owner_lookups: HopCount = 0  #: nodes already asked for the owner of the key
     owner_approved: bool = False  #: the owner of the key has decided that the call may run
     useful_seconds: Seconds = MAX_TIMEOUT_SECONDS  #: after which an answer is worth less
     resent: bool = False  #: the call, or the request that it is part of, was sent before
     organisation: str = ''  #: of the request, empty where callers need no key
     target_state: RelayedTargetState | None = None  #: last sent by the receiver, if it restarted
+    crashes: Crashes = []  #: what the sender knows; older builds send only their number
+    own_fingerprint: int = 0  #: of a call that a target makes
 
 
 class RefusedCalls(msgspec.Struct, array_like=True, frozen=True):
@@ -116,7 +120,7 @@
     retry_after: Seconds = 0.0
     unspent_retry_tokens: RetryTokens = 0
     load: Load | None = None
-    crash_count: int = 0  #: targets that crashed while they ran the request
+    crash_count: int = 0  #: for older builds
     cause: str = ''  #: the downstream call that made it fail: its service, and how it ended
     target_state: RelayedTargetState | None = None  #: None if the target advertised nothing
     #: Of the target for the rule of the call; None from older builds and learned limits. Checked
@@ -129,6 +133,7 @@
     #: Number of the connection of the target's node that carried the call; 0 if none did.
     connection: int = 0
     earlier_answers: int = 0  #: that this connection had brought to earlier calls
+    crashes: Crashes = []  #: of targets that ran the request, as far as the replying node knows
 
     @property
     def size(self) -> int:
@@ -227,10 +232,12 @@
 
 
 class TargetCrashes(msgspec.Struct, tag='d', array_like=True):
-    """How many targets crashed while they ran the request with this fingerprint."""
+    """Crashes of targets that ran the request with this fingerprint, and those taken back."""
 
     fingerprint: int
-    crash_count: int
+    crash_count: int  #: for older builds; 0 changes nothing there
+    crashes: Crashes = []
+    cleared: Annotated[list[int], Meta(max_length=MAX_CLEARED)] = []  #: names of crashes
 
 
 class FinishedKey(msgspec.Struct, array_like=True):
--- a/dunlinsaddle/calls/outbound/client.py
+++ b/dunlinsaddle/calls/outbound/client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import NamedTuple
 
 from dunlinsaddle.calls.http import HttpRequest
@@ -27,6 +28,19 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 #: Reuse limit for requests that must not be sent twice: a lost one could not be repeated.
 NON_IDEMPOTENT_REUSE_SECONDS = 0.25
+#: Time within which the kernel closes all sockets of a killed process, also on a busy machine.
+STAYS_OPEN_SECONDS = 0.05
+LISTENING_TRIES = 3  #: connections that may end at once before a server counts as alive
+
+
+class _EndObserver(asyncio.Protocol):
+    """A connection that carries nothing; sets an event when it ends."""
+
+    def __init__(self, has_ended: asyncio.Event) -> None:
+        self.has_ended = has_ended
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.has_ended.set()
 
 
 class _PendingRequest(NamedTuple):
@@ -160,17 +174,29 @@
                 return replace(result, connection=conn.number, earlier_answers=conn.response_count)
         return result
 
-    async def can_connect(self, address: Address) -> bool:
-        """Return whether a new connection can be opened."""
-        loop = self.loop
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                transport, _ = await loop.create_connection(
-                    asyncio.Protocol, address.host, address.port
-                )
-        except (OSError, TimeoutError):
-            return False
-        transport.close()
+    async def is_listening(self, address: Address) -> bool:
+        """Return whether a server accepts connections and keeps them.
+
+        The kernel closes the sockets of a killed process one after the other, so that its port may
+        still accept for a moment. Such a connection ends at once, and the next one is refused. A
+        live server that has too many connections ends them, too, but does not refuse the next.
+        """
+        for _ in range(LISTENING_TRIES):
+            has_ended = asyncio.Event()
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                    transport, _ = await self.loop.create_connection(
+                        partial(_EndObserver, has_ended), address.host, address.port
+                    )
+            except (OSError, TimeoutError):
+                return False
+            try:
+                async with asyncio.timeout(STAYS_OPEN_SECONDS):
+                    await has_ended.wait()
+            except TimeoutError:
+                return True
+            finally:
+                transport.abort()
         return True
 
     def _expire(self, pool: ConnectionPool, conn: ClientConnection) -> None:
--- a/dunlinsaddle/calls/target.py
+++ b/dunlinsaddle/calls/target.py
@@ -123,6 +123,7 @@
         self.address: Address | None = None
         self.target_id = ''  #: id that the target announced, empty if it announces none
         self.started_at_ms = 0  #: Unix time in milliseconds, 0 if not announced
+        self.start_number = 0  #: starts that were announced here so far
         self.node_draining = False  #: the node itself stops, whatever the state of the target
         self._is_draining = False
         self._connection_refused = False
@@ -165,6 +166,7 @@
         self.address = address
         self.target_id = target_id
         self.started_at_ms = started_at_ms
+        self.start_number += 1
         self._is_draining = self._connection_refused = False
         self.on_start()
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -198,9 +198,10 @@
             self.running,
             self.stats,
             self.quarantine,
-            on_target_crash=self.crash_notifier.broadcast,
+            crash_reports=self.crash_notifier,
             dialect=MeshTargetProtocol(self.target),
         )
+        self.crash_notifier.on_change = self.executor.suspects.trials.wake
         self.target.on_start = self._on_target_start
         self.target.on_drain = self._on_target_drain
         self.level_gossip = LevelGossip(self.agent, self.admission, self.executor.levels)
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -97,8 +97,9 @@
             self.stats,
             self.quarantine,
             self._is_observe_mode,
-            self.crash_notifier.broadcast,
+            self.crash_notifier,
         )
+        self.crash_notifier.on_change = self.executor.suspects.trials.wake
         self.target.on_start = self._on_target_start
         router = Router(settings.domain, Random(env.rng.random()), settings.instance)
         self.dispatcher = Dispatcher(
--- a/dunlinsaddle/policy/context.py
+++ b/dunlinsaddle/policy/context.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from dunlinsaddle.policy.quarantine import Crash
 from dunlinsaddle.records.models import Rank
 
 SLOTS_PER_RANK = 128  #: priority levels per rank; each is less than 1 % of the rank's demand
@@ -56,7 +57,17 @@
     idempotent: bool
     key: str
     fingerprint: int
-    crash_count: int = 0  #: targets that crashed while they ran this request
+    own_fingerprint: int = 0  #: of a call that a target makes; 0 for a root request
+    crashes: tuple[Crash, ...] = ()  #: of targets that ran this request, as far as is known
     useful_until: float = math.inf  #: time of the loop's clock after which an answer is worth less
     is_resend: bool = False  #: whether this call or its root request was sent before
     organisation: str = ''  #: the organisation that sent the root request
+
+    @property
+    def run_fingerprint(self) -> int:
+        """Fingerprint of what the target of this call runs.
+
+        A request and the calls made for it share ``fingerprint``. A call that completes says
+        nothing of whether the request itself crashes its targets.
+        """
+        return self.own_fingerprint or self.fingerprint
--- a/dunlinsaddle/replay/attempt.py
+++ b/dunlinsaddle/replay/attempt.py
@@ -17,9 +17,9 @@
         'caller',
         'calls_started',
         'deadline',
-        'deaths',
         'failed',
         'fingerprint',
+        'is_trial',
         'kills',
         'priority',
         'resent',
@@ -40,7 +40,7 @@
         self.deadline = deadline
         self.fingerprint = fingerprint
         self.kills = kills
-        self.deaths = 0
+        self.is_trial = False  #: a target ran it as a suspected request
         self.calls_started = 0
         self.wasted_calls = 0
         self.resent = 0
--- a/dunlinsaddle/replay/current_node.py
+++ b/dunlinsaddle/replay/current_node.py
@@ -1,9 +1,11 @@
 """The simulated node that uses the product's policy."""
 
+import xxhash
+
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.admission import AdmissionPolicy, Load
 from dunlinsaddle.policy.level import ChainLevels
-from dunlinsaddle.policy.quarantine import CRASHES_TO_QUARANTINE, Quarantine, Quarantined
+from dunlinsaddle.policy.quarantine import Crash, Quarantine, Quarantined, Suspected
 from dunlinsaddle.policy.resend_guard import ResendGuard
 from dunlinsaddle.policy.retry import RetryAllowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
@@ -63,24 +65,48 @@
         return response
 
     def _check_quarantine(self, attempt: Attempt) -> Failure | None:
-        self.quarantine.merge_crash_count(self.fleet.loop.now, attempt.fingerprint, attempt.deaths)
         match self.quarantine.check(self.fleet.loop.now, attempt.fingerprint):
             case Quarantined(failure):
                 return failure
+            case Suspected():
+                attempt.is_trial = True
         return None
 
     def _record_death(self, attempt: Attempt) -> None:
         now = self.fleet.loop.now
-        attempt.deaths = self.quarantine.record_crash(now, attempt.fingerprint)
+        crash = Crash(self._crash_name(), attempt.is_trial)
+        self._record_crash(attempt.fingerprint, crash)
         self.fleet.loop.call_at(
-            now + VIEW_DELAY_SECONDS, self._propagate_deaths, attempt.fingerprint, attempt.deaths
+            now + VIEW_DELAY_SECONDS, self._propagate_crash, attempt.fingerprint, crash
         )
 
-    def _propagate_deaths(self, fingerprint: int, deaths: int) -> None:
+    def _crash_name(self) -> int:
+        """Return the name of the target's latest crash; 0 stands for crashes without a name."""
+        name = f'{self.candidate.instance}/{self.target.crash_count}'
+        return 1 + xxhash.xxh32_intdigest(name.encode())
+
+    def _record_crash(self, fingerprint: int, crash: Crash) -> None:
+        self.quarantine.record(self.fleet.loop.now, fingerprint, [crash])
+
+    def _propagate_crash(self, fingerprint: int, crash: Crash) -> None:
+        for nodes in self.fleet.nodes.values():
+            for node in nodes:
+                if isinstance(node, CurrentNode):
+                    node._record_crash(fingerprint, crash)
+
+    def _record_completion(self, attempt: Attempt) -> None:
+        if self.quarantine.clear(self.fleet.loop.now, attempt.fingerprint):
+            self.fleet.loop.call_at(
+                self.fleet.loop.now + VIEW_DELAY_SECONDS,
+                self._propagate_completion,
+                attempt.fingerprint,
+            )
+
+    def _propagate_completion(self, fingerprint: int) -> None:
         for nodes in self.fleet.nodes.values():
             for node in nodes:
                 if isinstance(node, CurrentNode):
-                    node.quarantine.merge_crash_count(self.fleet.loop.now, fingerprint, deaths)
+                    node.quarantine.clear(self.fleet.loop.now, fingerprint)
 
     def dispatch(
         self,
@@ -115,7 +141,7 @@
             response = yield from self._send_once(
                 attempt, call, allowance, listed[chosen.instance], origin.hop
             )
-            if attempt.deaths >= CRASHES_TO_QUARANTINE:
+            if isinstance(self.quarantine.check(loop.now, attempt.fingerprint), Quarantined):
                 return response
             idempotent = self.fleet.is_idempotent(call.service, call.rule)
             if not may_resend(response.kind, response.outcome, idempotent=idempotent):
--- a/dunlinsaddle/replay/nodes.py
+++ b/dunlinsaddle/replay/nodes.py
@@ -83,6 +83,9 @@
     def _record_death(self, attempt: Attempt) -> None:
         """Record that the target crashed while it ran a request."""
 
+    def _record_completion(self, attempt: Attempt) -> None:
+        """Record that the target completed a request."""
+
     def execute(
         self, attempt: Attempt, call: Call, allowance: RetryAllowance, hop: int = 0
     ) -> Process:
@@ -165,6 +168,12 @@
                 self._record_death(attempt)
         done = response.failure is None
         self._finish(ticket, Sample(call.rule, own_time, done))
+        return self._finished(attempt, call, response)
+
+    def _finished(self, attempt: Attempt, call: Call, response: Response) -> Response:
+        """Return the response to a call that the target has run, with the load."""
+        if response.failure is None:
+            self._record_completion(attempt)
         return response._replace(load=self._load(call))
 
     def _call_dependencies(
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -419,6 +419,45 @@
         self.assertTrue(self.run_with_target(script, use))
 
 
+class ListeningTest(PausedClockTest):
+    def is_listening(self, on_connection):
+        """Return what the client finds; ``on_connection`` gets the server and each connection."""
+
+        async def scenario() -> bool:
+            async def accept(reader, writer):
+                await on_connection(server, writer)
+
+            server = await asyncio.start_server(accept, TARGET.host, TARGET.port)
+            try:
+                return await HttpClient().is_listening(TARGET)
+            finally:
+                server.close()
+
+        return self.run_paused(scenario())
+
+    # A killed target counted as alive, as its port was the last of its sockets to be closed.
+    def test_target_whose_port_closes_after_a_connection_is_dead(self):
+        async def close_all(server, writer):
+            server.close()
+            writer.close()
+
+        self.assertFalse(self.is_listening(close_all))
+
+    # A target with too many connections counted as crashed, and its requests as suspects.
+    def test_target_that_ends_each_connection_at_once_is_alive(self):
+        async def close_connection(server, writer):
+            writer.close()
+
+        self.assertTrue(self.is_listening(close_connection))
+
+    def test_target_that_keeps_the_connection_is_alive(self):
+        async def keep(server, writer):
+            await asyncio.sleep(1.0)
+            writer.close()
+
+        self.assertTrue(self.is_listening(keep))
+
+
 class PlatformConnectionsTest(ClientTest):
     def test_one_timeout_closes_all_idle_connections_to_the_platform(self):
         # The open connections to the platform are silently dropped; new ones work. One call
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,4 +1,5 @@
 import asyncio
+from collections.abc import Iterable
 from random import Random
 
 from dunlinsaddle.calls.call_state import PendingCall, RunningCalls
@@ -13,7 +14,14 @@
 from dunlinsaddle.membership.view import MemberView
 from dunlinsaddle.policy.admission import Admission
 from dunlinsaddle.policy.level import ReportedLevel
-from dunlinsaddle.policy.quarantine import Quarantine, Quarantined
+from dunlinsaddle.policy.quarantine import (
+    Crash,
+    NotSuspected,
+    Quarantine,
+    Quarantined,
+    QuarantineState,
+    Suspected,
+)
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
@@ -21,6 +29,7 @@
 from tests.clock import PausedClockTest
 
 DONE = Reply(0, 200, [], b'ok', Outcome.DONE)
+CONFIRMED = (Crash(1), Crash(2, was_trial=True))
 
 
 class FakeLinks:
@@ -48,10 +57,32 @@
     async def send(self, address, req, timeout, **options):
         return Lost('the connection ended', ErrorKind.TARGET_LOST)
 
-    async def can_connect(self, address):
+    async def is_listening(self, address):
         return False
 
 
+class CrashingLaterTarget(CrashingTarget):
+    """A target that crashes a tenth of a second after the first call, with all calls."""
+
+    async def send(self, address, req, timeout, **options):
+        await asyncio.sleep(max(0.1 - asyncio.get_running_loop().time(), 0.0))
+        return await super().send(address, req, timeout, **options)
+
+
+class RecordedCrashes:
+    """Records what would be reported to other nodes."""
+
+    def __init__(self) -> None:
+        self.crashes: list[tuple[int, Crash]] = []
+        self.cleared: list[tuple[int, tuple[int, ...]]] = []
+
+    def report_crash(self, fingerprint: int, crash: Crash) -> None:
+        self.crashes.append((fingerprint, crash))
+
+    def report_cleared(self, fingerprint: int, names: Iterable[int]) -> None:
+        self.cleared.append((fingerprint, tuple(names)))
+
+
 class DownstreamRefusedTarget(HttpClient):
     """A target that answers 502 because its downstream call was refused."""
 
@@ -206,15 +237,15 @@
         # Each target that runs the call crashes. After the second crash the call must not be
         # resent, although retry tokens and targets are left.
         first = refusal(Failure(ErrorKind.TARGET_LOST))
-        first.crash_count = 1
+        first.crashes = [Crash(1)]
         second = refusal(Failure(ErrorKind.TARGET_LOST))
-        second.crash_count = 2
+        second.crashes = [Crash(1), Crash(2, was_trial=True)]
         quarantine = Quarantine()
         links = FakeLinks(first, second, DONE)
         reply = self.dispatch(links, quarantine, tokens=5)
         self.assertEqual(Outcome.UNKNOWN, reply.outcome)
         self.assertEqual(2, len(links.calls))
-        self.assertEqual(1, links.calls[1].crash_count)
+        self.assertEqual([Crash(1)], links.calls[1].crashes)
         self.assertIsInstance(quarantine.check(0.1, links.calls[0].fingerprint), Quarantined)
 
 
@@ -226,15 +257,100 @@
         return self.run_paused(scenario())
 
     def test_crash_of_the_target_is_reported_with_the_reply(self):
-        reported: list[tuple[int, int]] = []
-
-        def build() -> Executor:
-            on_target_crash = lambda request, count: reported.append((request, count))  # noqa: E731
-            return build_executor(CrashingTarget(), Quarantine(), on_target_crash=on_target_crash)
-
-        reply = self.execute(build, fingerprint=5)
+        reports = RecordedCrashes()
+        reply = self.execute(
+            lambda: build_executor(CrashingTarget(), Quarantine(), crash_reports=reports),
+            fingerprint=5,
+        )
         self.assertEqual((1, Outcome.UNKNOWN), (reply.crash_count, reply.outcome))
-        self.assertEqual([(5, 1)], reported)
+        self.assertEqual([(5, crash) for crash in reply.crashes], reports.crashes)
+
+    # One crash of a target ended two equal requests, and both counted: all later ones were denied.
+    def test_crash_that_ends_equal_requests_counts_once(self):
+        async def scenario() -> tuple[list[Reply], Quarantine]:
+            quarantine = Quarantine()
+            executor = build_executor(CrashingTarget(), quarantine, crash_reports=reports)
+            executor.admission.limit = 40
+            calls = [build_pending_call(fingerprint=5) for _ in range(40)]
+            return await asyncio.gather(*map(executor.execute, calls)), quarantine
+
+        reports = RecordedCrashes()
+        replies, quarantine = self.run_paused(scenario())
+        self.assertEqual({ErrorKind.TARGET_LOST.value}, {reply.kind for reply in replies})
+        self.assertEqual((1, 1), (len(reports.crashes), len(quarantine.crashes(0.0, 5))))
+        self.assertEqual(Suspected(), quarantine.check(0.0, 5))
+
+    # Equal requests complete all the time, but only at other targets or without a known crash.
+    def test_completion_takes_back_the_crashes_of_equal_requests(self):
+        async def scenario() -> QuarantineState:
+            quarantine = Quarantine()
+            executor = build_executor(FakeTarget(), quarantine, crash_reports=reports)
+            call = build_pending_call(fingerprint=5)
+            running = asyncio.create_task(executor.execute(call))
+            await asyncio.sleep(0.005)
+            quarantine.record(0.0, 5, [Crash(1)])  # told by the node beside another target
+            await running
+            return quarantine.check(1.0, 5)
+
+        reports = RecordedCrashes()
+        self.assertEqual(NotSuspected(), self.run_paused(scenario()))
+        self.assertEqual([(5, (1,))], reports.cleared)
+
+    # A call of the target completed elsewhere, and its request went on to crash one target more.
+    def test_completion_of_a_call_says_nothing_of_its_request(self):
+        async def scenario() -> QuarantineState:
+            quarantine = Quarantine()
+            quarantine.record(0.0, 5, [Crash(1)])
+            executor = build_executor(FakeTarget(), quarantine)
+            await executor.execute(build_pending_call(fingerprint=5, own_fingerprint=9))
+            return quarantine.check(1.0, 5)
+
+        self.assertEqual(Suspected(), self.run_paused(scenario()))
+
+    # Requests that equal a suspected one ran one after the other, at a tenth of their usual rate.
+    def test_equal_requests_that_wait_are_released_by_the_first_completion(self):
+        async def scenario() -> tuple[set[str], float]:
+            executor = build_executor(SlowTarget(), Quarantine())
+            executor.admission.limit = 10
+            executor.quarantine.record(0.0, 5, [Crash(1)])
+            calls = [build_pending_call(fingerprint=5) for _ in range(10)]
+            tasks = [asyncio.create_task(executor.execute(call)) for call in calls]
+            await asyncio.sleep(0.5)
+            executor.quarantine.clear(0.5, 5)  # told by the node beside another target
+            executor.suspects.trials.wake()
+            replies = await asyncio.gather(*tasks)
+            return {reply.kind for reply in replies}, asyncio.get_running_loop().time()
+
+        kinds, elapsed = self.run_paused(scenario())
+        self.assertEqual({''}, kinds)
+        self.assertAlmostEqual(1.51, elapsed, places=6)
+
+    # Other requests that the same crash ended became suspects first, and no trial was conclusive.
+    def test_crash_during_a_trial_confirms_its_request_only(self):
+        async def scenario() -> list[QuarantineState]:
+            executor = build_executor(CrashingLaterTarget(), Quarantine())
+            executor.quarantine.record(0.0, 5, [Crash(1)])
+            calls = [build_pending_call(fingerprint=number) for number in (4, 5, 6)]
+            await asyncio.gather(*map(executor.execute, calls))
+            return [executor.quarantine.check(1.0, number) for number in (4, 5, 6)]
+
+        before, tried, after = self.run_paused(scenario())
+        self.assertEqual([Suspected(), Suspected()], [before, after])
+        self.assertIsInstance(tried, Quarantined)
+
+    # The target crashed during the trial of one suspect because of another that was in progress.
+    def test_crash_beside_another_suspect_confirms_neither(self):
+        async def scenario() -> QuarantineState:
+            client = CrashingLaterTarget()
+            executor = build_executor(client, Quarantine())
+            first = asyncio.create_task(executor.execute(build_pending_call(fingerprint=6)))
+            await asyncio.sleep(0.01)
+            executor.quarantine.record(0.0, 5, [Crash(1)])
+            executor.quarantine.record(0.0, 6, [Crash(1)])
+            await asyncio.gather(first, executor.execute(build_pending_call(fingerprint=5)))
+            return executor.quarantine.check(1.0, 5)
+
+        self.assertEqual(Suspected(), self.run_paused(scenario()))
 
     def test_reply_has_retry_after_when_a_downstream_call_was_refused(self):
         # A downstream service is overloaded and refuses the target's call, and the target
@@ -252,7 +368,7 @@
             self.assertEqual((502, seconds), (reply.status, reply.retry_after))
 
     def test_barred_request_is_refused_without_retry_after(self):
-        reply = self.execute(lambda: build_executor(FakeTarget(), Quarantine()), crash_count=2)
+        reply = self.execute(lambda: build_executor(FakeTarget(), Quarantine()), crashes=CONFIRMED)
         self.assertEqual(ErrorKind.QUARANTINED.value, reply.kind)
         self.assertEqual(0, reply.retry_after)
 
@@ -264,8 +380,8 @@
                 SlowTarget(), Quarantine(), is_observe_only=lambda service: True
             )
             works = [
-                build_pending_call(fingerprint=n, crash_count=d)
-                for n, d in ((1, 2), (2, 1), (3, 1))
+                build_pending_call(fingerprint=n, crashes=crashes)
+                for n, crashes in ((1, CONFIRMED), (2, (Crash(3),)), (3, (Crash(4),)))
             ]
             replies = await asyncio.gather(*map(executor.execute, works))
             refused = executor.stats.observed_refusals[ErrorKind.QUARANTINED.value]
@@ -285,7 +401,7 @@
 
             async def execute(number: int) -> str:
                 reply = await executor.execute(
-                    build_pending_call(fingerprint=number, crash_count=1)
+                    build_pending_call(fingerprint=number, crashes=(Crash(number + 1),))
                 )
                 ended_at.append(loop.time())
                 return reply.kind
