A node that starts is told which requests crash targets

Cause: the crashes were known to the process alone, and a peer that refused such a request did not say why in terms that another node could use.

It isn't written to the store: a completion may have taken a crash back since.

--- a/dunlinsaddle/mesh/learned_state.py
+++ b/dunlinsaddle/mesh/learned_state.py
@@ -31,6 +31,7 @@
     without_short_lived,
 )
 from dunlinsaddle.policy.level import ChainLevels
+from dunlinsaddle.policy.quarantine import Quarantine
 from dunlinsaddle.policy.request_costs import RequestCosts
 from dunlinsaddle.policy.route import Router
 from dunlinsaddle.policy.slots import SlotAdmission
@@ -59,6 +60,7 @@
     router: Router
     admission: SlotAdmission
     target: LocalTarget
+    quarantine: Quarantine
 
 
 class _PendingTimes(NamedTuple):
@@ -138,6 +140,7 @@
             sources.costs.snapshot(now),
             sources.levels.snapshot(now),
             latencies.snapshot_ratios(now, self._incarnations()),
+            sources.quarantine.snapshot(now),
         )
 
     async def restore(self) -> None:
@@ -228,6 +231,7 @@
             'call_times': latencies.restore_means(state.call_times),
             'ratios': latencies.restore_ratios(now, state.ratios, age, self._incarnations()),
             'service_times': self.restore_service_times(),
+            'crashed_requests': sources.quarantine.restore(now, state.crashed_requests, age),
         }
 
     def restore_service_times(self) -> int:
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -262,6 +262,7 @@
                 self.router,
                 self.admission,
                 self.target,
+                self.quarantine,
             ),
             self.view,
             self.links,
--- a/dunlinsaddle/policy/learned_state.py
+++ b/dunlinsaddle/policy/learned_state.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from dunlinsaddle.policy.context import LOWEST_LEVEL
+from dunlinsaddle.policy.quarantine import CrashedRequest
 from dunlinsaddle.records.models import Rank
 
 #: Incremented when the meaning of a field changes; another version is ignored as a whole.
@@ -87,11 +88,18 @@
     costs: list[RuleCost] = []
     levels: list[KnownLevel] = []
     ratios: list[TargetRatio] = []
+    crashed_requests: list[CrashedRequest] = []
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing was learned."""
-        return not (self.service_times or self.call_times or self.costs or self.levels)
+        return not (
+            self.service_times
+            or self.call_times
+            or self.costs
+            or self.levels
+            or self.crashed_requests
+        )
 
 
 class _Header(msgspec.Struct, array_like=True):
@@ -185,9 +193,9 @@
     """Return the part that is worth storing.
 
     A level reopens within four seconds and a ratio decays within five. The stored object may be ten
-    seconds old when the nodes stop.
+    seconds old when the nodes stop: a completion may have taken a crash back since.
     """
-    return msgspec.structs.replace(state, levels=[], ratios=[])
+    return msgspec.structs.replace(state, levels=[], ratios=[], crashed_requests=[])
 
 
 def _figures(state: LearnedState) -> dict[tuple[str, str], float]:
@@ -204,4 +212,5 @@
         costs=state.costs[:count],
         levels=state.levels[:count],
         ratios=state.ratios[:count],
+        crashed_requests=state.crashed_requests[:count],
     )
--- a/tests/test_crashed_requests.py
+++ b/tests/test_crashed_requests.py
@@ -135,3 +135,22 @@
 
         _, statuses, crash_count = self.run_mesh(scenario, targets=TARGETS, attempts=1)
         self.assertLessEqual(crash_count, 2, statuses)
+
+    # A node that was restarted did not know which requests crash targets, and lost its own again.
+    def test_node_that_restarts_knows_which_requests_crash_targets(self):
+        async def scenario(mesh):
+            targets = make_crashing(mesh)
+            for _ in range(5):
+                await mesh.call('a', FATAL)
+                await asyncio.sleep(0.25)
+            await asyncio.sleep(DOWN_SECONDS * 2)
+            before = sum(target.crash_count for target in targets.values())
+            for name in 'bcde':
+                await mesh.kill(name)
+                await mesh.restart(name)
+                await asyncio.sleep(2.0)
+                for _ in range(3):
+                    await mesh.call(name, FATAL)
+            return sum(target.crash_count for target in targets.values()) - before
+
+        self.assertEqual(0, self.run_mesh(scenario, targets=TARGETS, attempts=2))
