A caller or target that reads slowly is told from one that has gone

Cause: TCP_USER_TIMEOUT. Linux applies it to a closed receive window as well, though the peer acknowledges each probe. Shown with two plain sockets under the node's options: nothing unacknowledged, the last acknowledgement under 610 ms old, and the connection is reset; without the option all bytes arrive. Ruled out: keepalive, which is not sent while data waits, and the node's own timers.

The option can't go: without it a peer that vanishes in the middle of an answer is found after minutes. Weighed: a longer timeout (any pause longer than it is cut, any vanished peer found later); bytes left, by SIOCOUTQ alone (tells no peer that pauses from one that has gone); acknowledgements, by TCP_INFO. The last is built: a connection with undelivered data is looked at twice a second, and the option is lifted once its peer is known to acknowledge. From then on a peer has gone after 2.5 s of silence if, at two looks, it owes an answer to data or to a probe; silence alone proves nothing, as probes become rare. Where the kernel does not say (blank structure, error), the option stays as it is, with one line in the log. The decision is code without a socket (policy/peer_progress.py).

A peer that takes nothing is let go after 3 s at the least, at the deadline of its request or after the idle timeout, whichever comes first; while it takes anything it is not. A timer of the connection cut steady readers as well, 15 s after the latest answer, and ran not at all while a pipelined request was open: the watch replaces both. Answers that are ready and not taken count in the same 64 MB as incomplete answers of targets; beyond, the largest is given up. Both are logged and counted as `answer not taken`.

The same cause elsewhere: bodies to targets that read slowly, links between nodes, the store's connections (all watched); the last answer of a connection that closes, and that of a node that stops: their sockets are closed here, and the kernel delivers the rest for as long as an idle connection may last.

A peer that vanishes can't be played on loopback without privileges: it is covered by the decision's own tests and, where the option stays, by the kernel.

--- a/dunlinsaddle/calls/decisions.py
+++ b/dunlinsaddle/calls/decisions.py
@@ -34,6 +34,7 @@
     LOST_AT_TARGET = 'request lost at target'
     ANSWERED_BY_TARGET = 'request answered by target'
     SKIPPED = 'answer skipped'
+    NOT_TAKEN = 'answer not taken'
     ANSWERED = 'request answered'
     FAILED = 'request failed'
     CANCELLED = 'request cancelled'
@@ -59,6 +60,7 @@
     Event.LOST_AT_TARGET: 50,
     Event.ANSWERED_BY_TARGET: 50,
     Event.SKIPPED: 10,
+    Event.NOT_TAKEN: 10,
     Event.ANSWERED: 4,
     Event.FAILED: 100,
     Event.CANCELLED: 10,
@@ -218,6 +220,12 @@
             }
             self.logger.warning(Event.SKIPPED.value, extra=extra)
 
+    def log_not_taken(self, remote: str, why: str, size: int) -> None:
+        """Log an answer whose caller did not read it, and why its connection was ended."""
+        if self._try_acquire(Event.NOT_TAKEN):
+            extra = {'remote': remote, 'why': why, 'bytes': size}
+            self.logger.warning(Event.NOT_TAKEN.value, extra=extra)
+
     def log_completed(self, call: PendingCall, reply: Reply, seconds: float, version: int) -> None:
         """Log the answer that the caller gets, with all attempts that led to it."""
         failed = reply.outcome is not Outcome.DONE or reply.status >= MIN_SERVER_ERROR_STATUS
--- a/dunlinsaddle/calls/frames.py
+++ b/dunlinsaddle/calls/frames.py
@@ -11,6 +11,8 @@
 
 from dunlinsaddle.calls.keepalive import LINK_KEEPALIVE_IDLE_SECONDS, enable_keepalive
 from dunlinsaddle.calls.messages import Frame
+from dunlinsaddle.calls.send_watch import Sending
+from dunlinsaddle.policy.peer_progress import Verdict
 
 LENGTH_PREFIX_BYTES = 4
 MAX_FRAME_OVERHEAD_BYTES = 1 << 16  #: of a frame beside the body: headers and call metadata
@@ -69,6 +71,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.write_paused = False
         self.closed = False
+        self.sending = Sending(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable TCP keepalive."""
@@ -131,6 +134,11 @@
         """Write one frame."""
         body = _encoder.encode(frame)
         self.transport.write(len(body).to_bytes(LENGTH_PREFIX_BYTES, 'big') + body)
+        self.sending.start()
+
+    def end_sending(self, verdict: Verdict, undelivered: int) -> None:
+        """Abort the link, as the kernel does if the peer has gone."""
+        self.transport.abort()
 
     def mark_authenticated(self) -> None:
         """Allow frames of full size, once the peer has proved that it holds the key."""
--- a/dunlinsaddle/calls/http.py
+++ b/dunlinsaddle/calls/http.py
@@ -50,6 +50,7 @@
     status: int
     headers: Headers
     body: bytes
+    useful_until: float = math.inf  #: time of the event loop until which the caller waits for it
 
 
 def forwarded_headers(headers: Headers) -> Headers:
--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -28,7 +28,10 @@
 from dunlinsaddle.calls.inbound.movable_timer import MovableTimer
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
+from dunlinsaddle.calls.send_watch import Sending
 from dunlinsaddle.errors import ErrorKind, Failure
+from dunlinsaddle.policy.peer_progress import Verdict
 
 MAX_TARGET_BYTES = 8192  #: of a path with its query; RFC 9110, 4.1 asks for at least 8,000
 #: Lowest average rate of a body, not counting the first ``header_timeout`` seconds. Without it, a
@@ -56,6 +59,8 @@
     on_fault: Callable[[HttpRequest], None]
     on_refusal: Callable[[Headers, Failure], None]
     body_memory: BodyMemory
+    answer_memory: AnswerMemory
+    on_not_taken: Callable[[str, str, int], None]
     connections: 'set[AcceptedConnection]'
     accepting: bool
     closing: bool
@@ -112,6 +117,7 @@
         self.awaits_close = False  #: the end was announced, and the caller may not know it yet
         self.is_write_paused = False
         self.remote = ''
+        self.sending = Sending(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to read, or refuse the connection when the listener has too many."""
@@ -139,6 +145,7 @@
         self.timer.close()
         self._cancel_requests()
         self._release_bodies()
+        self.listener.answer_memory.release(self)
         self.listener.notify_idle_waiters()
 
     def data_received(self, data: bytes) -> None:
@@ -172,6 +179,27 @@
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
+        self._count_unsent()
+
+    def end_sending(self, verdict: Verdict, undelivered: int) -> None:
+        """End the connection of a caller that does not take its answer."""
+        self.listener.on_not_taken(self.remote, verdict.name.lower(), undelivered)
+        self.transport.abort()
+
+    def give_up(self) -> None:
+        """End the connection: its answers hold the most memory, and there is no more."""
+        size = self.transport.get_write_buffer_size()
+        self.listener.on_not_taken(self.remote, 'memory', size)
+        self.transport.abort()
+
+    def _count_unsent(self) -> None:
+        """Count the memory of answers that are ready and have not left the process."""
+        ready = sum(len(e.response.body) for e in self.exchanges if e.response is not None)
+        size = ready + self.transport.get_write_buffer_size()
+        if size and not self.transport.is_closing():
+            self.listener.answer_memory.set(self, size)
+        else:
+            self.listener.answer_memory.release(self)
 
     @property
     def is_busy(self) -> bool:
@@ -184,7 +212,10 @@
         return bool(self.unread or self.unstarted) or not self.reader.idle
 
     def _handle_timeout(self) -> None:
-        if self.is_write_paused or self.transport.is_closing():
+        if (self.is_write_paused or self.is_ending) and self.sending.is_undelivered:
+            # The caller reads slowly. If it has gone, or reads nothing, the watch ends this.
+            self.timer.set(LINGER_SECONDS)
+        elif self.is_write_paused or self.transport.is_closing():
             self.transport.abort()
         elif self.is_ending:
             self.transport.close()
@@ -201,6 +232,7 @@
             self.transport.write_eof()
             self.transport.resume_reading()
         else:
+            self.sending.outlive_connection()
             self.transport.close()
         is_sent = self.discards_input and not self.is_write_paused
         self.timer.set(LINGER_SECONDS if is_sent else self.listener.limits.header_timeout)
@@ -348,6 +380,8 @@
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
+        if self.exchanges or self.is_write_paused:
+            self._count_unsent()
 
     def _fail_and_close(self, exchange: _Exchange, kind: ErrorKind) -> HttpResponse:
         exchange.keep_alive = False
@@ -378,12 +412,20 @@
             self.listener.on_fault(HttpRequest(exchange.method.decode(), '', [], b'', self.remote))
             return self._serialize(exchange, self._fail_and_close(exchange, ErrorKind.INTERNAL))
 
+    def _write_response(self, exchange: _Exchange) -> None:
+        data = self._encode_response(exchange)
+        self.transport.write(data)
+        if exchange.response is not None:
+            self.sending.useful_until = exchange.response.useful_until
+        self.sending.max_stall_seconds = self.listener.limits.idle_timeout
+        self.sending.start()
+
     def _flush(self) -> None:
         """Send the responses that are ready, in the order of their requests."""
         # Write one response at a time, to keep at most one encoded response in memory.
         while self.exchanges and self.exchanges[0].done and not self.is_write_paused:
             exchange = self.exchanges.popleft()
-            self.transport.write(self._encode_response(exchange))
+            self._write_response(exchange)
             if not exchange.keep_alive:
                 self._close()
                 return
--- a/dunlinsaddle/calls/inbound/handlers.py
+++ b/dunlinsaddle/calls/inbound/handlers.py
@@ -186,7 +186,7 @@
     def _build_response(self, reply: Reply, call: PendingCall) -> HttpResponse:
         response = response_from_reply(reply)
         response.headers.append((b'request-id', call.ctx.request_id.encode('latin-1')))
-        return response
+        return response._replace(useful_until=call.ctx.deadline)
 
 
 def _no_record_failure(req: HttpRequest, service: str) -> Failure:
--- a/dunlinsaddle/calls/inbound/listener.py
+++ b/dunlinsaddle/calls/inbound/listener.py
@@ -10,6 +10,7 @@
 from dunlinsaddle.calls.inbound.accepted_connection import AcceptedConnection, Handler
 from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.calls.messages import Headers
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
 from dunlinsaddle.errors import Failure
 from dunlinsaddle.settings import Address
 
@@ -41,6 +42,8 @@
         pipeline: int = 1,
         body_memory: BodyMemory | None = None,
         on_refusal: Callable[[Headers, Failure], None] = lambda headers, failure: None,
+        answer_memory: AnswerMemory | None = None,
+        on_not_taken: Callable[[str, str, int], None] = lambda remote, why, size: None,
     ) -> None:
         self.pipeline = pipeline
         self.handler = handler
@@ -49,6 +52,10 @@
         #: Called with the headers read so far when a request is refused before it is complete.
         self.on_refusal = on_refusal
         self.body_memory = body_memory or BodyMemory()
+        #: Called with the address of a caller that did not take its answer, the reason why its
+        #: connection is ended, and the bytes that are left.
+        self.on_not_taken = on_not_taken
+        self.answer_memory = answer_memory or AnswerMemory()
         self.connections: set[AcceptedConnection] = set()
         #: Creates the protocol of each accepted connection.
         self.new_connection: Callable[[], AcceptedConnection] = partial(AcceptedConnection, self)
@@ -112,4 +119,5 @@
         """Stop listening and abort all connections."""
         self.stop_listening()
         for conn in list(self.connections):
+            conn.sending.outlive_connection()
             conn.transport.abort()
--- a/dunlinsaddle/calls/outbound/connection.py
+++ b/dunlinsaddle/calls/outbound/connection.py
@@ -19,7 +19,9 @@
 from dunlinsaddle.calls.messages import Headers, Lost, NotSent
 from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
 from dunlinsaddle.calls.outbound.sent_requests import SentRequests
+from dunlinsaddle.calls.send_watch import Sending
 from dunlinsaddle.errors import ErrorKind
+from dunlinsaddle.policy.peer_progress import Verdict
 
 MAX_HEAD_BYTES = 1 << 16  #: of a response; common servers send a few hundred bytes
 
@@ -104,6 +106,7 @@
         self.last_response_at = 0.0
         self.opened_at = self.loop.time()
         self.matches_request: ResponseMatcher = match_any_response
+        self.sending = Sending(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable TCP keepalive."""
@@ -139,6 +142,10 @@
         if self.result_future is not None:
             self.answer_memory.set(self, self.reader.held_bytes)
 
+    def end_sending(self, verdict: Verdict, undelivered: int) -> None:
+        """Abort the connection, as the kernel does if the server has gone."""
+        self.transport.abort()
+
     def give_up(self) -> None:
         """Abort the connection: its response holds the most memory, and there is no more."""
         detail = f'the answers in progress are larger than {self.answer_memory.limit} bytes'
@@ -160,6 +167,9 @@
         self.received_data = False
         self.reader.begin(self._accepts, expects_no_body=req.method == 'HEAD')
         self.transport.write(data)
+        if req.body:
+            # The rest of a request is too small to fill the window of a server.
+            self.sending.start()
         return self.result_future
 
     def is_reusable(self, max_idle_seconds: float) -> bool:
--- a/dunlinsaddle/mesh/ingress.py
+++ b/dunlinsaddle/mesh/ingress.py
@@ -138,7 +138,11 @@
         elapsed = loop.time() - started_at
         self.decisions.log_completed(call, reply, elapsed, version)
         self.on_end(call, reply, elapsed)
-        return build_caller_response(reply, caller_headers.request_id)
+        response = build_caller_response(reply, caller_headers.request_id)
+        remaining = caller_headers.remaining_seconds
+        if remaining is None:
+            return response
+        return response._replace(useful_until=started_at + remaining)
 
     def _record_reply(self, call: PendingCall, parent: RunningCall | None, reply: Reply) -> None:
         has_failed = bool(reply.kind) or reply.status >= MIN_SERVER_ERROR_STATUS
--- a/dunlinsaddle/mesh/listeners.py
+++ b/dunlinsaddle/mesh/listeners.py
@@ -6,6 +6,7 @@
 from dunlinsaddle.calls.inbound.accepted_connection import Handler
 from dunlinsaddle.calls.inbound.body_memory import BodyMemory
 from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
 from dunlinsaddle.mesh.reports import RequestReports
 from dunlinsaddle.routes.models import Limits
 
@@ -31,6 +32,7 @@
         reports: RequestReports,
         body_memory: BodyMemory,
         max_body_bytes: int,
+        answer_memory: AnswerMemory,
     ) -> None:
         self.max_body_bytes = max_body_bytes  #: of a request, whatever the configuration allows
         self.callers = HttpListener(
@@ -40,6 +42,8 @@
             pipeline=MAX_PIPELINED_REQUESTS,
             body_memory=body_memory,
             on_refusal=reports.request_refused_unread,
+            answer_memory=answer_memory,
+            on_not_taken=reports.answer_not_taken,
         )
         self.heartbeats = HttpListener(handlers.heartbeats, HttpLimits(), reports.request_fault)
         self.readiness = HttpListener(handlers.readiness, HttpLimits(), reports.request_fault)
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -31,6 +31,7 @@
 from dunlinsaddle.calls.outbound.client import HttpClient
 from dunlinsaddle.calls.outbound.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.outbound.link import PeerLinks
+from dunlinsaddle.calls.send_watch import watch_of_loop
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.loops import LoopBound
@@ -74,7 +75,8 @@
 #: Request bodies of callers and peers held at the same time. One of the largest size always fits.
 #: Beside it, each link from a peer may hold the part of one call that has arrived.
 MAX_HELD_BODY_BYTES = MAX_BODY_BYTES
-#: Incomplete answers of the target held at the same time. One of the largest size always fits.
+#: Incomplete answers of the target, and answers that callers have not taken yet, held at the same
+#: time. One of the largest size always fits.
 MAX_HELD_ANSWER_BYTES = MAX_BODY_BYTES
 #: Timeout of one call to the store. It responds in 4 ms, and in about 400 ms when impaired.
 STORE_TIMEOUT_SECONDS = 2.0
@@ -122,6 +124,7 @@
         self.target = LocalTarget()
         self.running = RunningCalls()
         self.body_memory = BodyMemory(MAX_HELD_BODY_BYTES)
+        self.answer_memory = AnswerMemory(MAX_HELD_ANSWER_BYTES)
         self.admission = SlotAdmission()
         self.quarantine = Quarantine()
         self.view = MemberView(self._on_member_change)
@@ -188,7 +191,7 @@
             MAX_BODY_BYTES,
             allow_close_delimited=True,
             requires_name=True,
-            answer_memory=AnswerMemory(MAX_HELD_ANSWER_BYTES),
+            answer_memory=self.answer_memory,
         )
         self.client.on_skipped = self.reports.answer_skipped
         self.executor = Executor(
@@ -288,11 +291,14 @@
             readiness=self._handle_readiness,
             metrics=self.observation.handle,
         )
-        self.listeners = NodeListeners(handlers, self.reports, self.body_memory, MAX_BODY_BYTES)
+        self.listeners = NodeListeners(
+            handlers, self.reports, self.body_memory, MAX_BODY_BYTES, self.answer_memory
+        )
 
     async def start(self) -> ListenAddresses:
         """Open all listeners and start the tasks. Raises OSError if an address is in use."""
         cfg = self.settings
+        watch_of_loop().logger = self.logger
         self.addresses = ListenAddresses(
             await self.listeners.callers.listen(cfg.callers),
             await self.listeners.heartbeats.listen(cfg.announce),
--- a/dunlinsaddle/mesh/reports.py
+++ b/dunlinsaddle/mesh/reports.py
@@ -45,6 +45,11 @@
         self.stats.answers_skipped += 1
         self.decisions.log_skipped(read_request_id(skipped.headers), skipped)
 
+    def answer_not_taken(self, remote: str, why: str, size: int) -> None:
+        """Count and log an answer that a caller did not read, with the bytes that are left."""
+        self.stats.answers_not_taken += 1
+        self.decisions.log_not_taken(remote, why, size)
+
     def request_fault(self, req: HttpRequest) -> None:
         """Count and log the exception that is handled now, raised by the handler of a request."""
         self.stats.faults += 1
--- a/dunlinsaddle/metrics.py
+++ b/dunlinsaddle/metrics.py
@@ -130,6 +130,7 @@
         ('added_time', 's', 'Time that the node added to calls, summed.'),
         ('answered', '{call}', 'Calls that the added time was taken of.'),
         ('answers_skipped', '{answer}', 'Answers of the target to another request than expected.'),
+        ('answers_not_taken', '{answer}', 'Answers that callers did not read.'),
         ('faults', '{fault}', 'Faults of the node itself.'),
     )
     for name, unit, description in sums:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -21,9 +21,11 @@
 from dunlinsaddle.calls.inbound.listener import HttpListener
 from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import Call, Reply
+from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
 from dunlinsaddle.calls.outbound.client import HttpClient
 from dunlinsaddle.calls.outbound.crash_notifier import CrashNotifier
 from dunlinsaddle.calls.outbound.link import PeerLinks
+from dunlinsaddle.calls.send_watch import watch_of_loop
 from dunlinsaddle.calls.target import LocalTarget
 from dunlinsaddle.environment import Environment
 from dunlinsaddle.key_ownership.host_identity import host_identity
@@ -62,6 +64,9 @@
 #: A listing contains many values of up to one megabyte.
 MAX_PLATFORM_BODY_BYTES = 1 << 26
 
+#: Answers of the largest size that callers have not taken yet, held at the same time.
+MAX_HELD_ANSWERS = 64
+
 
 class Node:
     """The node process next to one target."""
@@ -161,7 +166,13 @@
             self.target, self.running, self.record_cache, self.dispatcher
         )
         operators = OperatorHandler(self, self.env.wall_clock)
-        self.callers_listener = HttpListener(callers.handle, limits, self._handle_exception)
+        self.callers_listener = HttpListener(
+            callers.handle,
+            limits,
+            self._handle_exception,
+            answer_memory=AnswerMemory(MAX_HELD_ANSWERS * cfg.max_body_bytes),
+            on_not_taken=self._log_not_taken,
+        )
         self.local_listener = HttpListener(
             self.local_handler.handle, limits, self._handle_exception
         )
@@ -222,6 +233,7 @@
 
         Raises OSError if an address is in use.
         """
+        watch_of_loop().logger = self.logger
         cfg = self.settings
         self.addresses = ListenAddresses(
             await self.callers_listener.listen(cfg.callers),
@@ -310,6 +322,11 @@
         extra = {'member': member.instance, 'state': member.state.name.lower()}
         self.logger.log(level, 'member changed', extra=extra)
 
+    def _log_not_taken(self, remote: str, why: str, size: int) -> None:
+        self.stats.answers_not_taken += 1
+        extra = {'remote': remote, 'why': why, 'bytes': size}
+        self.logger.warning('answer not taken', extra=extra)
+
     def _is_observe_mode(self, service: str) -> bool:
         record = self.record_cache.find(service)
         return record is not None and record.mode is Mode.OBSERVE
--- a/dunlinsaddle/stats.py
+++ b/dunlinsaddle/stats.py
@@ -63,6 +63,7 @@
         self.added_time = 0.0
         self.answered = 0
         self.answers_skipped = 0
+        self.answers_not_taken = 0
         self.faults = 0
 
     def record_call(self, label: CallLabel) -> None:
