calls/dispatch.py gives what results teach and which calls may be resent to modules of their own

The listen addresses of a node on the platform stand beside its listeners. No behaviour changes; two tests name the new places.

--- a/dunlinsaddle/calls/dispatch.py
+++ b/dunlinsaddle/calls/dispatch.py
@@ -1,15 +1,17 @@
 """Dispatch of a call to a target of its service, with resends to others where that is safe."""
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 from dunlinsaddle.calls.call_state import Attempt, PendingCall, build_call_frame
 from dunlinsaddle.calls.decisions import DecisionLog
 from dunlinsaddle.calls.execute import Executor
 from dunlinsaddle.calls.http import MIN_SERVER_ERROR_STATUS
-from dunlinsaddle.calls.messages import Lost, NotSent, RelayedTargetState, Reply, refusal
+from dunlinsaddle.calls.messages import Lost, NotSent, Reply, refusal
 from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.calls.outbound.member_calls import to_candidates
+from dunlinsaddle.calls.resends import AllowanceResendPolicy, ResendPolicy
+from dunlinsaddle.calls.results import CallResults
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.membership.view import Member, MemberView, State
@@ -21,8 +23,7 @@
     choose_trial_instance,
     crashes_by_number,
 )
-from dunlinsaddle.policy.refused_share import RefusedShares
-from dunlinsaddle.policy.retry import LOST_ANSWER_KINDS, REFUSED_BY_NODE, RetryAllowance, may_resend
+from dunlinsaddle.policy.retry import REFUSED_BY_NODE, RetryAllowance
 from dunlinsaddle.policy.route import Candidate, Router
 from dunlinsaddle.stats import Stats
 
@@ -33,15 +34,12 @@
 #: call that provably has not run would be started in vain.
 MIN_RESEND_SECONDS = 0.05
 NO_TARGET_RETRY_AFTER_SECONDS = 1.0  #: a target that has returned is announced by then
-MAX_KNOWN_TARGETS = 10_000  #: whose latest start is remembered; bounds memory
 #: Cause that is reported for a request refused because other requests of its rule fail.
 RULE_FAILING_CAUSE = 'calls of its rule fail'
 #: Cause that is reported for a request refused because its calls cannot be repeated often enough.
 NO_REPEATS_CAUSE = 'no repeats are left for its calls'
 #: Error kinds of calls that were not sent to any target.
 NOT_DELIVERED_KINDS = frozenset(kind.value for kind in REFUSED_BY_NODE)
-#: Error kinds, as reported by the node beside a target, of calls whose response was lost.
-LOST_RESPONSE_KINDS = frozenset(kind.value for kind in LOST_ANSWER_KINDS)
 
 
 class _CandidateSet(NamedTuple):
@@ -57,43 +55,6 @@
     return _CandidateSet(serving, members, to_candidates(members.values()))
 
 
-class ResendPolicy(Protocol):
-    """Decides which calls may be resent to another target, and accounts for their cost."""
-
-    def allows(self, call: PendingCall, reply: Reply) -> bool:
-        """Return whether a call that ended with this reply may be sent to another target."""
-
-    def spend(self, call: PendingCall, reply: Reply) -> bool:
-        """Spend a token on a resend; return False if none is left."""
-
-    def prepare_resend(self, call: PendingCall, reply: Reply) -> PendingCall:
-        """Return the call as it is to be resent."""
-
-    def is_limited_to_tried_targets(self, call: PendingCall) -> bool:
-        """Return whether resends go only to targets that were sent the call before."""
-
-
-class AllowanceResendPolicy:
-    """Default policy: a retry allowance that is passed down the chain with the request."""
-
-    def allows(self, call: PendingCall, reply: Reply) -> bool:
-        """Allow calls that provably did not run, and idempotent ones whose response was lost."""
-        kind = ErrorKind(reply.kind) if reply.kind else None
-        return may_resend(kind, reply.outcome, idempotent=call.ctx.idempotent)
-
-    def spend(self, call: PendingCall, reply: Reply) -> bool:
-        """Spend a token of the request's allowance."""
-        return call.allowance.spend()
-
-    def prepare_resend(self, call: PendingCall, reply: Reply) -> PendingCall:
-        """Return the call unchanged."""
-        return call
-
-    def is_limited_to_tried_targets(self, call: PendingCall) -> bool:
-        """Return False: a resend always goes to a target not tried before."""
-        return False
-
-
 class Dispatcher(LoopBound):
     """Chooses a target, sends the call to it, and spends the retry allowance on resends."""
 
@@ -117,34 +78,8 @@
         self.idempotency_router: IdempotencyRouter | None = None
         self.resend_policy: ResendPolicy = AllowanceResendPolicy()
         self.decisions: DecisionLog | None = None
-        self.refused_shares = RefusedShares()
+        self.results = CallResults(view, router, executor.levels)
         self._candidate_sets: dict[str, _CandidateSet] = {}
-        #: State that targets advertised, by instance. It is sent back with each call: a node that
-        #: has restarted beside a running target has lost this state, and would handle the target
-        #: as one that has advertised nothing.
-        self._target_states: dict[str, RelayedTargetState] = {}
-        self._target_checksums: dict[str, int] = {}  #: of the latest known target of each instance
-
-    def record_target(self, member: Member) -> bool:
-        """Discard what is known of a target if another was announced; return whether it was.
-
-        A node that restarts beside a running target announces none at first, then the same one:
-        what is known of that target still holds.
-        """
-        checksum = member.target_checksum
-        known = self._target_checksums.get(member.instance, 0)
-        if not checksum or checksum == known:
-            return False
-        if len(self._target_checksums) >= MAX_KNOWN_TARGETS:
-            self._target_checksums.clear()
-        self._target_checksums[member.instance] = checksum
-        if not known:
-            return False
-        self.router.forget(member.instance)
-        self._target_states.pop(member.instance, None)
-        if len(self.view.serving_members(member.service)) == 1:
-            self.executor.levels.record_restart(self.now(), member.service)
-        return True
 
     async def dispatch(self, call: PendingCall, parent_rule: str = '') -> Reply:
         """Send a call to one target after another until a reply is final.
@@ -225,7 +160,7 @@
             if member is not None or last_reply is None:
                 return member
             refused = last_reply.kind == ErrorKind.TARGET_REFUSED.value
-            if not refused or not self.refused_shares.share(self.now(), service):
+            if not refused or not self.results.refused_shares.share(self.now(), service):
                 return None
             # All targets have refused the call. If they refuse half of all calls at random, three
             # targets that are tried once each fail an eighth of the calls. Another send to one of
@@ -256,7 +191,7 @@
         """
         call = self._add_known_crashes(call)
         reply = await router.handle(call)
-        self._record_level(self.now(), call, reply)
+        self.results.record_level(self.now(), call, reply)
         self._record_crashes(call.ctx, reply)
         return reply
 
@@ -309,38 +244,19 @@
         except asyncio.CancelledError:
             if self.router.epoch(member.instance) == epoch:
                 self.router.record_answer(self.now(), member.instance, None)
-                self._record_duration(call.ctx, member, started_at, is_success=False)
+                self.results.record_duration(call.ctx, member, started_at, is_success=False)
             raise
         reply = _to_reply(call, tokens, result)
         if self.router.epoch(member.instance) == epoch:
-            self._record_result(call, member, result)
-            self._record_duration(call.ctx, member, started_at, is_success=_is_success(reply))
+            self.results.record(call, member, result)
+            self.results.record_duration(
+                call.ctx, member, started_at, is_success=_is_success(reply)
+            )
         if call.attempts is not None:
             elapsed = round(self.now() - started_at, 4)
             call.attempts.append(_build_attempt(member, reply, elapsed))
         return reply
 
-    def _record_duration(
-        self, ctx: CallContext, member: Member, started_at: float, *, is_success: bool
-    ) -> None:
-        now = self.now()
-        self.router.record_duration(
-            now, member.instance, ctx.rule, now - started_at, completed=is_success
-        )
-
-    def _record_result(
-        self, call: PendingCall, member: Member, result: Reply | NotSent | Lost
-    ) -> None:
-        """Update the routing state with the result of an attempt."""
-        now = self.now()
-        match result:
-            case Reply():
-                self._update_router(now, member, call.ctx.rule, result)
-                self._record_refusal(now, call.ctx.service, result)
-                self._record_level(now, call, result)
-            case NotSent() | Lost():
-                self.router.record_failure(now, member.instance)
-
     async def _forward(
         self, call: PendingCall, member: Member, tokens: int
     ) -> Reply | NotSent | Lost:
@@ -348,68 +264,12 @@
             return await self.executor.execute(call._replace(allowance=RetryAllowance(tokens)))
         loop = self.loop
         now = loop.time()
-        frame = build_call_frame(call, now, tokens, self._target_states.get(member.instance))
+        frame = build_call_frame(call, now, tokens, self.results.target_states.get(member.instance))
         result = await self.links.call(member.peers, frame)
         if call.wait_time is not None:
             call.wait_time.seconds += loop.time() - now
         return result
 
-    def _update_router(self, now: float, member: Member, rule: str, reply: Reply) -> None:
-        self._store_target_state(now, member, reply)
-        if reply.kind in LOST_RESPONSE_KINDS:
-            self.router.record_failure(now, member.instance)
-            return
-        failed = not reply.kind and reply.status >= MIN_SERVER_ERROR_STATUS
-        # A target that rejects calls has the fewest in flight. Without counting its rejections
-        # as errors, it would attract ever more calls.
-        is_rejected = reply.kind == ErrorKind.TARGET_REFUSED.value
-        # An answer over the limit, which may be one without end, is no better than a lost one.
-        is_unusable = reply.kind == ErrorKind.OUTCOME_UNKNOWN.value
-        error = is_rejected or is_unusable or (failed and reply.retry_after <= 0)
-        self.router.record_answer(
-            now, member.instance, reply.load, error=error, rule=rule, speed=reply.speed
-        )
-        if reply.kind in (ErrorKind.DRAINING.value, ErrorKind.NO_TARGET.value):
-            self.router.avoid_leaving(now, member.instance)
-
-    def _record_refusal(self, now: float, service: str, reply: Reply) -> None:
-        refused = reply.kind == ErrorKind.TARGET_REFUSED.value
-        if refused or not reply.kind:
-            self.refused_shares.record(now, service, refused=refused)
-
-    def _store_target_state(self, now: float, member: Member, reply: Reply) -> None:
-        state = reply.target_state
-        if state is not None:
-            self._target_states[member.instance] = state
-            self.router.record_rate(now, member.instance, state.rate, state.rate_use)
-        elif not reply.kind:
-            # The target answered without advertised state: the previous state has expired.
-            self._target_states.pop(member.instance, None)
-            self.router.record_rate(now, member.instance, None)
-
-    def _record_level(self, now: float, call: PendingCall, reply: Reply) -> None:
-        if reply.load is not None and self._is_service_level(call.ctx.service, reply):
-            self.executor.levels.record_response(
-                now, call.ctx.service, call.ctx.rule, reply.load.reported_level
-            )
-
-    def _is_service_level(self, service: str, reply: Reply) -> bool:
-        """Return whether the level in a reply is valid for the whole service.
-
-        Calls that a target with a rate limit does not accept go to the targets without one, so
-        the latter determine the level of the service. Without this check, when one of three
-        targets had a rate limit of 0.5 calls a second, entry nodes refused a quarter of the
-        requests by its level, although the other two targets had free capacity.
-        """
-        if not _has_rate_limit(reply.target_state):
-            return True
-        if reply.load is not None and reply.load.limited_by != service:
-            return True
-        states = self._target_states
-        return all(
-            _has_rate_limit(states.get(m.instance)) for m in self.view.serving_members(service)
-        )
-
     def _add_known_crashes(self, call: PendingCall) -> PendingCall:
         """Return the call with what is known of its request, for the node beside the target."""
         crashes = self.quarantine.crashes(self.now(), call.ctx.run_fingerprint)
@@ -467,10 +327,6 @@
     return not reply.kind and reply.status < MIN_SERVER_ERROR_STATUS
 
 
-def _has_rate_limit(state: RelayedTargetState | None) -> bool:
-    return state is not None and state.rate is not None
-
-
 def _correct_outcome(reply: Reply) -> Reply:
     """Replace a refusal by "outcome unknown": an earlier attempt of the call may have run."""
     if reply.outcome is not Outcome.NOT_RUN:
--- a/dunlinsaddle/mesh/ingress.py
+++ b/dunlinsaddle/mesh/ingress.py
@@ -94,7 +94,7 @@
         self.refuses_from = math.inf
         self.request_costs = RequestCosts()
         self.failure_throttle = FailureThrottle()
-        self.refused_calls = RefusedCallReporter(dispatcher.refused_shares, budget)
+        self.refused_calls = RefusedCallReporter(dispatcher.results.refused_shares, budget)
         self.carried_requests = CarriedRequests(budget.window, budget.node_allowance)
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
--- a/dunlinsaddle/mesh/listeners.py
+++ b/dunlinsaddle/mesh/listeners.py
@@ -9,11 +9,23 @@
 from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
 from dunlinsaddle.mesh.reports import RequestReports
 from dunlinsaddle.routes.models import Limits
+from dunlinsaddle.settings import Address
 
 #: Requests of one connection that run at the same time. Callers that pipeline send a few.
 MAX_PIPELINED_REQUESTS = 16
 
 
+class ListenAddresses(NamedTuple):
+    """Addresses that a node listens on, by purpose."""
+
+    callers: Address
+    announce: Address
+    ready: Address
+    peers: Address
+    gossip: Address
+    metrics: Address
+
+
 class Handlers(NamedTuple):
     """What answers the requests of each listener."""
 
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from functools import partial
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from dunlinsaddle.access.authentication import Authenticator
 from dunlinsaddle.access.configuration_lease import ConfigurationLease
@@ -45,7 +45,7 @@
 from dunlinsaddle.mesh.ingress import IngressHandler
 from dunlinsaddle.mesh.learned_state import LearnedStateExchange, Sources
 from dunlinsaddle.mesh.level_gossip import LevelGossip
-from dunlinsaddle.mesh.listeners import Handlers, NodeListeners
+from dunlinsaddle.mesh.listeners import Handlers, ListenAddresses, NodeListeners
 from dunlinsaddle.mesh.observation import ObservationEndpoint
 from dunlinsaddle.mesh.reports import RequestReports
 from dunlinsaddle.mesh.retries import BudgetedRetries
@@ -66,7 +66,6 @@
 from dunlinsaddle.routes.config_follower import ConfigFollower
 from dunlinsaddle.routes.lease_renewal import LeaseRenewer
 from dunlinsaddle.routes.models import Configuration
-from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
 
 #: Largest body of a request or of a response of the store. The operators set a lower limit for
@@ -92,17 +91,6 @@
 GOSSIP_TIMES = GossipTimes(dead_probe_interval=1.0, suspicion_timeout=3.0)
 
 
-class ListenAddresses(NamedTuple):
-    """Addresses that a node listens on, by purpose."""
-
-    callers: Address
-    announce: Address
-    ready: Address
-    peers: Address
-    gossip: Address
-    metrics: Address
-
-
 class MeshNode(LoopBound):
     """The node of one target of the platform."""
 
@@ -223,7 +211,7 @@
         self.budget = RetryBudget(
             limits.retry_ratio, limits.extra_retries, limits.retry_window_seconds
         )
-        retries = BudgetedRetries(self.budget, self.dispatcher.refused_shares)
+        retries = BudgetedRetries(self.budget, self.dispatcher.results.refused_shares)
         self.dispatcher.resend_policy = retries
         self.budget_lending = BudgetLending(
             self.budget, self.gossip_peers, self.view, cfg.instance, self._new_rng()
@@ -407,7 +395,7 @@
         # makes the shares of this node smaller.
         self.router.sender_count = max(len(self.view), 1)
         self.budget.set_node_count(self.now(), self.router.sender_count)
-        if self.dispatcher.record_target(member):
+        if self.dispatcher.results.record_target(member):
             extra = {'member': member.instance, 'service': member.service}
             self.logger.info('target of a member restarted', extra=extra)
         if member.service and member.state is State.ALIVE:
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -322,7 +322,7 @@
             node = mesh.nodes['a']
             now = asyncio.get_running_loop().time()
             for _ in range(40):
-                node.dispatcher.refused_shares.record(now, 'deep', refused=True)
+                node.dispatcher.results.refused_shares.record(now, 'deep', refused=True)
             for _ in range(100):
                 node.budget.record_request(now, 'deep')
             parent = RunningCall(build_pending_call(service='front'), now)
--- a/tests/test_target_restart.py
+++ b/tests/test_target_restart.py
@@ -130,7 +130,7 @@
             await asyncio.sleep(1)
             await mesh.restart('b')
             await asyncio.sleep(4)
-            return mesh.nodes['a'].dispatcher._target_states['b'].rate
+            return mesh.nodes['a'].dispatcher.results.target_states['b'].rate
 
         self.assertEqual(7, self.run_mesh(scenario))
 
