Cleared requests are told together, and answers that were taken no longer count

A crash ends many different requests. Each that completed elsewhere was told to each node in a message of its own: 599 to four nodes took 2,396 frames, now 12; they are collected for 50 ms. A frame that only takes crashes back changes nothing at nodes of older builds.

Answers behind a slow one on a pipelined connection counted as held after they had been sent, until the next request: the count is renewed with each answer.

Both were found on reading the change; each has a test that failed before.

--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -380,8 +380,7 @@
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
-        if self.exchanges or self.is_write_paused:
-            self._count_unsent()
+        self._count_unsent()
 
     def _fail_and_close(self, exchange: _Exchange, kind: ErrorKind) -> HttpResponse:
         exchange.keep_alive = False
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -1,7 +1,7 @@
 """Messages between nodes about calls, records and keys, as MessagePack frames (msgspec)."""
 
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 import msgspec
 from msgspec import Meta
@@ -9,12 +9,13 @@
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome, problem_document
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.context import MAX_HOPS, SLOTS_PER_RANK
-from dunlinsaddle.policy.quarantine import MAX_CLEARED, MAX_CRASHES, Crash
+from dunlinsaddle.policy.quarantine import MAX_CRASHES, Crash
 from dunlinsaddle.policy.target_speed import TargetSpeed
 from dunlinsaddle.records.models import Rank, RecordEntry
 from dunlinsaddle.records.schema import MAX_RETRY_BOUND
 
 MAX_TIMEOUT_SECONDS = 86_400.0  #: a day, only to reject absurd values
+MAX_CLEARED_REQUESTS = 256  #: in one frame
 MAX_RATE = 1e9  #: requests per second, only to reject absurd values
 
 Headers = list[tuple[bytes, bytes]]
@@ -231,13 +232,20 @@
     entries: list[RecordEntry]
 
 
-class TargetCrashes(msgspec.Struct, tag='d', array_like=True):
-    """Crashes of targets that ran the request with this fingerprint, and those taken back."""
+class ClearedRequest(NamedTuple):
+    """A request of which an equal one has completed, and the crashes that this takes back."""
 
     fingerprint: int
+    names: Annotated[list[int], Meta(max_length=MAX_CRASHES)]
+
+
+class TargetCrashes(msgspec.Struct, tag='d', array_like=True):
+    """Crashes of targets that ran the request with this fingerprint, and crashes taken back."""
+
+    fingerprint: int  #: 0 in a frame that only takes crashes back
     crash_count: int  #: for older builds; 0 changes nothing there
     crashes: Crashes = []
-    cleared: Annotated[list[int], Meta(max_length=MAX_CLEARED)] = []  #: names of crashes
+    cleared: Annotated[list[ClearedRequest], Meta(max_length=MAX_CLEARED_REQUESTS)] = []
 
 
 class FinishedKey(msgspec.Struct, array_like=True):
--- a/dunlinsaddle/calls/outbound/crash_notifier.py
+++ b/dunlinsaddle/calls/outbound/crash_notifier.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from dunlinsaddle.calls.messages import TargetCrashes
+from dunlinsaddle.calls.messages import MAX_CLEARED_REQUESTS, ClearedRequest, TargetCrashes
 from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.membership.view import Member
@@ -15,6 +15,10 @@
     number_of_crashes,
 )
 
+#: Time for which cleared requests are collected. A crash ends many different ones, which complete
+#: elsewhere soon after each other; one message for each to all nodes would be too many.
+CLEAR_DELAY_SECONDS = 0.05
+
 
 class CrashNotifier(LoopBound):
     """Reports requests that crashed the local target to other nodes, and receives their reports.
@@ -36,6 +40,7 @@
         self.logger = logger
         #: Called when a report was recorded, as calls may wait for it.
         self.on_change: Callable[[], None] = lambda: None
+        self._cleared: list[ClearedRequest] = []  #: not sent yet
         self._tasks: set[asyncio.Task[bool]] = set()
 
     def report_crash(self, fingerprint: int, crash: Crash) -> None:
@@ -52,10 +57,18 @@
 
     def report_cleared(self, fingerprint: int, names: Iterable[int]) -> None:
         """Report that an equal request completed, which takes crashes back."""
-        cleared = list(names)
-        extra = {'fingerprint': f'{fingerprint:016x}', 'crashes': [f'{n:016x}' for n in cleared]}
+        cleared = ClearedRequest(fingerprint, list(names))
+        crashes = [f'{name:016x}' for name in cleared.names]
+        extra = {'fingerprint': f'{fingerprint:016x}', 'crashes': crashes}
         self.logger.info('request cleared', extra=extra)
-        self._send(TargetCrashes(fingerprint, 0, [], cleared))
+        if not self._cleared:
+            self.loop.call_later(CLEAR_DELAY_SECONDS, self._send_cleared)
+        self._cleared.append(cleared)
+
+    def _send_cleared(self) -> None:
+        cleared, self._cleared = self._cleared, []
+        for start in range(0, len(cleared), MAX_CLEARED_REQUESTS):
+            self._send(TargetCrashes(0, 0, [], cleared[start : start + MAX_CLEARED_REQUESTS]))
 
     def _send(self, frame: TargetCrashes) -> None:
         for member in self.recipients():
@@ -65,11 +78,11 @@
 
     def receive(self, frame: TargetCrashes) -> None:
         """Record a report of another node."""
-        now, fingerprint = self.now(), frame.fingerprint
+        now = self.now()
         crashes = tuple(frame.crashes) or crashes_by_number(frame.crash_count)
-        self.quarantine.record(now, fingerprint, crashes)
-        if frame.cleared:
-            self.quarantine.merge_cleared(now, fingerprint, frame.cleared)
+        self.quarantine.record(now, frame.fingerprint, crashes)
+        for request in frame.cleared:
+            self.quarantine.merge_cleared(now, request.fingerprint, request.names)
         self.on_change()
 
     def close(self) -> None:
--- a/tests/test_crashed_requests.py
+++ b/tests/test_crashed_requests.py
@@ -5,6 +5,7 @@
 
 from dunlinsaddle.calls.http import HttpLimits, HttpResponse
 from dunlinsaddle.calls.inbound.listener import HttpListener
+from dunlinsaddle.policy.quarantine import Crash
 from tests.fakes.mesh import Mesh, MeshTarget
 from tests.mesh_case import MeshTest
 
@@ -136,6 +137,27 @@
         _, statuses, crash_count = self.run_mesh(scenario, targets=TARGETS, attempts=1)
         self.assertLessEqual(crash_count, 2, statuses)
 
+    # A crash ended many different requests, and each that completed was told to each node.
+    def test_cleared_requests_are_told_together(self):
+        async def scenario(mesh):
+            frames = []
+            links = mesh.nodes['c'].links
+            send = links.notify
+
+            async def count(address, frame):
+                frames.extend([frame] if frame.cleared else [])
+                return await send(address, frame)
+
+            links.notify = count
+            for fingerprint in range(1, 600):
+                mesh.nodes['c'].crash_notifier.report_cleared(fingerprint, [9])
+            await asyncio.sleep(1.0)
+            now, told = asyncio.get_running_loop().time(), mesh.nodes['b'].quarantine
+            told.record(now, 599, [Crash(9)])
+            return len(frames), told.crashes(now, 599)
+
+        self.assertEqual((3 * 4, ()), self.run_mesh(scenario, targets=TARGETS))
+
     # A node that was restarted did not know which requests crash targets, and lost its own again.
     def test_node_that_restarts_knows_which_requests_crash_targets(self):
         async def scenario(mesh):
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -115,6 +115,27 @@
 
         self.assertEqual((['stalled'], 1), asyncio.run(scenario()))
 
+    # Answers that had waited behind a slow one were counted while their connection was open.
+    def test_answers_that_were_taken_do_not_count(self):
+        async def scenario() -> tuple[float, float]:
+            await self.start()
+            respond, seconds = self.listener.handler, iter((0.2, 0.0))
+
+            async def respond_late(req: HttpRequest) -> HttpResponse:
+                await asyncio.sleep(next(seconds))
+                return await respond(req)
+
+            self.listener.handler = respond_late
+            reader, writer = await asyncio.open_connection(self.address.host, self.address.port)
+            writer.write(REQUEST * 2)
+            await reader.readexactly(2 * ANSWER_BYTES)
+            memory = self.listener.answer_memory
+            writer.close()
+            self.listener.close()
+            return memory.most_held, memory.held
+
+        self.assertEqual((ANSWER_BYTES, 0), asyncio.run(scenario()))
+
     # Hundreds of callers that read nothing made the node hold their answers without a bound.
     def test_memory_of_unread_answers_is_bounded(self):
         async def scenario() -> tuple[float, int]:
