A peer that acknowledges nothing in flight has gone, though packets of it arrive

The timeout is lifted now only for a closed window: nothing is in flight, and the peer has acknowledged something since the data was written. While it is lifted, data in flight that is not acknowledged for 2.5 s ends the connection as well.

--- a/dunlinsaddle/calls/keepalive.py
+++ b/dunlinsaddle/calls/keepalive.py
@@ -23,8 +23,12 @@
     (socket.TCP_KEEPCNT, MAX_UNANSWERED_PROBES),
     (socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MILLISECONDS),
 )
-#: ``struct tcp_info`` of Linux (``include/uapi/linux/tcp.h``) up to ``tcpi_bytes_acked``.
+#: ``struct tcp_info`` of Linux (``include/uapi/linux/tcp.h``) up to ``tcpi_bytes_acked``, and the
+#: place of ``tcpi_snd_wnd``, which older kernels do not have.
 _TCP_INFO = struct.Struct('=8B 24I 3Q')
+_TCP_INFO_BYTES = 256
+_SEND_WINDOW = struct.Struct('=I')
+_SEND_WINDOW_OFFSET = 228
 _INT = struct.Struct('i')
 
 
@@ -36,14 +40,15 @@
     last_data_sent: int
     last_data_received: int
     last_ack_received: int
-    window: int  #: for congestion, in segments; at least 1
+    congestion_window: int  #: segments; at least 1
+    send_window: int  #: bytes that the peer has room for; 1 if the kernel does not say
     bytes_acked: int
 
     @property
     def is_filled(self) -> bool:
         """Whether the kernel fills the structure: not all systems with Linux's calls do."""
         times = (self.last_data_sent, self.last_data_received, self.last_ack_received)
-        return self.window > 0 and any(times)
+        return self.congestion_window > 0 and any(times)
 
 
 def socket_of(transport: asyncio.BaseTransport) -> socket.socket | None:
@@ -92,15 +97,17 @@
     if info is None or not info.is_filled:
         return SendState(undelivered)
     silent_seconds = info.last_ack_received / 1000
-    owes_ack = bool(info.unacked or info.probes)
-    return SendState(undelivered, info.bytes_acked, silent_seconds, owes_ack)
+    # What was sent into a window that has closed since is not in flight: the peer drops it.
+    is_in_flight = info.unacked > 0 and info.send_window > 0
+    return SendState(undelivered, info.bytes_acked, silent_seconds, info.probes > 0, is_in_flight)
 
 
 def _read_tcp_info(sock: socket.socket) -> _TcpInfo | None:
-    data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
     if len(data) < _TCP_INFO.size:
         return None
-    fields = _TCP_INFO.unpack(data)
+    fields = _TCP_INFO.unpack_from(data)
+    has_window = len(data) >= _SEND_WINDOW_OFFSET + _SEND_WINDOW.size
     head, counters, (_, _, bytes_acked) = fields[:8], fields[8:32], fields[32:]
     return _TcpInfo(
         probes=head[3],
@@ -108,6 +115,7 @@
         last_data_sent=counters[9],
         last_data_received=counters[11],
         last_ack_received=counters[12],
-        window=counters[18],
+        congestion_window=counters[18],
+        send_window=_SEND_WINDOW.unpack_from(data, _SEND_WINDOW_OFFSET)[0] if has_window else 1,
         bytes_acked=bytes_acked,
     )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,3 +1,5 @@
+from itertools import permutations
+
 from testtools import TestCase
 
 from dunlinsaddle.errors import ErrorKind
@@ -85,6 +87,31 @@
         self.record(1.0, FIRST, SECOND)
         self.assertEqual((SECOND,), self.quarantine.crashes(1.0, HARMLESS))
 
+    # Nodes that got the same reports in another order disagreed, and some refused the request.
+    def test_all_orders_of_the_same_reports_lead_to_the_same_belief(self):
+        def report(*crashes: Crash):
+            return lambda quarantine: quarantine.record(0.0, HARMLESS, crashes)
+
+        def clearing(*names: int):
+            return lambda quarantine: quarantine.merge_cleared(0.0, HARMLESS, names)
+
+        reports = [
+            report(FIRST),
+            report(FIRST, SECOND),
+            report(Crash(SECOND.name, was_trial=True)),
+            report(Crash(SECOND.name, completed_before=True)),
+            report(THIRD),
+            clearing(FIRST.name),
+            clearing(FIRST.name, THIRD.name),
+        ]
+        beliefs = set()
+        for order in permutations(reports):
+            quarantine = Quarantine()
+            for apply in (*order, order[0]):
+                apply(quarantine)
+            beliefs.add(quarantine.crashes(0.0, HARMLESS))
+        self.assertEqual({(Crash(SECOND.name, True, True),)}, beliefs)
+
     # A node that did not know of the latest crash cannot take it back.
     def test_clearing_leaves_crashes_that_its_sender_did_not_know(self):
         self.record(0.0, FIRST, TRIAL)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -1,8 +1,10 @@
 """Peers that read slowly, over real sockets with small windows, and peers that have gone."""
 
 import asyncio
+import ctypes
 import math
 import socket
+import struct
 
 from testtools import TestCase
 
@@ -26,6 +28,7 @@
 WINDOW_BYTES = 4096  #: receive buffer of a slow reader
 PAUSE_SECONDS = 4.5  #: longer than the kernel's timeout and its first check
 IDLE_SECONDS = 15.0
+SO_ATTACH_FILTER = 26  #: of Linux; not in the standard library
 REQUEST = b'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
 CLOSING_REQUEST = b'GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n'
 
@@ -39,6 +42,13 @@
     return sock
 
 
+def vanish(sock: socket.socket) -> None:
+    """Have the kernel drop all packets that arrive at a socket, by a filter that accepts none."""
+    accept_nothing = ctypes.create_string_buffer(struct.pack('HBBI', 0x06, 0, 0, 0))
+    program = struct.pack('HxxxxxxP', 1, ctypes.addressof(accept_nothing))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 async def read_slowly(sock: socket.socket, size: int, pause: float = 0.0) -> int:
     """Read up to ``size`` bytes at 8 kB a second after a pause; return the bytes that came."""
     loop, count = asyncio.get_running_loop(), 0
@@ -154,6 +164,47 @@
         self.assertGreater(ended, 0)
 
 
+class VanishedCallerTest(TestCase):
+    """Callers whose sockets drop all packets that arrive, as behind a cut."""
+
+    async def seconds_until_found(self, paused_seconds: float | None) -> float:
+        """Let a caller vanish when its answer is sent, or after a pause; return how long it takes.
+
+        The caller's window is open until the answer is sent, and closed in the pause.
+        """
+        loop = asyncio.get_running_loop()
+        vanished_at = loop.time()
+
+        async def respond(req: HttpRequest) -> HttpResponse:
+            if paused_seconds is None:
+                vanish(sock)
+            return HttpResponse(200, [], bytes(ANSWER_BYTES))
+
+        listener = HttpListener(respond, HttpLimits(idle_timeout=IDLE_SECONDS))
+        sock = await connect_slowly(await listener.listen(ANY_ADDRESS))
+        await loop.sock_sendall(sock, REQUEST)
+        if paused_seconds is not None:
+            await asyncio.sleep(paused_seconds)
+            vanish(sock)
+            vanished_at = loop.time()
+        for _ in range(300):
+            if not listener.connections:
+                break
+            await asyncio.sleep(0.05)
+        sock.close()
+        listener.close()
+        return loop.time() - vanished_at
+
+    # The timeout was lifted for callers that had gone, and their connections stayed for minutes.
+    def test_caller_that_vanishes_is_found_within_seconds(self):
+        async def scenario() -> list[float]:
+            pauses = (None, 0.3, 2.0, PAUSE_SECONDS)
+            return await asyncio.gather(*map(self.seconds_until_found, pauses))
+
+        seconds = asyncio.run(scenario())
+        self.assertLess(max(seconds), UNACKED_TIMEOUT_MILLISECONDS / 1000 + 1.0, seconds)
+
+
 class SlowTargetTest(TestCase):
     # A target that read an upload slowly lost its connection, and the upload its answer.
     def test_slow_target_gets_a_whole_body(self):
@@ -196,13 +247,19 @@
 
     # The kernel's timeout was lifted for a peer that had gone, and its calls waited for minutes.
     def test_timeout_stays_for_a_peer_that_does_not_acknowledge(self):
-        silent = [SendState(1000, 0, SILENT_SECONDS + number, True) for number in range(3)]
+        silent = [SendState(1000, 0, 1.0 + number / 2, is_in_flight=True) for number in range(9)]
         self.assertEqual({Verdict.WAIT}, set(self.judge(*silent)))
 
     # Where the kernel does not say what a peer acknowledges, its timeout is all there is.
     def test_timeout_stays_where_the_kernel_says_nothing(self):
         self.assertEqual({Verdict.WAIT}, set(self.judge(*[SendState(1000)] * 6)))
 
+    # Packets of a peer that got none of ours arrived, and it was taken for a slow one.
+    def test_slow_peer_that_acknowledges_no_data_in_flight_is_found(self):
+        heard = SendState(1000, 0, 0.1, is_in_flight=True)
+        verdicts = self.judge(alive(), alive(), *[heard] * 7)
+        self.assertEqual(SILENT_SECONDS, (verdicts.index(Verdict.GONE) - 2) / 2)
+
     # A peer that vanished while its window was closed was not found any more.
     def test_slow_peer_that_vanishes_is_found_within_the_timeout(self):
         silent = [SendState(1000, 0, number / 2, True) for number in range(1, 8)]
