Replays: the simulated node tries suspected requests as the node does

The simulated node carries the crashes with a request, runs a suspect alone at the one target for it, and lets others wait, as Dispatcher and Trials do.

--- a/dunlinsaddle/replay/attempt.py
+++ b/dunlinsaddle/replay/attempt.py
@@ -5,6 +5,7 @@
 from dunlinsaddle.errors import ErrorKind, Failure, Outcome
 from dunlinsaddle.policy.admission import Load
 from dunlinsaddle.policy.context import Priority
+from dunlinsaddle.policy.quarantine import Crash
 
 
 class Attempt:
@@ -16,10 +17,10 @@
     __slots__ = (
         'caller',
         'calls_started',
+        'crashes',
         'deadline',
         'failed',
         'fingerprint',
-        'is_trial',
         'kills',
         'priority',
         'resent',
@@ -40,7 +41,7 @@
         self.deadline = deadline
         self.fingerprint = fingerprint
         self.kills = kills
-        self.is_trial = False  #: a target ran it as a suspected request
+        self.crashes: tuple[Crash, ...] = ()  #: of targets that ran it, told with it and its answer
         self.calls_started = 0
         self.wasted_calls = 0
         self.resent = 0
--- a/dunlinsaddle/replay/current_node.py
+++ b/dunlinsaddle/replay/current_node.py
@@ -5,7 +5,15 @@
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.admission import AdmissionPolicy, Load
 from dunlinsaddle.policy.level import ChainLevels
-from dunlinsaddle.policy.quarantine import Crash, Quarantine, Quarantined, Suspected
+from dunlinsaddle.policy.quarantine import (
+    Crash,
+    Paused,
+    Quarantine,
+    Quarantined,
+    QuarantineState,
+    Suspected,
+    choose_trial_instance,
+)
 from dunlinsaddle.policy.resend_guard import ResendGuard
 from dunlinsaddle.policy.retry import RetryAllowance, may_resend
 from dunlinsaddle.policy.route import Candidate, Router
@@ -16,7 +24,7 @@
     Response,
     failure_response,
 )
-from dunlinsaddle.replay.events import Process
+from dunlinsaddle.replay.events import Future, Process
 from dunlinsaddle.replay.fakes import FakeTarget
 from dunlinsaddle.replay.nodes import VIEW_DELAY_SECONDS, FakeNode, Fleet
 from dunlinsaddle.replay.trace import Call
@@ -41,6 +49,8 @@
         self.levels = levels
         self.resend_guard = ResendGuard()
         self.quarantine = Quarantine()
+        self._trial: Attempt | None = None  #: the suspected request that the target runs
+        self._trial_waits: list[Future] = []
 
     def handle_request(self, attempt: Attempt, call: Call, allowance: RetryAllowance) -> Process:
         """Handle a request; limit resends before Retry-After to the record's ``resend_ratio``."""
@@ -64,21 +74,42 @@
             self.resend_guard.record_refusal(now, attempt.caller, name, wait)
         return response
 
+    def execute(
+        self, attempt: Attempt, call: Call, allowance: RetryAllowance, hop: int = 0
+    ) -> Process:
+        """Run a call; a suspected request runs alone, and others like it wait for its end."""
+        while isinstance(self._quarantine_state(attempt), Suspected) and self._trial is not None:
+            future = Future(self.fleet.loop)
+            self._trial_waits.append(future)
+            yield future
+        if not isinstance(self._quarantine_state(attempt), Suspected):
+            return (yield from super().execute(attempt, call, allowance, hop))
+        self._trial = attempt
+        response: Response = yield from super().execute(attempt, call, allowance, hop)
+        self._trial = None
+        waits, self._trial_waits = self._trial_waits, []
+        for future in waits:
+            future.set_result(None)
+        return response
+
+    def _quarantine_state(self, attempt: Attempt) -> QuarantineState:
+        now = self.fleet.loop.now
+        self.quarantine.record(now, attempt.fingerprint, attempt.crashes)
+        return self.quarantine.check(now, attempt.fingerprint)
+
     def _check_quarantine(self, attempt: Attempt) -> Failure | None:
-        match self.quarantine.check(self.fleet.loop.now, attempt.fingerprint):
-            case Quarantined(failure):
+        match self._quarantine_state(attempt):
+            case Paused(failure) | Quarantined(failure):
                 return failure
-            case Suspected():
-                attempt.is_trial = True
         return None
 
     def _record_death(self, attempt: Attempt) -> None:
-        now = self.fleet.loop.now
-        crash = Crash(self._crash_name(), attempt.is_trial)
-        self._record_crash(attempt.fingerprint, crash)
-        self.fleet.loop.call_at(
-            now + VIEW_DELAY_SECONDS, self._propagate_crash, attempt.fingerprint, crash
-        )
+        now, fingerprint = self.fleet.loop.now, attempt.fingerprint
+        completed_before = self.quarantine.has_completed(fingerprint)
+        crash = Crash(self._crash_name(), self._trial is attempt, completed_before)
+        self._record_crash(fingerprint, crash)
+        attempt.crashes = self.quarantine.crashes(now, fingerprint)
+        self.fleet.loop.call_at(now + VIEW_DELAY_SECONDS, self._propagate_crash, fingerprint, crash)
 
     def _crash_name(self) -> int:
         """Return the name of the target's latest crash; 0 stands for crashes without a name."""
@@ -95,6 +126,8 @@
                     node._record_crash(fingerprint, crash)
 
     def _record_completion(self, attempt: Attempt) -> None:
+        self.quarantine.record_completion(attempt.fingerprint)
+        attempt.crashes = ()
         if self.quarantine.clear(self.fleet.loop.now, attempt.fingerprint):
             self.fleet.loop.call_at(
                 self.fleet.loop.now + VIEW_DELAY_SECONDS,
@@ -119,7 +152,6 @@
 
         Resends use up the retry allowance that all hops of a request share.
         """
-        loop = self.fleet.loop
         refusal = self._early_refusal(attempt, call, origin)
         if refusal is not None:
             return Response(refusal)
@@ -130,7 +162,7 @@
                 n.candidate.instance: n for n in self.fleet.nodes[call.service] if n.is_listed
             }
             candidates = [node.candidate for node in listed.values()]
-            chosen = self.router.choose(loop.now, candidates, frozenset(tried))
+            chosen = self._choose(attempt, candidates, tried)
             if chosen is None:
                 return response or self._no_target_response(call)
             if response is not None and not allowance.spend():
@@ -141,12 +173,22 @@
             response = yield from self._send_once(
                 attempt, call, allowance, listed[chosen.instance], origin.hop
             )
-            if isinstance(self.quarantine.check(loop.now, attempt.fingerprint), Quarantined):
+            if self._check_quarantine(attempt) is not None:
                 return response
             idempotent = self.fleet.is_idempotent(call.service, call.rule)
             if not may_resend(response.kind, response.outcome, idempotent=idempotent):
                 return response
 
+    def _choose(
+        self, attempt: Attempt, candidates: list[Candidate], tried: set[str]
+    ) -> Candidate | None:
+        """Return the target of a call: for a suspected request, the one of its trial."""
+        if not isinstance(self._quarantine_state(attempt), Suspected):
+            return self.router.choose(self.fleet.loop.now, candidates, frozenset(tried))
+        untried = {c.instance: c for c in candidates if c.instance not in tried}
+        chosen = choose_trial_instance(attempt.fingerprint, untried)
+        return None if chosen is None else untried[chosen]
+
     def _early_refusal(self, attempt: Attempt, call: Call, origin: CallOrigin) -> Failure | None:
         now, levels = self.fleet.loop.now, self.levels
         if levels is None:
