--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -107,9 +107,8 @@
             return sizes
 
         sizes = asyncio.run(scenario())
-        missing = [wanted > size for wanted, size in zip((1, 1, 2, 1), sizes, strict=True)]
         expected = [ANSWER_BYTES * count for count in (1, 1, 2, 1)]
-        self.assertTrue(all(s >= e for s, e in zip(sizes, expected, strict=True)), (sizes, missing))
+        self.assertTrue(all(s >= e for s, e in zip(sizes, expected, strict=True)), sizes)
 
     # A caller that reads nothing kept its connection and the answers, if it had a request open.
     def test_caller_that_reads_nothing_is_let_go_after_its_deadline(self):
