calls/http_codec.py gives the two readers to modules of their own

Requests and responses are about to differ more, in what their framing may cost and in how their bodies are kept.

--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -20,8 +20,6 @@
     BodyTooLarge,
     HeadTooLarge,
     MalformedMessage,
-    RequestMessage,
-    RequestReader,
     encode_response,
 )
 from dunlinsaddle.calls.inbound.body_memory import BodyMemory
@@ -29,6 +27,7 @@
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
+from dunlinsaddle.calls.request_reader import RequestMessage, RequestReader
 from dunlinsaddle.calls.send_watch import Sending
 from dunlinsaddle.errors import ErrorKind, Failure
 from dunlinsaddle.policy.peer_progress import Verdict
--- a/dunlinsaddle/calls/outbound/connection.py
+++ b/dunlinsaddle/calls/outbound/connection.py
@@ -11,14 +11,13 @@
 from dunlinsaddle.calls.http_codec import (
     BodyTooLarge,
     MalformedMessage,
-    ResponseMessage,
-    ResponseReader,
     encode_request,
 )
 from dunlinsaddle.calls.keepalive import enable_keepalive
 from dunlinsaddle.calls.messages import Headers, Lost, NotSent
 from dunlinsaddle.calls.outbound.answer_memory import AnswerMemory
 from dunlinsaddle.calls.outbound.sent_requests import SentRequests
+from dunlinsaddle.calls.response_reader import ResponseMessage, ResponseReader
 from dunlinsaddle.calls.send_watch import Sending
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.policy.peer_progress import Verdict
--- a/tests/test_http_codec.py
+++ b/tests/test_http_codec.py
@@ -5,11 +5,11 @@
     BodyTooLarge,
     HeadTooLarge,
     MalformedMessage,
-    RequestReader,
-    ResponseReader,
     encode_request,
     encode_response,
 )
+from dunlinsaddle.calls.request_reader import RequestReader
+from dunlinsaddle.calls.response_reader import ResponseReader
 
 HEAD = b'POST /a HTTP/1.1\r\nHost: x\r\n'
 
