A body in small chunks and a head without spaces are served as they are

Callers whose bodies come in chunks of one byte got 431 after some 4 KB, in calm and within all limits; 431 is final, so they never came back. So did callers with a head of 15 KB where 16 are allowed, if they write no space behind the colon of a header.

Cause: what a parser does not report was bounded by one byte for each byte of body. That was meant for targets that send chunk extensions, empty lines or trailers without end, and took a kind of framing for an attack. And each header counted four bytes of framing, though three are the least.

Change: for requests, the framing of a chunk is allowed for each chunk that has begun; what comes beside chunks may be as long as one head, as before, so that extensions and trailers are bounded more tightly than by the size of the body. Parts of a body are joined in one growing array: a list of parts of four KB was copied for each byte that came. Answers of targets keep their bound.

Unit tests: 5,000 chunks of one byte under a head limit of 1,000 failed before; extensions, trailers and one trailer without end are rejected.

--- a/dunlinsaddle/calls/http_codec.py
+++ b/dunlinsaddle/calls/http_codec.py
@@ -11,11 +11,8 @@
 FRAMING_HEADERS = frozenset({b'content-length', b'transfer-encoding'})
 BODILESS_STATUSES = frozenset({204, 304})
 MIN_FINAL_STATUS = 200
-#: Bytes of framing that a message may have for each byte of its body, besides the size of a head.
-#: Chunks of five bytes have as many; smaller ones take long to parse.
-FRAMING_BYTES_PER_BODY_BYTE = 1
-#: Smaller parts of a body are joined as they arrive: a part of one byte takes the memory of fifty.
-MIN_PART_BYTES = 4096
+#: Least framing of a header: a colon and a line break. The parser reports neither these nor spaces.
+HEADER_FRAMING_BYTES = 3
 
 
 class MalformedMessage(Exception):
@@ -41,7 +38,7 @@
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
+        self.body: bytes | bytearray = b''  #: the part of it that has arrived
         self.body_size = 0
         self.head_size = 0
         self.in_head = False
@@ -50,7 +47,7 @@
     def on_message_begin(self) -> None:
         """Start a new message."""
         self.headers = []
-        self.chunks = []
+        self.body = b''
         self.body_size = 0
         self.head_size = 0
         self.in_head = True
@@ -60,7 +57,7 @@
         if not self.in_head:
             # Trailers are not used and must not be mistaken for headers.
             return
-        self.head_size += len(name) + len(value) + 4
+        self.head_size += len(name) + len(value) + HEADER_FRAMING_BYTES
         if self.head_size > self.max_header_bytes:
             self.fail(HeadTooLarge('the head is too large'))
         self.headers.append((name.lower(), value.strip()))
@@ -70,19 +67,21 @@
         self.body_size += len(body)
         if self.body_size > self.max_body_bytes:
             self.fail(BodyTooLarge('the body is too large'))
-        if self.chunks and len(self.chunks[-1]) + len(body) < MIN_PART_BYTES:
-            self.chunks[-1] += body
+        if not self.body:
+            self.body = body
+        elif isinstance(self.body, bytes):
+            self.body = bytearray(self.body) + body
         else:
-            self.chunks.append(body)
+            self.body += body
 
-    def check_framing(self, bytes_read: int, body_bytes: int) -> None:
+    def check_framing(self, bytes_read: int, body_bytes: int, chunk_framing: int) -> None:
         """Raise HeadTooLarge if too many of the bytes read are no part of a body.
 
-        The parser reports neither a line before its end nor chunk extensions, empty lines and
-        trailers. A sender of any of these without end would be read until the deadline.
+        ``chunk_framing`` is what chunks may have taken, besides the size of a head. The parser
+        reports neither a line before its end nor chunk extensions, empty lines and trailers. A
+        sender of any of these without end would be read until the deadline.
         """
-        limit = self.max_header_bytes + FRAMING_BYTES_PER_BODY_BYTE * body_bytes
-        if bytes_read - body_bytes > limit:
+        if bytes_read - body_bytes > self.max_header_bytes + chunk_framing:
             raise HeadTooLarge('the head or the framing of the body is too large')
 
     def fail(self, exc: Exception) -> None:
@@ -99,12 +98,12 @@
 
     def discard_body(self) -> None:
         """Free the memory of a body that is not read to its end."""
-        self.chunks = []
+        self.body = b''
 
     def take_body(self) -> bytes:
         """Return the whole body, and keep nothing of it."""
-        chunks, self.chunks = self.chunks, []
-        return chunks[0] if len(chunks) == 1 else b''.join(chunks)
+        body, self.body = self.body, b''
+        return bytes(body)
 
 
 def encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -363,7 +363,7 @@
 
     def _release_bodies(self) -> None:
         """Release the bodies of requests that will not start."""
-        self.reader.chunks = []
+        self.reader.discard_body()
         self.unstarted.clear()
         self.listener.body_memory.release(self.reserved_bytes)
         self.reserved_bytes = 0
--- a/dunlinsaddle/calls/request_reader.py
+++ b/dunlinsaddle/calls/request_reader.py
@@ -15,6 +15,9 @@
 )
 from dunlinsaddle.calls.messages import Headers
 
+#: Framing of a chunk: its size in up to eight digits, and two line breaks.
+CHUNK_FRAMING_BYTES = 12
+
 
 class RequestMessage(NamedTuple):
     """A complete request as received. Header names are in lower case."""
@@ -48,6 +51,7 @@
         self.target = b''
         self.expects_continue = False  #: the client waits for "100 Continue" before the body
         self.bytes_fed = 0  #: since the current head began
+        self.chunk_count = 0  #: of the current body
         self.in_body = False  #: the head is complete, the body is not
         self.upgraded = False
 
@@ -59,7 +63,8 @@
     def feed(self, data: bytes) -> list[RequestMessage]:
         """Parse data and return the requests that it completes. Raises MalformedMessage."""
         self.messages = []
-        self.check_framing(self.bytes_fed, self.body_size)
+        chunk_framing = CHUNK_FRAMING_BYTES * self.chunk_count
+        self.check_framing(self.bytes_fed, self.body_size, chunk_framing)
         self.bytes_fed += len(data)
         try:
             self.parser.feed_data(data)
@@ -78,6 +83,7 @@
         self.target = b''
         self.expects_continue = False
         self.in_body = False
+        self.chunk_count = 0
         # It may begin in the same data in which the previous request ended.
         self.bytes_fed = max(self.bytes_fed, 1)
 
@@ -122,6 +128,10 @@
         super().on_body(body)
         self._reserve_up_to(self.body_size)
 
+    def on_chunk_header(self) -> None:
+        """Count the chunks, which may be as small as the caller likes."""
+        self.chunk_count += 1
+
     def _reserve_up_to(self, size: int) -> None:
         if size <= self.reserved:
             return
--- a/dunlinsaddle/calls/response_reader.py
+++ b/dunlinsaddle/calls/response_reader.py
@@ -52,7 +52,7 @@
     @property
     def held_bytes(self) -> int:
         """Size of the part of a body that is kept until the response is complete."""
-        return self.body_size if self.chunks else 0
+        return len(self.body)
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
@@ -68,7 +68,8 @@
         Raises MalformedMessage if parsing fails before any response is complete.
         """
         self.messages = []
-        self.check_framing(self._bytes_read, self._body_bytes_read)
+        # Chunks of five bytes have as much framing; smaller ones take long to parse.
+        self.check_framing(self._bytes_read, self._body_bytes_read, self._body_bytes_read)
         self._bytes_read += len(data)
         try:
             self.parser.feed_data(data)
--- a/tests/test_http_codec.py
+++ b/tests/test_http_codec.py
@@ -32,6 +32,27 @@
         self.assertEqual(b'abc', message.body)
         self.assertEqual(1, len([n for n, _ in message.headers if n == b'host']))
 
+    # Callers that send small chunks were refused for good, though their bodies were small.
+    def test_chunks_of_one_byte_are_no_framing_without_end(self):
+        reader = RequestReader(1000, 5000)
+        data = HEAD + b'Transfer-Encoding: chunked\r\n\r\n' + b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n'
+        pieces = (data[n : n + 1000] for n in range(0, len(data), 1000))
+        (message,) = [message for piece in pieces for message in reader.feed(piece)]
+        self.assertEqual(b'x' * 5000, message.body)
+
+    # What the parser does not report was read, and kept, for as long as the caller sent it.
+    def test_extensions_and_trailers_without_end_are_rejected(self):
+        head = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        for start, rest in (
+            (b'5;', b'x' * 900),
+            (b'1\r\nx\r\n0\r\n', b'a: b\r\n' * 150),
+            (b'1\r\nx\r\n0\r\na: ', b'b' * 900),
+        ):
+            self.assertThat(
+                lambda start=start, rest=rest: self.read(head + start, *[rest] * 5),
+                raises(HeadTooLarge),
+            )
+
     def test_messages_over_the_size_limits_are_rejected(self):
         large_header = b'x: ' + b'y' * 2000 + b'\r\n\r\n'
         self.assertThat(lambda: self.read(HEAD + large_header), raises(HeadTooLarge))
