A call that is cancelled as it may start gives its slot back

Callers of a target that a crowd had used and left waited until their deadlines, 15 s each, while the target and its node were idle: 57 of 57 slots were taken, by nobody.

Cause: a call that waits for admission and is cancelled leaves the queue when its task runs next. If a slot became free before that, admission started the call; nobody ran it, and nobody gave the slot back. A crowd whose connections are ended at once does this by the dozen, ordinary callers who give up do it now and then, and each slot was gone until the target restarted.

Evidence: in the crowd of requests without end, all tasks of the node waited for admission (1,462) and none ran, with no connection to the target open. The test does it with two calls and one slot, three times; before, the next call was refused at its deadline.

Change: a call that is to start and does not wait any more counts as ended at once, and the queue is looked at again. In observe mode calls run without waiting, and their slots stay as they were.

No other path starts a waiting call.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -87,6 +87,7 @@
         self._unadmitted_ids: set[int] = set()
         self._ticket_count_at_tick = 0  #: value of ``_ticket_count`` at the last tick
         self._is_tick_scheduled = False
+        self._are_slots_returned = False  #: by calls that were cancelled when they were to start
 
     async def execute(self, call: PendingCall) -> Reply:
         """Run one call at the local target, or refuse it.
@@ -236,8 +237,15 @@
         self.suspects.trials.refuse_waiting()
 
     def _end_wait(self, ticket: Ticket, failure: Failure | None) -> None:
-        self._unadmitted_ids.discard(ticket.call_id)
-        self._waiters.resolve(ticket, failure)
+        if ticket.call_id in self._unadmitted_ids:
+            # In observe mode it runs without admission, and does not wait.
+            self._unadmitted_ids.discard(ticket.call_id)
+            return
+        if not self._waiters.resolve(ticket, failure) and failure is None:
+            # It was cancelled, and its task has not run since: without this, nobody would give
+            # its slot back, and the target would have one less for good.
+            self.admission.finish(self.now(), ticket, Sample(ticket.rule, 0.0, completed=False))
+            self._are_slots_returned = True
 
     async def _run(self, call: PendingCall, ticket: Ticket) -> Reply:
         loop = self.loop
@@ -368,12 +376,15 @@
         self._release(now)
 
     def _release(self, now: float) -> None:
-        dequeued = self.admission.dequeue(now)
-        for started in dequeued.started:
-            self._end_wait(started, None)
         failure = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=RETRY_AFTER_SECONDS)
-        for dropped in dequeued.expired:
-            self._end_wait(dropped, failure)
+        self._are_slots_returned = True
+        while self._are_slots_returned:
+            self._are_slots_returned = False
+            dequeued = self.admission.dequeue(now)
+            for started in dequeued.started:
+                self._end_wait(started, None)
+            for dropped in dequeued.expired:
+                self._end_wait(dropped, failure)
         self._waiters.schedule_release(now)
 
     def _refuse(self, failure: Failure, call: PendingCall) -> Reply:
--- a/dunlinsaddle/calls/waiters.py
+++ b/dunlinsaddle/calls/waiters.py
@@ -53,11 +53,16 @@
         if waiter is not None:
             waiter.timer.cancel()
 
-    def resolve(self, ticket: Ticket, failure: Failure | None) -> None:
-        """End the wait of a call, if it waits: None starts it, a failure refuses it."""
+    def resolve(self, ticket: Ticket, failure: Failure | None) -> bool:
+        """End the wait of a call: None starts it, a failure refuses it.
+
+        Returns whether it still waits; a call that was cancelled does not.
+        """
         waiter = self._waiters.get(ticket.call_id)
-        if waiter is not None and not waiter.future.done():
-            waiter.future.set_result(failure)
+        if waiter is None or waiter.future.done():
+            return False
+        waiter.future.set_result(failure)
+        return True
 
     def refuse(self, ticket: Ticket, failure: Failure) -> None:
         """Remove a call from the queue and refuse it, if it still waits."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -23,6 +23,7 @@
     Suspected,
 )
 from dunlinsaddle.policy.route import Router
+from dunlinsaddle.policy.slots import SlotAdmission
 from dunlinsaddle.settings import Address
 from dunlinsaddle.stats import Stats
 from tests.builders import build_member, build_pending_call
@@ -114,6 +115,32 @@
         return await super().send(*args, **kwargs)
 
 
+class LeavingCallersTest(PausedClockTest):
+    # A call that is cancelled just when it may start took its slot along, until none was left.
+    def test_slot_of_a_call_whose_caller_leaves_as_it_starts_is_given_back(self):
+        async def scenario() -> int:
+            admission = SlotAdmission()
+            admission.set_slots(1)
+            target = LocalTarget()
+            target.announce('cut-orders', Address('127.0.0.1', 1))
+            executor = Executor(
+                target, admission, SlowTarget(), RunningCalls(), Stats(), Quarantine()
+            )
+            for _ in range(3):
+                running, waiting = (
+                    asyncio.create_task(executor.execute(build_pending_call(deadline=900.0)))
+                    for _ in range(2)
+                )
+                await asyncio.sleep(0.5)
+                # The first to run is the one whose end lets the other start.
+                running.cancel()
+                waiting.cancel()
+                await asyncio.wait((running, waiting))
+            return (await executor.execute(build_pending_call(deadline=900.0))).status
+
+        self.assertEqual(200, self.run_paused(scenario()))
+
+
 class DispatchTest(PausedClockTest):
     def dispatch(
         self,
