An idle connection does not keep the last message that it brought

Nodes stood at 165 to 194 MB of 100 after eighty callers had been answered with 2 MB each, though next to nothing was in progress and the count of what is held said 1 MB.

Cause: a reader kept the list of the messages of its last input until the next input. Each kept connection to a target so held its last answer, 64 of them per address, each connection of a caller its last request; what tells of memory counted only what had not been completed.

Change: a reader hands its messages over and forgets them.

--- a/dunlinsaddle/calls/request_reader.py
+++ b/dunlinsaddle/calls/request_reader.py
@@ -75,7 +75,9 @@
             raise self.error or MalformedMessage(str(exc)) from exc
         if self.in_head and self.bytes_fed > self.max_header_bytes + len(data):
             raise HeadTooLarge('the head is too large')
-        return self.messages
+        # The messages are not kept: an idle connection would hold its last body.
+        messages, self.messages = self.messages, []
+        return messages
 
     def on_message_begin(self) -> None:
         """Start a new request."""
--- a/dunlinsaddle/calls/response_reader.py
+++ b/dunlinsaddle/calls/response_reader.py
@@ -77,7 +77,9 @@
             self.broken = True
             if not self.messages:
                 raise self.error or MalformedMessage(str(exc)) from exc
-        return self.messages
+        # The messages are not kept: an idle connection would hold its last body.
+        messages, self.messages = self.messages, []
+        return messages
 
     def feed_eof(self) -> ResponseMessage | None:
         """Return the response that the end of the connection completes, if any."""
