--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -22,6 +22,7 @@
     encode_response,
     write_parts,
 )
+from dunlinsaddle.calls.inbound.eviction import Activity, EvictionOrder
 from dunlinsaddle.calls.inbound.movable_timer import MovableTimer
 from dunlinsaddle.calls.keepalive import enable_keepalive, limit_unread_bytes
 from dunlinsaddle.calls.messages import CALL_COST_BYTES, Body, Headers
@@ -62,10 +63,14 @@
     held_memory: HeldMemory
     on_not_taken: Callable[[str, str, int], None]
     connections: 'set[AcceptedConnection]'
+    eviction_order: 'EvictionOrder[AcceptedConnection]'
     accepting: bool
     closing: bool
     finishing: bool
 
+    def make_room(self) -> bool:
+        """Close a connection if there are too many; return whether there is room then."""
+
     def notify_idle_waiters(self) -> None:
         """Wake the tasks that wait until no request is in progress."""
 
@@ -140,16 +145,17 @@
             self.transport.close()
             return
         self.listener.connections.add(self)
-        if len(self.listener.connections) > self.listener.limits.max_connections:
+        if not self.listener.make_room():
             self._refuse(Failure(ErrorKind.TOO_MANY_CONNECTIONS, retry_after=1.0))
             return
         self.timer.set(self.listener.limits.header_timeout)
-        self._count_held()
+        self._report()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress: their responses can no longer be delivered."""
         self.is_closed = True
         self.listener.connections.discard(self)
+        self.listener.eviction_order.remove(self)
         self.timer.close()
         self._drop_requests()
         self.reader.close()
@@ -167,7 +173,7 @@
         if len(self.unread) > self.listener.limits.max_header_bytes:
             self.is_read_paused = True
             self.transport.pause_reading()
-        self._count_held()
+        self._report()
 
     def eof_received(self) -> bool:
         """Close the connection."""
@@ -190,7 +196,7 @@
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
-        self._count_held()
+        self._report()
 
     def end_sending(self, verdict: Verdict, undelivered: int) -> None:
         """End the connection of a caller that does not take its answer."""
@@ -214,6 +220,27 @@
         # Not left to the end of the connection, which comes after all other input that is ready.
         self._drop_requests()
 
+    def make_way(self) -> None:
+        """End the connection, so that its descriptor serves another caller."""
+        if self.is_busy:
+            self.transport.abort()
+        else:
+            self.transport.close()
+
+    @property
+    def _activity(self) -> Activity:
+        if self.exchanges:
+            return Activity.BUSY
+        if self.is_write_paused:
+            return Activity.SENDING
+        return Activity.READING if self._has_pending_input() else Activity.IDLE
+
+    def _report(self) -> None:
+        """Tell the listener what this connection holds and does."""
+        if not self.is_closed:
+            self.listener.eviction_order.record(self, self._activity)
+            self._count_held()
+
     def _held_for_requests(self) -> int:
         """Return what whole requests hold, or the responses that are ready in their place."""
         held = sum(exchange.held_bytes for exchange in self.exchanges)
@@ -226,7 +253,7 @@
             held += 2 * MAX_UNREAD_BYTES
         if self.exchanges or self.unstarted:
             held += self._held_for_requests()
-        if held + self.unsent_bytes != self.counted_bytes and not self.is_closed:
+        if held + self.unsent_bytes != self.counted_bytes:
             self.counted_bytes = held + self.unsent_bytes
             self.listener.held_memory.set(self, self.counted_bytes)
 
@@ -403,7 +430,7 @@
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
-        self._count_held()
+        self._report()
 
     def _fail_and_close(self, exchange: _Exchange, kind: ErrorKind) -> HttpResponse:
         exchange.keep_alive = False
--- a/dunlinsaddle/calls/inbound/listener.py
+++ b/dunlinsaddle/calls/inbound/listener.py
@@ -9,6 +9,7 @@
 from dunlinsaddle.calls.held_memory import HeldMemory
 from dunlinsaddle.calls.http import HttpLimits, HttpRequest
 from dunlinsaddle.calls.inbound.accepted_connection import AcceptedConnection, Handler
+from dunlinsaddle.calls.inbound.eviction import EvictionOrder
 from dunlinsaddle.calls.messages import Headers
 from dunlinsaddle.errors import Failure
 from dunlinsaddle.settings import Address
@@ -54,6 +55,8 @@
         #: connection is ended, and the bytes that are left.
         self.on_not_taken = on_not_taken
         self.connections: set[AcceptedConnection] = set()
+        self.eviction_order: EvictionOrder[AcceptedConnection] = EvictionOrder()
+        self.evicted_count = 0  #: connections that were closed for others
         #: Creates the protocol of each accepted connection.
         self.new_connection: Callable[[], AcceptedConnection] = partial(AcceptedConnection, self)
         self.accepting = True
@@ -79,6 +82,19 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def make_room(self) -> bool:
+        """Close a connection if there are too many; return whether there is room then."""
+        if len(self.connections) <= self.limits.max_connections:
+            return True
+        conn = self.eviction_order.first()
+        if conn is None:
+            return False
+        self.eviction_order.remove(conn)
+        self.connections.discard(conn)
+        self.evicted_count += 1
+        conn.make_way()
+        return True
+
     def start_closing(self) -> None:
         """Send ``Connection: close`` with each response, but keep listening."""
         self.closing = True
--- a/dunlinsaddle/calls/inbound/peer_server.py
+++ b/dunlinsaddle/calls/inbound/peer_server.py
@@ -60,16 +60,18 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if len(self.server.links) >= self.limits.max_links:
+        if not self.server.make_room():
             self.transport.abort()
             return
         self.server.links.add(self)
+        self.server.unauthenticated[self] = None
         self.timer = self.loop.call_later(HANDSHAKE_TIMEOUT_SECONDS, self.transport.abort)
         self.send(Challenge(self.nonce))
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self.server.links.discard(self)
+        self.server.unauthenticated.pop(self, None)
         for call in list(self.calls.values()):
             call.cancel()
         self.server.notify_idle_waiters()
@@ -140,6 +142,7 @@
             self.transport.abort()
             return
         self.stop_timer()
+        self.server.unauthenticated.pop(self, None)
         self.instance = hello.instance
         self.mark_authenticated()
         self.send(Welcome(make_proof(key, Role.LISTENING, hello.nonce, '')))
@@ -190,6 +193,7 @@
         #: Returns whether the target may be at work for a request.
         self.is_running: Callable[[str], bool] = lambda request_id: True
         self.links: set[_ServerLink] = set()
+        self.unauthenticated: dict[_ServerLink, None] = {}  #: links, oldest first
         self.rejected_handshakes = 0
         self.on_records: RecordsHandler = lambda frame: None
         self.on_target_crashes: Callable[[TargetCrashes], None] = lambda frame: None
@@ -206,6 +210,21 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def make_room(self) -> bool:
+        """Return whether one more link may be opened; the oldest without a proof makes way.
+
+        Connections of strangers would otherwise keep out the nodes.
+        """
+        if len(self.links) < self.limits.max_links:
+            return True
+        link = next(iter(self.unauthenticated), None)
+        if link is None:
+            return False
+        del self.unauthenticated[link]
+        self.links.discard(link)
+        link.transport.abort()
+        return True
+
     def refuse_body(self, request_id: str = '') -> Failure:
         """Report that there is no memory for a call, and return the failure for its sender."""
         # Not TOO_MANY_BODIES, which nodes of older versions do not know.
--- a/dunlinsaddle/mesh/metrics.py
+++ b/dunlinsaddle/mesh/metrics.py
@@ -23,6 +23,7 @@
 from dunlinsaddle.mesh.heartbeat_endpoint import HeartbeatEndpoint
 from dunlinsaddle.mesh.ingress import IngressHandler
 from dunlinsaddle.mesh.learned_state import LearnedStateExchange
+from dunlinsaddle.mesh.listeners import NodeListeners
 from dunlinsaddle.mesh.settings import MeshSettings
 from dunlinsaddle.mesh.target_status import TargetStatus
 from dunlinsaddle.metrics import LabeledValues, Metrics, cumulative_buckets, observe_stats
@@ -60,6 +61,7 @@
     target_status: TargetStatus
     quotas: QuotaCoordinator
     held_memory: HeldMemory
+    listeners: NodeListeners
     ingress: IngressHandler
     learned_state: LearnedStateExchange
 
@@ -140,6 +142,12 @@
             'Requests, answers and connections that were given up as they held the most memory.',
             lambda: [(memory.given_up_count, {})],
         )
+        metrics.counter(
+            'dunlinsaddle.connections_evicted',
+            '{connection}',
+            'Connections of callers that were closed for others, as there are too many.',
+            lambda: [(node.listeners.callers.evicted_count, {})],
+        )
         metrics.counter(
             'dunlinsaddle.repeats',
             '{call}',
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -10,6 +10,7 @@
     read_frame_start,
 )
 from dunlinsaddle.calls.held_memory import HeldMemory
+from dunlinsaddle.calls.inbound.eviction import Activity, EvictionOrder
 from dunlinsaddle.calls.messages import LARGE_BODY_BYTES
 from dunlinsaddle.capacity import (
     FILE_DESCRIPTORS,
@@ -82,6 +83,27 @@
         self.assertGreater(capacity.caller_connections, 0)
 
 
+class EvictionOrderTest(TestCase):
+    # A crowd of idle connections kept new callers out.
+    def test_the_connection_that_loses_least_comes_first(self):
+        order: EvictionOrder[str] = EvictionOrder()
+        for name, activity in (
+            ('busy', Activity.BUSY),
+            ('reads slowly', Activity.SENDING),
+            ('sends slowly', Activity.READING),
+            ('idle for long', Activity.IDLE),
+            ('idle', Activity.IDLE),
+        ):
+            order.record(name, activity)
+        order.record('idle for long', Activity.IDLE)
+        found = []
+        while (first := order.first()) is not None:
+            found.append(first)
+            order.remove(first)
+        expected = ['idle for long', 'idle', 'sends slowly', 'reads slowly']
+        self.assertEqual(expected, found)
+
+
 class FrameCodecTest(TestCase):
     """Frames are the same bytes as before, as nodes of other builds read them."""
 
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -260,6 +260,34 @@
         self.assertEqual(([True, 0, True, 0, True, 0, 0, True], 0), (ends, held))
 
 
+class EvictionTest(ListenerTest):
+    # A crowd that keeps its connections kept new callers out.
+    def test_idle_connection_makes_way_for_a_new_one(self):
+        self.limits = LIMITS._replace(max_connections=3)
+
+        async def use(listener, idle, _):
+            streams = [await asyncio.open_connection(ADDRESS.host, ADDRESS.port) for _ in range(3)]
+            for _, writer in streams:
+                writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            answers = [await reader.read(12) for reader, _ in streams]
+            return await idle.read(), answers, listener.evicted_count
+
+        expected = (b'', [b'HTTP/1.1 200'] * 3, 1)
+        self.assertEqual(expected, self.run_with_listener(use))
+
+    # A request in progress would be lost for a connection that has not sent any.
+    def test_new_connection_is_refused_while_requests_are_in_progress_on_all(self):
+        self.limits = LIMITS._replace(max_connections=1)
+
+        async def use(listener, reader, writer):
+            writer.write(b'GET / HTTP/1.1\r\nhost: a\r\nsleep: 5\r\n\r\n')
+            await asyncio.sleep(0.1)
+            new, _ = await asyncio.open_connection(ADDRESS.host, ADDRESS.port)
+            return await new.read(12), await reader.read(12)
+
+        self.assertEqual((b'HTTP/1.1 503', b'HTTP/1.1 200'), self.run_with_listener(use))
+
+
 class DisconnectTest(ListenerTest):
     def test_end_of_stream_from_the_caller_cancels_its_request(self):
         # Most callers that disconnect only send an end of stream. Their requests must be
