The pause of a failing target is doubled from the last one, not a power of a count

After a thousand ejections without a success in between, each request that failed at that target was answered 500, at most once requests included, and was not tried elsewhere.

Cause: the pause is 2 s times two to the power of the ejections so far, bounded only after that; from 1,024 on the power is out of range and raises OverflowError. A target that stays gone under load does it, with no crowd at all.

Change: the router keeps the latest pause instead of the count and doubles it up to its bound. The pauses are the same (2, 4, 8, 16, 30 s). Of other powers of counts, the back-off of the records is capped at ten failures, and trials of a quarantined request at the crashes that a frame may carry.

Result: the test of 5,000 ejections raised OverflowError and passes.

--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -84,11 +84,11 @@
         '_error_share',
         '_error_share_at',
         'avoid_until',
-        'ejections',
         'failures',
         'load',
         'load_at',
         'outstanding',
+        'pause',
         'rate',
         'rate_told_at',
         'rate_use',
@@ -99,7 +99,7 @@
         self.load_at = -inf
         self.outstanding = 0
         self.failures = 0
-        self.ejections = 0
+        self.pause = 0.0  #: seconds of the latest ejection, 0 after a success
         self.avoid_until = 0.0
         self.rate = inf  #: calls per second that the target admits from all nodes together
         self.rate_use = 0.0  #: share of the rate in use when the target reported it
@@ -291,7 +291,7 @@
         stats.failures = 0
         stats.record_outcome(now, failed=error)
         if not error:
-            stats.ejections = 0
+            stats.pause = 0.0
         if load is not None:
             stats.load = load
             # A reply without a load is not of the target's node and says nothing of its speed.
@@ -328,9 +328,10 @@
         stats.failures += 1
         if stats.failures < CONSECUTIVE_FAILURES_TO_EJECT:
             return
-        pause = min(BASE_EJECTION_SECONDS * 2.0**stats.ejections, MAX_EJECTION_SECONDS)
-        stats.ejections += 1
-        self._exclude(stats, now + pause)
+        # The pause is doubled from the last one: as a power of a count that only grows, it is out
+        # of range after a thousand ejections.
+        stats.pause = min(max(2 * stats.pause, BASE_EJECTION_SECONDS), MAX_EJECTION_SECONDS)
+        self._exclude(stats, now + stats.pause)
 
     def avoid_leaving(self, now: float, instance: str) -> None:
         """Exclude a target that reports that it is leaving, before the view shows it."""
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -6,6 +6,7 @@
 from dunlinsaddle.policy.route import (
     AVOID_LEAVING_SECONDS,
     CONSECUTIVE_FAILURES_TO_EJECT,
+    MAX_EJECTION_SECONDS,
     MAX_RATE_AGE_SECONDS,
     Candidate,
     Router,
@@ -64,6 +65,13 @@
         self.assertNotIn('bangor-1', self.choice_shares())
         self.assertIn('bangor-1', self.choice_shares(now=60.0))
 
+    # A target that was gone for long raised an error at each request that failed there.
+    def test_pause_of_a_target_that_fails_for_hours_stays_within_its_bound(self):
+        for number in range(5000):
+            self.fail_calls('bangor-1', now=float(number))
+        self.assertNotIn('bangor-1', self.choice_shares(now=5000.0))
+        self.assertIn('bangor-1', self.choice_shares(now=5000.0 + MAX_EJECTION_SECONDS))
+
     def test_target_that_fails_immediately_does_not_attract_calls(self):
         # A target that responds 500 within a millisecond always has the fewest outstanding
         # calls: a choice by load alone sends it all calls, and callers see errors.
