--- a/dunlinsaddle/calls/http_codec.py
+++ b/dunlinsaddle/calls/http_codec.py
@@ -13,7 +13,7 @@
 
 FRAMING_HEADERS = frozenset({b'content-length', b'transfer-encoding'})
 BODILESS_STATUSES = frozenset({204, 304})
-MIN_FINAL_STATUS = 200
+MIN_STATUS, MIN_FINAL_STATUS, MAX_STATUS = 100, 200, 599  #: RFC 9110, 15
 #: Least framing of a header: a colon and a line break. The parser reports neither these nor spaces.
 HEADER_FRAMING_BYTES = 3
 
@@ -132,7 +132,7 @@
 
 def encode_response(status: int, headers: Headers, body: Body) -> list[Body]:
     """Serialize a response; ``headers`` must frame the body. Raises ValueError if not valid."""
-    if not MIN_FINAL_STATUS <= status <= 599:
+    if not MIN_FINAL_STATUS <= status <= MAX_STATUS:
         raise ValueError(f'no final HTTP status: {status}')
     return _encode(b'HTTP/1.1 %d ' % status, headers, body)
 
--- a/dunlinsaddle/calls/response_reader.py
+++ b/dunlinsaddle/calls/response_reader.py
@@ -8,7 +8,9 @@
 from dunlinsaddle.calls.http_codec import (
     BODILESS_STATUSES,
     FRAMING_HEADERS,
+    MAX_STATUS,
     MIN_FINAL_STATUS,
+    MIN_STATUS,
     BodyTooLarge,
     MalformedMessage,
     MessageReader,
@@ -100,6 +102,7 @@
     def on_headers_complete(self) -> None:
         """Validate the head before any part of the body is accepted."""
         self.in_head = False
+        self._check_status()
         if sum(1 for name, _ in self.headers if name in FRAMING_HEADERS) > 1:
             self.fail(
                 MalformedMessage('Content-Length and Transfer-Encoding, or one of them twice')
@@ -112,6 +115,21 @@
             self.broken = True
             self._emit(keep_alive=False)
 
+    def _check_status(self) -> None:
+        """Reject what is neither an interim nor a final response.
+
+        Taken for an interim one, it would leave the caller to wait for an answer that never comes.
+        """
+        status = self.parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self.fail(MalformedMessage(f'no HTTP status: {status:03}'))
+        if status < MIN_FINAL_STATUS and self._has_announced_body():
+            self.fail(MalformedMessage(f'an interim response with a body: {status}'))
+
+    def _has_announced_body(self) -> bool:
+        is_chunked = any(name == b'transfer-encoding' for name, _ in self.headers)
+        return is_chunked or self.content_length() > 0
+
     def on_message_complete(self) -> None:
         """Add a final response to the completed messages; ignore interim (1xx) responses."""
         status = self.parser.get_status_code()
--- a/tests/crowds/machines.py
+++ b/tests/crowds/machines.py
@@ -196,6 +196,7 @@
                 'linkMbps': 1000.0,
                 'diskMb': 0,
             },
+            firstStart=True,
             appAddress=f'{host}:{APP_PORT}',
             service=service,
             platform={'address': str(store)},
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -142,6 +142,21 @@
                 self.assertIsInstance(result, Answered)
                 self.assertEqual(b'', result.response.body)
 
+    # Callers waited until their deadlines for the answer behind one that is none.
+    def test_statuses_that_are_none_and_interim_responses_with_a_body_are_no_answers(self):
+        for status, framing in (
+            (b'000', b'content-length: 1\r\n\r\nx'),
+            (b'000', b'\r\n'),
+            (b'099', b'content-length: 0\r\n\r\n'),
+            (b'600', b'content-length: 1\r\n\r\nx'),
+            (b'999', b'content-length: 0\r\n\r\n'),
+            (b'199', b'content-length: 1\r\n\r\nx'),
+            (b'103', b'transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n'),
+            (b'101', b'connection: upgrade\r\nupgrade: x\r\n\r\n'),
+        ):
+            (result,) = self.results_for(b'HTTP/1.1 ' + status + b' X\r\n' + framing)
+            self.assert_lost(ErrorKind.INCOMPLETE_ANSWER, result)
+
     def test_interim_responses_are_ignored(self):
         interim = b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'
         for result in self.results_for(interim + ok_response(b'final'), count=2):
