A node's own lack of descriptors is not taken for a failure of its targets

When a node cannot open a connection for want of descriptors or memory (EMFILE, ENFILE, ENOBUFS, ENOMEM), the target, or the node beside it, was recorded as failed: after three of these in a row it was ejected, and beside the target the caller was told that there is none, so that senders avoided it. Sound targets lost their requests for what this process lacked. Found by reading; the bounds of the listeners now leave descriptors for outgoing connections, so that no crowd test reaches it.

Change: the client and the links mark such a failure as their own. The router only takes back the outstanding call; a call that reached the node beside the target is refused as overloaded, with a Retry-After, and goes elsewhere. It is provably not sent, as before.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -338,6 +338,9 @@
                 self._report_advertised_state(call, sent_at, response)
                 reply = self._read_reply(call, running, response)
                 reply.connection, reply.earlier_answers = connection, earlier_responses
+            case NotSent(detail, is_own_lack=True):
+                # NO_TARGET would have the sender avoid the target.
+                reply = refusal(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_SECONDS))
             case NotSent(detail, is_refused):
                 # A busy target may not accept in time, too; one that drains would count as new.
                 if is_refused:
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -187,6 +187,7 @@
 
     detail: str
     is_refused: bool = False  #: nothing listens at the address
+    is_own_lack: bool = False  #: this process has no descriptor or memory left for a connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunlinsaddle/calls/outbound/client.py
+++ b/dunlinsaddle/calls/outbound/client.py
@@ -18,6 +18,7 @@
     SkippedResponse,
     match_any_response,
 )
+from dunlinsaddle.calls.outbound.own_lack import is_own_lack
 from dunlinsaddle.calls.outbound.pool import MAX_REUSE_IDLE_SECONDS, ConnectionPool
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
@@ -118,7 +119,8 @@
                 )
         except (OSError, TimeoutError) as exc:
             is_refused = isinstance(exc, ConnectionRefusedError)
-            return NotSent(f'{address}: {exc or "no connection in time"}', is_refused)
+            detail = f'{address}: {exc or "no connection in time"}'
+            return NotSent(detail, is_refused, is_own_lack(exc))
         return await self._send_on(conn, pending, pool)
 
     async def _send_on(
--- a/dunlinsaddle/calls/outbound/link.py
+++ b/dunlinsaddle/calls/outbound/link.py
@@ -37,6 +37,7 @@
     TargetCrashes,
     Welcome,
 )
+from dunlinsaddle.calls.outbound.own_lack import is_own_lack
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.settings import Address
@@ -227,7 +228,8 @@
                 async with asyncio.timeout_at(deadline):
                     link = await self._get_link(address)
         except (OSError, TimeoutError) as exc:
-            return NotSent(f'{address}: {exc or "no link in time"}')
+            detail = f'{address}: {exc or "no link in time"}'
+            return NotSent(detail, is_own_lack=is_own_lack(exc))
         if len(link.pending) + len(link.writable_waiters) >= self.limits.max_calls:
             return NotSent(f'{address}: the peer takes no more calls')
         if link.write_paused:
--- a/dunlinsaddle/policy/route.py
+++ b/dunlinsaddle/policy/route.py
@@ -268,6 +268,10 @@
         """Count a call that is being sent to a target."""
         self._stats_of(instance).outstanding += 1
 
+    def record_unsent(self, instance: str) -> None:
+        """Record that a call was not sent for a reason that has nothing to do with its target."""
+        self._stats_of(instance).outstanding -= 1
+
     def record_answer(
         self,
         now: float,
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,4 +1,5 @@
 import asyncio
+from unittest import mock
 
 from testtools import TestCase
 
@@ -169,6 +170,17 @@
         for result in self.results_for(response, count=2):
             self.assertEqual(b'abcde', result.response.body)
 
+    def test_connection_that_cannot_be_opened_here_says_nothing_of_the_target(self):
+        async def scenario():
+            client = HttpClient()
+            loop = asyncio.get_running_loop()
+            with mock.patch.object(loop, 'create_connection', side_effect=OSError(24, 'EMFILE')):
+                lacking = await client.send(TARGET, get_request('/'), 1)
+            return lacking, await client.send(TARGET, get_request('/'), 1)
+
+        lacking, refused = self.run_paused(scenario())
+        self.assertEqual((True, False), (lacking.is_own_lack, refused.is_own_lack))
+
     def test_an_invalid_request_is_not_sent(self):
         async def script(connection, data):
             connection.write(ok_response(b''))
