Exchange becomes a module; a connection reports to its listener only what has changed

What belongs to one request, its response and their end is now calls/inbound/exchange.py. A connection tells its listener what it holds and does in one place, and only where that changed; calls of peers end without a callback of their tasks; headers are summed without a function call each.

A holder that had given way and held the same again was not counted anew; it is.

--- a/dunlinsaddle/calls/frame_codec.py
+++ b/dunlinsaddle/calls/frame_codec.py
@@ -30,9 +30,8 @@
 
 def encode_frame(frame: Frame) -> list[Body]:
     """Return a frame with its length prefix, in parts; a large body is a part of its own."""
-    match frame:
-        case Call() | Reply() if len(frame.body) >= LARGE_BODY_BYTES:
-            return _encode_around_body(frame)
+    if isinstance(frame, (Call, Reply)) and len(frame.body) >= LARGE_BODY_BYTES:
+        return _encode_around_body(frame)
     data = _encoder.encode(frame)
     return [len(data).to_bytes(LENGTH_PREFIX_BYTES, 'big') + data]
 
@@ -66,9 +65,8 @@
     Raises msgspec.MsgspecError if it is invalid.
     """
     frame = _decoder.decode(data)
-    match frame:
-        case Call() | Reply() if len(frame.body) < LARGE_BODY_BYTES:
-            frame.body = bytes(frame.body)
+    if isinstance(frame, (Call, Reply)) and len(frame.body) < LARGE_BODY_BYTES:
+        frame.body = bytes(frame.body)
     return frame
 
 
--- a/dunlinsaddle/calls/held_memory.py
+++ b/dunlinsaddle/calls/held_memory.py
@@ -45,7 +45,8 @@
             del self._sizes[holder]
         while self.held > self.limit and self._sizes:
             self._give_up_largest()
-        self.most_held = max(self.most_held, self.held)
+        if self.held > self.most_held:
+            self.most_held = self.held
 
     def release(self, holder: Holder) -> None:
         """Discount all that a holder holds."""
--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -8,21 +8,19 @@
 
 from dunlinsaddle.calls.held_memory import HeldMemory
 from dunlinsaddle.calls.http import (
-    HOP_BY_HOP,
     HttpLimits,
     HttpRequest,
     HttpResponse,
     failure_response,
 )
 from dunlinsaddle.calls.http_codec import (
-    BODILESS_STATUSES,
     BodyTooLarge,
     HeadTooLarge,
     MalformedMessage,
-    encode_response,
     write_parts,
 )
 from dunlinsaddle.calls.inbound.eviction import Activity, EvictionOrder
+from dunlinsaddle.calls.inbound.exchange import SAFE_METHODS, Exchange
 from dunlinsaddle.calls.inbound.movable_timer import MovableTimer
 from dunlinsaddle.calls.keepalive import enable_keepalive, limit_unread_bytes
 from dunlinsaddle.calls.messages import CALL_COST_BYTES, Body, Headers
@@ -46,8 +44,6 @@
 #: Retry-After of a request for whose body there is no memory; most bodies are held for less.
 BODY_MEMORY_RETRY_SECONDS = 1.0
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
-#: Pipelined requests of these methods may run concurrently (RFC 9112, 9.3.2).
-SAFE_METHODS = frozenset({b'GET', b'HEAD', b'OPTIONS'})
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -75,27 +71,6 @@
         """Wake the tasks that wait until no request is in progress."""
 
 
-class _Exchange:
-    """A completely read request and its response."""
-
-    __slots__ = ('held_bytes', 'keep_alive', 'method', 'response', 'started_at', 'task')
-
-    def __init__(
-        self, method: bytes, started_at: float, *, keep_alive: bool, held_bytes: int = 0
-    ) -> None:
-        self.held_bytes = held_bytes  #: of the request, then of its response
-        self.method = method
-        self.started_at = started_at  #: time of the event loop
-        self.keep_alive = keep_alive
-        self.task: asyncio.Task[None] | None = None
-        self.response: HttpResponse | None = None  #: None until the handler has returned
-
-    @property
-    def done(self) -> bool:
-        """Whether the response is ready to be sent."""
-        return self.response is not None
-
-
 class AcceptedConnection(asyncio.Protocol):
     """Protocol of an accepted connection: parses requests and answers them in order of arrival.
 
@@ -113,7 +88,7 @@
             listener.limits.max_body_bytes,
         )
         self.unsent_bytes = 0  #: size of a response that has not completely left the process
-        self.exchanges: deque[_Exchange] = deque()
+        self.exchanges: deque[Exchange] = deque()
         self.unstarted: deque[RequestMessage] = deque()
         self.unread = b''
         self.has_sent_continue = False
@@ -126,7 +101,8 @@
         self.is_read_paused = False
         self.remote = ''
         self.sending = Sending(self)
-        self.counted_bytes = 0
+        self.counted_bytes = 0  #: as last reported
+        self.activity = Activity.BUSY  #: as last reported
         self.is_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -210,10 +186,11 @@
 
     def give_up(self) -> None:
         """Refuse the request that arrives, if it holds the most here; else end the connection."""
+        self.counted_bytes = 0
         arriving = self.reader.held_bytes
         if not self.is_ending and arriving > self._held_for_requests() + self.unsent_bytes:
             self._refuse(Failure(ErrorKind.TOO_MANY_BODIES, retry_after=BODY_MEMORY_RETRY_SECONDS))
-            self._count_held()
+            self._report()
             return
         self.listener.on_not_taken(self.remote, 'memory', self.unsent_bytes)
         self.transport.abort()
@@ -227,35 +204,41 @@
         else:
             self.transport.close()
 
-    @property
+    def _report(self) -> None:
+        """Tell the listener what this connection holds and does, where that has changed."""
+        if self.is_closed:
+            return
+        activity = self._activity()
+        if activity is not self.activity:
+            self.activity = activity
+            self.listener.eviction_order.record(self, activity)
+        held = CONNECTION_COST_BYTES + len(self.unread) + self.unsent_bytes
+        if self.reader.bytes_fed:
+            held += self.reader.held_bytes
+        if self.is_read_paused:
+            held += 2 * MAX_UNREAD_BYTES
+        held += self._held_for_requests()
+        if held != self.counted_bytes:
+            self.counted_bytes = held
+            self.listener.held_memory.set(self, held)
+
     def _activity(self) -> Activity:
         if self.exchanges:
             return Activity.BUSY
         if self.is_write_paused:
             return Activity.SENDING
-        return Activity.READING if self._has_pending_input() else Activity.IDLE
-
-    def _report(self) -> None:
-        """Tell the listener what this connection holds and does."""
-        if not self.is_closed:
-            self.listener.eviction_order.record(self, self._activity)
-            self._count_held()
+        if self.unread or self.unstarted or self.reader.bytes_fed:
+            return Activity.READING
+        return Activity.IDLE
 
     def _held_for_requests(self) -> int:
         """Return what whole requests hold, or the responses that are ready in their place."""
-        held = sum(exchange.held_bytes for exchange in self.exchanges)
-        return held + sum(message.held_bytes for message in self.unstarted)
-
-    def _count_held(self) -> None:
-        """Count the memory that this connection holds."""
-        held = CONNECTION_COST_BYTES + len(self.unread) + self.reader.held_bytes
-        if self.is_read_paused:
-            held += 2 * MAX_UNREAD_BYTES
-        if self.exchanges or self.unstarted:
-            held += self._held_for_requests()
-        if held + self.unsent_bytes != self.counted_bytes:
-            self.counted_bytes = held + self.unsent_bytes
-            self.listener.held_memory.set(self, self.counted_bytes)
+        held = 0
+        for exchange in self.exchanges:
+            held += exchange.held_bytes
+        for message in self.unstarted:
+            held += message.held_bytes
+        return held
 
     @property
     def is_busy(self) -> bool:
@@ -297,11 +280,7 @@
     def _cancel_requests(self) -> None:
         """Cancel all requests; clients consider those after a ``Connection: close`` unprocessed."""
         for exchange in self.exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-                # Its traceback refers to the exchange: without this, only the garbage collector
-                # would free what the request holds.
-                exchange.task = None
+            exchange.cancel()
         self.exchanges.clear()
         self.unstarted.clear()
 
@@ -316,7 +295,7 @@
         if not self.exchanges:
             return True
         # RFC 9112, 9.3.2: an unsafe request waits for the requests before it.
-        is_safe = method in SAFE_METHODS and self.exchanges[-1].method in SAFE_METHODS
+        is_safe = method in SAFE_METHODS and self.exchanges[-1].is_safe
         return is_safe and self._has_room()
 
     def _has_room(self) -> bool:
@@ -394,7 +373,7 @@
     def _start_request(self, message: RequestMessage) -> None:
         self.timer.stop()
         self.has_sent_continue = False
-        exchange = _Exchange(
+        exchange = Exchange(
             message.method,
             self.loop.time(),
             keep_alive=message.keep_alive,
@@ -417,35 +396,20 @@
         self.exchanges.append(exchange)
         exchange.task = self.loop.create_task(self._respond(exchange, req))
 
-    async def _respond(self, exchange: _Exchange, req: HttpRequest) -> None:
+    async def _respond(self, exchange: Exchange, req: HttpRequest) -> None:
         try:
             response = await self.listener.handler(req)
         except Exception:
             self.listener.on_fault(req)
-            response = self._fail_and_close(exchange, ErrorKind.INTERNAL)
-        exchange.task = None
-        exchange.response = response
-        exchange.held_bytes = len(response.body)
+            response = exchange.fail(ErrorKind.INTERNAL)
+        exchange.finish(response)
         del req  # its body is not needed any more
         if not self.transport.is_closing():
             self._flush()
             self._process_input()
         self._report()
 
-    def _fail_and_close(self, exchange: _Exchange, kind: ErrorKind) -> HttpResponse:
-        exchange.keep_alive = False
-        return failure_response(Failure(kind))
-
-    def _serialize(self, exchange: _Exchange, response: HttpResponse) -> list[Body]:
-        headers = [(n, v) for n, v in response.headers if n not in HOP_BY_HOP]
-        bodiless = exchange.method == b'HEAD' or response.status in BODILESS_STATUSES
-        if not bodiless:
-            headers.append((b'content-length', b'%d' % len(response.body)))
-        if not exchange.keep_alive:
-            headers.append((b'connection', b'close'))
-        return encode_response(response.status, headers, b'' if bodiless else response.body)
-
-    def _encode_response(self, exchange: _Exchange) -> list[Body]:
+    def _encode_response(self, exchange: Exchange) -> list[Body]:
         assert exchange.response is not None
         listener = self.listener
         may_end = not self.exchanges and (listener.finishing or not self.unstarted)
@@ -456,12 +420,12 @@
             self.awaits_close = self.discards_input = True
             self.unread = b''
         try:
-            return self._serialize(exchange, exchange.response)
+            return exchange.encode(exchange.response)
         except ValueError:
             self.listener.on_fault(HttpRequest(exchange.method.decode(), '', [], b'', self.remote))
-            return self._serialize(exchange, self._fail_and_close(exchange, ErrorKind.INTERNAL))
+            return exchange.encode(exchange.fail(ErrorKind.INTERNAL))
 
-    def _write_response(self, exchange: _Exchange) -> None:
+    def _write_response(self, exchange: Exchange) -> None:
         parts = self._encode_response(exchange)
         write_parts(self.transport, parts)
         # Whatever is left of it, the parts stay whole until all has left the process.
@@ -494,7 +458,7 @@
         self.listener.on_refusal(self.reader.headers, failure)
         self.reader.discard_message()
         self.unstarted.clear()
-        exchange = _Exchange(b'', self.loop.time(), keep_alive=False)
+        exchange = Exchange(b'', self.loop.time(), keep_alive=False)
         exchange.response = failure_response(failure)
         self.exchanges.append(exchange)
         self.is_ending = True
--- a/dunlinsaddle/calls/inbound/peer_call.py
+++ b/dunlinsaddle/calls/inbound/peer_call.py
@@ -25,6 +25,7 @@
     """The parts of a link that its calls use."""
 
     loop: asyncio.AbstractEventLoop
+    write_paused: bool
 
     @property
     def is_open(self) -> bool:
@@ -51,20 +52,24 @@
         self.link = link
         self.task: asyncio.Task[None] | None = None
         self.reply: Reply | None = None
+        self.is_started = False
         self.is_given_up = False
 
     def start(self) -> None:
         """Run the call, unless it holds the most memory and there is no more."""
         assert self.frame is not None
+        held_bytes = self.frame.held_bytes
         self.task = self.link.loop.create_task(self._run(self.frame))
-        # A task that is cancelled before it begins runs none of its code.
-        self.task.add_done_callback(lambda _: self._end())
-        self.server.held_memory.set(self, self.frame.held_bytes)
+        self.server.held_memory.set(self, held_bytes)
 
     def cancel(self) -> None:
         """Cancel the call: nobody waits for its reply any more."""
-        if self.task is not None:
-            self.task.cancel()
+        if self.task is None:
+            return
+        self.task.cancel()
+        if not self.is_started:
+            # A task that is cancelled before it begins runs none of its code.
+            self._end()
 
     @property
     def has_begun(self) -> bool:
@@ -92,14 +97,23 @@
         self.link.end_call(self.id)
 
     async def _run(self, frame: Call) -> None:
-        self.reply = await self._get_reply(frame)
-        del frame  # its body is not needed any more
-        self.frame = None
-        self.reply.id = self.id
-        self.server.held_memory.set(self, self.reply.held_bytes)
+        self.is_started = True
+        try:
+            self.reply = await self._get_reply(frame)
+            del frame  # its body is not needed any more
+            self.frame = None
+            self.reply.id = self.id
+            if self.link.write_paused:
+                await self._wait_writable(self.reply)
+            if self.link.is_open and not self.is_given_up:
+                self.link.send(self.reply)
+        finally:
+            self._end()
+
+    async def _wait_writable(self, reply: Reply) -> None:
+        """Wait until little is left to be sent; the reply may be given up meanwhile."""
+        self.server.held_memory.set(self, reply.held_bytes)
         await self.link.wait_writable()
-        if self.link.is_open and not self.is_given_up:
-            self.link.send(self.reply)
 
     async def _get_reply(self, frame: Call) -> Reply:
         try:
--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -1,6 +1,7 @@
 """Messages between nodes about calls, records and keys, as MessagePack frames (msgspec)."""
 
 from dataclasses import dataclass
+from itertools import chain
 from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import msgspec
@@ -47,6 +48,10 @@
 StatusCode = Annotated[int, Meta(ge=200, le=599)]
 
 
+def _held_by_headers(headers: Headers) -> int:
+    return sum(map(len, chain.from_iterable(headers))) + HEADER_COST_BYTES * len(headers)
+
+
 class Challenge(msgspec.Struct, tag='h', array_like=True):
     """First frame of the listening side: a nonce that the other side must sign."""
 
@@ -112,8 +117,7 @@
     @property
     def held_bytes(self) -> int:
         """Memory that it takes, in bytes."""
-        text = sum(len(name) + len(value) for name, value in self.headers)
-        return len(self.body) + text + HEADER_COST_BYTES * len(self.headers) + CALL_COST_BYTES
+        return len(self.body) + _held_by_headers(self.headers) + CALL_COST_BYTES
 
 
 class RefusedCalls(msgspec.Struct, array_like=True, frozen=True):
@@ -160,7 +164,7 @@
     @property
     def held_bytes(self) -> int:
         """Memory that it takes, in bytes."""
-        return self.size + HEADER_COST_BYTES * len(self.headers)
+        return len(self.body) + _held_by_headers(self.headers)
 
 
 class Cancel(msgspec.Struct, tag='x', array_like=True):
--- a/dunlinsaddle/calls/outbound/connection.py
+++ b/dunlinsaddle/calls/outbound/connection.py
@@ -96,6 +96,7 @@
         self.reader = ResponseReader(MAX_HEAD_BYTES, rules.max_body_bytes)
         self.transport: asyncio.Transport
         self.result_future: asyncio.Future[SendResult] | None = None
+        self.is_counted = False  #: whether memory is held for the response
         self.received_data = False  #: since the current request was sent
         self.closed = False
         self.response_count = 0
@@ -142,6 +143,7 @@
         else:
             self._handle_messages(messages)
         if self.result_future is not None:
+            self.is_counted = True
             self.held_memory.set(self, self.reader.held_bytes)
 
     def end_sending(self, verdict: Verdict, undelivered: int) -> None:
@@ -186,16 +188,21 @@
 
     def set_result(self, result: SendResult) -> None:
         """Complete the pending request, if there is one."""
-        if isinstance(result, Answered):
-            # Its caller takes the response over right after that. If it were released now, others
-            # could take up its memory meanwhile.
-            self.loop.call_soon(self.held_memory.release, self)
-        else:
-            self.held_memory.release(self)
+        if self.is_counted:
+            self._release_response(is_taken=isinstance(result, Answered))
         future, self.result_future = self.result_future, None
         if future is not None and not future.done():
             future.set_result(result)
 
+    def _release_response(self, *, is_taken: bool) -> None:
+        self.is_counted = False
+        if is_taken:
+            # Its caller takes it over right after that. If it were released now, others could take
+            # up its memory meanwhile.
+            self.loop.call_soon(self.held_memory.release, self)
+        else:
+            self.held_memory.release(self)
+
     def abort(self, result: SendResult) -> None:
         """Abort the connection and complete the pending request; later data is discarded."""
         self.transport.abort()
--- a/dunlinsaddle/calls/request_reader.py
+++ b/dunlinsaddle/calls/request_reader.py
@@ -26,12 +26,7 @@
     body: Body
     keep_alive: bool
     read_seconds: float = 0.0  #: from its first byte to its last
-
-    @property
-    def held_bytes(self) -> int:
-        """Memory that it takes, in bytes, without what its handling takes."""
-        text = sum(len(name) + len(value) for name, value in self.headers)
-        return len(self.body) + len(self.target) + text + HEADER_COST_BYTES * len(self.headers)
+    held_bytes: int = 0  #: memory that it takes, without what its handling takes
 
 
 class RequestReader(MessageReader):
@@ -141,6 +136,14 @@
         self.expects_continue = False
         keep_alive = self.parser.should_keep_alive() and not self.parser.should_upgrade()
         method = self.parser.get_method()
+        held_bytes = self.head_size + HEADER_COST_BYTES * len(self.headers) + self.body_size
         self.messages.append(
-            RequestMessage(method, self.target, self.headers, self.take_body(), keep_alive)
+            RequestMessage(
+                method,
+                self.target,
+                self.headers,
+                self.take_body(),
+                keep_alive,
+                held_bytes=held_bytes,
+            )
         )
--- a/dunlinsaddle/mesh/node.py
+++ b/dunlinsaddle/mesh/node.py
@@ -282,6 +282,7 @@
         """Open all listeners and start the tasks. Raises OSError if an address is in use."""
         cfg = self.settings
         watch_of_loop().logger = self.logger
+        self.logger.info('capacity', extra=self.capacity._asdict())
         self.addresses = ListenAddresses(
             await self.listeners.callers.listen(cfg.callers),
             await self.listeners.heartbeats.listen(cfg.announce),
