A call that gives way while it arrives is skipped once, and a promise needs all calls of its id ended

Found in the reading of the diff. A refusal that is written for an arriving call may pause its link, and that counts the link anew: it could give way a second time and lose its place in the stream. The frame is now marked as skipped before the refusal is sent. A request id that is used twice counted as not running when the first of its calls had ended, so that the other could be refused as not run; calls are counted by id. The product's own node, where an at most once call may run at another node's target, takes every call for one that has begun.

Tests: a call of 300 KB for which there is no memory is refused while it arrives, and its link and the calls beside it stay; two calls with one id.

--- a/dunlinsaddle/calls/call_state.py
+++ b/dunlinsaddle/calls/call_state.py
@@ -193,19 +193,26 @@
     def __init__(self) -> None:
         self._by_token: dict[str, RunningCall] = {}
         self._by_request: dict[str, RunningCall] = {}
+        self._counts: dict[str, int] = {}  #: calls in progress by request id
         self._idle = asyncio.Event()
         self._idle.set()
 
     def add(self, running: RunningCall) -> None:
         """Add a call that is about to be sent to the target."""
         self._by_token[running.token] = running
-        self._by_request[running.call.ctx.request_id] = running
+        request_id = running.call.ctx.request_id
+        self._by_request[request_id] = running
+        self._counts[request_id] = self._counts.get(request_id, 0) + 1
         self._idle.clear()
 
     def remove(self, running: RunningCall) -> None:
         """Remove a call that has ended, and cancel its downstream calls still in progress."""
-        self._by_token.pop(running.token, None)
+        if self._by_token.pop(running.token, None) is None:
+            return
         request_id = running.call.ctx.request_id
+        self._counts[request_id] -= 1
+        if not self._counts[request_id]:
+            del self._counts[request_id]
         if self._by_request.get(request_id) is running:
             del self._by_request[request_id]
         for task in list(running.children):
@@ -219,7 +226,7 @@
 
     def is_running(self, request_id: str) -> bool:
         """Return whether a call with this request id is in progress."""
-        return request_id in self._by_request
+        return request_id in self._counts
 
     def find(self, token: str) -> RunningCall | None:
         """Return the running call with this token, or None."""
--- a/dunlinsaddle/calls/frames.py
+++ b/dunlinsaddle/calls/frames.py
@@ -177,13 +177,17 @@
 
     def give_up(self) -> None:
         """Discard the arriving frame and refuse its call; end the link if it has none."""
-        start = read_frame_start(self.buffer[LENGTH_PREFIX_BYTES:FRAME_START_BYTES])
-        if not self.arriving_bytes or start is None or not self.refuse_arriving(start):
+        if not self.arriving_bytes:
             self.transport.abort()
             return
+        start = read_frame_start(self.buffer[LENGTH_PREFIX_BYTES:FRAME_START_BYTES])
+        # First of all, as a refusal that is sent may make this link give way once more.
         self.skipped_bytes = LENGTH_PREFIX_BYTES + self.arriving_bytes - len(self.buffer)
         self.arriving_bytes = 0
         self.buffer = bytearray()
+        if start is None or not self.refuse_arriving(start):
+            self.transport.abort()
+            return
         self.count_held()
 
     def refuse_arriving(self, start: FrameStart) -> bool:
--- a/dunlinsaddle/node.py
+++ b/dunlinsaddle/node.py
@@ -188,7 +188,6 @@
             self._handle_peer_exception,
             self.held_memory,
         )
-        self.peer_server.is_running = self.running.is_running
 
     def _build_sync(self) -> RecordSync:
         rng = Random(self.env.rng.random())
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from dunlinsaddle.calls.call_state import RunningCall, RunningCalls
 from dunlinsaddle.calls.frames import LinkLimits, Role, make_proof
 from dunlinsaddle.calls.inbound.peer_server import PeerServer
 from dunlinsaddle.calls.messages import (
@@ -19,7 +20,7 @@
 from dunlinsaddle.calls.outbound.link import PeerLinks
 from dunlinsaddle.errors import ErrorKind, Outcome
 from dunlinsaddle.settings import Address
-from tests.builders import PEER_KEY, build_call, build_reply
+from tests.builders import PEER_KEY, build_call, build_pending_call, build_reply
 from tests.clock import PausedClockTest
 from tests.fakes.relay import Relay
 
@@ -163,6 +164,32 @@
         self.assertEqual(('', 'overloaded', Outcome.NOT_RUN, ''), (first, second, outcome, third))
         self.assertEqual((0, 3), (held, started))
 
+    # A call that gave way while it arrived took all calls of its link along.
+    def test_call_for_which_there_is_no_memory_is_refused_while_it_arrives(self):
+        async def use(links, peer):
+            await Relay(PEER, rate=100_000).listen(RELAY)
+            memory = peer.server.held_memory
+            memory.limit = 100_000
+            large = build_call(path='0', body=b'x' * 300_000)
+            calls = (links.call(RELAY, call) for call in (large, build_call(path='0')))
+            refused, beside = await asyncio.gather(*calls)
+            after = await links.call(RELAY, build_call(path='0', body=b'small'))
+            return refused, beside.kind, after.body, memory.held, len(peer.server.links)
+
+        refused, beside, after, held, links = self.run_with_peer(use)
+        self.assertEqual(('overloaded', Outcome.NOT_RUN), (refused.kind, refused.outcome))
+        self.assertEqual(('', b'small', 0, 1), (beside, after, held, links))
+
+    # Of two requests with one id, the end of the first had the second refused as not run.
+    def test_request_id_that_is_used_twice_counts_as_running_until_both_end(self):
+        running = RunningCalls()
+        calls = [RunningCall(build_pending_call(request_id='r'), 0.0) for _ in range(2)]
+        for call in calls:
+            running.add(call)
+        for call, is_running in ((calls[1], True), (calls[1], True), (calls[0], False)):
+            running.remove(call)
+            self.assertEqual(is_running, running.is_running('r'))
+
     def test_cancelling_a_call_cancels_it_at_the_peer(self):
         async def use(links, peer):
             task = asyncio.get_running_loop().create_task(links.call(PEER, build_call(path='5')))
