A call that has gone when it may start needs no state between two methods

Found in the reading of the diff. The executor kept an attribute by which one method told another that a slot had been given back, and one method both started and refused waiting calls. What starts a waiting call now returns whether it is still there; the attribute is gone, and refusals read as they did before. Behaviour is the same: the test of callers who leave as their calls start passes.

--- a/dunlinsaddle/calls/execute.py
+++ b/dunlinsaddle/calls/execute.py
@@ -87,7 +87,6 @@
         self._unadmitted_ids: set[int] = set()
         self._ticket_count_at_tick = 0  #: value of ``_ticket_count`` at the last tick
         self._is_tick_scheduled = False
-        self._are_slots_returned = False  #: by calls that were cancelled when they were to start
 
     async def execute(self, call: PendingCall) -> Reply:
         """Run one call at the local target, or refuse it.
@@ -236,16 +235,22 @@
         self._waiters.refuse_all(Failure(ErrorKind.DRAINING, retry_after=RETRY_AFTER_SECONDS))
         self.suspects.trials.refuse_waiting()
 
-    def _end_wait(self, ticket: Ticket, failure: Failure | None) -> None:
+    def _start_waiting(self, ticket: Ticket, now: float) -> bool:
+        """Start a call that admission has taken from its queue; return False if it has gone."""
         if ticket.call_id in self._unadmitted_ids:
             # In observe mode it runs without admission, and does not wait.
             self._unadmitted_ids.discard(ticket.call_id)
-            return
-        if not self._waiters.resolve(ticket, failure) and failure is None:
-            # It was cancelled, and its task has not run since: without this, nobody would give
-            # its slot back, and the target would have one less for good.
-            self.admission.finish(self.now(), ticket, Sample(ticket.rule, 0.0, completed=False))
-            self._are_slots_returned = True
+            return True
+        if self._waiters.resolve(ticket, None):
+            return True
+        # It was cancelled, and its task has not run since: without this, nobody would give its
+        # slot back, and the target would have one less for good.
+        self.admission.finish(now, ticket, Sample(ticket.rule, 0.0, completed=False))
+        return False
+
+    def _end_wait(self, ticket: Ticket, failure: Failure) -> None:
+        self._unadmitted_ids.discard(ticket.call_id)
+        self._waiters.resolve(ticket, failure)
 
     async def _run(self, call: PendingCall, ticket: Ticket) -> Reply:
         loop = self.loop
@@ -338,7 +343,7 @@
                 self._report_advertised_state(call, sent_at, response)
                 reply = self._read_reply(call, running, response)
                 reply.connection, reply.earlier_answers = connection, earlier_responses
-            case NotSent(detail, is_own_lack=True):
+            case NotSent(detail, is_local_exhaustion=True):
                 # NO_TARGET would have the sender avoid the target.
                 reply = refusal(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_SECONDS))
             case NotSent(detail, is_refused):
@@ -380,14 +385,13 @@
 
     def _release(self, now: float) -> None:
         failure = Failure(ErrorKind.TOO_LATE_TO_START, retry_after=RETRY_AFTER_SECONDS)
-        self._are_slots_returned = True
-        while self._are_slots_returned:
-            self._are_slots_returned = False
+        has_free_slot = True
+        while has_free_slot:
             dequeued = self.admission.dequeue(now)
-            for started in dequeued.started:
-                self._end_wait(started, None)
+            gone = [ticket for ticket in dequeued.started if not self._start_waiting(ticket, now)]
             for dropped in dequeued.expired:
                 self._end_wait(dropped, failure)
+            has_free_slot = bool(gone)
         self._waiters.schedule_release(now)
 
     def _refuse(self, failure: Failure, call: PendingCall) -> Reply:
