A check that stood twice, and an allocator setting without effect

Whether input of a request is pending is asked in one place. The number of mapped blocks keeps the C library's own bound, 65,536: blocks of 128 KB that fit into what may be held are some 2,000.

--- a/dunlinsaddle/calls/inbound/accepted_connection.py
+++ b/dunlinsaddle/calls/inbound/accepted_connection.py
@@ -227,9 +227,7 @@
             return Activity.BUSY
         if self.is_write_paused:
             return Activity.SENDING
-        if self.unread or self.unstarted or self.reader.bytes_fed:
-            return Activity.READING
-        return Activity.IDLE
+        return Activity.READING if self._has_pending_input() else Activity.IDLE
 
     def _held_for_requests(self) -> int:
         """Return what whole requests hold, or the responses that are ready in their place."""
--- a/dunlinsaddle/memory.py
+++ b/dunlinsaddle/memory.py
@@ -8,8 +8,7 @@
 #: Larger blocks are returned to the kernel when they are freed, and grow without a copy. By default
 #: the C library raises its threshold to 32 MB as large blocks are freed, and then keeps them.
 MAPPED_BLOCK_BYTES = 1 << 17
-M_TRIM_THRESHOLD, M_MMAP_THRESHOLD, M_MMAP_MAX = -1, -3, -4  #: of ``malloc.h``
-MAX_MAPPED_BLOCKS = 1 << 20
+M_TRIM_THRESHOLD, M_MMAP_THRESHOLD = -1, -3  #: of ``malloc.h``
 
 
 def tune_garbage_collector() -> None:
@@ -31,4 +30,3 @@
         return
     mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES)
     mallopt(M_TRIM_THRESHOLD, MAPPED_BLOCK_BYTES)
-    mallopt(M_MMAP_MAX, MAX_MAPPED_BLOCKS)
