Exhausted resources of this process are named in the field's terms

own_lack.py becomes resource_errors.py, NotSent.is_own_lack is_local_exhaustion. Names and one docstring only; neither travels between nodes or stands in a log.

--- a/dunlinsaddle/calls/messages.py
+++ b/dunlinsaddle/calls/messages.py
@@ -191,7 +191,7 @@
 
     detail: str
     is_refused: bool = False  #: nothing listens at the address
-    is_own_lack: bool = False  #: this process has no descriptor or memory left for a connection
+    is_local_exhaustion: bool = False  #: this process lacks descriptors or memory
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunlinsaddle/calls/outbound/client.py
+++ b/dunlinsaddle/calls/outbound/client.py
@@ -18,8 +18,8 @@
     SkippedResponse,
     match_any_response,
 )
-from dunlinsaddle.calls.outbound.own_lack import is_own_lack
 from dunlinsaddle.calls.outbound.pool import MAX_REUSE_IDLE_SECONDS, ConnectionPool
+from dunlinsaddle.calls.outbound.resource_errors import is_resource_exhaustion
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.settings import Address
@@ -120,7 +120,7 @@
         except (OSError, TimeoutError) as exc:
             is_refused = isinstance(exc, ConnectionRefusedError)
             detail = f'{address}: {exc or "no connection in time"}'
-            return NotSent(detail, is_refused, is_own_lack(exc))
+            return NotSent(detail, is_refused, is_resource_exhaustion(exc))
         return await self._send_on(conn, pending, pool)
 
     async def _send_on(
--- a/dunlinsaddle/calls/outbound/link.py
+++ b/dunlinsaddle/calls/outbound/link.py
@@ -37,7 +37,7 @@
     TargetCrashes,
     Welcome,
 )
-from dunlinsaddle.calls.outbound.own_lack import is_own_lack
+from dunlinsaddle.calls.outbound.resource_errors import is_resource_exhaustion
 from dunlinsaddle.errors import ErrorKind
 from dunlinsaddle.loops import LoopBound
 from dunlinsaddle.settings import Address
@@ -106,7 +106,7 @@
         self.loop.call_soon(self.count_held)
 
     def refuse_arriving(self, start: FrameStart) -> bool:
-        """Take the reply that arrives for lost."""
+        """Report the call of the arriving reply as lost."""
         future = self.pending.pop(start.id, None) if start.tag == REPLY_TAG else None
         if future is not None and not future.done():
             detail = f'the answers held are larger than {self.held_memory.limit} bytes'
@@ -229,7 +229,7 @@
                     link = await self._get_link(address)
         except (OSError, TimeoutError) as exc:
             detail = f'{address}: {exc or "no link in time"}'
-            return NotSent(detail, is_own_lack=is_own_lack(exc))
+            return NotSent(detail, is_local_exhaustion=is_resource_exhaustion(exc))
         if len(link.pending) + len(link.writable_waiters) >= self.limits.max_calls:
             return NotSent(f'{address}: the peer takes no more calls')
         if link.write_paused:
--- a/dunlinsaddle/calls/results.py
+++ b/dunlinsaddle/calls/results.py
@@ -69,7 +69,7 @@
                 self._update_router(now, member, call.ctx.rule, result)
                 self._record_refusal(now, call.ctx.service, result)
                 self.record_level(now, call, result)
-            case NotSent(is_own_lack=True):
+            case NotSent(is_local_exhaustion=True):
                 self.router.record_unsent(member.instance)
             case NotSent() | Lost():
                 self.router.record_failure(now, member.instance)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -179,7 +179,7 @@
             return lacking, await client.send(TARGET, get_request('/'), 1)
 
         lacking, refused = self.run_paused(scenario())
-        self.assertEqual((True, False), (lacking.is_own_lack, refused.is_own_lack))
+        self.assertEqual((True, False), (lacking.is_local_exhaustion, refused.is_local_exhaustion))
 
     def test_an_invalid_request_is_not_sent(self):
         async def script(connection, data):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -172,14 +172,14 @@
         self.assertEqual(200, self.dispatch(links).status)
 
     # A node without a descriptor left took sound targets for failed ones, and had none to send to.
-    def test_own_lack_of_descriptors_does_not_eject_targets(self):
-        for is_own_lack in (True, False):
+    def test_local_lack_of_descriptors_does_not_eject_targets(self):
+        for is_local in (True, False):
             router = Router('bangor-hall', Random(1))
             for _ in range(10):
-                lack = (NotSent('EMFILE', is_own_lack=is_own_lack) for _ in range(3))
+                lack = (NotSent('EMFILE', is_local_exhaustion=is_local) for _ in range(3))
                 self.dispatch(FakeLinks(*lack), router=router)
             reports = [router.report(0.0, name, 'd') for name in ('bangor-1', 'menai-1')]
-            self.assertEqual(is_own_lack, not any(r['error_share'] for r in reports))
+            self.assertEqual(is_local, not any(r['error_share'] for r in reports))
 
     def test_lost_non_idempotent_call_is_unknown_and_not_resent(self):
         links = FakeLinks(Lost('cut'), DONE)
