Crowds that hold connections open are written once

Six tests of bodies and three of connections had the same steps: open, send, go on sending, check that others are answered. The base class has them now. Crowds, bounds and assertions are the same.

--- a/tests/crowds/crowd_case.py
+++ b/tests/crowds/crowd_case.py
@@ -11,6 +11,7 @@
 
 from testtools import TestCase
 
+from tests.crowds.clients import Crowd
 from tests.crowds.machines import Limits, Machines
 
 TWO_SERVICES = ['front', 'deep']
@@ -34,6 +35,27 @@
 
         self.assertEqual([], asyncio.run(run()))
 
+    async def hold_open(
+        self,
+        machines: Machines,
+        count: int,
+        data: bytes,
+        *,
+        trickled: bytes = b'',
+        wait: float = 5.0,
+        settle: float = 0.0,
+    ) -> None:
+        """Check that others are answered while ``count`` connections that sent ``data`` stay.
+
+        They go on to send ``trickled`` until the end; ``wait`` is as for ``Crowd.send``.
+        """
+        async with Crowd(machines.all[FRONT].outbound) as crowd:
+            await crowd.send(count, data, wait=wait)
+            if trickled:
+                crowd.trickle(trickled)
+            await asyncio.sleep(settle)
+            await self.check_answered(machines)
+
     async def check_answered(self, machines: Machines) -> None:
         """Check that ordinary requests, and one with a body, are answered whole."""
         for path, body in (('/front/x', b''), ('/deep/x', b''), ('/deep/x', b'x' * 2000)):
--- a/tests/crowds/test_bodies.py
+++ b/tests/crowds/test_bodies.py
@@ -17,6 +17,7 @@
 LARGE_BODY_BYTES = 2_000_000
 SMALL_CHUNK_BYTES = 16
 MANY_TINY_CHUNKS = 20_000  #: of one byte
+LAST_CHUNK_SIZE = b'%x\r\n' % LARGE_CHUNK_BYTES  #: of a chunk that is never whole
 #: Sent on each connection twice a second, so that its body goes on faster than the slowest allowed.
 TRICKLE = b'x' * 1000
 HEAD_BYTES = 15_000
@@ -26,72 +27,39 @@
 class UnfinishedBodiesTest(CrowdCase):
     # Bodies that stay just short of their end took all memory, and ordinary bodies were refused.
     def test_bodies_in_large_chunks_that_never_end(self):
-        async def scenario(machines: Machines) -> None:
-            async with Crowd(machines.all[FRONT].outbound) as crowd:
-                body = build_chunks(LARGE_BODY_BYTES, LARGE_CHUNK_BYTES)
-                last = b'%x\r\n' % LARGE_CHUNK_BYTES
-                await crowd.send(60, build_chunked_head('/deep/x') + body + last)
-                crowd.trickle(TRICKLE)
-                await self.check_answered(machines)
-
-        self.run_crowd(scenario, Limits())
+        body = build_chunks(LARGE_BODY_BYTES, LARGE_CHUNK_BYTES)
+        data = build_chunked_head('/deep/x') + body + LAST_CHUNK_SIZE
+        self.run_crowd(lambda m: self.hold_open(m, 60, data, trickled=TRICKLE), Limits())
 
     # The same in chunks that each bring a few bytes.
     def test_bodies_in_small_chunks_that_never_end(self):
-        async def scenario(machines: Machines) -> None:
-            async with Crowd(machines.all[FRONT].outbound) as crowd:
-                body = build_chunks(LARGE_BODY_BYTES, SMALL_CHUNK_BYTES)
-                last = b'%x\r\n' % LARGE_CHUNK_BYTES
-                await crowd.send(60, build_chunked_head('/deep/x') + body + last, wait=15.0)
-                crowd.trickle(TRICKLE)
-                await self.check_answered(machines)
-
-        self.run_crowd(scenario, Limits())
+        body = build_chunks(LARGE_BODY_BYTES, SMALL_CHUNK_BYTES)
+        data = build_chunked_head('/deep/x') + body + LAST_CHUNK_SIZE
+        self.run_crowd(lambda m: self.hold_open(m, 60, data, trickled=TRICKLE, wait=15.0), Limits())
 
     # A part of a body takes far more memory than the few bytes in it.
     def test_bodies_in_chunks_of_one_byte_that_never_end(self):
-        async def scenario(machines: Machines) -> None:
-            async with Crowd(machines.all[FRONT].outbound) as crowd:
-                body = build_chunks(MANY_TINY_CHUNKS, 1)
-                await crowd.send(100, build_chunked_head('/deep/x') + body, wait=10.0)
-                crowd.trickle(b'1\r\nx\r\n')
-                await self.check_answered(machines)
-
-        self.run_crowd(scenario, Limits())
+        data = build_chunked_head('/deep/x') + build_chunks(MANY_TINY_CHUNKS, 1)
+        chunk = build_chunks(1, 1)
+        self.run_crowd(lambda m: self.hold_open(m, 100, data, trickled=chunk, wait=10.0), Limits())
 
     # A body reserved its whole length with its head, and the next ones found no memory left.
     def test_bodies_that_are_announced_and_not_sent(self):
-        async def scenario(machines: Machines) -> None:
-            async with Crowd(machines.all[FRONT].outbound) as crowd:
-                limit = machines.limits.max_body_bytes
-                head = build_head('/deep/x', f'content-length: {limit}', method='POST')
-                await crowd.send(60, head + b'\r\n' + b'x' * 1000)
-                crowd.trickle(TRICKLE)
-                await self.check_answered(machines)
-
-        self.run_crowd(scenario, Limits())
+        limits = Limits()
+        head = build_head('/deep/x', f'content-length: {limits.max_body_bytes}', method='POST')
+        data = head + b'\r\n' + b'x' * 1000
+        self.run_crowd(lambda m: self.hold_open(m, 60, data, trickled=TRICKLE), limits)
 
     # A header of four bytes takes thirty times as much once it is parsed.
     def test_heads_of_tiny_headers_that_never_end(self):
-        async def scenario(machines: Machines) -> None:
-            async with Crowd(machines.all[FRONT].outbound) as crowd:
-                headers = b''.join(b'%c%c:\r\n' % (65 + n % 26, 97 + n % 25) for n in range(3000))
-                await crowd.send(400, build_head('/deep/x') + headers[:HEAD_BYTES])
-                crowd.trickle(b'a:\r\n')
-                await self.check_answered(machines)
-
-        self.run_crowd(scenario, Limits())
+        headers = b''.join(b'%c%c:\r\n' % (65 + n % 26, 97 + n % 25) for n in range(3000))
+        data = build_head('/deep/x') + headers[:HEAD_BYTES]
+        self.run_crowd(lambda m: self.hold_open(m, 400, data, trickled=b'a:\r\n'), Limits())
 
     # Whole requests with large heads were held while the target was busy with others.
     def test_requests_with_large_heads_that_wait_for_the_target(self):
-        async def scenario(machines: Machines) -> None:
-            async with Crowd(machines.all[FRONT].outbound) as crowd:
-                padding = 'x-padding: ' + 'p' * HEAD_BYTES
-                req = build_request('/deep/wait/2000', b'', padding)
-                await crowd.send(300, req * 16)
-                await self.check_answered(machines)
-
-        self.run_crowd(scenario, Limits())
+        data = build_request('/deep/wait/2000', b'', 'x-padding: ' + 'p' * HEAD_BYTES) * 16
+        self.run_crowd(lambda m: self.hold_open(m, 300, data), Limits())
 
     # Calls with bodies from several nodes took a target's node over its memory.
     def test_bodies_from_several_machines_for_one_target(self):
--- a/tests/crowds/test_connections.py
+++ b/tests/crowds/test_connections.py
@@ -20,27 +20,24 @@
 
 
 class ConnectionsTest(CrowdCase):
-    async def crowd_connects(self, machines: Machines, data: bytes, trickled: bytes) -> None:
-        async with Crowd(machines.all[FRONT].outbound) as crowd:
-            await crowd.send(CONNECTIONS, data)
-            if trickled:
-                crowd.trickle(trickled)
-            await asyncio.sleep(0.5)
-            await self.check_answered(machines)
+    def check_connections(self, data: bytes, trickled: bytes = b'') -> None:
+        self.run_crowd(
+            lambda m: self.hold_open(m, CONNECTIONS, data, trickled=trickled, settle=0.5),
+            FEW_DESCRIPTORS,
+        )
 
     # Kept connections took all descriptors, and new callers were refused.
     def test_idle_connections(self):
-        data = build_request('/front/x')
-        self.run_crowd(lambda m: self.crowd_connects(m, data, b''), FEW_DESCRIPTORS)
+        self.check_connections(build_request('/front/x'))
 
     # The same for connections on which nothing is ever sent.
     def test_connections_without_a_request(self):
-        self.run_crowd(lambda m: self.crowd_connects(m, b'', b''), FEW_DESCRIPTORS)
+        self.check_connections(b'')
 
     # The same for requests that come byte by byte.
     def test_connections_with_unfinished_bodies(self):
         head = build_head('/deep/x', 'content-length: 100000', method='POST') + b'\r\n'
-        self.run_crowd(lambda m: self.crowd_connects(m, head, b'x' * 1000), FEW_DESCRIPTORS)
+        self.check_connections(head, b'x' * 1000)
 
     # Listeners that callers have no business with took the descriptors of the others.
     def test_connections_to_all_ports_of_a_node(self):
